--- /dev/null
+++ b/packages/cli/src/client/index.ts
@@ -0,0 +1,5 @@
+export {
+  OperatorClient,
+  type Answer,
+  type ClientError,
+} from './operator-client.js';
--- /dev/null
+++ b/packages/control/src/ledger/logic.ts
@@ -0,0 +1,138 @@
+/** Applies ledger commands. Every command may come twice and late. */
+import type {ClaimId} from '@samphirefield/core';
+import {
+  dropOldAnswers,
+  expireRecords,
+  putRecord,
+  type LedgerTable,
+} from './store.js';
+import type {
+  AbandonCommand,
+  ClaimCommand,
+  CompleteCommand,
+  ForgetCommand,
+  LedgerAnswer,
+  LedgerCommand,
+  LedgerRecord,
+  ReleaseCommand,
+} from './types.js';
+
+const RECORDED: LedgerAnswer = {kind: 'recorded'};
+
+function answerKnown(record: LedgerRecord, claimId: ClaimId): LedgerAnswer {
+  switch (record.state) {
+    case 'claimed':
+      return {kind: record.claimId === claimId ? 'granted' : 'in_progress'};
+    case 'done':
+      return {kind: 'done', answer: record.answer};
+    case 'released':
+      return {kind: 'released'};
+    case 'unknown':
+      return {kind: 'unknown'};
+  }
+}
+
+function claim(table: LedgerTable, command: ClaimCommand): LedgerAnswer {
+  const {key, claimId, fingerprint, holder, atMs, bounds} = command;
+  expireRecords(table, atMs - bounds.retentionMs);
+  const known = table.records.get(key);
+  const isFree = known?.state === 'released' && known.claimId !== claimId;
+  if (known && !isFree) {
+    if (known.fingerprint !== fingerprint) return {kind: 'mismatch'};
+    return answerKnown(known, claimId);
+  }
+  if (!known && table.records.size >= bounds.maxRecords) return {kind: 'full'};
+  putRecord(table, key, {
+    claimId,
+    fingerprint,
+    holder,
+    state: 'claimed',
+    answer: undefined,
+    updatedAtMs: atMs,
+  });
+  return {kind: 'granted'};
+}
+
+function complete(table: LedgerTable, command: CompleteCommand): LedgerAnswer {
+  const {key, claimId, answer, atMs, bounds} = command;
+  const known = table.records.get(key);
+  if (known?.claimId !== claimId || known.state === 'released') return RECORDED;
+  if (known.state === 'done') return RECORDED;
+  // An unknown outcome that its holder still learned is known from now on.
+  putRecord(table, key, {...known, state: 'done', answer, updatedAtMs: atMs});
+  dropOldAnswers(table, bounds.maxAnswerBytes);
+  return RECORDED;
+}
+
+function release(table: LedgerTable, command: ReleaseCommand): LedgerAnswer {
+  const {key, claimId, holder, atMs} = command;
+  const known = table.records.get(key);
+  if (known && known.claimId !== claimId) return RECORDED;
+  if (known?.state === 'done') return {kind: 'done', answer: known.answer};
+  if (known?.state === 'unknown') return {kind: 'unknown'};
+  // Without a record the claim itself may still be on its way: the released
+  // record refuses it when it comes.
+  putRecord(table, key, {
+    claimId,
+    fingerprint: known?.fingerprint ?? ('' as LedgerRecord['fingerprint']),
+    holder,
+    state: 'released',
+    answer: undefined,
+    updatedAtMs: atMs,
+  });
+  return RECORDED;
+}
+
+function forget(table: LedgerTable, command: ForgetCommand): LedgerAnswer {
+  const known = table.records.get(command.key);
+  if (known?.claimId !== command.claimId || known.state !== 'claimed') {
+    return RECORDED;
+  }
+  putRecord(table, command.key, {
+    ...known,
+    state: 'unknown',
+    updatedAtMs: command.atMs,
+  });
+  return RECORDED;
+}
+
+function abandon(table: LedgerTable, command: AbandonCommand): LedgerAnswer {
+  const keys = [...(table.keysByHolder.get(command.holder) ?? [])];
+  for (const key of keys) {
+    const record = table.records.get(key)!;
+    putRecord(table, key, {
+      ...record,
+      state: 'unknown',
+      updatedAtMs: command.atMs,
+    });
+  }
+  return RECORDED;
+}
+
+export function applyLedgerCommand(
+  table: LedgerTable,
+  command: LedgerCommand,
+): LedgerAnswer {
+  switch (command.kind) {
+    case 'claim':
+      return claim(table, command);
+    case 'complete':
+      return complete(table, command);
+    case 'release':
+      return release(table, command);
+    case 'forget':
+      return forget(table, command);
+    case 'abandon':
+      return abandon(table, command);
+  }
+}
+
+/** Looks a key up without claiming it. */
+export function lookUp(
+  table: LedgerTable,
+  key: string,
+  claimId: ClaimId,
+): LedgerAnswer | undefined {
+  const record = table.records.get(key);
+  return record && answerKnown(record, claimId);
+}
--- /dev/null
+++ b/packages/control/src/machine/types.ts
@@ -0,0 +1,22 @@
+/** The tables that the voters replicate. */
+import type {CommandId} from '@samphirefield/core';
+import type {ConfigDelta, ConfigView} from '../config/index.js';
+import type {
+  LedgerAnswer,
+  LedgerCommand,
+  LedgerTable,
+} from '../ledger/index.js';
+import type {OperatorAnswer, OperatorCommand} from '../operators/index.js';
+
+export interface ControlTables {
+  config: ConfigView;
+  configHash: string;
+  /** The latest accepted changes, oldest first. */
+  recentDeltas: ConfigDelta[];
+  /** First answers to operators' commands, oldest first. */
+  readonly answers: Map<CommandId, OperatorAnswer>;
+  readonly ledger: LedgerTable;
+}
+
+export type ControlCommand = OperatorCommand | LedgerCommand;
+export type ControlAnswer = OperatorAnswer | LedgerAnswer;
--- /dev/null
+++ b/packages/control/src/operators/index.ts
@@ -0,0 +1,6 @@
+export type {
+  ChangeSummary,
+  OperatorAnswer,
+  OperatorChange,
+  OperatorCommand,
+} from './types.js';
--- /dev/null
+++ b/packages/control/src/operators/types.ts
@@ -0,0 +1,45 @@
+/** Operators' commands and the answers that are kept for resends. */
+import type {CommandId, Revision, TargetId, ZoneId} from '@samphirefield/core';
+
+export type OperatorChange =
+  | {readonly kind: 'apply_rules'; readonly text: string}
+  | {readonly kind: 'zone'; readonly zone: ZoneId; readonly isOut: boolean}
+  | {
+      readonly kind: 'target';
+      readonly target: TargetId;
+      readonly isOut: boolean;
+    };
+
+export interface OperatorCommand {
+  readonly kind: 'operator';
+  readonly commandId: CommandId;
+  /** The revision that the operator looked at. */
+  readonly baseRevision: Revision;
+  readonly operator: string;
+  readonly change: OperatorChange;
+  readonly atMs: number;
+}
+
+/** A change that an operator should know of. */
+export interface ChangeSummary {
+  readonly revision: Revision;
+  readonly operator: string;
+  readonly commandId: CommandId;
+  readonly acceptedAtMs: number;
+  readonly description: string;
+}
+
+export type OperatorAnswer =
+  | {
+      readonly kind: 'accepted';
+      readonly revision: Revision;
+      readonly description: string;
+    }
+  | {readonly kind: 'unchanged'; readonly revision: Revision}
+  /** Another command won: the changes since the base revision, oldest first. */
+  | {
+      readonly kind: 'conflict';
+      readonly baseRevision: Revision;
+      readonly revision: Revision;
+      readonly changesSince: readonly ChangeSummary[];
+    };
--- /dev/null
+++ b/packages/core/src/logging/index.ts
@@ -0,0 +1,10 @@
+export {
+  createLogger,
+  formatLine,
+  installLogWriter,
+  silentLogger,
+  type LogFields,
+  type Logger,
+  type LogLevel,
+  type LogValue,
+} from './logger.js';
--- /dev/null
+++ b/packages/core/src/rules/types.ts
@@ -0,0 +1,126 @@
+/**
+ * The rules of a deployment, as data. One line of the rules file makes one
+ * rule; docs/RULES.md shows each of them.
+ */
+import type {
+  ModelId,
+  ServiceId,
+  TargetId,
+  WorkspaceId,
+  ZoneId,
+} from '../ids/index.js';
+
+/** Who asked for a rule, from the comment at the end of its line. */
+export interface RuleSource {
+  readonly line: number;
+  readonly requestedBy: string;
+}
+
+export type ServiceKind = 'engine' | 'plain';
+
+/** `service NAME kind=engine|plain path=/...` */
+export interface ServiceRule extends RuleSource {
+  readonly kind: 'service';
+  readonly service: ServiceId;
+  readonly serviceKind: ServiceKind;
+  readonly path: string;
+  readonly maxQueue: number;
+  readonly maxConcurrency: number;
+}
+
+/** `workspace NAME key-sha256=HEX` */
+export interface WorkspaceRule extends RuleSource {
+  readonly kind: 'workspace';
+  readonly workspace: WorkspaceId;
+  readonly keySha256: string;
+  readonly weight: number;
+}
+
+/** `priority level=N` for a workspace, a service or both; 0 goes first. */
+export interface PriorityRule extends RuleSource {
+  readonly kind: 'priority';
+  readonly workspace: WorkspaceId | undefined;
+  readonly service: ServiceId | undefined;
+  readonly level: number;
+}
+
+/** `once service=NAME method=POST path=/...`: calls that may not be repeated. */
+export interface OnceRule extends RuleSource {
+  readonly kind: 'once';
+  readonly service: ServiceId;
+  readonly method: string;
+  readonly path: string;
+}
+
+/** `limit workspace=NAME service=NAME concurrency=N queue=N`, per entry. */
+export interface LimitRule extends RuleSource {
+  readonly kind: 'limit';
+  readonly workspace: WorkspaceId;
+  readonly service: ServiceId | undefined;
+  readonly maxConcurrency: number;
+  readonly maxQueue: number;
+}
+
+/** `affinity service=NAME prefix-chars=N`: keep equal prompt starts together. */
+export interface AffinityRule extends RuleSource {
+  readonly kind: 'affinity';
+  readonly service: ServiceId;
+  readonly prefixChars: number;
+}
+
+/** `target NAME fencing=... orders=...`: how it treats orders. */
+export interface TargetRule extends RuleSource {
+  readonly kind: 'target';
+  readonly target: TargetId | undefined;
+  readonly service: ServiceId | undefined;
+  readonly checksFencing: boolean;
+  readonly checksSender: boolean;
+}
+
+/** `model NAME service=... version=... targets=N`: what to hold, and where. */
+export interface ModelRule extends RuleSource {
+  readonly kind: 'model';
+  readonly model: ModelId;
+  readonly service: ServiceId;
+  readonly version: string;
+  readonly targets: number;
+}
+
+/** `zone NAME`: an availability zone that the deployment knows. */
+export interface ZoneRule extends RuleSource {
+  readonly kind: 'zone';
+  readonly zone: ZoneId;
+}
+
+export type Rule =
+  | ServiceRule
+  | WorkspaceRule
+  | PriorityRule
+  | OnceRule
+  | LimitRule
+  | AffinityRule
+  | TargetRule
+  | ModelRule
+  | ZoneRule;
+
+/** One error in a rules file, with its place. Columns start at 1. */
+export interface RuleError {
+  readonly line: number;
+  readonly column: number;
+  readonly message: string;
+  readonly sourceLine: string;
+}
+
+/** The checked rules, indexed for the lookups of a request. */
+export interface RuleSet {
+  readonly services: ReadonlyMap<ServiceId, ServiceRule>;
+  readonly workspaces: ReadonlyMap<WorkspaceId, WorkspaceRule>;
+  readonly workspacesByKey: ReadonlyMap<string, WorkspaceRule>;
+  readonly zones: ReadonlyMap<ZoneId, ZoneRule>;
+  readonly models: ReadonlyMap<ModelId, ModelRule>;
+  readonly priorities: readonly PriorityRule[];
+  readonly once: readonly OnceRule[];
+  readonly limits: readonly LimitRule[];
+  readonly affinities: ReadonlyMap<ServiceId, AffinityRule>;
+  readonly targets: readonly TargetRule[];
+}
--- /dev/null
+++ b/packages/core/src/targets/index.ts
@@ -0,0 +1,6 @@
+export {
+  announcementSchema,
+  cacheEventSchema,
+  type Announcement,
+  type CacheEvent,
+} from './announcement.js';
--- /dev/null
+++ b/packages/daemon/src/callers/index.ts
@@ -0,0 +1,1 @@
+export {authenticate} from './authenticate.js';
--- /dev/null
+++ b/packages/daemon/src/clock/index.ts
@@ -0,0 +1,14 @@
+/** The two clocks of a daemon. Leases and timeouts use the monotonic one. */
+import {performance} from 'node:perf_hooks';
+
+export interface Clock {
+  /** Milliseconds on the monotonic clock, since an arbitrary start. */
+  readonly nowMs: () => number;
+  /** Milliseconds since 1970; for records that people read. */
+  readonly wallMs: () => number;
+}
+
+export const systemClock: Clock = {
+  nowMs: () => Math.trunc(performance.now()),
+  wallMs: () => Date.now(),
+};
--- /dev/null
+++ b/packages/daemon/src/entry/report.ts
@@ -0,0 +1,190 @@
+/** Builds an entry's heartbeat, and takes in the leader's answer. */
+import {applyDeltas, hashConfig, type ConfigView} from '@samphirefield/control';
+import {parseRules, type ServiceId} from '@samphirefield/core';
+import {
+  forgetTarget,
+  type Demand,
+  type EntryOrders,
+  type EntryReport,
+  type TargetView,
+} from '@samphirefield/policy';
+import type {Heartbeat} from '../rpc/index.js';
+import type {ConfigNews, HeartbeatAnswer} from '../voter/index.js';
+import type {EntryTables} from './tables.js';
+import {usageByTarget, usageOf} from './usage.js';
+
+export interface QueueDemand {
+  readonly service: ServiceId;
+  readonly waiting: number;
+  readonly kvNeedTokens: number;
+}
+
+function runningSuspects(tables: EntryTables): EntryReport['runningSuspects'] {
+  return [...tables.streams.values()]
+    .filter(stream => stream.isSuspect)
+    .map(stream => stream.fingerprint);
+}
+
+export function buildHeartbeat(
+  tables: EntryTables,
+  sequence: number,
+  demand: readonly Demand[],
+  nowMs: number,
+): Heartbeat {
+  const usage = usageByTarget(tables);
+  const held = [...tables.targets.values()].flatMap(row => {
+    const {inUse, kvInUse} = usageOf(usage, row.view.target);
+    const isEmpty = row.slots === 0 && inUse === 0;
+    if (isEmpty) return [];
+    const {target, incarnation} = row.view;
+    const {slots, kvTokens, finished} = row;
+    return [{target, incarnation, slots, kvTokens, inUse, kvInUse, finished}];
+  });
+  const announcements = [...tables.heard.values()]
+    .filter(row => !row.isReported)
+    .map(row => ({
+      announcement: row.announcement,
+      heardAgoMs: nowMs - row.heardAtMs,
+    }));
+  return {
+    revision: tables.config.revision,
+    configHash: tables.configHash,
+    knownTerm: tables.leaderTerm,
+    report: {
+      holder: tables.holder,
+      instance: tables.instance,
+      zone: tables.zone,
+      sequence,
+      held,
+      demand: [...demand],
+      announcements,
+      deaths: tables.unreportedDeaths.map(death => ({
+        ...death,
+        fingerprints: [...death.fingerprints],
+      })),
+      clearedSuspects: tables.unreportedCleared,
+      waitingSuspects: [...tables.waitingSuspects],
+      runningSuspects: [...runningSuspects(tables)],
+      knownTargetsVersion: tables.knownTargetsVersion,
+      knownQuarantineVersion: tables.knownQuarantineVersion,
+    },
+  };
+}
+
+function installConfig(tables: EntryTables, view: ConfigView): void {
+  if (view.revision < tables.config.revision) return;
+  const rules = parseRules(view.rulesText);
+  tables.config = view;
+  tables.configHash = hashConfig(view);
+  if (rules.isOk()) tables.rules = rules.value;
+}
+
+/** Returns false when the deltas do not follow what is here. */
+function applyNews(tables: EntryTables, news: ConfigNews): boolean {
+  switch (news.kind) {
+    case 'none':
+      return true;
+    case 'whole':
+      installConfig(tables, news.view);
+      return true;
+    case 'deltas': {
+      const view = applyDeltas(tables.config, news.deltas);
+      if (view) installConfig(tables, view);
+      return view !== undefined;
+    }
+  }
+}
+
+function applyTargetView(tables: EntryTables, view: TargetView): void {
+  const known = tables.targets.get(view.target);
+  if (known === undefined) {
+    tables.targets.set(view.target, {
+      view,
+      slots: 0,
+      kvTokens: 0,
+      avoidUntilMs: 0,
+      finished: 0,
+      sentSinceView: 0,
+    });
+    return;
+  }
+  if (known.view.incarnation !== view.incarnation) {
+    known.finished = 0;
+    known.avoidUntilMs = 0;
+    forgetTarget(tables.cache, view.target);
+  }
+  known.view = view;
+  known.sentSinceView = 0;
+}
+
+function applyAllotments(tables: EntryTables, orders: EntryOrders): boolean {
+  const given = new Map(orders.allotments.map(item => [item.target, item]));
+  let hasShrunk = false;
+  for (const [target, row] of tables.targets) {
+    const next = given.get(target);
+    const slots = next?.slots ?? 0;
+    const kvTokens = next?.kvTokens ?? 0;
+    hasShrunk ||= slots < row.slots || kvTokens < row.kvTokens;
+    row.slots = slots;
+    row.kvTokens = kvTokens;
+  }
+  return hasShrunk;
+}
+
+export interface TakenIn {
+  /** Whether the leader waits for a confirmation or for news from here. */
+  readonly wantsSoon: boolean;
+}
+
+type OkAnswer = Extract<HeartbeatAnswer, {kind: 'ok'}>;
+
+/** Takes in the answer to the heartbeat that was sent at `sentAtMs`. */
+export function applyAnswer(
+  tables: EntryTables,
+  sent: Heartbeat,
+  answer: OkAnswer,
+  sentAtMs: number,
+  leaseMs: number,
+): TakenIn {
+  const isNewLeader = answer.term !== tables.leaderTerm;
+  markReported(tables, sent, isNewLeader);
+  tables.leaderTerm = answer.term;
+  const isConfigCurrent = applyNews(tables, answer.news);
+  const {orders} = answer;
+  for (const view of orders.targets) applyTargetView(tables, view);
+  tables.knownTargetsVersion = orders.targetsVersion;
+  const hasShrunk = applyAllotments(tables, orders);
+  if (orders.suspects) {
+    tables.sharedSuspects = new Map(
+      orders.suspects.map(row => [row.fingerprint, row]),
+    );
+  }
+  tables.knownQuarantineVersion = orders.quarantineVersion;
+  tables.suspectTurns = new Set(orders.suspectTurns);
+  if (isConfigCurrent) tables.viewLeaseEndMs = sentAtMs + leaseMs;
+  return {wantsSoon: hasShrunk || isNewLeader || !isConfigCurrent};
+}
+
+function markReported(
+  tables: EntryTables,
+  sent: Heartbeat,
+  isNewLeader: boolean,
+): void {
+  const {report} = sent;
+  const reported = new Map(
+    report.announcements.map(item => [
+      item.announcement.target,
+      item.announcement,
+    ]),
+  );
+  for (const [target, row] of tables.heard) {
+    const isSame = reported.get(target) === row.announcement;
+    if (isSame) row.isReported = true;
+    // A new leader knows only what is told to it anew.
+    else if (isNewLeader) row.isReported = false;
+  }
+  tables.unreportedDeaths = tables.unreportedDeaths.slice(report.deaths.length);
+  tables.unreportedCleared = tables.unreportedCleared.slice(
+    report.clearedSuspects.length,
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/generations/api.ts
@@ -0,0 +1,193 @@
+/** The OpenAI-compatible routes of the callers' listener. */
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import {readBody, sendError, notRun, type App} from '../http/index.js';
+import {authenticate} from '../callers/index.js';
+import {parseGenerationRequest} from './parse-request.js';
+import {resumeGeneration} from './resume-run.js';
+import {openToken} from './resume-token.js';
+import {runGeneration, type GenerationDeps} from './run.js';
+import {StreamSink} from './stream-sink.js';
+import {WholeSink} from './whole-sink.js';
+import type {ServerResponse} from 'node:http';
+import type {GenerationRequest} from './types.js';
+
+export interface GenerationApiOptions {
+  readonly deps: GenerationDeps;
+  readonly sealKey: string;
+  readonly maxBodyBytes: number;
+  readonly maxBufferedBytes: number;
+}
+
+const PATHS = ['/v1/chat/completions', '/v1/completions'];
+
+/** Aborts when the caller closes before the answer ended. */
+function watchCaller(response: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
+
+export function mountGenerationApi(
+  app: App,
+  options: GenerationApiOptions,
+): void {
+  for (const path of PATHS) {
+    app.post(path, async context => {
+      const {incoming, outgoing} = context.env;
+      const response = outgoing as ServerResponse;
+      await answer(options, path, {
+        authorization: context.req.header('authorization'),
+        lastEventId: context.req.header('last-event-id'),
+        readBody: () => readBody(incoming, options.maxBodyBytes),
+        response,
+      });
+      return RESPONSE_ALREADY_SENT;
+    });
+  }
+  app.get('/v1/models', context => {
+    const {rules} = options.deps.tables;
+    const workspace = authenticate(rules, context.req.header('authorization'));
+    if (workspace.isErr()) {
+      const {status, code, message} = workspace.error;
+      return context.json(
+        {error: {message, type: 'authentication_error', param: null, code}},
+        status as 401,
+      );
+    }
+    const data = [...rules.models.values()].map(rule => ({
+      id: rule.model,
+      object: 'model',
+      owned_by: rule.service,
+    }));
+    return context.json({object: 'list', data});
+  });
+}
+
+interface Call {
+  readonly authorization: string | undefined;
+  readonly lastEventId: string | undefined;
+  readonly readBody: () => ReturnType<typeof readBody>;
+  readonly response: ServerResponse;
+}
+
+async function answer(
+  options: GenerationApiOptions,
+  path: string,
+  call: Call,
+): Promise<void> {
+  const {deps} = options;
+  const {response} = call;
+  const startedAtMs = deps.clock.nowMs();
+  const workspace = authenticate(deps.tables.rules, call.authorization);
+  if (workspace.isErr()) {
+    sendError(response, workspace.error);
+    return;
+  }
+  const body = await call.readBody();
+  if (body.isErr()) {
+    if (body.error.kind === 'too_large') {
+      sendError(
+        response,
+        notRun(
+          413,
+          'body_too_large',
+          `the body has more than ${options.maxBodyBytes} bytes`,
+        ),
+      );
+    }
+    return;
+  }
+  const text = body.value.toString('utf8');
+  const parsed = parseGenerationRequest(
+    deps.tables.rules,
+    workspace.value,
+    path,
+    text,
+  );
+  if (parsed.isErr()) {
+    sendError(response, parsed.error);
+    return;
+  }
+  const request = parsed.value;
+  response.once('finish', () => {
+    deps.metrics.requests.inc({
+      service: request.service.service,
+      status: response.statusCode,
+    });
+  });
+  watchFirstByte(options, request, response, startedAtMs);
+  if (call.lastEventId === undefined) {
+    await runGeneration(
+      deps,
+      request,
+      makeSink(options, request, response),
+      watchCaller(response),
+    );
+    return;
+  }
+  await resume(options, request, call.lastEventId, response);
+}
+
+function watchFirstByte(
+  options: GenerationApiOptions,
+  request: GenerationRequest,
+  response: ServerResponse,
+  startedAtMs: number,
+): void {
+  const {deps} = options;
+  const writeHead = response.writeHead.bind(response) as (
+    ...call: unknown[]
+  ) => ServerResponse;
+  response.writeHead = ((...call: unknown[]) => {
+    const seconds = (deps.clock.nowMs() - startedAtMs) / 1_000;
+    deps.metrics.firstByte.observe({service: request.service.service}, seconds);
+    return writeHead(...call);
+  }) as typeof response.writeHead;
+}
+
+function makeSink(
+  options: GenerationApiOptions,
+  request: GenerationRequest,
+  response: ServerResponse,
+) {
+  const headers = {'x-request-id': request.id};
+  if (!request.isStreamed)
+    return new WholeSink(response, request.isChat, headers);
+  return new StreamSink(
+    response,
+    options.sealKey,
+    options.maxBufferedBytes,
+    headers,
+  );
+}
+
+async function resume(
+  options: GenerationApiOptions,
+  request: GenerationRequest,
+  token: string,
+  response: ServerResponse,
+): Promise<void> {
+  const point = openToken(options.sealKey, token);
+  const isOwn = point?.place.workspace === request.workspace.workspace;
+  if (point === undefined || !isOwn || !request.isStreamed) {
+    sendError(
+      response,
+      notRun(
+        400,
+        'invalid_resume_token',
+        'Last-Event-ID names no stream of this workspace',
+      ),
+    );
+    return;
+  }
+  const sink = makeSink(options, request, response);
+  await resumeGeneration(
+    options.deps,
+    request.id,
+    point,
+    sink,
+    watchCaller(response),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/generations/pump.ts
@@ -0,0 +1,102 @@
+/** Reads one connection of a generation and passes its events on in order. */
+import type {Readable} from 'node:stream';
+import {StringDecoder} from 'node:string_decoder';
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {generationId} from '@samphirefield/core';
+import {acceptEvent, type SequencerState} from '@samphirefield/policy';
+import type {AnswerEvent} from './types.js';
+
+export const DONE = '[DONE]';
+
+/** How a connection ended. */
+export type PumpEnd =
+  'done' | 'lost' | 'silent' | 'broken_sequence' | 'caller_left';
+
+export interface PumpOptions {
+  readonly body: Readable;
+  readonly sequencer: SequencerState<string>;
+  /** Returns false when the caller reads too slowly; then wait for `onDrain`. */
+  readonly forward: (events: readonly AnswerEvent[]) => boolean;
+  readonly onDrain: (resume: () => void) => void;
+  readonly silenceMs: number;
+  readonly callerLeft: AbortSignal;
+}
+
+/** Splits `generation:sequence`; undefined for an id of another shape. */
+function readEventId(
+  id: string | undefined,
+): {readonly generation: string; readonly sequence: number} | undefined {
+  const colon = id?.lastIndexOf(':') ?? -1;
+  if (id === undefined || colon < 1) return undefined;
+  const sequence = Number(id.slice(colon + 1));
+  if (!Number.isSafeInteger(sequence) || sequence < 0) return undefined;
+  return {generation: id.slice(0, colon), sequence};
+}
+
+export function pump(options: PumpOptions): Promise<PumpEnd> {
+  const {body, sequencer, silenceMs, callerLeft} = options;
+  return new Promise(resolve => {
+    const decoder = new StringDecoder('utf8');
+    let ready: AnswerEvent[] = [];
+    let end: PumpEnd | undefined;
+
+    const accept = (message: EventSourceMessage) => {
+      const id = readEventId(message.id);
+      if (id === undefined) {
+        end = 'broken_sequence';
+        return;
+      }
+      const generation = generationId(id.generation);
+      const event = {generation, sequence: id.sequence, payload: message.data};
+      const first = sequencer.nextSequence;
+      const accepted = acceptEvent(sequencer, event);
+      if (accepted.isErr()) {
+        end = 'broken_sequence';
+        return;
+      }
+      accepted.value.forEach((data, position) => {
+        ready.push({generation, sequence: first + position, data});
+        if (data === DONE) end = 'done';
+      });
+    };
+
+    const parser = createParser({onEvent: accept});
+    const finish = (how: PumpEnd) => {
+      clearTimeout(timer);
+      callerLeft.removeEventListener('abort', onLeft);
+      body.removeAllListeners('data');
+      body.removeAllListeners('end');
+      body.removeAllListeners('close');
+      if (how !== 'done') body.destroy();
+      resolve(how);
+    };
+    const onLeft = () => finish('caller_left');
+    const timer = setTimeout(() => finish('silent'), silenceMs);
+
+    const passOn = () => {
+      const events = ready;
+      ready = [];
+      if (events.length === 0) return;
+      if (options.forward(events) || end) return;
+      // Only this stream waits: the target's connection fills up meanwhile.
+      body.pause();
+      clearTimeout(timer);
+      options.onDrain(() => {
+        timer.refresh();
+        body.resume();
+      });
+    };
+
+    body.on('data', (chunk: Buffer) => {
+      timer.refresh();
+      parser.feed(decoder.write(chunk));
+      passOn();
+      if (end) finish(end);
+    });
+    body.on('end', () => finish('lost'));
+    body.on('close', () => finish('lost'));
+    body.on('error', () => finish('lost'));
+    callerLeft.addEventListener('abort', onLeft, {once: true});
+    if (callerLeft.aborted) onLeft();
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/generations/run.ts
@@ -0,0 +1,412 @@
+/**
+ * Runs one generation to its end: admits it, streams it, resumes it on a new
+ * connection when the link goes silent, and starts anew elsewhere only while
+ * the caller has seen nothing.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import type {
+  GenerationId,
+  Logger,
+  Settings,
+  TargetId,
+} from '@samphirefield/core';
+import {
+  createSequencer,
+  decideAfterFailure,
+  earnRetry,
+  recordLength,
+  spendRetry,
+  type AfterFailure,
+  type RetryBudget,
+  type SequencerState,
+  type TryFailure,
+} from '@samphirefield/policy';
+import type {Clock} from '../clock/index.js';
+import {
+  hasViewLease,
+  histogramFor,
+  noteDeath,
+  noteSuccess,
+  type EntryTables,
+} from '../entry/index.js';
+import {notRun, type ApiError} from '../http/index.js';
+import type {Metrics} from '../metrics/index.js';
+import type {Admission, Scheduler} from '../scheduler/index.js';
+import type {
+  OpenStream,
+  TargetAddress,
+  TargetClient,
+  TargetError,
+} from '../targets/index.js';
+import {toApiError} from './admission-errors.js';
+import {pump, type PumpEnd} from './pump.js';
+import type {AnswerSink, GenerationRequest} from './types.js';
+
+const MAX_TRIES = 3;
+const MAX_RESUMES = 4;
+const AVOID_MS = 2_000;
+const RESUME_PAUSE_MS = 100;
+
+export interface GenerationDeps {
+  readonly tables: EntryTables;
+  readonly scheduler: Scheduler;
+  readonly targets: TargetClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly timing: Settings['timing'];
+  readonly budget: RetryBudget;
+  /** Tells the leader soon, after a death. */
+  readonly hurry: () => void;
+}
+
+export function addressOf(admission: Admission): TargetAddress {
+  const {target, incarnation, address, port} = admission.target.view;
+  return {target, incarnation, address, port};
+}
+
+function failureOf(error: TargetError): TryFailure {
+  // An engine's own breakdown: it may have run, and may be run again elsewhere.
+  if (error.kind === 'failed') return error.status >= 500 ? 'lost' : 'failed';
+  return error.kind;
+}
+
+/** What follows a try that could not be resumed. */
+type LastStep = Exclude<AfterFailure, {kind: 'resume'}>;
+
+/** One try on one target. */
+interface Attempt {
+  readonly admission: Admission;
+  readonly sequencer: SequencerState<string>;
+  resumesLeft: number;
+  targetError: TargetError | undefined;
+}
+
+class GenerationRun {
+  private readonly excluded = new Set<TargetId>();
+  private triesLeft = MAX_TRIES;
+  /** Set once a target may have run any of it: "not run" is untrue then. */
+  private mayHaveRun = false;
+
+  constructor(
+    private readonly deps: GenerationDeps,
+    private readonly request: GenerationRequest,
+    private readonly sink: AnswerSink,
+    private readonly callerLeft: AbortSignal,
+  ) {}
+
+  async run(): Promise<void> {
+    earnRetry(this.deps.budget);
+    for (;;) {
+      const admission = await this.admit();
+      if (admission === undefined) return;
+      this.triesLeft -= 1;
+      const next = await this.attempt(admission);
+      if (next === undefined) return;
+      if (next.kind !== 'try_another') {
+        this.answerFailure(next.kind);
+        return;
+      }
+      this.excluded.add(admission.target.view.target);
+      this.sink.reset();
+      this.deps.metrics.retries.inc({service: this.request.service.service});
+    }
+  }
+
+  private async admit(): Promise<Admission | undefined> {
+    const {request} = this;
+    const admitted = await this.deps.scheduler.acquire({
+      request: request.id,
+      workspace: request.workspace,
+      service: request.service,
+      model: request.model.model,
+      modelVersion: request.model.version,
+      fingerprint: request.fingerprint,
+      prefix: request.prefix,
+      promptTokens: request.promptTokens,
+      maxOutputTokens: request.maxOutputTokens,
+      excluded: this.excluded,
+      signal: this.callerLeft,
+    });
+    if (admitted.isOk()) return admitted.value;
+    const error = toApiError(admitted.error);
+    this.sink.fail(this.mayHaveRun ? {...error, outcome: 'incomplete'} : error);
+    return undefined;
+  }
+
+  /** Returns what to do next, or undefined when the answer is complete. */
+  private async attempt(admission: Admission): Promise<LastStep | undefined> {
+    const attempt: Attempt = {
+      admission,
+      sequencer: createSequencer<string>(undefined, 0),
+      resumesLeft: MAX_RESUMES,
+      targetError: undefined,
+    };
+    let isFinished = false;
+    try {
+      let opened = await this.open(admission);
+      for (;;) {
+        const end = await this.follow(attempt, opened);
+        if (end === 'done') {
+          isFinished = true;
+          this.complete(attempt);
+          return undefined;
+        }
+        if (end === 'caller_left') {
+          await this.leave(attempt);
+          return undefined;
+        }
+        const next = await this.decide(attempt, end);
+        if (next.kind !== 'resume') return next;
+        attempt.resumesLeft -= 1;
+        opened = await this.reopen(attempt);
+      }
+    } finally {
+      this.deps.scheduler.release(admission, isFinished);
+    }
+  }
+
+  private open(admission: Admission) {
+    const {deps, request} = this;
+    return deps.targets.open(
+      addressOf(admission),
+      {
+        method: 'POST',
+        path: request.path,
+        headers: {
+          'content-type': 'application/json',
+          accept: 'text/event-stream',
+          'x-request-id': request.id,
+        },
+        body: request.body,
+        mayStart: () => this.mayStart(admission),
+        // The engine answers with headers at once; tokens may take longer.
+        firstByteTimeoutMs: deps.timing.stream_silence_ms,
+        signal: this.callerLeft,
+      },
+      'reused',
+    );
+  }
+
+  /** Checked again right before the first byte: the process may have slept. */
+  private mayStart(admission: Admission): boolean {
+    const {tables, clock} = this.deps;
+    const {view} = admission.target;
+    const {config} = tables;
+    const isOut =
+      config.outZones.includes(view.zone) ||
+      config.outTargets.includes(view.target);
+    return hasViewLease(tables, clock.nowMs()) && !isOut;
+  }
+
+  private async reopen(attempt: Attempt) {
+    const {deps} = this;
+    const {sequencer, admission} = attempt;
+    if (attempt.resumesLeft < MAX_RESUMES - 1) await delay(RESUME_PAUSE_MS);
+    deps.metrics.resumes.inc({service: this.request.service.service});
+    return deps.targets.resume(
+      addressOf(admission),
+      sequencer.generation!,
+      sequencer.nextSequence,
+      deps.timing.stream_silence_ms,
+      this.callerLeft,
+    );
+  }
+
+  private async follow(
+    attempt: Attempt,
+    opened: Awaited<ReturnType<TargetClient['open']>>,
+  ): Promise<PumpEnd | TryFailure> {
+    if (opened.isErr()) {
+      attempt.targetError = opened.error;
+      if (this.callerLeft.aborted) return 'caller_left';
+      return failureOf(opened.error);
+    }
+    attempt.targetError = undefined;
+    return this.pumpStream(attempt, opened.value);
+  }
+
+  private pumpStream(attempt: Attempt, stream: OpenStream): Promise<PumpEnd> {
+    const {deps, request, sink} = this;
+    const {admission, sequencer} = attempt;
+    const {stream: row} = admission;
+    const announced = stream.headers['x-generation-id'];
+    if (typeof announced === 'string')
+      sequencer.generation ??= announced as GenerationId;
+    let hasBegun = false;
+    return pump({
+      body: stream.body,
+      sequencer,
+      forward: events => {
+        if (!hasBegun) this.begin(attempt);
+        hasBegun = true;
+        row.generatedTokens += events.length;
+        deps.metrics.tokens.inc(
+          {service: request.service.service},
+          events.length,
+        );
+        return sink.forward(events);
+      },
+      onDrain: resume => sink.onDrain(resume),
+      silenceMs: deps.timing.stream_silence_ms,
+      callerLeft: this.callerLeft,
+    });
+  }
+
+  private begin(attempt: Attempt): void {
+    const {target, incarnation} = attempt.admission.target.view;
+    this.sink.begin({
+      target,
+      incarnation,
+      generation: attempt.sequencer.generation!,
+      workspace: this.request.workspace.workspace,
+      service: this.request.service.service,
+    });
+  }
+
+  private complete(attempt: Attempt): void {
+    const {deps, request} = this;
+    const {generatedTokens} = attempt.admission.stream;
+    const {service, workspace} = request;
+    recordLength(
+      histogramFor(deps.tables, service.service, workspace.workspace),
+      generatedTokens,
+    );
+    noteSuccess(deps.tables, request.fingerprint);
+    this.sink.finish();
+    deps.logger.info('answer_complete', {
+      request: request.id,
+      target: attempt.admission.stream.target,
+      tokens: generatedTokens,
+    });
+  }
+
+  private async decide(
+    attempt: Attempt,
+    failure: TryFailure | PumpEnd,
+  ): Promise<AfterFailure> {
+    const {deps, request, sink} = this;
+    const {admission, sequencer} = attempt;
+    if (failure !== 'not_sent' && failure !== 'refused') this.mayHaveRun = true;
+    const hasEnded =
+      attempt.targetError?.kind === 'failed' &&
+      attempt.targetError.status === 404;
+    const isGone = failure === 'lost' || failure === 'silent';
+    const isDead =
+      isGone && !(await deps.targets.isAlive(addressOf(admission)));
+    if (isDead) this.noteDeath(admission);
+    if (failure !== 'failed')
+      admission.target.avoidUntilMs = deps.clock.nowMs() + AVOID_MS;
+    const isResumeFailure = hasEnded && sequencer.generation !== undefined;
+    const next = decideAfterFailure({
+      failure: isResumeFailure ? 'lost' : (failure as TryFailure),
+      isEngine: true,
+      mayRepeat: true,
+      hasForwarded: sink.hasForwarded,
+      hasGeneration:
+        sequencer.generation !== undefined && !isDead && !isResumeFailure,
+      resumesLeft: attempt.resumesLeft,
+      triesLeft: this.triesLeft,
+      hasBudget: deps.budget.tokens >= 1,
+    });
+    if (next.kind === 'try_another') spendRetry(deps.budget);
+    deps.logger.warn('try_failed', {
+      request: request.id,
+      target: admission.stream.target,
+      failure,
+      target_dead: isDead,
+      reason: describeError(attempt.targetError),
+      next: next.kind,
+    });
+    if (next.kind === 'answer_failed') this.passError(attempt.targetError);
+    return next;
+  }
+
+  private noteDeath(admission: Admission): void {
+    const {deps} = this;
+    const {target, incarnation} = admission.stream;
+    const suspects = noteDeath(
+      deps.tables,
+      target,
+      incarnation,
+      deps.clock.nowMs(),
+    );
+    if (suspects.length > 0) {
+      deps.logger.warn('target_died', {
+        target,
+        incarnation,
+        suspects: suspects.length,
+      });
+    }
+    deps.hurry();
+  }
+
+  /** Passes the target's own error on to the caller. */
+  private passError(error: TargetError | undefined): void {
+    if (error?.kind !== 'failed') return;
+    this.sink.fail({
+      status: error.status,
+      code: 'target_error',
+      message: messageOf(error.body),
+      outcome: 'failed',
+    });
+  }
+
+  private answerFailure(kind: Exclude<LastStep['kind'], 'try_another'>): void {
+    if (kind === 'answer_failed') return;
+    const isNotRun = kind === 'answer_not_run' && !this.mayHaveRun;
+    this.sink.fail(isNotRun ? NO_TARGET : INCOMPLETE);
+  }
+
+  /** The caller is gone: keeps the generation for a while, then cancels it. */
+  private async leave(attempt: Attempt): Promise<void> {
+    const {deps, request} = this;
+    const {generation} = attempt.sequencer;
+    const address = addressOf(attempt.admission);
+    deps.logger.info('caller_left', {
+      request: request.id,
+      target: address.target,
+    });
+    if (generation === undefined) return;
+    if (request.isStreamed) {
+      await delay(deps.timing.resume_window_ms, undefined, {ref: false});
+    }
+    await deps.targets.cancel(address, generation, request.isStreamed);
+  }
+}
+
+function describeError(error: TargetError | undefined): string | undefined {
+  if (error === undefined) return undefined;
+  return error.kind === 'failed' ? `status ${error.status}` : error.reason;
+}
+
+function messageOf(body: string): string {
+  const MAX_MESSAGE_LENGTH = 500;
+  try {
+    const value = JSON.parse(body) as {
+      readonly error?: {readonly message?: unknown};
+    };
+    const message = value.error?.message;
+    if (typeof message === 'string') return message;
+  } catch {
+    // Not JSON: shown as it is.
+  }
+  return body.slice(0, MAX_MESSAGE_LENGTH) || 'the target refused the request';
+}
+
+const NO_TARGET = notRun(503, 'no_target', 'no target took the request', 1);
+const INCOMPLETE: ApiError = {
+  status: 502,
+  code: 'incomplete',
+  message: 'the target was lost before the answer was complete',
+  outcome: 'incomplete',
+};
+
+export function runGeneration(
+  deps: GenerationDeps,
+  request: GenerationRequest,
+  sink: AnswerSink,
+  callerLeft: AbortSignal,
+): Promise<void> {
+  return new GenerationRun(deps, request, sink, callerLeft).run();
+}
--- /dev/null
+++ b/packages/daemon/src/generations/whole-sink.ts
@@ -0,0 +1,61 @@
+/** Collects an answer and sends it as one body. */
+import type {ServerResponse} from 'node:http';
+import {sendError, sendJson, type ApiError} from '../http/index.js';
+import {DONE} from './pump.js';
+import type {AnswerEvent, AnswerSink} from './types.js';
+import {WholeAnswer} from './whole-answer.js';
+
+export class WholeSink implements AnswerSink {
+  /** The caller sees nothing before the end, so a repeat is never seen. */
+  readonly hasForwarded = false;
+  private answer = new WholeAnswer();
+  private isReadable = true;
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly isChat: boolean,
+    private readonly headers: Readonly<Record<string, string>>,
+  ) {}
+
+  begin(): void {
+    // A whole answer carries no resume tokens.
+  }
+
+  forward(events: readonly AnswerEvent[]): boolean {
+    for (const {data} of events) {
+      if (data !== DONE) this.isReadable &&= this.answer.add(data);
+    }
+    return true;
+  }
+
+  onDrain(resume: () => void): void {
+    resume();
+  }
+
+  finish(): void {
+    if (this.isReadable) {
+      sendJson(
+        this.response,
+        200,
+        this.answer.toBody(this.isChat),
+        this.headers,
+      );
+      return;
+    }
+    this.fail({
+      status: 502,
+      code: 'unreadable_answer',
+      message: 'the target sent a chunk that is no completion chunk',
+      outcome: 'failed',
+    });
+  }
+
+  fail(error: ApiError): void {
+    sendError(this.response, error, this.headers);
+  }
+
+  reset(): void {
+    this.answer = new WholeAnswer();
+    this.isReadable = true;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http/errors.ts
@@ -0,0 +1,53 @@
+/**
+ * Errors as callers see them: OpenAI-shaped, with what is known about whether
+ * the request ran.
+ */
+
+/** What became of the request. Left out where nothing was asked to run. */
+export type Outcome = 'not_run' | 'unknown' | 'incomplete' | 'failed';
+
+export interface ApiError {
+  readonly status: number;
+  readonly code: string;
+  readonly message: string;
+  readonly outcome: Outcome;
+  readonly retryAfterS?: number;
+}
+
+export interface ApiErrorBody {
+  readonly error: {
+    readonly message: string;
+    readonly type: string;
+    readonly param: null;
+    readonly code: string;
+  };
+  /** True only when the request certainly did not run. */
+  readonly not_run: boolean;
+  readonly outcome: Outcome;
+}
+
+function typeOf(status: number): string {
+  if (status === 401) return 'authentication_error';
+  if (status === 429) return 'rate_limit_error';
+  return status < 500 ? 'invalid_request_error' : 'server_error';
+}
+
+export function toErrorBody(error: ApiError): ApiErrorBody {
+  const {status, code, message, outcome} = error;
+  return {
+    error: {message, type: typeOf(status), param: null, code},
+    not_run: outcome === 'not_run',
+    outcome,
+  };
+}
+
+/** An error for a request that certainly did not run. */
+export function notRun(
+  status: number,
+  code: string,
+  message: string,
+  retryAfterS?: number,
+): ApiError {
+  const base = {status, code, message, outcome: 'not_run' as const};
+  return retryAfterS === undefined ? base : {...base, retryAfterS};
+}
--- /dev/null
+++ b/packages/daemon/src/http/index.ts
@@ -0,0 +1,9 @@
+export {readBody, type BodyError} from './body.js';
+export {notRun, toErrorBody, type ApiError, type Outcome} from './errors.js';
+export {sendError, sendJson} from './respond.js';
+export {
+  createApp,
+  startServer,
+  type App,
+  type RunningServer,
+} from './server.js';
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,4 @@
+/** The daemon as a library, for tests and for embedding. */
+export {systemClock, type Clock} from './clock/index.js';
+export {startDaemon, type RunningDaemon} from './daemon.js';
+export type {ClusterStatus} from './voter/index.js';
--- /dev/null
+++ b/packages/daemon/src/metrics/index.ts
@@ -0,0 +1,81 @@
+/** The Prometheus metrics of a daemon; names carry their units. */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+const SECONDS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 15, 60];
+
+export interface MetricSources {
+  readonly openStreams: () => number;
+  readonly waiting: () => number;
+  readonly revision: () => number;
+  readonly leaseLeftMs: () => number;
+}
+
+export function createMetrics(sources: MetricSources) {
+  const registry = new Registry();
+  const registers = [registry];
+  const gauge = (name: string, help: string, read: () => number) =>
+    new Gauge({
+      name,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
+  gauge(
+    'samphirefield_open_requests',
+    'Requests in progress on targets',
+    sources.openStreams,
+  );
+  gauge(
+    'samphirefield_waiting_requests',
+    'Requests that wait for a target',
+    sources.waiting,
+  );
+  gauge(
+    'samphirefield_config_revision',
+    'Revision of the configuration in force here',
+    sources.revision,
+  );
+  gauge(
+    'samphirefield_view_lease_seconds',
+    'Time left of the view lease',
+    () => sources.leaseLeftMs() / 1_000,
+  );
+  return {
+    registry,
+    requests: new Counter({
+      name: 'samphirefield_requests_total',
+      help: 'Answered requests',
+      labelNames: ['service', 'status'],
+      registers,
+    }),
+    tokens: new Counter({
+      name: 'samphirefield_tokens_total',
+      help: 'Events passed on to callers',
+      labelNames: ['service'],
+      registers,
+    }),
+    retries: new Counter({
+      name: 'samphirefield_retries_total',
+      help: 'Tries on another target',
+      labelNames: ['service'],
+      registers,
+    }),
+    resumes: new Counter({
+      name: 'samphirefield_resumes_total',
+      help: 'Generations resumed on a new connection',
+      labelNames: ['service'],
+      registers,
+    }),
+    firstByte: new Histogram({
+      name: 'samphirefield_first_byte_seconds',
+      help: 'Time from the request to the first byte of its answer',
+      labelNames: ['service'],
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+  };
+}
+
+export type Metrics = ReturnType<typeof createMetrics>;
--- /dev/null
+++ b/packages/daemon/src/operators/bootstrap.ts
@@ -0,0 +1,48 @@
+/**
+ * Forms the control group, once. Every voter of the settings has to answer
+ * that it was never in a group: empty disks must not make a second one.
+ */
+import type {Settings, VoterAddress} from '@samphirefield/core';
+import type {RpcClient} from '../rpc/index.js';
+import type {BootstrapAnswer, VoterHost} from '../voter/index.js';
+
+export type BootstrapGroup = () => Promise<BootstrapAnswer>;
+
+/** What a daemon says of its own replica. */
+export interface ReplicaInfo {
+  readonly hasDisk: boolean;
+  readonly isMember: boolean;
+}
+
+const ASK_TIMEOUT_MS = 2_000;
+
+async function refusalOf(
+  rpc: RpcClient,
+  voter: VoterAddress,
+): Promise<string | undefined> {
+  const answer = await rpc.call(voter, 'voter.info', {}, ASK_TIMEOUT_MS);
+  if (answer.isErr())
+    return `voter ${voter.id} cannot be asked (${answer.error.kind})`;
+  const info = answer.value as ReplicaInfo;
+  if (!info.hasDisk) return `voter ${voter.id} has no data folder`;
+  return info.isMember
+    ? `voter ${voter.id} is already a member of a group`
+    : undefined;
+}
+
+export function createBootstrap(
+  settings: Settings,
+  rpc: RpcClient,
+  host: VoterHost | undefined,
+): BootstrapGroup {
+  return async () => {
+    if (host === undefined) {
+      return {kind: 'refused', reason: 'this daemon has no data folder'};
+    }
+    const refusals = await Promise.all(
+      settings.cluster.voters.map(voter => refusalOf(rpc, voter)),
+    );
+    const reason = refusals.find(refusal => refusal !== undefined);
+    return reason === undefined ? host.bootstrap() : {kind: 'refused', reason};
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/operators/index.ts
@@ -0,0 +1,2 @@
+export {mountOperatorApi} from './api.js';
+export {createBootstrap, type ReplicaInfo} from './bootstrap.js';
--- /dev/null
+++ b/packages/daemon/src/plain/api.ts
@@ -0,0 +1,167 @@
+/** Routes calls of plain services by their path. */
+import {randomUUID} from 'node:crypto';
+import type {ServerResponse} from 'node:http';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import {ok} from 'neverthrow';
+import {
+  fingerprint,
+  mayNotRepeat,
+  plainServiceFor,
+  requestId,
+  sha256Hex,
+} from '@samphirefield/core';
+import {authenticate} from '../callers/index.js';
+import type {GenerationDeps} from '../generations/index.js';
+import {notRun, readBody, sendError, type App} from '../http/index.js';
+import {callPlain} from './call.js';
+import type {Claims} from './claims.js';
+import {callOnce} from './once.js';
+import type {PlainAnswer, PlainRequest} from './types.js';
+
+export interface PlainApiOptions {
+  readonly deps: GenerationDeps;
+  readonly claims: Claims;
+  readonly maxBodyBytes: number;
+  readonly maxStoredBytes: number;
+}
+
+const IDEMPOTENCY_KEY = /^[\x21-\x7e]{1,255}$/;
+const PASSED_HEADERS = [
+  'content-type',
+  'accept',
+  'accept-language',
+  'idempotency-key',
+];
+
+export function mountPlainApi(app: App, options: PlainApiOptions): void {
+  app.all('*', async context => {
+    const {incoming, outgoing} = context.env;
+    const response = outgoing as ServerResponse;
+    const {method, url = '/'} = incoming;
+    const headers = new Map<string, string>();
+    for (const name of PASSED_HEADERS) {
+      const value = context.req.header(name);
+      if (value !== undefined) headers.set(name, value);
+    }
+    await answer(options, {
+      method: method ?? 'GET',
+      url,
+      headers,
+      authorization: context.req.header('authorization'),
+      readBody: () => readBody(incoming, options.maxBodyBytes),
+      response,
+    });
+    return RESPONSE_ALREADY_SENT;
+  });
+}
+
+interface Call {
+  readonly method: string;
+  readonly url: string;
+  readonly headers: ReadonlyMap<string, string>;
+  readonly authorization: string | undefined;
+  readonly readBody: () => ReturnType<typeof readBody>;
+  readonly response: ServerResponse;
+}
+
+async function answer(options: PlainApiOptions, call: Call): Promise<void> {
+  const {deps} = options;
+  const {rules} = deps.tables;
+  const {response, method, url} = call;
+  const path = url.split('?')[0]!;
+  const workspace = authenticate(rules, call.authorization);
+  if (workspace.isErr()) return sendError(response, workspace.error);
+  const service = plainServiceFor(rules, path);
+  if (service === undefined) {
+    return sendError(
+      response,
+      notRun(404, 'not_found', 'no service has this path'),
+    );
+  }
+  const isOnce = mayNotRepeat(rules, service.service, method, path);
+  const key = call.headers.get('idempotency-key');
+  if (isOnce && !IDEMPOTENCY_KEY.test(key ?? '')) {
+    return sendError(
+      response,
+      notRun(
+        400,
+        'idempotency_key_required',
+        'this call may not be repeated: send an Idempotency-Key of 1 to 255 visible characters',
+      ),
+    );
+  }
+  const body = await call.readBody();
+  if (body.isErr()) {
+    if (body.error.kind === 'cut_off') return;
+    return sendError(
+      response,
+      notRun(
+        413,
+        'body_too_large',
+        `the body has more than ${options.maxBodyBytes} bytes`,
+      ),
+    );
+  }
+  const request: PlainRequest = {
+    id: requestId(randomUUID()),
+    workspace: workspace.value,
+    service,
+    method,
+    path: url,
+    headers: Object.fromEntries(call.headers),
+    body: body.value,
+    fingerprint: fingerprint(
+      sha256Hex(`${method}\n${url}\n${sha256Hex(body.value)}`),
+    ),
+    idempotencyKey: isOnce ? key : undefined,
+  };
+  await run(options, request, response);
+}
+
+async function run(
+  options: PlainApiOptions,
+  request: PlainRequest,
+  response: ServerResponse,
+): Promise<void> {
+  const {deps} = options;
+  const left = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) left.abort();
+  });
+  const result =
+    request.idempotencyKey === undefined
+      ? await callPlain(
+          deps,
+          request,
+          {
+            mayRepeat: true,
+            mayStart: () => true,
+            beforeSend: () => Promise.resolve(ok(undefined)),
+          },
+          left.signal,
+        )
+      : await callOnce(options, request, left.signal);
+  response.once('finish', () => {
+    deps.metrics.requests.inc({
+      service: request.service.service,
+      status: response.statusCode,
+    });
+  });
+  const headers = {'x-request-id': request.id};
+  if (result.isErr()) sendError(response, result.error, headers);
+  else sendAnswer(response, result.value, headers);
+}
+
+function sendAnswer(
+  response: ServerResponse,
+  answer: PlainAnswer,
+  headers: Readonly<Record<string, string>>,
+): void {
+  if (response.destroyed) return;
+  response.writeHead(answer.status, {
+    'content-type': answer.contentType,
+    'content-length': answer.body.length,
+    ...headers,
+  });
+  response.end(answer.body);
+}
--- /dev/null
+++ b/packages/daemon/src/plain/call.ts
@@ -0,0 +1,222 @@
+/** One call to a plain target: place, send, whole answer. */
+import type {Readable} from 'node:stream';
+import {err, ok, type Result} from 'neverthrow';
+import type {TargetId} from '@samphirefield/core';
+import {
+  decideAfterFailure,
+  earnRetry,
+  spendRetry,
+  type TryFailure,
+} from '@samphirefield/policy';
+import {hasViewLease, noteDeath, noteSuccess} from '../entry/index.js';
+import {
+  addressOf,
+  toApiError,
+  type GenerationDeps,
+} from '../generations/index.js';
+import {notRun, type ApiError} from '../http/index.js';
+import type {Admission} from '../scheduler/index.js';
+import type {TargetError} from '../targets/index.js';
+import type {PlainAnswer, PlainRequest} from './types.js';
+
+const MAX_TRIES = 3;
+const AVOID_MS = 2_000;
+export const MAX_ANSWER_BYTES = 16_777_216;
+
+export interface CallOptions {
+  readonly mayRepeat: boolean;
+  /** Runs after a place was found, right before sending; an error stops it. */
+  readonly beforeSend: () => Promise<Result<void, ApiError>>;
+  /** Whether the request may still go out, asked right before its first byte. */
+  readonly mayStart: () => boolean;
+}
+
+async function readAnswer(
+  body: Readable,
+  status: number,
+  contentType: string,
+): Promise<PlainAnswer | undefined> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of body) {
+      bytes += (chunk as Buffer).length;
+      if (bytes > MAX_ANSWER_BYTES) return undefined;
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return undefined;
+  }
+  return {status, contentType, body: Buffer.concat(chunks)};
+}
+
+class PlainCall {
+  private readonly excluded = new Set<TargetId>();
+  private triesLeft = MAX_TRIES;
+  private mayHaveRun = false;
+
+  constructor(
+    private readonly deps: GenerationDeps,
+    private readonly request: PlainRequest,
+    private readonly options: CallOptions,
+    private readonly callerLeft: AbortSignal,
+  ) {}
+
+  async run(): Promise<Result<PlainAnswer, ApiError>> {
+    earnRetry(this.deps.budget);
+    for (;;) {
+      const admitted = await this.admit();
+      if (admitted.isErr()) return err(this.truthful(admitted.error));
+      this.triesLeft -= 1;
+      const answer = await this.attempt(admitted.value);
+      if (answer !== 'try_another') return answer;
+      this.excluded.add(admitted.value.target.view.target);
+      this.deps.metrics.retries.inc({service: this.request.service.service});
+    }
+  }
+
+  private async admit(): Promise<Result<Admission, ApiError>> {
+    const {request} = this;
+    const admitted = await this.deps.scheduler.acquire({
+      request: request.id,
+      workspace: request.workspace,
+      service: request.service,
+      model: '',
+      modelVersion: '',
+      fingerprint: request.fingerprint,
+      prefix: '',
+      promptTokens: 0,
+      maxOutputTokens: 0,
+      excluded: this.excluded,
+      signal: this.callerLeft,
+    });
+    return admitted.mapErr(toApiError);
+  }
+
+  private async attempt(
+    admission: Admission,
+  ): Promise<Result<PlainAnswer, ApiError> | 'try_another'> {
+    let isFinished = false;
+    try {
+      const cleared = await this.options.beforeSend();
+      if (cleared.isErr()) return err(cleared.error);
+      const answer = await this.send(admission);
+      isFinished = answer.isOk();
+      if (answer.isOk()) {
+        noteSuccess(this.deps.tables, this.request.fingerprint);
+        return ok(answer.value);
+      }
+      return await this.afterFailure(admission, answer.error);
+    } finally {
+      this.deps.scheduler.release(admission, isFinished);
+    }
+  }
+
+  private async send(
+    admission: Admission,
+  ): Promise<Result<PlainAnswer, TargetError>> {
+    const {deps, request, options} = this;
+    const {tables, clock} = deps;
+    const opened = await deps.targets.open(
+      addressOf(admission),
+      {
+        method: request.method as 'POST',
+        path: request.path,
+        headers: {...request.headers, 'x-request-id': request.id},
+        body: request.body.length > 0 ? request.body : undefined,
+        mayStart: () =>
+          hasViewLease(tables, clock.nowMs()) && options.mayStart(),
+        firstByteTimeoutMs: deps.timing.plain_timeout_ms,
+        // What may not be repeated is not torn down because its caller left.
+        signal: options.mayRepeat
+          ? this.callerLeft
+          : new AbortController().signal,
+      },
+      options.mayRepeat ? 'reused' : 'fresh',
+    );
+    if (opened.isErr()) {
+      const {error} = opened;
+      if (error.kind !== 'failed') return err(error);
+      // The service's own error is its answer.
+      const body = Buffer.from(error.body);
+      return ok({status: error.status, contentType: 'application/json', body});
+    }
+    const {status, headers, body} = opened.value;
+    const contentType = String(
+      headers['content-type'] ?? 'application/octet-stream',
+    );
+    const answer = await readAnswer(body, status, contentType);
+    return answer
+      ? ok(answer)
+      : err({kind: 'lost', reason: 'the answer was cut off or too large'});
+  }
+
+  private async afterFailure(
+    admission: Admission,
+    error: TargetError,
+  ): Promise<Result<PlainAnswer, ApiError> | 'try_another'> {
+    const {deps, request, options} = this;
+    const failure: TryFailure = error.kind;
+    if (failure === 'lost') {
+      this.mayHaveRun = true;
+      await this.checkDeath(admission);
+    }
+    admission.target.avoidUntilMs = deps.clock.nowMs() + AVOID_MS;
+    const next = decideAfterFailure({
+      failure,
+      isEngine: false,
+      mayRepeat: options.mayRepeat,
+      hasForwarded: false,
+      hasGeneration: false,
+      resumesLeft: 0,
+      triesLeft: this.triesLeft,
+      hasBudget: deps.budget.tokens >= 1,
+    });
+    deps.logger.warn('try_failed', {
+      request: request.id,
+      target: admission.stream.target,
+      failure,
+      reason: error.kind === 'failed' ? `status ${error.status}` : error.reason,
+      next: next.kind,
+    });
+    if (next.kind === 'try_another') {
+      spendRetry(deps.budget);
+      return 'try_another';
+    }
+    return err(
+      this.truthful(next.kind === 'answer_not_run' ? NO_TARGET : LOST),
+    );
+  }
+
+  private async checkDeath(admission: Admission): Promise<void> {
+    const {deps} = this;
+    if (await deps.targets.isAlive(addressOf(admission))) return;
+    const {target, incarnation} = admission.stream;
+    noteDeath(deps.tables, target, incarnation, deps.clock.nowMs());
+    deps.logger.warn('target_died', {target, incarnation});
+    deps.hurry();
+  }
+
+  /** "Not run" only while no try can have run. */
+  private truthful(error: ApiError): ApiError {
+    if (!this.mayHaveRun || error.outcome !== 'not_run') return error;
+    return {...error, outcome: 'unknown'};
+  }
+}
+
+const NO_TARGET = notRun(503, 'no_target', 'no target took the request', 1);
+const LOST: ApiError = {
+  status: 502,
+  code: 'unknown_outcome',
+  message: 'the target was lost while it may have been running the request',
+  outcome: 'unknown',
+};
+
+export function callPlain(
+  deps: GenerationDeps,
+  request: PlainRequest,
+  options: CallOptions,
+  callerLeft: AbortSignal,
+): Promise<Result<PlainAnswer, ApiError>> {
+  return new PlainCall(deps, request, options, callerLeft).run();
+}
--- /dev/null
+++ b/packages/daemon/src/plain/index.ts
@@ -0,0 +1,2 @@
+export {mountPlainApi, type PlainApiOptions} from './api.js';
+export {Claims} from './claims.js';
--- /dev/null
+++ b/packages/daemon/src/rpc/client.ts
@@ -0,0 +1,147 @@
+/**
+ * Calls other daemons by JSON-RPC over HTTP. A call that gets no answer in time
+ * takes its connection with it, so a connection that went silent is replaced.
+ */
+import {
+  createJSONRPCRequest,
+  createJSONRPCNotification,
+  isJSONRPCResponse,
+} from 'json-rpc-2.0';
+import {err, ok, type Result} from 'neverthrow';
+import {Pool} from 'undici';
+import {
+  answerCode,
+  HEADER_CODE,
+  HEADER_DEPLOYMENT,
+  HEADER_PROTOCOL,
+  PROTOCOL_VERSION,
+  requestCode,
+} from './auth.js';
+import {secretsEqual} from '@samphirefield/core';
+
+export interface PeerAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+export type RpcError =
+  | {readonly kind: 'unreachable'; readonly reason: string}
+  | {readonly kind: 'refused'; readonly status: number; readonly reason: string}
+  | {readonly kind: 'failed'; readonly code: number; readonly reason: string}
+  | {readonly kind: 'malformed'; readonly reason: string};
+
+export interface RpcNotification {
+  readonly method: string;
+  readonly params: unknown;
+}
+
+const CONNECTIONS_PER_PEER = 4;
+const MAX_REASON_LENGTH = 200;
+
+export class RpcClient {
+  private readonly pools = new Map<string, Pool>();
+  private nextId = 1;
+
+  constructor(
+    private readonly key: string,
+    private readonly deployment: string,
+  ) {}
+
+  /** Calls one method and returns its result as it came. */
+  async call(
+    peer: PeerAddress,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, RpcError>> {
+    const request = createJSONRPCRequest(this.nextId, method, params);
+    this.nextId += 1;
+    const answer = await this.post(peer, JSON.stringify(request), timeoutMs);
+    return answer.andThen(text => readAnswer(text));
+  }
+
+  /** Sends notifications together, without answers. */
+  async notify(
+    peer: PeerAddress,
+    notifications: readonly RpcNotification[],
+    timeoutMs: number,
+  ): Promise<Result<void, RpcError>> {
+    const batch = notifications.map(({method, params}) =>
+      createJSONRPCNotification(method, params),
+    );
+    const answer = await this.post(peer, JSON.stringify(batch), timeoutMs);
+    return answer.map(() => undefined);
+  }
+
+  async close(): Promise<void> {
+    const pools = [...this.pools.values()];
+    this.pools.clear();
+    await Promise.all(pools.map(pool => pool.destroy()));
+  }
+
+  private poolFor(peer: PeerAddress): Pool {
+    const host = peer.address.includes(':')
+      ? `[${peer.address}]`
+      : peer.address;
+    const origin = `http://${host}:${peer.port}`;
+    const known = this.pools.get(origin);
+    if (known) return known;
+    const pool = new Pool(origin, {connections: CONNECTIONS_PER_PEER});
+    this.pools.set(origin, pool);
+    return pool;
+  }
+
+  private async post(
+    peer: PeerAddress,
+    body: string,
+    timeoutMs: number,
+  ): Promise<Result<string, RpcError>> {
+    const code = requestCode(this.key, this.deployment, body);
+    try {
+      const response = await this.poolFor(peer).request({
+        method: 'POST',
+        path: '/rpc',
+        headers: {
+          'content-type': 'application/json',
+          [HEADER_DEPLOYMENT]: this.deployment,
+          [HEADER_PROTOCOL]: PROTOCOL_VERSION,
+          [HEADER_CODE]: code,
+        },
+        body,
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const text = await response.body.text();
+      if (response.statusCode !== 200) {
+        const reason = text.slice(0, MAX_REASON_LENGTH);
+        return err({kind: 'refused', status: response.statusCode, reason});
+      }
+      const found = String(response.headers[HEADER_CODE] ?? '');
+      if (!secretsEqual(found, answerCode(this.key, code, text))) {
+        return err({
+          kind: 'malformed',
+          reason: 'the answer is not from a daemon with our key',
+        });
+      }
+      return ok(text);
+    } catch (error) {
+      return err({kind: 'unreachable', reason: (error as Error).message});
+    }
+  }
+}
+
+function readAnswer(text: string): Result<unknown, RpcError> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return err({kind: 'malformed', reason: 'the answer is not JSON'});
+  }
+  if (!isJSONRPCResponse(value)) {
+    return err({kind: 'malformed', reason: 'the answer is not JSON-RPC'});
+  }
+  if (value.error) {
+    const {code, message} = value.error;
+    return err({kind: 'failed', code, reason: message});
+  }
+  return ok(value.result as unknown);
+}
--- /dev/null
+++ b/packages/daemon/src/rpc/server.ts
@@ -0,0 +1,107 @@
+/** Serves JSON-RPC calls of other daemons on the internal listener. */
+import {
+  JSONRPCServer,
+  JSONRPCErrorException,
+  type JSONRPCRequest,
+} from 'json-rpc-2.0';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import type {Logger} from '@samphirefield/core';
+import type {z} from 'zod';
+import {readBody, type App} from '../http/index.js';
+import {
+  answerCode,
+  HEADER_CODE,
+  HEADER_DEPLOYMENT,
+  HEADER_PROTOCOL,
+  refusePeer,
+} from './auth.js';
+
+const MAX_RPC_BYTES = 33_554_432;
+const INVALID_PARAMS = -32_602;
+const REFUSAL_LOG_INTERVAL_MS = 10_000;
+
+export class RpcServer {
+  private readonly server = new JSONRPCServer({errorListener: () => undefined});
+  private refusalLoggedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly key: string,
+    private readonly deployment: string,
+    private readonly logger: Logger,
+    private readonly nowMs: () => number,
+  ) {}
+
+  /** Registers a method whose parameters are checked first. */
+  register<Schema extends z.ZodType>(
+    method: string,
+    schema: Schema,
+    handle: (params: z.output<Schema>) => unknown,
+  ): void {
+    this.server.addMethod(method, (params: unknown) => {
+      const checked = schema.safeParse(params);
+      if (checked.success) return handle(checked.data);
+      const issue = checked.error.issues[0];
+      const where = issue?.path.join('.') ?? '';
+      throw new JSONRPCErrorException(
+        `invalid parameters of ${method}: ${where}: ${issue?.message}`,
+        INVALID_PARAMS,
+      );
+    });
+  }
+
+  mount(app: App): void {
+    app.post('/rpc', async context => {
+      const {incoming, outgoing} = context.env;
+      const body = await readBody(incoming, MAX_RPC_BYTES);
+      if (body.isErr()) return context.text('the body is too large', 413);
+      const text = body.value.toString('utf8');
+      const refusal = refusePeer(
+        this.key,
+        this.deployment,
+        {
+          [HEADER_DEPLOYMENT]: context.req.header(HEADER_DEPLOYMENT),
+          [HEADER_PROTOCOL]: context.req.header(HEADER_PROTOCOL),
+          [HEADER_CODE]: context.req.header(HEADER_CODE),
+        },
+        text,
+      );
+      if (refusal) {
+        this.logRefusal(refusal, incoming.socket.remoteAddress ?? 'unknown');
+        return context.text(`refused: ${refusal}`, 403);
+      }
+      const answer = await this.answer(text);
+      const code = context.req.header(HEADER_CODE) ?? '';
+      outgoing.writeHead(200, {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(answer),
+        [HEADER_CODE]: answerCode(this.key, code, answer),
+      });
+      outgoing.end(answer);
+      return RESPONSE_ALREADY_SENT;
+    });
+  }
+
+  private async answer(text: string): Promise<string> {
+    let request: JSONRPCRequest | JSONRPCRequest[];
+    try {
+      request = JSON.parse(text) as JSONRPCRequest | JSONRPCRequest[];
+    } catch {
+      return JSON.stringify({
+        jsonrpc: '2.0',
+        id: null,
+        error: {code: -32_700, message: 'not JSON'},
+      });
+    }
+    const response = Array.isArray(request)
+      ? await this.server.receive(request)
+      : await this.server.receive(request);
+    return response ? JSON.stringify(response) : '';
+  }
+
+  private logRefusal(reason: string, address: string): void {
+    const nowMs = this.nowMs();
+    if (nowMs - this.refusalLoggedAtMs < REFUSAL_LOG_INTERVAL_MS) return;
+    this.refusalLoggedAtMs = nowMs;
+    this.logger.warn('peer_refused', {reason, address});
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -0,0 +1,452 @@
+/**
+ * Admits requests to targets: queues them fairly, chooses a target for the
+ * first ones that fit into this entry's allotments, and keeps count.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {
+  priorityOf,
+  type Fingerprint,
+  type Logger,
+  type RequestId,
+  type ServiceId,
+  type Settings,
+  type WorkspaceId,
+} from '@samphirefield/core';
+import {
+  AGEING_MS,
+  chooseTarget,
+  createQueue,
+  enqueue,
+  headsInOrder,
+  holdsPrefix,
+  overdue,
+  remove,
+  start,
+  type Candidate,
+  type Demand,
+  type FairQueue,
+  type RouteDecision,
+  type RunnerUp,
+  type StampedRequest,
+} from '@samphirefield/policy';
+import type {Clock} from '../clock/index.js';
+import {
+  hasViewLease,
+  histogramFor,
+  kvEstimate,
+  refreshEstimates,
+  suspicionHere,
+  usageByTarget,
+  usageOf,
+  type EntryTables,
+  type EntryTarget,
+  type StreamRow,
+} from '../entry/index.js';
+import type {Admission, AdmissionError, AdmissionRequest} from './types.js';
+
+/** A blocked request this old is not overtaken any more by its neighbours. */
+const HOLD_PLACE_AFTER_MS = 2 * AGEING_MS;
+/** No single request asks for more of a target's memory than this share. */
+const MAX_KV_SHARE = 0.5;
+
+interface Waiter {
+  readonly request: AdmissionRequest;
+  readonly kvNeedTokens: number;
+  readonly resolve: (result: Result<Admission, AdmissionError>) => void;
+  readonly onAbort: () => void;
+}
+
+export interface SchedulerOptions {
+  readonly tables: EntryTables;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly limits: Settings['limits'];
+  /** Asks the leader for more room soon. */
+  readonly wantRoom: () => void;
+}
+
+const describeRunnersUp = (runnersUp: readonly RunnerUp[]): string =>
+  runnersUp.map(item => `${item.target}:${item.reason}`).join(',') || 'none';
+
+export class Scheduler {
+  private readonly queues = new Map<ServiceId, FairQueue>();
+  private readonly waiters = new Map<RequestId, Waiter>();
+  private readonly runningByService = new Map<ServiceId, number>();
+  private readonly runningByWorkspace = new Map<string, number>();
+  private isDraining = false;
+
+  constructor(private readonly options: SchedulerOptions) {}
+
+  /** Requests that wait, over all services. */
+  get waitingCount(): number {
+    return this.waiters.size;
+  }
+
+  /** Refuses all new requests from now on, and those that wait. */
+  drain(): void {
+    this.isDraining = true;
+    for (const waiter of [...this.waiters.values()]) {
+      this.refuse(waiter, {kind: 'draining'});
+    }
+  }
+
+  /** Resolves once the request has a place on a target. */
+  acquire(
+    request: AdmissionRequest,
+  ): Promise<Result<Admission, AdmissionError>> {
+    const refusal = this.refusalOf(request);
+    if (refusal) return Promise.resolve(err(refusal));
+    return new Promise(resolve => {
+      const kvNeedTokens = this.kvNeed(request);
+      const queued = this.enqueue(request, kvNeedTokens);
+      if (queued.isErr()) {
+        resolve(err(queued.error));
+        return;
+      }
+      const onAbort = () => this.giveUp(request);
+      request.signal.addEventListener('abort', onAbort, {once: true});
+      this.waiters.set(request.request, {
+        request,
+        kvNeedTokens,
+        resolve,
+        onAbort,
+      });
+      this.dispatch();
+      if (this.waiters.has(request.request)) this.options.wantRoom();
+    });
+  }
+
+  /** Gives the place back; `isFinished` when the target did the work. */
+  release(admission: Admission, isFinished: boolean): void {
+    const {stream, target} = admission;
+    if (!this.options.tables.streams.delete(stream.request)) return;
+    if (isFinished && target.view.incarnation === stream.incarnation)
+      target.finished += 1;
+    this.count(stream, -1);
+    this.dispatch();
+  }
+
+  /** What waits for room, for the leader. */
+  demand(): readonly Demand[] {
+    const demands: Demand[] = [];
+    const nowMs = this.options.clock.nowMs();
+    for (const [service, queue] of this.queues) {
+      if (queue.size === 0) continue;
+      const needs = headsInOrder(queue, nowMs).map(
+        head => this.waiters.get(head.request)?.kvNeedTokens ?? 0,
+      );
+      const kvNeedTokens = Math.max(0, ...needs);
+      demands.push({service, waiting: queue.size, kvNeedTokens});
+    }
+    return demands;
+  }
+
+  tick(): void {
+    refreshEstimates(this.options.tables);
+    const nowMs = this.options.clock.nowMs();
+    for (const queue of this.queues.values()) {
+      for (const late of overdue(
+        queue,
+        nowMs,
+        this.options.limits.queue_wait_ms,
+      )) {
+        const waiter = this.waiters.get(late.request);
+        const waitedMs = nowMs - late.enqueuedAtMs;
+        if (waiter) this.refuse(waiter, {kind: 'waited_too_long', waitedMs});
+      }
+    }
+    this.dispatch();
+  }
+
+  /** Starts every waiting request that has room now. */
+  dispatch(): void {
+    const nowMs = this.options.clock.nowMs();
+    if (!hasViewLease(this.options.tables, nowMs)) return;
+    for (const queue of this.queues.values()) {
+      while (this.startOne(queue, nowMs));
+    }
+  }
+
+  private refusalOf(request: AdmissionRequest): AdmissionError | undefined {
+    const {tables, clock} = this.options;
+    if (this.isDraining) return {kind: 'draining'};
+    if (!hasViewLease(tables, clock.nowMs())) return {kind: 'no_view_lease'};
+    if (suspicionHere(tables, request.fingerprint) === 'quarantined') {
+      return {kind: 'quarantined'};
+    }
+    return request.signal.aborted ? {kind: 'caller_left'} : undefined;
+  }
+
+  private kvNeed(request: AdmissionRequest): number {
+    const {tables} = this.options;
+    if (request.maxOutputTokens === 0) return 0;
+    const histogram = histogramFor(
+      tables,
+      request.service.service,
+      request.workspace.workspace,
+    );
+    const need = kvEstimate(
+      histogram,
+      request.promptTokens,
+      0,
+      request.maxOutputTokens,
+    );
+    const largest = Math.max(
+      0,
+      ...[...tables.targets.values()]
+        .filter(row => row.view.service === request.service.service)
+        .map(row => row.view.kvTokens),
+    );
+    return Math.min(need, Math.floor(largest * MAX_KV_SHARE) || need);
+  }
+
+  private enqueue(request: AdmissionRequest, kvNeedTokens: number) {
+    const {tables, clock, limits} = this.options;
+    const {service, workspace} = request;
+    const queue = this.queues.get(service.service) ?? createQueue();
+    this.queues.set(service.service, queue);
+    const limit = tables.rules.limits.find(
+      rule =>
+        rule.workspace === workspace.workspace &&
+        (rule.service === undefined || rule.service === service.service),
+    );
+    return enqueue(
+      queue,
+      {
+        request: request.request,
+        workspace: workspace.workspace,
+        weight: workspace.weight,
+        priority: priorityOf(
+          tables.rules,
+          workspace.workspace,
+          service.service,
+        ),
+        costTokens: Math.max(1, kvNeedTokens),
+        enqueuedAtMs: clock.nowMs(),
+      },
+      Math.min(service.maxQueue, limits.queue_per_service) + 1,
+      (limit?.maxQueue ?? Number.MAX_SAFE_INTEGER) + 1,
+    );
+  }
+
+  private startOne(queue: FairQueue, nowMs: number): boolean {
+    for (const head of headsInOrder(queue, nowMs)) {
+      const waiter = this.waiters.get(head.request);
+      if (waiter === undefined) {
+        remove(queue, head.workspace, head.request);
+        return true;
+      }
+      if (this.tryStart(queue, head, waiter, nowMs)) return true;
+      if (nowMs - head.enqueuedAtMs > HOLD_PLACE_AFTER_MS) return false;
+    }
+    return false;
+  }
+
+  private tryStart(
+    queue: FairQueue,
+    head: StampedRequest,
+    waiter: Waiter,
+    nowMs: number,
+  ): boolean {
+    const {tables} = this.options;
+    const {request} = waiter;
+    const suspicion = suspicionHere(tables, request.fingerprint);
+    if (suspicion === 'quarantined') {
+      this.refuse(waiter, {kind: 'quarantined'});
+      return true;
+    }
+    const isSuspect = suspicion === 'suspect';
+    if (isSuspect && !this.hasTurn(request.fingerprint)) return false;
+    if (this.isAtLimit(request)) return false;
+    const decision = this.decide(waiter, isSuspect, nowMs);
+    if (decision.kind === 'none') return false;
+    start(queue, head);
+    this.admit(waiter, decision, isSuspect, nowMs - head.enqueuedAtMs);
+    return true;
+  }
+
+  private hasTurn(fingerprint: Fingerprint): boolean {
+    const {tables} = this.options;
+    tables.waitingSuspects.add(fingerprint);
+    if (!tables.suspectTurns.has(fingerprint)) {
+      this.options.wantRoom();
+      return false;
+    }
+    return ![...tables.streams.values()].some(stream => stream.isSuspect);
+  }
+
+  private isAtLimit(request: AdmissionRequest): boolean {
+    const {service, workspace} = request;
+    const running = this.runningByService.get(service.service) ?? 0;
+    if (running >= service.maxConcurrency) return true;
+    return this.options.tables.rules.limits.some(rule => {
+      if (rule.workspace !== workspace.workspace) return false;
+      if (rule.service !== undefined && rule.service !== service.service)
+        return false;
+      const key = workspaceKey(rule.workspace, rule.service);
+      return (this.runningByWorkspace.get(key) ?? 0) >= rule.maxConcurrency;
+    });
+  }
+
+  private decide(
+    waiter: Waiter,
+    isSuspect: boolean,
+    nowMs: number,
+  ): RouteDecision {
+    const {request, kvNeedTokens} = waiter;
+    const candidates = this.candidatesFor(request, nowMs);
+    const {prefix, excluded} = request;
+    return chooseTarget(candidates, {
+      kvNeedTokens,
+      prefix,
+      isSuspect,
+      excluded,
+    });
+  }
+
+  private candidatesFor(request: AdmissionRequest, nowMs: number): Candidate[] {
+    const {tables} = this.options;
+    const usage = usageByTarget(tables);
+    const candidates: Candidate[] = [];
+    for (const row of tables.targets.values()) {
+      if (row.view.service !== request.service.service) continue;
+      const {inUse, kvInUse, runsSuspect} = usageOf(usage, row.view.target);
+      candidates.push(
+        this.toCandidate(row, request, nowMs, {inUse, kvInUse, runsSuspect}),
+      );
+    }
+    return candidates;
+  }
+
+  private toCandidate(
+    row: EntryTarget,
+    request: AdmissionRequest,
+    nowMs: number,
+    use: {
+      readonly inUse: number;
+      readonly kvInUse: number;
+      readonly runsSuspect: boolean;
+    },
+  ): Candidate {
+    const {tables} = this.options;
+    const {view} = row;
+    return {
+      target: view.target,
+      zone: view.zone,
+      isOutOfService:
+        view.isLapsed ||
+        tables.config.outZones.includes(view.zone) ||
+        tables.config.outTargets.includes(view.target),
+      isLeaving: view.isLeaving,
+      isAvoided: nowMs < row.avoidUntilMs,
+      holdsModel: holdsModel(row, request),
+      freeSlots: row.slots - use.inUse,
+      freeKvTokens:
+        request.maxOutputTokens === 0 ? Infinity : row.kvTokens - use.kvInUse,
+      runningRequests: Math.max(use.inUse, view.running + row.sentSinceView),
+      slots: view.slots,
+      kvUsedTokens: Math.max(use.kvInUse, view.kvUsedTokens),
+      kvTokens: view.kvTokens,
+      holdsPrefix:
+        request.prefix !== '' &&
+        holdsPrefix(tables.cache, view.target, request.prefix),
+      runsSuspect: use.runsSuspect,
+    };
+  }
+
+  private admit(
+    waiter: Waiter,
+    decision: Extract<RouteDecision, {kind: 'chosen'}>,
+    isSuspect: boolean,
+    waitedMs: number,
+  ): void {
+    const {tables, logger} = this.options;
+    const {request, kvNeedTokens} = waiter;
+    const target = tables.targets.get(decision.target)!;
+    const stream: StreamRow = {
+      request: request.request,
+      workspace: request.workspace.workspace,
+      service: request.service.service,
+      target: decision.target,
+      incarnation: target.view.incarnation,
+      fingerprint: request.fingerprint,
+      isSuspect,
+      promptTokens: request.promptTokens,
+      maxOutputTokens: request.maxOutputTokens,
+      generatedTokens: 0,
+      kvTokens: kvNeedTokens,
+    };
+    tables.streams.set(stream.request, stream);
+    tables.waitingSuspects.delete(request.fingerprint);
+    target.sentSinceView += 1;
+    this.count(stream, 1);
+    logger.info('route', {
+      request: request.request,
+      workspace: stream.workspace,
+      service: stream.service,
+      target: decision.target,
+      reason: decision.reason,
+      runners_up: describeRunnersUp(decision.runnersUp),
+      waited_ms: waitedMs,
+      kv_tokens: kvNeedTokens,
+      suspect: isSuspect || undefined,
+    });
+    this.settle(waiter, ok({target, stream}));
+  }
+
+  private count(stream: StreamRow, change: number): void {
+    const {service, workspace} = stream;
+    add(this.runningByService, service, change);
+    add(this.runningByWorkspace, workspaceKey(workspace, undefined), change);
+    add(this.runningByWorkspace, workspaceKey(workspace, service), change);
+  }
+
+  private giveUp(request: AdmissionRequest): void {
+    const waiter = this.waiters.get(request.request);
+    if (waiter) this.refuse(waiter, {kind: 'caller_left'});
+  }
+
+  private refuse(waiter: Waiter, error: AdmissionError): void {
+    const {request} = waiter;
+    const queue = this.queues.get(request.service.service);
+    if (queue) remove(queue, request.workspace.workspace, request.request);
+    this.options.tables.waitingSuspects.delete(request.fingerprint);
+    this.options.logger.info('route_refused', {
+      request: request.request,
+      workspace: request.workspace.workspace,
+      service: request.service.service,
+      reason: error.kind,
+    });
+    this.settle(waiter, err(error));
+  }
+
+  private settle(
+    waiter: Waiter,
+    result: Result<Admission, AdmissionError>,
+  ): void {
+    this.waiters.delete(waiter.request.request);
+    waiter.request.signal.removeEventListener('abort', waiter.onAbort);
+    waiter.resolve(result);
+  }
+}
+
+function workspaceKey(
+  workspace: WorkspaceId,
+  service: ServiceId | undefined,
+): string {
+  return `${workspace} ${service ?? ''}`;
+}
+
+function add<Key>(counts: Map<Key, number>, key: Key, change: number): void {
+  const next = (counts.get(key) ?? 0) + change;
+  if (next <= 0) counts.delete(key);
+  else counts.set(key, next);
+}
+
+function holdsModel(row: EntryTarget, request: AdmissionRequest): boolean {
+  if (request.model === '') return true;
+  return row.view.models.some(
+    held =>
+      held.model === request.model && held.version === request.modelVersion,
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/types.ts
@@ -0,0 +1,40 @@
+/** Admission of requests to targets. */
+import type {
+  Fingerprint,
+  RequestId,
+  ServiceRule,
+  TargetId,
+  WorkspaceRule,
+} from '@samphirefield/core';
+import type {EnqueueError} from '@samphirefield/policy';
+import type {EntryTarget, StreamRow} from '../entry/index.js';
+
+export interface AdmissionRequest {
+  readonly request: RequestId;
+  readonly workspace: WorkspaceRule;
+  readonly service: ServiceRule;
+  /** Empty for a plain service. */
+  readonly model: string;
+  readonly modelVersion: string;
+  readonly fingerprint: Fingerprint;
+  readonly prefix: string;
+  readonly promptTokens: number;
+  /** 0 for a plain service. */
+  readonly maxOutputTokens: number;
+  readonly excluded: ReadonlySet<TargetId>;
+  readonly signal: AbortSignal;
+}
+
+/** A place on a target, held until it is released. */
+export interface Admission {
+  readonly target: EntryTarget;
+  readonly stream: StreamRow;
+}
+
+export type AdmissionError =
+  | EnqueueError
+  | {readonly kind: 'waited_too_long'; readonly waitedMs: number}
+  | {readonly kind: 'no_view_lease'}
+  | {readonly kind: 'draining'}
+  | {readonly kind: 'quarantined'}
+  | {readonly kind: 'caller_left'};
--- /dev/null
+++ b/packages/daemon/src/targets/announce-api.ts
@@ -0,0 +1,83 @@
+/** Takes the announcements of targets on the internal listener. */
+import {
+  announcementSchema,
+  secretsEqual,
+  targetId,
+  type Logger,
+} from '@samphirefield/core';
+import {recordCacheEvents} from '@samphirefield/policy';
+import type {Clock} from '../clock/index.js';
+import type {EntryTables} from '../entry/index.js';
+import {readBody, type App} from '../http/index.js';
+
+const MAX_ANNOUNCEMENT_BYTES = 1_048_576;
+const RENEW_AFTER_MS = 1_000;
+
+export interface AnnounceOptions {
+  readonly key: string;
+  readonly tables: EntryTables;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Called when something changed that the leader should know at once. */
+  readonly onNews: () => void;
+}
+
+export function mountAnnounceApi(app: App, options: AnnounceOptions): void {
+  const {key, tables, clock, logger, onNews} = options;
+  app.post('/targets/announce', async context => {
+    const presented = context.req.header('authorization') ?? '';
+    if (!secretsEqual(presented, `Bearer ${key}`)) {
+      return context.json(
+        {error: 'the key of targets is missing or wrong'},
+        401,
+      );
+    }
+    const body = await readBody(context.env.incoming, MAX_ANNOUNCEMENT_BYTES);
+    if (body.isErr())
+      return context.json({error: 'the body is too large'}, 413);
+    const parsed = parseJson(body.value.toString('utf8'));
+    const checked = announcementSchema.safeParse(parsed);
+    if (!checked.success) {
+      const issue = checked.error.issues[0];
+      const where = issue?.path.join('.') ?? '';
+      return context.json({error: `${where}: ${issue?.message}`}, 400);
+    }
+    const announcement = checked.data;
+    const target = targetId(announcement.target);
+    const known = tables.heard.get(target)?.announcement;
+    tables.heard.set(target, {
+      announcement,
+      heardAtMs: clock.nowMs(),
+      isReported: false,
+    });
+    if (announcement.cache) {
+      const {first_seq, events} = announcement.cache;
+      recordCacheEvents(tables.cache, target, first_seq, events);
+    }
+    const isNews =
+      known === undefined ||
+      known.incarnation !== announcement.incarnation ||
+      known.is_warm !== announcement.is_warm ||
+      known.leaving_in_ms !== announcement.leaving_in_ms;
+    if (isNews) {
+      logger.info('target_announced', {
+        target,
+        incarnation: announcement.incarnation,
+        service: announcement.service,
+        zone: announcement.zone,
+        warm: announcement.is_warm,
+        leaving_in_ms: announcement.leaving_in_ms,
+      });
+      onNews();
+    }
+    return context.json({renew_after_ms: RENEW_AFTER_MS});
+  });
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/targets/index.ts
@@ -0,0 +1,7 @@
+export {mountAnnounceApi} from './announce-api.js';
+export {
+  TargetClient,
+  type OpenStream,
+  type TargetAddress,
+  type TargetError,
+} from './target-client.js';
--- /dev/null
+++ b/packages/daemon/src/voter/index.ts
@@ -0,0 +1,2 @@
+export * from './types.js';
+export {allotmentTiming, VoterHost} from './voter-host.js';
--- /dev/null
+++ b/packages/daemon/src/voter/leadership.ts
@@ -0,0 +1,212 @@
+/** The leader's own tables and the systems that run over them each tick. */
+import type {Logger} from '@samphirefield/core';
+import {
+  deltasSince,
+  planMembership,
+  type CandidateView,
+  type ControlAnswer,
+  type ControlMachine,
+  type MembershipGoal,
+  type MemberView,
+} from '@samphirefield/control';
+import {
+  createLeaderTables,
+  handleReport,
+  leaderTick,
+  type AllotmentTiming,
+  type HolderId,
+  type LeaderTables,
+  type ServiceState,
+} from '@samphirefield/policy';
+import {
+  lastIndex,
+  type Replica,
+  type ReplicaId,
+  type ReplicaNode,
+} from '@samphirefield/replication';
+import type {Heartbeat} from '../rpc/index.js';
+import type {ConfigNews} from './types.js';
+
+/** What the leader last heard of a daemon beside its report. */
+export interface DaemonRow {
+  readonly holder: HolderId;
+  readonly instance: string;
+  readonly zone: string;
+  readonly revision: number;
+  readonly heardAtMs: number;
+  readonly replica: Heartbeat['replica'];
+}
+
+export class Leadership {
+  readonly tables: LeaderTables;
+  readonly daemons = new Map<HolderId, DaemonRow>();
+  private isChanging = false;
+  private readonly abandoning = new Set<string>();
+
+  constructor(
+    readonly term: number,
+    private readonly node: ReplicaNode<ControlAnswer>,
+    private readonly machine: ControlMachine,
+    private readonly timing: AllotmentTiming,
+    private readonly goal: MembershipGoal,
+    private readonly logger: Logger,
+    private readonly startedAtMs: number,
+  ) {
+    this.tables = createLeaderTables(startedAtMs, timing);
+  }
+
+  serviceState(): ServiceState {
+    const {config} = this.machine.tables;
+    return {
+      outZones: new Set(config.outZones),
+      outTargets: new Set(config.outTargets),
+    };
+  }
+
+  handleHeartbeat(heartbeat: Heartbeat, nowMs: number) {
+    const {report, revision, replica} = heartbeat;
+    const orders = handleReport(
+      this.tables,
+      report,
+      this.serviceState(),
+      this.timing,
+      nowMs,
+    );
+    if (orders === undefined) return undefined;
+    const {holder, instance, zone} = report;
+    this.daemons.set(holder, {
+      holder,
+      instance,
+      zone,
+      revision,
+      replica,
+      heardAtMs: nowMs,
+    });
+    return {orders, news: this.newsFor(heartbeat)};
+  }
+
+  private newsFor(heartbeat: Heartbeat): ConfigNews {
+    const {tables} = this.machine;
+    const isCurrent =
+      heartbeat.revision === tables.config.revision &&
+      heartbeat.configHash === tables.configHash;
+    if (isCurrent) return {kind: 'none'};
+    const deltas = deltasSince(tables, heartbeat.revision);
+    // An equal or later revision with another hash has no delta that mends it.
+    if (deltas === undefined || deltas.length === 0) {
+      return {kind: 'whole', view: tables.config};
+    }
+    return {kind: 'deltas', deltas};
+  }
+
+  tick(nowMs: number, wallMs: number): void {
+    leaderTick(this.tables, this.timing, nowMs);
+    for (const [holder, row] of this.daemons) {
+      if (nowMs - row.heardAtMs > this.timing.targetForgetMs) {
+        this.daemons.delete(holder);
+      }
+    }
+    this.abandonClaims(nowMs, wallMs);
+    void this.mendMembership(nowMs);
+  }
+
+  /** Ends the claims of entries that are gone, as outcomes that are unknown. */
+  private abandonClaims(nowMs: number, wallMs: number): void {
+    if (nowMs < this.tables.graceEndMs) return;
+    for (const holder of this.machine.tables.ledger.keysByHolder.keys()) {
+      const row = this.tables.entries.get(holder as HolderId);
+      const isGone =
+        row === undefined || nowMs > row.leaseEndMs + this.timing.targetLapseMs;
+      if (!isGone || this.abandoning.has(holder)) continue;
+      this.abandoning.add(holder);
+      this.logger.warn('claims_abandoned', {holder});
+      const command = JSON.stringify({kind: 'abandon', holder, atMs: wallMs});
+      void this.node
+        .submit(command)
+        .finally(() => this.abandoning.delete(holder));
+    }
+  }
+
+  memberViews(nowMs: number): MemberView[] {
+    const {raft} = this.node;
+    const last = lastIndex(raft.log);
+    return this.node.membership.replicas.map(replica => {
+      const progress = raft.progress.get(replica.id);
+      const isSelf = replica.id === this.node.id;
+      return {
+        replica: replica.id,
+        instance: replica.instance,
+        zone: this.zoneOf(replica.instance),
+        role: replica.role,
+        silentMs: isSelf
+          ? 0
+          : nowMs - (progress?.heardAtMs ?? this.startedAtMs),
+        lagEntries: isSelf ? 0 : last - (progress?.matchIndex ?? 0),
+      };
+    });
+  }
+
+  private zoneOf(instance: string): string | undefined {
+    for (const row of this.daemons.values()) {
+      if (row.instance === instance) return row.zone;
+    }
+    return undefined;
+  }
+
+  /** Daemons with a disk that are no member, and were heard lately. */
+  private candidates(nowMs: number): CandidateView[] {
+    const members = new Set<string>(
+      this.node.membership.replicas.map(replica => replica.id),
+    );
+    const candidates: CandidateView[] = [];
+    for (const row of this.daemons.values()) {
+      const isFresh = nowMs - row.heardAtMs < this.timing.leaseMs;
+      if (!row.replica || !isFresh || members.has(row.replica.id)) continue;
+      const {instance, zone} = row;
+      candidates.push({replica: row.replica.id, instance, zone});
+    }
+    return candidates;
+  }
+
+  private toReplica(id: string): Replica | undefined {
+    for (const row of this.daemons.values()) {
+      if (row.replica?.id !== id) continue;
+      const {address, port} = row.replica;
+      return {
+        id: id as ReplicaId,
+        instance: row.instance,
+        address,
+        port,
+        role: 'learner',
+      };
+    }
+    return undefined;
+  }
+
+  private async mendMembership(nowMs: number): Promise<void> {
+    if (this.isChanging) return;
+    const step = planMembership(
+      this.memberViews(nowMs),
+      this.candidates(nowMs),
+      this.goal,
+    );
+    if (step === undefined) return;
+    this.isChanging = true;
+    const id = step.replica as ReplicaId;
+    const replica = this.toReplica(step.replica);
+    const change =
+      step.kind === 'add_learner'
+        ? replica && {kind: 'add_learner' as const, replica}
+        : {kind: step.kind, id};
+    if (change) {
+      const result = await this.node.change(change);
+      const outcome = result.isOk() ? 'proposed' : result.error.kind;
+      this.logger.info('membership_change', {
+        change: step.kind,
+        replica: step.replica,
+        outcome,
+      });
+    }
+    this.isChanging = false;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/voter/voter-host.ts
@@ -0,0 +1,410 @@
+/**
+ * Hosts a replica of the control group on this daemon and, while it leads, the
+ * leader's tables. Serves the calls of the other daemons.
+ */
+import {randomInt} from 'node:crypto';
+import {err, ok, type Result} from 'neverthrow';
+import {
+  parseRules,
+  formatRuleError,
+  type Logger,
+  type Settings,
+} from '@samphirefield/core';
+import {
+  ControlMachine,
+  lookUp,
+  type ControlAnswer,
+  type LedgerAnswer,
+  type LedgerCommand,
+  type MembershipGoal,
+  type OperatorAnswer,
+} from '@samphirefield/control';
+import type {AllotmentTiming} from '@samphirefield/policy';
+import {
+  formatStorageError,
+  lockFolder,
+  openFileStorage,
+  openIdentity,
+  ReplicaNode,
+  votersOf,
+  type Envelope,
+  type FolderLock,
+  type Identity,
+  type OpenedStorage,
+  type RaftConfig,
+  type Replica,
+  type ReplicaId,
+} from '@samphirefield/replication';
+import type {Clock} from '../clock/index.js';
+import type {
+  Heartbeat,
+  OperatorRequest,
+  PeerAddress,
+  RpcClient,
+} from '../rpc/index.js';
+import {Leadership} from './leadership.js';
+import {PeerSender} from './peer-sender.js';
+import {buildStatus, seenTargets, seenZones} from './status.js';
+import type {
+  ApplyAnswer,
+  BootstrapAnswer,
+  ConfigAnswer,
+  HeartbeatAnswer,
+  LeaderHint,
+  NotLeader,
+  OperatorOutcome,
+  StatusAnswer,
+} from './types.js';
+
+const TICK_MS = 20;
+const LEADER_TICK_MS = 200;
+const RAFT_HEARTBEATS_PER_TIMEOUT = 5;
+const SNAPSHOT_EVERY_ENTRIES = 20_000;
+const TARGET_FORGET_MS = 600_000;
+const VOTERS_WANTED = 3;
+const REPLACE_AFTER_MS = 60_000;
+const MAX_LEARNER_LAG_ENTRIES = 100;
+
+export interface VoterHostOptions {
+  readonly settings: Settings;
+  readonly dataFolder: string;
+  readonly rpc: RpcClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Where an instance's daemon is; for a replica that knows no members yet. */
+  readonly addressOf: (instance: string) => PeerAddress | undefined;
+}
+
+function raftConfig(settings: Settings, identity: Identity): RaftConfig {
+  const {timing} = settings;
+  return {
+    id: identity.replica,
+    heartbeatMs: Math.ceil(
+      timing.election_timeout_min_ms / RAFT_HEARTBEATS_PER_TIMEOUT,
+    ),
+    electionTimeoutMinMs: timing.election_timeout_min_ms,
+    electionTimeoutMaxMs: timing.election_timeout_max_ms,
+    clockDriftMs: timing.clock_drift_ms,
+    maxEntriesPerMessage: 512,
+    maxBytesPerMessage: 1_048_576,
+    maxMessagesInFlight: 32,
+    snapshotChunkBytes: 262_144,
+    randomBelow: bound => randomInt(bound),
+  };
+}
+
+export function allotmentTiming(settings: Settings): AllotmentTiming {
+  const {timing} = settings;
+  return {
+    leaseMs: timing.view_lease_ms,
+    clockDriftMs: timing.clock_drift_ms,
+    targetLapseMs: timing.target_lapse_ms,
+    targetForgetMs: TARGET_FORGET_MS,
+    quarantineMs: timing.quarantine_ms,
+  };
+}
+
+/** A replica's id starts with the instance that it was made on. */
+function instanceOf(id: ReplicaId): string {
+  return id.split('/')[0] ?? '';
+}
+
+function toHint(replica: Replica): LeaderHint {
+  const {instance, address, port} = replica;
+  return {instance, address, port};
+}
+
+/** Versions of another leader's tables say nothing of ours. */
+function asNewcomer(heartbeat: Heartbeat, term: number): Heartbeat {
+  if (heartbeat.knownTerm === term) return heartbeat;
+  const report = {
+    ...heartbeat.report,
+    knownTargetsVersion: 0,
+    knownQuarantineVersion: -1,
+  };
+  return {...heartbeat, report};
+}
+
+export class VoterHost {
+  readonly machine: ControlMachine;
+  private leadership: Leadership | undefined;
+  private readonly senders = new Map<string, PeerSender>();
+  private readonly timers: NodeJS.Timeout[] = [];
+  private wasLeader = false;
+
+  private constructor(
+    private readonly options: VoterHostOptions,
+    private readonly identity: Identity,
+    private readonly lock: FolderLock,
+    opened: OpenedStorage,
+  ) {
+    this.machine = new ControlMachine();
+    this.node = new ReplicaNode<ControlAnswer>({
+      config: raftConfig(options.settings, identity),
+      storage: opened.storage,
+      stored: opened.stored,
+      machine: this.machine,
+      send: envelopes => this.send(envelopes),
+      nowMs: options.clock.nowMs,
+      onFailure: error => {
+        options.logger.error('voter_stopped', {reason: error.message});
+      },
+      snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+    });
+  }
+
+  readonly node: ReplicaNode<ControlAnswer>;
+
+  /** Opens the data folder; fails when it is held, damaged or another's. */
+  static async open(
+    options: VoterHostOptions,
+  ): Promise<Result<VoterHost, string>> {
+    const {settings, dataFolder, logger} = options;
+    const {id, deployment} = settings.instance;
+    const lock = lockFolder(dataFolder);
+    if (lock.isErr()) return err(formatStorageError(lock.error));
+    const identity = openIdentity(dataFolder, id, deployment);
+    if (identity.isErr()) {
+      lock.value.release();
+      return err(formatStorageError(identity.error));
+    }
+    const opened = await openFileStorage(dataFolder);
+    if (opened.isErr()) {
+      lock.value.release();
+      return err(formatStorageError(opened.error));
+    }
+    const {cutBytes, entries, snapshot} = opened.value.stored;
+    logger.info('voter_opened', {
+      replica: identity.value.replica,
+      entries: entries.length,
+      snapshot: snapshot?.index ?? 0,
+      cut_bytes: cutBytes,
+    });
+    return ok(new VoterHost(options, identity.value, lock.value, opened.value));
+  }
+
+  start(): void {
+    this.timers.push(
+      setInterval(() => this.node.tick(), TICK_MS),
+      setInterval(() => this.tickLeader(), LEADER_TICK_MS),
+    );
+  }
+
+  async stop(): Promise<void> {
+    for (const timer of this.timers) clearInterval(timer);
+    if (this.node.isLeader) await this.node.transferLeadership();
+    await this.node.stop('the daemon stops');
+    this.lock.release();
+  }
+
+  get replicaId(): Identity['replica'] {
+    return this.identity.replica;
+  }
+
+  receive(envelope: Envelope): void {
+    if (envelope.to !== this.identity.replica) return;
+    this.node.receive(envelope.from, envelope.message);
+  }
+
+  leaderHint(): LeaderHint | undefined {
+    const {leader} = this.node.raft;
+    const replica = this.node.membership.replicas.find(
+      item => item.id === leader,
+    );
+    return replica && toHint(replica);
+  }
+
+  handleHeartbeat(heartbeat: Heartbeat): HeartbeatAnswer {
+    const leadership = this.lead();
+    if (leadership === undefined) return this.notLeader();
+    const nowMs = this.options.clock.nowMs();
+    const answer = leadership.handleHeartbeat(
+      asNewcomer(heartbeat, leadership.term),
+      nowMs,
+    );
+    if (answer === undefined) return {kind: 'overtaken'};
+    return {
+      kind: 'ok',
+      leaderInstance: this.options.settings.instance.id,
+      term: leadership.term,
+      orders: answer.orders,
+      news: answer.news,
+      voters: votersOf(this.node.membership).map(toHint),
+    };
+  }
+
+  async applyLedger(
+    command: LedgerCommand,
+  ): Promise<ApplyAnswer<LedgerAnswer>> {
+    const result = await this.submit(command);
+    return result as ApplyAnswer<LedgerAnswer>;
+  }
+
+  peek(key: string): ApplyAnswer<LedgerAnswer | undefined> {
+    if (this.lead() === undefined) return this.notLeader();
+    const answer = lookUp(this.machine.tables.ledger, key, '' as never);
+    return {kind: 'applied', answer};
+  }
+
+  async handleOperator(request: OperatorRequest): Promise<OperatorOutcome> {
+    const leadership = this.lead();
+    if (leadership === undefined) return this.notLeader();
+    const {commandId, baseRevision, operator, change} = request;
+    const isResend = this.machine.tables.answers.has(commandId);
+    const refusal = isResend
+      ? undefined
+      : this.refuseChange(leadership, request);
+    if (refusal) return refusal;
+    const atMs = this.options.clock.wallMs();
+    const command = {
+      kind: 'operator' as const,
+      commandId,
+      baseRevision,
+      operator,
+      change,
+      atMs,
+    };
+    const result = await this.submit(command);
+    if (result.kind !== 'applied') return result;
+    const answer = result.answer as OperatorAnswer;
+    this.options.logger.info('operator_command', {
+      command: commandId,
+      operator,
+      change: change.kind,
+      answer: answer.kind,
+      revision: answer.revision,
+    });
+    return {kind: 'answered', answer};
+  }
+
+  private refuseChange(
+    leadership: Leadership,
+    request: OperatorRequest,
+  ): OperatorOutcome | undefined {
+    const {change, isUnseenAllowed} = request;
+    if (change.kind === 'apply_rules') {
+      const rules = parseRules(change.text);
+      if (rules.isOk()) return undefined;
+      const errors = rules.error.map(error => formatRuleError('rules', error));
+      return {kind: 'invalid_rules', errors};
+    }
+    if (isUnseenAllowed || !change.isOut) return undefined;
+    const seen =
+      change.kind === 'zone'
+        ? seenZones(leadership, this.machine)
+        : seenTargets(leadership);
+    const what = change.kind === 'zone' ? change.zone : change.target;
+    if (seen.includes(what as never)) return undefined;
+    return {kind: 'unseen', what: `${change.kind} ${what}`, seen};
+  }
+
+  config(): ConfigAnswer {
+    if (this.lead() === undefined) return this.notLeader();
+    return {kind: 'ok', view: this.machine.tables.config};
+  }
+
+  status(): StatusAnswer {
+    const leadership = this.lead();
+    if (leadership === undefined) return this.notLeader();
+    const nowMs = this.options.clock.nowMs();
+    const leader = this.options.settings.instance.id;
+    return {
+      kind: 'ok',
+      status: buildStatus(leader, leadership, this.machine, nowMs),
+    };
+  }
+
+  /** Forms a new group, once: refused when this replica was ever in one. */
+  async bootstrap(): Promise<BootstrapAnswer> {
+    const {instance, internal} = this.options.settings;
+    const self: Replica = {
+      id: this.identity.replica,
+      instance: instance.id,
+      address: internal.address,
+      port: internal.port,
+      role: 'voter',
+    };
+    const result = await this.node.bootstrap({replicas: [self]});
+    if (result.isOk()) return {kind: 'ok', replica: self.id};
+    const {error} = result;
+    const reason = error.kind === 'invalid_change' ? error.reason : error.kind;
+    return {kind: 'refused', reason};
+  }
+
+  private async submit(command: object): Promise<ApplyAnswer<ControlAnswer>> {
+    if (this.lead() === undefined) return this.notLeader();
+    const result = await this.node.submit(JSON.stringify(command));
+    if (result.isOk()) return {kind: 'applied', answer: result.value};
+    return result.error.kind === 'not_leader'
+      ? this.notLeader()
+      : {kind: 'unknown_outcome'};
+  }
+
+  private notLeader(): NotLeader {
+    return {kind: 'not_leader', leader: this.leaderHint()};
+  }
+
+  /** The leader's tables, while this replica may answer as the leader. */
+  private lead(): Leadership | undefined {
+    if (!this.node.holdsLease()) return undefined;
+    const {term} = this.node.raft;
+    if (this.leadership?.term !== term) {
+      const {clock, settings, logger} = this.options;
+      this.leadership = new Leadership(
+        term,
+        this.node,
+        this.machine,
+        allotmentTiming(settings),
+        this.membershipGoal(),
+        logger,
+        clock.nowMs(),
+      );
+      logger.info('leadership_taken', {term});
+    }
+    return this.leadership;
+  }
+
+  private membershipGoal(): MembershipGoal {
+    return {
+      voters: VOTERS_WANTED,
+      preferredInstances: this.options.settings.cluster.voters.map(
+        voter => voter.id,
+      ),
+      replaceAfterMs: REPLACE_AFTER_MS,
+      maxLagEntries: MAX_LEARNER_LAG_ENTRIES,
+    };
+  }
+
+  private tickLeader(): void {
+    const leadership = this.lead();
+    if (leadership) {
+      const {clock} = this.options;
+      leadership.tick(clock.nowMs(), clock.wallMs());
+    }
+    const isLeader = leadership !== undefined;
+    if (this.wasLeader && !isLeader) {
+      this.options.logger.info('leadership_lost', {term: this.node.raft.term});
+    }
+    this.wasLeader = isLeader;
+  }
+
+  private send(envelopes: readonly Envelope[]): void {
+    for (const envelope of envelopes) {
+      const member = this.node.membership.replicas.find(
+        item => item.id === envelope.to,
+      );
+      const peer = member ?? this.options.addressOf(instanceOf(envelope.to));
+      if (peer) this.senderFor(peer).send(envelope);
+    }
+  }
+
+  private senderFor(peer: PeerAddress): PeerSender {
+    const key = `${peer.address} ${peer.port}`;
+    const known = this.senders.get(key);
+    if (known) return known;
+    const {rpc, settings} = this.options;
+    const sender = new PeerSender(rpc, peer, settings.timing.rpc_timeout_ms);
+    this.senders.set(key, sender);
+    return sender;
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/engine-server.ts
@@ -0,0 +1,454 @@
+/**
+ * A fake model engine over HTTP, for tests, benchmarks and the demo. It follows
+ * docs/TARGETS.md: generation, resume, cancel, announcements, cache events that
+ * come late and with gaps, load reports with a lag, and faults to switch on.
+ */
+import {randomUUID} from 'node:crypto';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {Announcement} from '@samphirefield/core';
+import {Announcer} from './announcer.js';
+import {
+  cancel,
+  createEngine,
+  DEFAULT_ENGINE,
+  kvUsed,
+  sequenceCount,
+  step,
+  submit,
+  takeCacheChanges,
+  turnCold,
+  type EngineConfig,
+  type EngineState,
+  type Sequence,
+} from './engine-model.js';
+
+export interface FakeEngineOptions {
+  readonly target: string;
+  readonly zone: string;
+  readonly service: string;
+  readonly models: ReadonlyArray<{
+    readonly model: string;
+    readonly version: string;
+  }>;
+  readonly config?: Partial<EngineConfig>;
+  readonly isWarm?: boolean;
+  readonly address?: string;
+  readonly port?: number;
+  readonly daemons: readonly string[];
+  readonly key: string;
+  readonly announceMs?: number;
+  /** Speeds the model's clock up. */
+  readonly speed?: number;
+  /** Age of the load figures in each announcement. */
+  readonly loadLagMs?: number;
+  readonly tokenBytes?: number;
+}
+
+/** Faults that a test can switch on. */
+export interface EngineFaults {
+  /** Accepts connections and sends nothing. */
+  isHung: boolean;
+  /** Keeps open streams silent; new connections work. */
+  hasSilentStreams: boolean;
+  /** Dies when a prompt holds this text. */
+  poison: string | undefined;
+  /** Sends each event twice and every other pair out of order. */
+  isUnordered: boolean;
+  dropsCacheEvents: boolean;
+}
+
+interface Generation {
+  readonly id: string;
+  readonly isChat: boolean;
+  readonly model: string;
+  readonly events: string[];
+  isDone: boolean;
+  readers: Set<Reader>;
+  detachedAtMs: number;
+}
+
+interface Reader {
+  readonly response: ServerResponse;
+  nextEvent: number;
+  isSilenced: boolean;
+}
+
+const KEEPALIVE_MS = 500;
+const DETACHED_KEPT_MS = 30_000;
+const DEFAULT_ANNOUNCE_MS = 1_000;
+const WORDS = [
+  'graft',
+  'wax',
+  'bud',
+  'stock',
+  'knife',
+  'season',
+  'sloop',
+  'barge',
+  'hull',
+  'keel',
+];
+
+/** Takes `length=N` from the prompt, so that callers of the fake can choose. */
+function outputLength(prompt: string, maxTokens: number): number {
+  const asked = /length=(\d+)/.exec(prompt);
+  const length = asked ? Number(asked[1]) : 20 + (prompt.length % 60);
+  return Math.max(1, Math.min(length, maxTokens));
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+export class FakeEngine {
+  readonly incarnation = randomUUID();
+  readonly faults: EngineFaults = {
+    isHung: false,
+    hasSilentStreams: false,
+    poison: undefined,
+    isUnordered: false,
+    dropsCacheEvents: false,
+  };
+  readonly engine: EngineState;
+  /** Every generation that was ever started, for tests. */
+  started = 0;
+  isLeavingInMs: number | undefined;
+  private readonly generations = new Map<string, Generation>();
+  private readonly announcer: Announcer;
+  private readonly server: Server;
+  private stepTimer: NodeJS.Timeout | undefined;
+  private readonly keepAliveTimer: NodeJS.Timeout;
+  private cacheSeq = 0;
+  private warmSinceMs: number;
+  private port = 0;
+  /** Load figures as they were, oldest first, for the lag. */
+  private loads: Array<{atMs: number; load: Announcement['load']}> = [];
+
+  private constructor(private readonly options: FakeEngineOptions) {
+    const isWarm = options.isWarm ?? true;
+    this.engine = createEngine({...DEFAULT_ENGINE, ...options.config}, isWarm);
+    this.warmSinceMs = isWarm ? Date.now() - 3_600_000 : Date.now();
+    this.server = createServer(
+      (request, response) => void this.handle(request, response),
+    );
+    this.announcer = new Announcer({
+      daemons: options.daemons,
+      key: options.key,
+      intervalMs: options.announceMs ?? DEFAULT_ANNOUNCE_MS,
+      build: () => this.announcement(),
+    });
+    this.keepAliveTimer = setInterval(() => this.keepAlive(), KEEPALIVE_MS);
+  }
+
+  static async start(options: FakeEngineOptions): Promise<FakeEngine> {
+    const fake = new FakeEngine(options);
+    await new Promise<void>(resolve => {
+      fake.server.listen(
+        options.port ?? 0,
+        options.address ?? '127.0.0.1',
+        resolve,
+      );
+    });
+    fake.port = (fake.server.address() as AddressInfo).port;
+    fake.announcer.start();
+    return fake;
+  }
+
+  get url(): string {
+    return `http://${this.options.address ?? '127.0.0.1'}:${this.port}`;
+  }
+
+  announce(): Promise<void> {
+    return this.announcer.announce();
+  }
+
+  /** Dies as a killed process does: every connection is reset. */
+  async die(): Promise<void> {
+    this.announcer.stop();
+    clearTimeout(this.stepTimer);
+    clearInterval(this.keepAliveTimer);
+    this.server.closeAllConnections();
+    await new Promise<void>(resolve => this.server.close(() => resolve()));
+  }
+
+  turnCold(): void {
+    turnCold(this.engine);
+    this.warmSinceMs = Date.now();
+  }
+
+  private announcement(): Announcement {
+    const {options, engine} = this;
+    const {slots, coldSlots, kvTokens} = engine.config;
+    const changes = takeCacheChanges(engine);
+    const firstSeq = this.cacheSeq;
+    this.cacheSeq += changes.length;
+    const cache = this.faults.dropsCacheEvents
+      ? undefined
+      : {first_seq: firstSeq, events: [...changes]};
+    return {
+      target: options.target,
+      incarnation: this.incarnation,
+      zone: options.zone,
+      service: options.service,
+      address: options.address ?? '127.0.0.1',
+      port: this.port,
+      models: [...options.models],
+      slots,
+      cold_slots: coldSlots,
+      kv_tokens: kvTokens,
+      is_warm: engine.isWarm,
+      warm_for_ms: engine.isWarm
+        ? Math.max(0, Date.now() - this.warmSinceMs)
+        : 0,
+      leaving_in_ms: this.isLeavingInMs,
+      load: this.laggedLoad(),
+      cache,
+    };
+  }
+
+  private laggedLoad(): Announcement['load'] {
+    const {engine} = this;
+    const nowMs = Date.now();
+    const lagMs = this.options.loadLagMs ?? 0;
+    this.loads.push({
+      atMs: nowMs,
+      load: {
+        running: engine.running.size + engine.waiting.size,
+        waiting: engine.waiting.size,
+        kv_used_tokens: kvUsed(engine),
+        age_ms: 0,
+      },
+    });
+    const old =
+      this.loads.findLast(item => nowMs - item.atMs >= lagMs) ?? this.loads[0]!;
+    this.loads = this.loads.filter(item => item.atMs >= old.atMs);
+    return {...old.load, age_ms: nowMs - old.atMs};
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.faults.isHung) return;
+    const url = new URL(request.url ?? '/', 'http://fake');
+    response.setHeader('x-samphirefield-incarnation', this.incarnation);
+    const generation = /^\/v1\/generations\/([^/]+)$/.exec(url.pathname)?.[1];
+    if (generation !== undefined) {
+      this.handleGeneration(
+        request,
+        response,
+        decodeURIComponent(generation),
+        url,
+      );
+      return;
+    }
+    const isChat = url.pathname === '/v1/chat/completions';
+    if (
+      request.method === 'POST' &&
+      (isChat || url.pathname === '/v1/completions')
+    ) {
+      await this.startGeneration(request, response, isChat);
+      return;
+    }
+    const isHealth = url.pathname === '/healthz';
+    response.writeHead(isHealth ? 200 : 404, {
+      'content-type': 'application/json',
+    });
+    response.end('{}');
+  }
+
+  private async startGeneration(
+    request: IncomingMessage,
+    response: ServerResponse,
+    isChat: boolean,
+  ): Promise<void> {
+    const text = await readText(request);
+    const expected = request.headers['x-samphirefield-incarnation'];
+    if (expected !== undefined && expected !== this.incarnation) {
+      response.writeHead(409, {'content-type': 'application/json'});
+      response.end(
+        JSON.stringify({
+          not_run: true,
+          error: {message: 'another incarnation'},
+        }),
+      );
+      return;
+    }
+    if (this.faults.poison !== undefined && text.includes(this.faults.poison)) {
+      await this.die();
+      return;
+    }
+    const body = JSON.parse(text) as {
+      model: string;
+      max_tokens?: number;
+      prompt?: unknown;
+      messages?: unknown;
+    };
+    const prompt = JSON.stringify(body.messages ?? body.prompt ?? '');
+    const generation: Generation = {
+      id: randomUUID(),
+      isChat,
+      model: body.model,
+      events: [],
+      isDone: false,
+      readers: new Set(),
+      detachedAtMs: Date.now(),
+    };
+    this.generations.set(generation.id, generation);
+    this.started += 1;
+    const CHARACTERS_PER_TOKEN = 4;
+    const PREFIX_CHARACTERS = 200;
+    submit(this.engine, {
+      id: generation.id,
+      promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
+      outputTokens: outputLength(prompt, body.max_tokens ?? 1_000_000),
+      priority: 5,
+      prefix: prompt.slice(0, PREFIX_CHARACTERS),
+    });
+    this.attach(generation, response, 0);
+    this.scheduleStep(0);
+  }
+
+  private handleGeneration(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    url: URL,
+  ): void {
+    const generation = this.generations.get(id);
+    if (generation === undefined) {
+      response.writeHead(404, {'content-type': 'application/json'});
+      response.end(JSON.stringify({error: {message: 'unknown generation'}}));
+      return;
+    }
+    if (request.method === 'DELETE') {
+      const onlyDetached = url.searchParams.get('detached') === 'true';
+      if (!onlyDetached || generation.readers.size === 0) this.end(generation);
+      response.writeHead(200, {'content-type': 'application/json'});
+      response.end('{}');
+      return;
+    }
+    this.attach(
+      generation,
+      response,
+      Number(url.searchParams.get('from') ?? 0),
+    );
+  }
+
+  private end(generation: Generation): void {
+    cancel(this.engine, generation.id);
+    this.generations.delete(generation.id);
+    for (const reader of generation.readers) reader.response.destroy();
+  }
+
+  private attach(
+    generation: Generation,
+    response: ServerResponse,
+    from: number,
+  ): void {
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'x-generation-id': generation.id,
+    });
+    response.flushHeaders();
+    const reader: Reader = {response, nextEvent: from, isSilenced: false};
+    generation.readers.add(reader);
+    response.once('close', () => {
+      generation.readers.delete(reader);
+      generation.detachedAtMs = Date.now();
+    });
+    this.flush(generation, reader);
+  }
+
+  private flush(generation: Generation, reader: Reader): void {
+    if (this.faults.hasSilentStreams) reader.isSilenced = true;
+    if (reader.isSilenced || reader.response.destroyed) return;
+    const frames: string[] = [];
+    while (reader.nextEvent < generation.events.length) {
+      const sequence = reader.nextEvent;
+      frames.push(
+        `id: ${generation.id}:${sequence}\ndata: ${generation.events[sequence]}\n\n`,
+      );
+      reader.nextEvent += 1;
+    }
+    if (this.faults.isUnordered)
+      reader.response.write(disturb(frames).join(''));
+    else if (frames.length > 0) reader.response.write(frames.join(''));
+    if (generation.isDone) reader.response.end();
+  }
+
+  private scheduleStep(afterMs: number): void {
+    if (this.stepTimer !== undefined) return;
+    this.stepTimer = setTimeout(() => {
+      this.stepTimer = undefined;
+      if (sequenceCount(this.engine) > 0) this.runStep();
+    }, afterMs);
+  }
+
+  private runStep(): void {
+    const wasWarm = this.engine.isWarm;
+    const result = step(this.engine);
+    if (!wasWarm && this.engine.isWarm) this.warmSinceMs = Date.now();
+    for (const sequence of result.emitted)
+      this.emit(sequence, result.finished.includes(sequence));
+    this.scheduleStep(result.durationMs / (this.options.speed ?? 1));
+  }
+
+  private emit(sequence: Sequence, isLast: boolean): void {
+    const generation = this.generations.get(sequence.id);
+    if (generation === undefined) return;
+    const word = WORDS[sequence.generatedTokens % WORDS.length]!;
+    const text = `${word.padEnd(this.options.tokenBytes ?? 0, '.')} `;
+    generation.events.push(chunkOf(generation, text, isLast));
+    if (isLast) generation.events.push('[DONE]');
+    generation.isDone = isLast;
+    for (const reader of generation.readers) this.flush(generation, reader);
+  }
+
+  private keepAlive(): void {
+    const nowMs = Date.now();
+    for (const generation of this.generations.values()) {
+      const isForgotten =
+        generation.readers.size === 0 &&
+        nowMs - generation.detachedAtMs > DETACHED_KEPT_MS;
+      if (isForgotten) this.end(generation);
+      for (const reader of generation.readers) {
+        if (!this.faults.hasSilentStreams && !reader.isSilenced)
+          reader.response.write(': keepalive\n\n');
+        else reader.isSilenced = true;
+      }
+    }
+  }
+}
+
+function chunkOf(
+  generation: Generation,
+  text: string,
+  isLast: boolean,
+): string {
+  const choice = generation.isChat ? {delta: {content: text}} : {text};
+  return JSON.stringify({
+    id: generation.id,
+    object: generation.isChat ? 'chat.completion.chunk' : 'text_completion',
+    model: generation.model,
+    choices: [{index: 0, ...choice, finish_reason: isLast ? 'stop' : null}],
+  });
+}
+
+/** Sends each frame twice, and neighbours in the wrong order. */
+function disturb(frames: readonly string[]): string[] {
+  const disturbed: string[] = [];
+  for (let first = 0; first < frames.length; first += 2) {
+    const pair = frames.slice(first, first + 2).reverse();
+    disturbed.push(...pair, ...pair);
+  }
+  return disturbed;
+}
--- /dev/null
+++ b/packages/fakes/src/index.ts
@@ -0,0 +1,12 @@
+/** Stand-ins for targets, for tests, benchmarks, replays and the demo only. */
+export * from './engine-model.js';
+export {
+  FakeEngine,
+  type EngineFaults,
+  type FakeEngineOptions,
+} from './engine-server.js';
+export {
+  FakePlain,
+  type FakePlainOptions,
+  type RanCall,
+} from './plain-server.js';
--- /dev/null
+++ b/packages/policy/src/allotments/index.ts
@@ -0,0 +1,15 @@
+export {
+  bearingOf,
+  KV_SHARE_GIVEN,
+  WARM_RAMP_MS,
+  type Bearing,
+} from './bearing.js';
+export {divideUnits, type Share} from './divide.js';
+export {
+  createLeaderTables,
+  handleReport,
+  leaderTick,
+  recordAnnouncement,
+  toTargetView,
+} from './leader.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/policy/src/allotments/types.ts
@@ -0,0 +1,176 @@
+/**
+ * Allotments: the part of a target that one entry may use. The leader divides
+ * what each target bears, so that entries admit without asking anybody and the
+ * sum over them never exceeds what the target bears.
+ */
+import type {
+  Announcement,
+  Branded,
+  Fingerprint,
+  InstanceId,
+  ServiceId,
+  TargetId,
+  ZoneId,
+} from '@samphirefield/core';
+import type {DeathId, QuarantineTable} from '../quarantine/index.js';
+
+/** One run of one entry: an instance and its incarnation. */
+export type HolderId = Branded<string, 'HolderId'>;
+export const holderId = (text: string): HolderId => text as HolderId;
+
+/** A target as the leader knows it. */
+export interface TargetRow {
+  readonly target: TargetId;
+  announcement: Announcement;
+  heardAtMs: number;
+  /** When the load figures were taken. */
+  reportedAtMs: number;
+  /** Requests that ended on it since it was last cold. */
+  finishedSinceWarm: number;
+  isLapsed: boolean;
+  /** The leader's version of the row, for entries that ask for news. */
+  version: number;
+}
+
+/** What a service's requests wait for at one entry. */
+export interface Demand {
+  readonly service: ServiceId;
+  readonly waiting: number;
+  /** The largest memory need among the next ones. */
+  readonly kvNeedTokens: number;
+}
+
+export interface EntryRow {
+  readonly holder: HolderId;
+  readonly instance: InstanceId;
+  readonly zone: ZoneId;
+  sequence: number;
+  heardAtMs: number;
+  /** After this the entry itself no longer uses what it was given. */
+  leaseEndMs: number;
+  demand: readonly Demand[];
+  waitingSuspects: readonly Fingerprint[];
+  runningSuspects: readonly Fingerprint[];
+}
+
+/** The most that a holder may believe to have, and what it uses. */
+export interface Grant {
+  slots: number;
+  kvTokens: number;
+  inUse: number;
+  kvInUse: number;
+  finished: number;
+}
+
+export type GrantsOfTarget = Map<HolderId, Grant>;
+
+export interface LeaderTables {
+  readonly targets: Map<TargetId, TargetRow>;
+  readonly entries: Map<HolderId, EntryRow>;
+  readonly grants: Map<TargetId, GrantsOfTarget>;
+  readonly quarantine: QuarantineTable;
+  /** Before this, grants of an earlier leader may be in use unseen. */
+  graceEndMs: number;
+  targetsVersion: number;
+  /** The suspect whose turn it is, and with whom. */
+  suspectTurn: {holder: HolderId; fingerprint: Fingerprint} | undefined;
+}
+
+/** One allotment as an entry holds it and reports it. */
+export interface HeldAllotment {
+  readonly target: TargetId;
+  readonly incarnation: string;
+  readonly slots: number;
+  readonly kvTokens: number;
+  readonly inUse: number;
+  readonly kvInUse: number;
+  /** Requests that ended there since this incarnation was first seen. */
+  readonly finished: number;
+}
+
+export interface HeardAnnouncement {
+  readonly announcement: Announcement;
+  readonly heardAgoMs: number;
+}
+
+export interface DeathReport {
+  readonly death: DeathId;
+  readonly fingerprints: readonly Fingerprint[];
+}
+
+/** What an entry tells the leader with each heartbeat. */
+export interface EntryReport {
+  readonly holder: HolderId;
+  readonly instance: InstanceId;
+  readonly zone: ZoneId;
+  readonly sequence: number;
+  readonly held: readonly HeldAllotment[];
+  readonly demand: readonly Demand[];
+  readonly announcements: readonly HeardAnnouncement[];
+  readonly deaths: readonly DeathReport[];
+  readonly clearedSuspects: readonly Fingerprint[];
+  readonly waitingSuspects: readonly Fingerprint[];
+  readonly runningSuspects: readonly Fingerprint[];
+  readonly knownTargetsVersion: number;
+  readonly knownQuarantineVersion: number;
+}
+
+export interface GivenAllotment {
+  readonly target: TargetId;
+  readonly slots: number;
+  readonly kvTokens: number;
+}
+
+/** A target as entries need to know it. */
+export interface TargetView {
+  readonly target: TargetId;
+  readonly incarnation: string;
+  readonly zone: ZoneId;
+  readonly service: ServiceId;
+  readonly address: string;
+  readonly port: number;
+  readonly models: ReadonlyArray<{
+    readonly model: string;
+    readonly version: string;
+  }>;
+  readonly slots: number;
+  readonly kvTokens: number;
+  readonly isWarm: boolean;
+  readonly isLeaving: boolean;
+  readonly isLapsed: boolean;
+  readonly running: number;
+  readonly kvUsedTokens: number;
+}
+
+export interface SuspectView {
+  readonly fingerprint: Fingerprint;
+  readonly isQuarantined: boolean;
+}
+
+/** What the leader answers to a heartbeat. */
+export interface EntryOrders {
+  readonly sequence: number;
+  readonly allotments: readonly GivenAllotment[];
+  readonly targetsVersion: number;
+  readonly targets: readonly TargetView[];
+  readonly quarantineVersion: number;
+  /** Left out when nothing changed. */
+  readonly suspects: readonly SuspectView[] | undefined;
+  readonly suspectTurns: readonly Fingerprint[];
+}
+
+/** What the configuration says about whom to give work. */
+export interface ServiceState {
+  readonly outZones: ReadonlySet<ZoneId>;
+  readonly outTargets: ReadonlySet<TargetId>;
+}
+
+export interface AllotmentTiming {
+  /** How long an allotment holds after the heartbeat that brought it. */
+  readonly leaseMs: number;
+  readonly clockDriftMs: number;
+  readonly targetLapseMs: number;
+  /** How long a lapsed target is remembered. */
+  readonly targetForgetMs: number;
+  readonly quarantineMs: number;
+}
--- /dev/null
+++ b/packages/policy/src/cache-hints/index.ts
@@ -0,0 +1,2 @@
+export {forgetTarget, holdsPrefix, recordCacheEvents} from './logic.js';
+export type {CacheRow, CacheTable} from './types.js';
--- /dev/null
+++ b/packages/policy/src/lengths/index.ts
@@ -0,0 +1,2 @@
+export {createHistogram, expectedRestTokens, recordLength} from './logic.js';
+export type {LengthHistogram} from './types.js';
--- /dev/null
+++ b/packages/replication/src/raft/index.ts
@@ -0,0 +1,32 @@
+export {holdsLease, leaseEndMs} from './lease.js';
+export {lastIndex, snapshotIndex} from './log.js';
+export {
+  changeMembership,
+  EMPTY_MEMBERSHIP,
+  isVoter,
+  quorumSize,
+  votersOf,
+  type MembershipChange,
+} from './membership.js';
+export {compact} from './snapshot-send.js';
+export {
+  createRaft,
+  hasNoEffects,
+  currentMembership,
+  isChangePending,
+  takeEffects,
+  type Progress,
+  type RaftState,
+  type RestoredState,
+  type Role,
+} from './state.js';
+export {
+  bootstrap,
+  propose,
+  proposeChange,
+  stepMessage,
+  stepPersisted,
+  stepTick,
+  transferLeadership,
+} from './step.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/replication/src/raft/replication.ts
@@ -0,0 +1,336 @@
+/** Replicating the log: the leader's appends, the followers' answers, commit. */
+import {
+  entryBytes,
+  firstIndexOfTerm,
+  lastIndex,
+  lastTerm,
+  sliceEntries,
+  snapshotIndex,
+  termAt,
+  truncateFrom,
+} from './log.js';
+import {quorumValue} from './membership.js';
+import {sendSnapshotChunk} from './snapshot-send.js';
+import {
+  appendToLog,
+  becomeFollower,
+  currentMembership,
+  isSelfVoter,
+  rebuildMemberships,
+  resetElectionDeadline,
+  sendAfterPersist,
+  sendNow,
+  type Progress,
+  type RaftState,
+} from './state.js';
+import type {
+  AppendRequest,
+  AppendResponse,
+  LogEntry,
+  ReplicaId,
+} from './types.js';
+
+function newProgress(state: RaftState, nowMs: number): Progress {
+  return {
+    mode: 'probe',
+    matchIndex: 0,
+    nextIndex: lastIndex(state.log) + 1,
+    messagesInFlight: 0,
+    ackedSentAtMs: Number.NEGATIVE_INFINITY,
+    heardAtMs: nowMs,
+    snapshotOffsetBytes: 0,
+    snapshotSentAtMs: Number.NEGATIVE_INFINITY,
+    probeSentAtMs: Number.NEGATIVE_INFINITY,
+  };
+}
+
+export function becomeLeader(state: RaftState, nowMs: number): void {
+  state.role = 'leader';
+  state.leader = state.config.id;
+  state.becameLeaderAtMs = nowMs;
+  state.transferTo = undefined;
+  state.progress.clear();
+  syncProgress(state, nowMs);
+  state.termStartIndex = lastIndex(state.log) + 1;
+  appendToLog(state, [
+    {index: state.termStartIndex, term: state.term, kind: 'noop'},
+  ]);
+  state.heartbeatDueMs = nowMs;
+  broadcastAppends(state, nowMs);
+}
+
+/** Makes the progress table match the membership in force. */
+export function syncProgress(state: RaftState, nowMs: number): void {
+  const members = new Set(
+    currentMembership(state).replicas.map(replica => replica.id),
+  );
+  members.delete(state.config.id);
+  for (const id of state.progress.keys()) {
+    if (!members.has(id)) state.progress.delete(id);
+  }
+  for (const id of members) {
+    if (!state.progress.has(id)) {
+      state.progress.set(id, newProgress(state, nowMs));
+    }
+  }
+}
+
+function entriesToSend(state: RaftState, progress: Progress): LogEntry[] {
+  const {maxEntriesPerMessage, maxBytesPerMessage} = state.config;
+  const last = Math.min(
+    lastIndex(state.log),
+    progress.nextIndex + maxEntriesPerMessage - 1,
+  );
+  const entries = sliceEntries(state.log, progress.nextIndex, last);
+  let bytes = 0;
+  const tooMany = entries.findIndex((entry, position) => {
+    bytes += entryBytes(entry);
+    return position > 0 && bytes > maxBytesPerMessage;
+  });
+  return tooMany < 0 ? entries : entries.slice(0, tooMany);
+}
+
+/** Returns false when the follower needs a snapshot first. */
+function sendAppend(
+  state: RaftState,
+  to: ReplicaId,
+  progress: Progress,
+  nowMs: number,
+  entries: readonly LogEntry[],
+): boolean {
+  const prevIndex = progress.nextIndex - 1;
+  const prevTerm = termAt(state.log, prevIndex);
+  if (prevTerm === undefined) {
+    progress.mode = 'snapshot';
+    progress.snapshotOffsetBytes = 0;
+    sendSnapshotChunk(state, to, progress, nowMs);
+    return false;
+  }
+  const request: AppendRequest = {
+    kind: 'append_request',
+    term: state.term,
+    prevIndex,
+    prevTerm,
+    entries,
+    commitIndex: state.commitIndex,
+    sentAtMs: nowMs,
+  };
+  sendNow(state, to, request);
+  return true;
+}
+
+function sendWhatIsMissing(
+  state: RaftState,
+  to: ReplicaId,
+  progress: Progress,
+  nowMs: number,
+): void {
+  if (progress.mode === 'snapshot') return;
+  if (progress.mode === 'probe') {
+    if (nowMs - progress.probeSentAtMs < state.config.heartbeatMs) return;
+    progress.probeSentAtMs = nowMs;
+    sendAppend(state, to, progress, nowMs, entriesToSend(state, progress));
+    return;
+  }
+  while (
+    progress.nextIndex <= lastIndex(state.log) &&
+    progress.messagesInFlight < state.config.maxMessagesInFlight
+  ) {
+    const entries = entriesToSend(state, progress);
+    if (!sendAppend(state, to, progress, nowMs, entries)) return;
+    progress.nextIndex += entries.length;
+    progress.messagesInFlight += 1;
+  }
+}
+
+/** Sends every follower the entries it lacks. */
+export function broadcastAppends(state: RaftState, nowMs: number): void {
+  for (const [id, progress] of state.progress) {
+    sendWhatIsMissing(state, id, progress, nowMs);
+  }
+}
+
+/** Keeps followers from standing for election, and renews the lease. */
+export function broadcastHeartbeats(state: RaftState, nowMs: number): void {
+  state.heartbeatDueMs = nowMs + state.config.heartbeatMs;
+  for (const [id, progress] of state.progress) {
+    // Answers may have been lost; allow new messages from here on.
+    progress.messagesInFlight = 0;
+    if (progress.mode === 'snapshot') {
+      sendSnapshotChunk(state, id, progress, nowMs);
+    } else {
+      sendAppend(state, id, progress, nowMs, []);
+      sendWhatIsMissing(state, id, progress, nowMs);
+    }
+  }
+}
+
+function rejectAppend(
+  state: RaftState,
+  to: ReplicaId,
+  request: AppendRequest,
+  index: number,
+): void {
+  const response: AppendResponse = {
+    kind: 'append_response',
+    term: state.term,
+    isSuccess: false,
+    index,
+    rejectedPrevIndex: request.prevIndex,
+    sentAtMs: request.sentAtMs,
+  };
+  sendAfterPersist(state, to, response);
+}
+
+/** Marks the sender as the leader of this term. */
+export function acceptLeader(
+  state: RaftState,
+  nowMs: number,
+  from: ReplicaId,
+  term: number,
+): void {
+  if (term > state.term || state.role !== 'follower') {
+    becomeFollower(state, term, from);
+  }
+  state.leader = from;
+  state.leaderHeardAtMs = nowMs;
+  resetElectionDeadline(state, nowMs);
+}
+
+/** Drops the entries that the snapshot already covers. */
+function withoutSnapshotted(
+  state: RaftState,
+  request: AppendRequest,
+): AppendRequest {
+  const base = snapshotIndex(state.log);
+  if (request.prevIndex >= base) return request;
+  const entries = request.entries.filter(entry => entry.index > base);
+  const prevTerm = state.log.snapshot?.term ?? 0;
+  return {...request, prevIndex: base, prevTerm, entries};
+}
+
+function storeEntries(state: RaftState, entries: readonly LogEntry[]): void {
+  const firstNew = entries.findIndex(
+    entry => termAt(state.log, entry.index) !== entry.term,
+  );
+  if (firstNew < 0) return;
+  const index = entries[firstNew]!.index;
+  if (index <= lastIndex(state.log)) {
+    truncateFrom(state.log, index);
+    state.persistedIndex = Math.min(state.persistedIndex, index - 1);
+    rebuildMemberships(state);
+  }
+  appendToLog(state, entries.slice(firstNew));
+}
+
+export function handleAppendRequest(
+  state: RaftState,
+  nowMs: number,
+  from: ReplicaId,
+  received: AppendRequest,
+): void {
+  if (received.term < state.term) {
+    rejectAppend(state, from, received, lastIndex(state.log));
+    return;
+  }
+  acceptLeader(state, nowMs, from, received.term);
+  const request = withoutSnapshotted(state, received);
+  const ownTerm = termAt(state.log, request.prevIndex);
+  if (ownTerm === undefined) {
+    rejectAppend(state, from, received, lastIndex(state.log));
+    return;
+  }
+  if (ownTerm !== request.prevTerm) {
+    const retryAt = firstIndexOfTerm(state.log, request.prevIndex) - 1;
+    rejectAppend(state, from, received, retryAt);
+    return;
+  }
+  storeEntries(state, request.entries);
+  const matchIndex = request.prevIndex + request.entries.length;
+  const committed = Math.min(request.commitIndex, matchIndex);
+  state.commitIndex = Math.max(state.commitIndex, committed);
+  const response: AppendResponse = {
+    kind: 'append_response',
+    term: state.term,
+    isSuccess: true,
+    index: matchIndex,
+    rejectedPrevIndex: 0,
+    sentAtMs: request.sentAtMs,
+  };
+  sendAfterPersist(state, from, response);
+}
+
+export function handleAppendResponse(
+  state: RaftState,
+  nowMs: number,
+  from: ReplicaId,
+  response: AppendResponse,
+): void {
+  if (response.term > state.term) {
+    becomeFollower(state, response.term, undefined);
+    return;
+  }
+  const progress = state.progress.get(from);
+  if (state.role !== 'leader' || response.term < state.term || !progress) {
+    return;
+  }
+  progress.heardAtMs = nowMs;
+  progress.ackedSentAtMs = Math.max(progress.ackedSentAtMs, response.sentAtMs);
+  if (response.isSuccess) acceptMatch(state, progress, response.index, nowMs);
+  else acceptReject(progress, response);
+  sendWhatIsMissing(state, from, progress, nowMs);
+}
+
+function acceptMatch(
+  state: RaftState,
+  progress: Progress,
+  index: number,
+  nowMs: number,
+): void {
+  progress.messagesInFlight = Math.max(0, progress.messagesInFlight - 1);
+  progress.matchIndex = Math.max(progress.matchIndex, index);
+  progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+  if (progress.mode === 'probe') progress.mode = 'replicate';
+  advanceCommit(state, nowMs);
+}
+
+function acceptReject(progress: Progress, response: AppendResponse): void {
+  const isStale = response.rejectedPrevIndex <= progress.matchIndex;
+  if (isStale || progress.mode === 'snapshot') return;
+  progress.mode = 'probe';
+  progress.probeSentAtMs = Number.NEGATIVE_INFINITY;
+  progress.messagesInFlight = 0;
+  const retryAt = Math.min(response.index + 1, response.rejectedPrevIndex);
+  progress.nextIndex = Math.max(progress.matchIndex + 1, retryAt, 1);
+}
+
+/** Commits what a quorum has stored, if the entry is of this term. */
+export function advanceCommit(state: RaftState, nowMs: number): void {
+  if (state.role !== 'leader') return;
+  const index = quorumValue(currentMembership(state), id =>
+    id === state.config.id
+      ? state.persistedIndex
+      : (state.progress.get(id)?.matchIndex ?? 0),
+  );
+  if (index <= state.commitIndex) return;
+  if (termAt(state.log, index) !== state.term) return;
+  state.commitIndex = index;
+  if (isRemovedLeader(state)) {
+    broadcastHeartbeats(state, nowMs);
+    becomeFollower(state, state.term, undefined);
+    resetElectionDeadline(state, nowMs);
+  }
+}
+
+function isRemovedLeader(state: RaftState): boolean {
+  const change = state.memberships.at(-1);
+  const isCommitted = change !== undefined && change.index <= state.commitIndex;
+  return isCommitted && !isSelfVoter(state);
+}
+
+export function lastLogPosition(state: RaftState): {
+  readonly index: number;
+  readonly term: number;
+} {
+  return {index: lastIndex(state.log), term: lastTerm(state.log)};
+}
--- /dev/null
+++ b/packages/replication/src/raft/snapshot.ts
@@ -0,0 +1,145 @@
+/** Snapshot transfer: the follower's side, and the leader's reading of answers. */
+import {compactTo, lastIndex, snapshotIndex, termAt} from './log.js';
+import {acceptLeader, advanceCommit} from './replication.js';
+import {sendSnapshotChunk} from './snapshot-send.js';
+import {
+  becomeFollower,
+  rebuildMemberships,
+  sendAfterPersist,
+  type RaftState,
+} from './state.js';
+import type {
+  ReplicaId,
+  Snapshot,
+  SnapshotRequest,
+  SnapshotResponse,
+} from './types.js';
+
+function respond(
+  state: RaftState,
+  to: ReplicaId,
+  request: SnapshotRequest,
+  receivedBytes: number,
+  isInstalled: boolean,
+): void {
+  const response: SnapshotResponse = {
+    kind: 'snapshot_response',
+    term: state.term,
+    index: request.index,
+    receivedBytes,
+    isInstalled,
+    sentAtMs: request.sentAtMs,
+  };
+  sendAfterPersist(state, to, response);
+}
+
+/** Adds a chunk; returns how many bytes of this snapshot are here now. */
+function collectChunk(
+  state: RaftState,
+  from: ReplicaId,
+  request: SnapshotRequest,
+): number {
+  const known = state.incomingSnapshot;
+  const isSame =
+    known?.from === from &&
+    known.index === request.index &&
+    known.term === request.snapshotTerm;
+  const incoming =
+    known && isSame
+      ? known
+      : {
+          from,
+          index: request.index,
+          term: request.snapshotTerm,
+          chunks: [],
+          receivedBytes: 0,
+        };
+  state.incomingSnapshot = incoming;
+  if (request.offsetBytes !== incoming.receivedBytes) {
+    return incoming.receivedBytes;
+  }
+  const chunk = Buffer.from(request.chunk, 'base64');
+  incoming.chunks.push(chunk);
+  incoming.receivedBytes += chunk.length;
+  return incoming.receivedBytes;
+}
+
+function install(state: RaftState, request: SnapshotRequest): void {
+  const data = Buffer.concat(state.incomingSnapshot?.chunks ?? []);
+  state.incomingSnapshot = undefined;
+  const snapshot: Snapshot = {
+    index: request.index,
+    term: request.snapshotTerm,
+    membership: request.membership,
+    data,
+  };
+  const isPrefix = termAt(state.log, request.index) === request.snapshotTerm;
+  if (isPrefix) {
+    compactTo(state.log, snapshot);
+  } else {
+    state.log.snapshot = snapshot;
+    state.log.entries = [];
+    state.persistedIndex = snapshot.index;
+    state.pending.entries = [];
+  }
+  rebuildMemberships(state);
+  state.persistedIndex = Math.max(state.persistedIndex, snapshot.index);
+  state.commitIndex = snapshot.index;
+  state.appliedIndex = snapshot.index;
+  state.pending.snapshot = snapshot;
+  state.pending.restore = snapshot;
+}
+
+export function handleSnapshotRequest(
+  state: RaftState,
+  nowMs: number,
+  from: ReplicaId,
+  request: SnapshotRequest,
+): void {
+  if (request.term < state.term) {
+    respond(state, from, request, 0, false);
+    return;
+  }
+  acceptLeader(state, nowMs, from, request.term);
+  if (request.index <= state.commitIndex) {
+    respond(state, from, request, request.totalBytes, true);
+    return;
+  }
+  const receivedBytes = collectChunk(state, from, request);
+  const isWhole = receivedBytes >= request.totalBytes;
+  if (isWhole) install(state, request);
+  respond(state, from, request, receivedBytes, isWhole);
+}
+
+export function handleSnapshotResponse(
+  state: RaftState,
+  nowMs: number,
+  from: ReplicaId,
+  response: SnapshotResponse,
+): void {
+  if (response.term > state.term) {
+    becomeFollower(state, response.term, undefined);
+    return;
+  }
+  const progress = state.progress.get(from);
+  if (state.role !== 'leader' || response.term < state.term || !progress) {
+    return;
+  }
+  progress.heardAtMs = nowMs;
+  progress.ackedSentAtMs = Math.max(progress.ackedSentAtMs, response.sentAtMs);
+  if (progress.mode !== 'snapshot') return;
+  if (response.isInstalled) {
+    progress.mode = 'probe';
+    progress.probeSentAtMs = Number.NEGATIVE_INFINITY;
+    progress.matchIndex = Math.max(progress.matchIndex, response.index);
+    progress.nextIndex = Math.min(
+      progress.matchIndex + 1,
+      lastIndex(state.log) + 1,
+    );
+    advanceCommit(state, nowMs);
+    return;
+  }
+  const isCurrent = response.index === snapshotIndex(state.log);
+  progress.snapshotOffsetBytes = isCurrent ? response.receivedBytes : 0;
+  sendSnapshotChunk(state, from, progress, nowMs);
+}
--- /dev/null
+++ b/packages/replication/src/storage/frame.ts
@@ -0,0 +1,89 @@
+/**
+ * Checksummed frames. Each write to a file is one frame, so a frame that is
+ * followed by another one was synced: damage to it is no torn write.
+ *
+ *   magic (4 bytes) | payload length (4) | CRC-32 of length and payload (4) | payload
+ */
+import {crc32} from '@node-rs/crc32';
+import {Packr} from 'msgpackr';
+import {err, ok, type Result} from 'neverthrow';
+
+const MAGIC = 0x53_46_4c_31;
+const HEADER_BYTES = 12;
+export const MAX_FRAME_BYTES = 1_073_741_824;
+
+const packr = new Packr({useRecords: false, variableMapSize: true});
+
+function checksum(length: Buffer, payload: Uint8Array): number {
+  return crc32(payload, crc32(length));
+}
+
+export function encodeFrame(value: unknown): Buffer {
+  const payload = packr.pack(value);
+  const frame = Buffer.allocUnsafe(HEADER_BYTES + payload.length);
+  frame.writeUInt32BE(MAGIC, 0);
+  frame.writeUInt32BE(payload.length, 4);
+  frame.writeUInt32BE(checksum(frame.subarray(4, 8), payload), 8);
+  frame.set(payload, HEADER_BYTES);
+  return frame;
+}
+
+export interface Frame {
+  readonly value: unknown;
+  readonly endBytes: number;
+}
+
+/** Reads the frame at an offset; undefined when there is no whole, right one. */
+export function decodeFrame(
+  buffer: Buffer,
+  offsetBytes: number,
+): Frame | undefined {
+  if (offsetBytes + HEADER_BYTES > buffer.length) return undefined;
+  if (buffer.readUInt32BE(offsetBytes) !== MAGIC) return undefined;
+  const length = buffer.readUInt32BE(offsetBytes + 4);
+  const endBytes = offsetBytes + HEADER_BYTES + length;
+  if (length > MAX_FRAME_BYTES || endBytes > buffer.length) return undefined;
+  const payload = buffer.subarray(offsetBytes + HEADER_BYTES, endBytes);
+  const lengthBytes = buffer.subarray(offsetBytes + 4, offsetBytes + 8);
+  const expected = buffer.readUInt32BE(offsetBytes + 8);
+  if (checksum(lengthBytes, payload) !== expected) return undefined;
+  try {
+    return {value: packr.unpack(payload), endBytes};
+  } catch {
+    return undefined;
+  }
+}
+
+export interface FrameList {
+  readonly values: readonly unknown[];
+  readonly goodBytes: number;
+}
+
+function hasFrameAfter(buffer: Buffer, offsetBytes: number): boolean {
+  const magic = Buffer.alloc(4);
+  magic.writeUInt32BE(MAGIC);
+  let at = buffer.indexOf(magic, offsetBytes + 1);
+  while (at >= 0) {
+    if (decodeFrame(buffer, at) !== undefined) return true;
+    at = buffer.indexOf(magic, at + 1);
+  }
+  return false;
+}
+
+/**
+ * Reads all frames. A bad last frame is a torn write and is left out; a bad
+ * frame with a good one after it is damage, returned as its offset.
+ */
+export function decodeFrames(buffer: Buffer): Result<FrameList, number> {
+  const values: unknown[] = [];
+  let offsetBytes = 0;
+  while (offsetBytes < buffer.length) {
+    const frame = decodeFrame(buffer, offsetBytes);
+    if (frame === undefined) break;
+    values.push(frame.value);
+    offsetBytes = frame.endBytes;
+  }
+  const isTorn = offsetBytes < buffer.length;
+  if (isTorn && hasFrameAfter(buffer, offsetBytes)) return err(offsetBytes);
+  return ok({values, goodBytes: offsetBytes});
+}
--- /dev/null
+++ b/scripts/docs.mjs
@@ -0,0 +1,9 @@
+/** Writes the pages that are generated from the schema and the grammar. */
+import {writeFileSync} from 'node:fs';
+import {dirname, join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {renderRulesPage, renderSettingsPage} from '@samphirefield/core';
+
+const docs = join(dirname(dirname(fileURLToPath(import.meta.url))), 'docs');
+writeFileSync(join(docs, 'SETTINGS.md'), renderSettingsPage());
+writeFileSync(join(docs, 'RULES.md'), renderRulesPage());
--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,44 @@
+/** Runs every compiled spec file; fails when there is none. */
+import {spawnSync} from 'node:child_process';
+import {existsSync, readdirSync} from 'node:fs';
+import {dirname, join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+const CONCURRENCY = 4;
+const root = dirname(dirname(fileURLToPath(import.meta.url)));
+
+/** Spec files of packages; one whose source is gone is left out. */
+function findSpecs() {
+  const specs = [];
+  for (const name of readdirSync(join(root, 'packages'))) {
+    const dist = join(root, 'packages', name, 'dist');
+    if (!existsSync(dist)) continue;
+    for (const file of readdirSync(dist, {recursive: true})) {
+      const source = join(
+        root,
+        'packages',
+        name,
+        'src',
+        file.replace(/js$/, 'ts'),
+      );
+      if (file.endsWith('.spec.js') && existsSync(source))
+        specs.push(join(dist, file));
+    }
+  }
+  return specs.sort();
+}
+
+const only = process.argv.slice(2);
+const specs = findSpecs().filter(
+  spec => only.length === 0 || only.some(part => spec.includes(part)),
+);
+if (specs.length === 0) {
+  console.error('no spec file was found');
+  process.exit(1);
+}
+const result = spawnSync(
+  process.execPath,
+  ['--test', `--test-concurrency=${CONCURRENCY}`, ...specs],
+  {cwd: root, stdio: 'inherit'},
+);
+process.exit(result.status ?? 1);
