Fuzz the consensus core, and let a removed replica stand

Cause: the core had no proof under faults.

Ruled out: a fault of the harness (all disks of a quorum intact in each seed); counting a replica without a vote (its membership still needs the others).

Change: mayStand looks at the settled membership and all open ones.

--- /dev/null
+++ b/packages/replication/src/fuzz/cluster.ts
@@ -0,0 +1,466 @@
+/**
+ * A cluster of replicas in virtual time: a network that drops, delays,
+ * duplicates and reorders, clocks that drift, disks that forget, processes
+ * that crash between write and sync. One seed makes one schedule.
+ */
+import {
+  bootstrap,
+  compact,
+  createRaft,
+  hasNoEffects,
+  hasQuorum,
+  holdsLease,
+  lastIndex,
+  propose,
+  proposeChange,
+  replicaId,
+  stepMessage,
+  stepPersisted,
+  stepTick,
+  takeEffects,
+  transferLeadership,
+  type Envelope,
+  type MembershipChange,
+  type RaftConfig,
+  type RaftEffects,
+  type RaftState,
+  type Replica,
+  type ReplicaId,
+} from '../raft/index.js';
+import {
+  checkApplied,
+  checkLeader,
+  checkRead,
+  checkState,
+  createChecker,
+  type Checker,
+  type Operation,
+} from './checks.js';
+import {createDisk, readDisk, writeBatch, type Disk} from './disk.js';
+import {
+  applyTo,
+  createMachine,
+  restoreFrom,
+  snapshotOf,
+  type MachineState,
+} from './machine.js';
+import {createRandom, type Random} from './random.js';
+
+export const TICK_MS = 20;
+const ELECTION_MIN_MS = 500;
+const CLOCK_DRIFT_MS = 50;
+/** Clocks run at most this much too fast or too slow, in thousandths. */
+const MAX_CLOCK_SKEW = 40;
+
+interface Process {
+  readonly id: ReplicaId;
+  readonly raft: RaftState;
+  machine: MachineState;
+  /** Inputs that wait while the disk syncs. */
+  readonly inputs: Array<(nowMs: number) => void>;
+  isSyncing: boolean;
+  /** Brings the write under way onto the disk. */
+  finishWrite: (() => void) | undefined;
+  readonly waiting: Map<number, {term: number; operation: Operation}>;
+}
+
+export interface Host {
+  readonly name: string;
+  disk: Disk;
+  replica: ReplicaId;
+  disksMade: number;
+  process: Process | undefined;
+  /** Its clock's rate against true time, in thousandths. */
+  readonly clockRate: number;
+  readonly clockStartMs: number;
+  isFrozen: boolean;
+}
+
+interface Event {
+  readonly atMs: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+export interface NetworkFaults {
+  dropProbability: number;
+  duplicateProbability: number;
+  maxDelayMs: number;
+}
+
+export class Cluster {
+  readonly random: Random;
+  readonly checker: Checker = createChecker();
+  readonly hosts: Host[] = [];
+  readonly blocked = new Set<string>();
+  readonly faults: NetworkFaults = {
+    dropProbability: 0,
+    duplicateProbability: 0,
+    maxDelayMs: 5,
+  };
+  nowMs = 0;
+  maxSyncMs = 5;
+  private readonly events: Event[] = [];
+  private nextOrder = 0;
+  private nextCommand = 0;
+
+  constructor(seed: number, hostCount: number) {
+    this.random = createRandom(seed);
+    for (let number = 0; number < hostCount; number += 1) this.addHost(number);
+  }
+
+  private addHost(number: number): void {
+    const name = `host-${number}`;
+    const host: Host = {
+      name,
+      disk: createDisk(),
+      replica: replicaId(`${name}/1`),
+      disksMade: 1,
+      process: undefined,
+      clockRate: this.random.between(
+        1_000 - MAX_CLOCK_SKEW,
+        1_000 + MAX_CLOCK_SKEW,
+      ),
+      clockStartMs: this.random.below(100_000),
+      isFrozen: false,
+    };
+    this.hosts.push(host);
+  }
+
+  /** Lets virtual time pass. */
+  run(forMs: number): void {
+    const untilMs = this.nowMs + forMs;
+    while (this.events.length > 0 && this.events[0]!.atMs <= untilMs) {
+      const event = this.popEvent();
+      this.nowMs = event.atMs;
+      event.run();
+    }
+    this.nowMs = untilMs;
+  }
+
+  start(host: Host): void {
+    if (host.process) return;
+    const raft = createRaft(
+      this.config(host),
+      readDisk(host.disk),
+      this.clock(host),
+    );
+    const {snapshot} = host.disk;
+    const machine = snapshot ? restoreFrom(snapshot.data) : createMachine();
+    host.process = {
+      id: host.replica,
+      raft,
+      machine,
+      inputs: [],
+      isSyncing: false,
+      finishWrite: undefined,
+      waiting: new Map(),
+    };
+    this.scheduleTick(host, host.process);
+  }
+
+  /** Ends the process; a write under way reaches the disk or does not. */
+  crash(host: Host): void {
+    if (this.random.chance(0.5)) host.process?.finishWrite?.();
+    host.process = undefined;
+    host.isFrozen = false;
+  }
+
+  /** Crashes the host and gives it a new, empty disk. */
+  wipe(host: Host): void {
+    this.crash(host);
+    host.disk = createDisk();
+    host.disksMade += 1;
+    host.replica = replicaId(`${host.name}/${host.disksMade}`);
+  }
+
+  bootstrap(host: Host): void {
+    this.start(host);
+    this.input(host, () => {
+      bootstrap(host.process!.raft, {
+        replicas: [this.replicaOf(host, 'voter')],
+      });
+    });
+  }
+
+  replicaOf(host: Host, role: Replica['role']): Replica {
+    return {
+      id: host.replica,
+      instance: host.name,
+      address: '127.0.0.1',
+      port: 1,
+      role,
+    };
+  }
+
+  leaders(): Host[] {
+    return this.hosts.filter(
+      host => host.process?.raft.role === 'leader' && !host.isFrozen,
+    );
+  }
+
+  /** Sends one new command to a host; its answer is checked at the end. */
+  command(host: Host): void {
+    const operation: Operation = {
+      invokedAtMs: this.nowMs,
+      answeredAtMs: undefined,
+      place: undefined,
+    };
+    const command = `command-${this.nextCommand}`;
+    this.nextCommand += 1;
+    this.input(host, nowMs => {
+      const process = host.process!;
+      const proposed = propose(process.raft, nowMs, [command]);
+      if (proposed.isErr()) return;
+      const {index, term} = proposed.value[0]!;
+      process.waiting.set(index, {term, operation});
+      this.checker.operations.push(operation);
+    });
+  }
+
+  change(host: Host, change: MembershipChange): void {
+    this.input(host, nowMs => {
+      proposeChange(host.process!.raft, nowMs, change);
+    });
+  }
+
+  transfer(host: Host): void {
+    this.input(host, nowMs => {
+      transferLeadership(host.process!.raft, nowMs);
+    });
+  }
+
+  /** Reads the state of a host that believes to hold the lease. */
+  read(host: Host): void {
+    const process = host.process;
+    if (!process || host.isFrozen) return;
+    if (!holdsLease(process.raft, this.clock(host))) return;
+    checkRead(this.checker, process.machine.count, this.nowMs);
+  }
+
+  compact(host: Host): void {
+    const process = host.process;
+    if (!process || process.isSyncing || host.isFrozen) return;
+    compact(
+      process.raft,
+      process.raft.appliedIndex,
+      snapshotOf(process.machine),
+    );
+    this.carryOut(host, process);
+  }
+
+  freeze(host: Host, forMs: number): void {
+    host.isFrozen = true;
+    this.schedule(forMs, () => {
+      host.isFrozen = false;
+    });
+  }
+
+  /**
+   * Whether a quorum has its disks, by the newest membership and by the one
+   * before it: until the newest is committed, both may be needed.
+   */
+  hasQuorumOfDisks(): boolean {
+    const disks = this.hosts.map(host => host.disk);
+    const newest = disks.reduce((best, disk) =>
+      isNewer(disk, best) ? disk : best,
+    );
+    const memberships = newest.entries.flatMap(entry =>
+      entry.kind === 'membership' ? [entry.membership] : [],
+    );
+    if (newest.snapshot) memberships.unshift(newest.snapshot.membership);
+    const needed = memberships.slice(-2);
+    return (
+      needed.length > 0 &&
+      needed.every(membership =>
+        hasQuorum(membership, id =>
+          this.hosts.some(host => host.replica === id),
+        ),
+      )
+    );
+  }
+
+  private config(host: Host): RaftConfig {
+    return {
+      id: host.replica,
+      heartbeatMs: 100,
+      electionTimeoutMinMs: ELECTION_MIN_MS,
+      electionTimeoutMaxMs: 1_000,
+      clockDriftMs: CLOCK_DRIFT_MS,
+      maxEntriesPerMessage: 3,
+      maxBytesPerMessage: 200,
+      maxMessagesInFlight: 4,
+      snapshotChunkBytes: 10,
+      randomBelow: this.random.below,
+    };
+  }
+
+  private clock(host: Host): number {
+    return host.clockStartMs + (this.nowMs * host.clockRate) / 1_000;
+  }
+
+  private scheduleTick(host: Host, process: Process): void {
+    this.schedule(TICK_MS, () => {
+      if (host.process !== process) return;
+      if (!host.isFrozen)
+        this.input(host, nowMs => stepTick(process.raft, nowMs));
+      this.scheduleTick(host, process);
+    });
+  }
+
+  private input(host: Host, run: (nowMs: number) => void): void {
+    const {process} = host;
+    if (!process) return;
+    process.inputs.push(run);
+    this.drain(host, process);
+  }
+
+  private drain(host: Host, process: Process): void {
+    while (process.inputs.length > 0 && !process.isSyncing) {
+      process.inputs.shift()!(this.clock(host));
+      this.carryOut(host, process);
+    }
+  }
+
+  private carryOut(host: Host, process: Process): void {
+    const effects = takeEffects(process.raft);
+    if (hasNoEffects(effects)) return;
+    if (process.raft.role === 'leader') {
+      checkLeader(this.checker, process.raft.term, process.id);
+    }
+    this.sendAll(effects.sendNow);
+    if (effects.persist === undefined) {
+      this.afterPersist(host, process, effects);
+      return;
+    }
+    const {persist} = effects;
+    const {entries} = process.raft.log;
+    const keptLog = [...entries];
+    const syncedIndex = lastIndex(process.raft.log);
+    const {disk} = host;
+    process.isSyncing = true;
+    process.finishWrite = () => writeBatch(disk, persist, keptLog);
+    this.schedule(this.random.below(this.maxSyncMs + 1), () => {
+      if (host.process !== process) return;
+      process.finishWrite?.();
+      process.finishWrite = undefined;
+      process.isSyncing = false;
+      this.afterPersist(host, process, effects);
+      stepPersisted(process.raft, this.clock(host), syncedIndex);
+      this.carryOut(host, process);
+      this.drain(host, process);
+    });
+  }
+
+  private afterPersist(
+    host: Host,
+    process: Process,
+    effects: RaftEffects,
+  ): void {
+    this.sendAll(effects.sendAfterPersist);
+    if (effects.restore) {
+      process.machine = restoreFrom(effects.restore.data);
+      checkState(this.checker, effects.restore.index, process.machine);
+    }
+    for (const entry of effects.apply) {
+      let place = 0;
+      if (entry.kind === 'command')
+        place = applyTo(process.machine, entry.data);
+      checkApplied(this.checker, entry, process.machine);
+      const waiting = process.waiting.get(entry.index);
+      if (waiting === undefined) continue;
+      process.waiting.delete(entry.index);
+      if (waiting.term !== entry.term) continue;
+      waiting.operation.place = place;
+      waiting.operation.answeredAtMs = this.nowMs;
+    }
+    void host;
+  }
+
+  private sendAll(envelopes: readonly Envelope[]): void {
+    for (const envelope of envelopes) this.send(envelope);
+  }
+
+  private send(envelope: Envelope): void {
+    const copies = this.random.chance(this.faults.duplicateProbability) ? 2 : 1;
+    // Both ends keep their own copy, as after a trip over the wire.
+    const text = JSON.stringify(envelope);
+    for (let copy = 0; copy < copies; copy += 1) {
+      if (this.random.chance(this.faults.dropProbability)) continue;
+      const delayMs = 1 + this.random.below(this.faults.maxDelayMs);
+      this.schedule(delayMs, () => this.deliver(JSON.parse(text) as Envelope));
+    }
+  }
+
+  private deliver(envelope: Envelope): void {
+    const from = envelope.from.split('/')[0]!;
+    const host = this.hosts.find(item => item.replica === envelope.to);
+    if (!host?.process || this.blocked.has(`${from}>${host.name}`)) return;
+    if (host.isFrozen) {
+      this.schedule(TICK_MS, () => this.deliver(envelope));
+      return;
+    }
+    this.input(host, nowMs => {
+      stepMessage(host.process!.raft, nowMs, envelope.from, envelope.message);
+    });
+  }
+
+  schedule(afterMs: number, run: () => void): void {
+    const event = {atMs: this.nowMs + afterMs, order: this.nextOrder, run};
+    this.nextOrder += 1;
+    pushEvent(this.events, event);
+  }
+
+  private popEvent(): Event {
+    return popEvent(this.events);
+  }
+}
+
+function isNewer(left: Disk, right: Disk): boolean {
+  const position = (disk: Disk) => {
+    const last = disk.entries.at(-1);
+    return {
+      term: last?.term ?? disk.snapshot?.term ?? 0,
+      index: last?.index ?? disk.snapshot?.index ?? 0,
+    };
+  };
+  const a = position(left);
+  const b = position(right);
+  return a.term !== b.term ? a.term > b.term : a.index > b.index;
+}
+
+function goesFirst(left: Event, right: Event): boolean {
+  if (left.atMs !== right.atMs) return left.atMs < right.atMs;
+  return left.order < right.order;
+}
+
+/** A binary heap by time, then by order of scheduling. */
+function pushEvent(heap: Event[], event: Event): void {
+  heap.push(event);
+  let at = heap.length - 1;
+  while (at > 0) {
+    const parent = (at - 1) >> 1;
+    if (!goesFirst(heap[at]!, heap[parent]!)) return;
+    [heap[at], heap[parent]] = [heap[parent]!, heap[at]!];
+    at = parent;
+  }
+}
+
+function popEvent(heap: Event[]): Event {
+  const first = heap[0]!;
+  const last = heap.pop()!;
+  if (heap.length === 0) return first;
+  heap[0] = last;
+  let at = 0;
+  for (;;) {
+    const left = 2 * at + 1;
+    if (left >= heap.length) return first;
+    const right = left + 1;
+    const isRightFirst =
+      right < heap.length && goesFirst(heap[right]!, heap[left]!);
+    const child = isRightFirst ? right : left;
+    if (!goesFirst(heap[child]!, heap[at]!)) return first;
+    [heap[at], heap[child]] = [heap[child]!, heap[at]!];
+    at = child;
+  }
+}
--- /dev/null
+++ b/packages/replication/src/fuzz/disk.ts
@@ -0,0 +1,49 @@
+/** A disk that may lose what was not synced when its process crashes. */
+import type {
+  HardState,
+  LogEntry,
+  PersistBatch,
+  RestoredState,
+  Snapshot,
+} from '../raft/index.js';
+
+export interface Disk {
+  hardState: HardState;
+  snapshot: Snapshot | undefined;
+  entries: LogEntry[];
+}
+
+export function createDisk(): Disk {
+  return {
+    hardState: {term: 0, votedFor: null},
+    snapshot: undefined,
+    entries: [],
+  };
+}
+
+/** Brings one synced batch onto the disk. */
+export function writeBatch(
+  disk: Disk,
+  batch: PersistBatch,
+  logAfterSnapshot: readonly LogEntry[],
+): void {
+  disk.hardState = batch.hardState ?? disk.hardState;
+  if (batch.snapshot) {
+    disk.snapshot = batch.snapshot;
+    disk.entries = [...logAfterSnapshot];
+    return;
+  }
+  const first = batch.entries[0];
+  if (first === undefined) return;
+  const base = disk.snapshot?.index ?? 0;
+  disk.entries.length = first.index - base - 1;
+  disk.entries.push(...batch.entries);
+}
+
+export function readDisk(disk: Disk): RestoredState {
+  return {
+    hardState: disk.hardState,
+    snapshot: disk.snapshot,
+    entries: [...disk.entries],
+  };
+}
--- a/packages/replication/src/raft/election.ts
+++ b/packages/replication/src/raft/election.ts
@@ -5,7 +5,7 @@
 import {
   becomeFollower,
   currentMembership,
-  isSelfVoter,
+  mayStand,
   resetElectionDeadline,
   sendAfterPersist,
   sendNow,
@@ -33,7 +33,7 @@
 /** Asks whether an election could be won, without disturbing the term. */
 export function startPreVote(state: RaftState, nowMs: number): void {
   resetElectionDeadline(state, nowMs);
-  if (!isSelfVoter(state)) return;
+  if (!mayStand(state)) return;
   state.role = 'pre_candidate';
   state.leader = undefined;
   state.isTransferElection = false;
@@ -47,7 +47,7 @@
   nowMs: number,
   isTransfer: boolean,
 ): void {
-  if (!isSelfVoter(state)) return;
+  if (!mayStand(state)) return;
   resetElectionDeadline(state, nowMs);
   state.role = 'candidate';
   state.leader = undefined;
--- a/packages/replication/src/raft/index.ts
+++ b/packages/replication/src/raft/index.ts
@@ -3,6 +3,7 @@
 export {
   changeMembership,
   EMPTY_MEMBERSHIP,
+  hasQuorum,
   isVoter,
   quorumSize,
   votersOf,
--- a/packages/replication/src/raft/state.ts
+++ b/packages/replication/src/raft/state.ts
@@ -172,6 +172,22 @@
   return isVoter(currentMembership(state), state.config.id);
 }
 
+/**
+ * Whether this replica may stand for election. One whose own removal may not
+ * be committed has to: its log may be the only one that can win.
+ */
+export function mayStand(state: RaftState): boolean {
+  const {id} = state.config;
+  if (isSelfVoter(state)) return true;
+  const settled = membershipAt(state, state.commitIndex);
+  const open = state.memberships.filter(
+    record => record.index > state.commitIndex,
+  );
+  return [settled, ...open.map(record => record.membership)].some(membership =>
+    isVoter(membership, id),
+  );
+}
+
 export function resetElectionDeadline(state: RaftState, nowMs: number): void {
   const {electionTimeoutMinMs, electionTimeoutMaxMs, randomBelow} =
     state.config;
