Prove the callers' way under broken links and deaths of targets

Cause: the whole path answered, but nothing showed that an answer stays whole when connections go silent, events come twice, or engines die.

Ruled out: tests with real engines (none here); a total timeout on streams, which would cut long advice off.

Change: a deployment on loopback for tests, each daemon with its own loopback address behind a relay that can swallow packets; twelve tests through a daemon: order and duplicates, silent links, resume at another entry, forged tokens, cancel, deaths before and after the first token, whole answers run again. The queue bound now counts only requests that found no room.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -47,7 +47,7 @@
 } from './rpc/index.js';
 import {Scheduler} from './scheduler/index.js';
 import {mountAnnounceApi, TargetClient} from './targets/index.js';
-import {VoterHost, type NotLeader} from './voter/index.js';
+import {advertisedAddress, VoterHost, type NotLeader} from './voter/index.js';
 
 const ENTRY_TICK_MS = 100;
 const FORGET_HEARD_MS = 60_000;
@@ -216,7 +216,11 @@
   clock: Clock,
 ): Promise<Result<Parts, string>> {
   const {instance, cluster, timing, voter} = settings;
-  const rpc = new RpcClient(cluster.key, instance.deployment);
+  const rpc = new RpcClient(
+    cluster.key,
+    instance.deployment,
+    sourceAddress(settings),
+  );
   const control = new ControlClient({
     rpc,
     clock,
@@ -288,9 +292,17 @@
   });
 }
 
+const ANY_ADDRESS = ['0.0.0.0', '::'];
+
+/** Daemons call each other from the address that they are known by. */
+function sourceAddress(settings: Settings): string | undefined {
+  const {address} = settings.internal;
+  return ANY_ADDRESS.includes(address) ? undefined : address;
+}
+
 function replicaOf(settings: Settings, host: VoterHost | undefined) {
   if (host === undefined) return undefined;
-  const {address, port} = settings.internal;
+  const {address, port} = advertisedAddress(settings);
   return {id: host.replicaId, address, port, isMember: host.node.isMember};
 }
 
--- /dev/null
+++ b/packages/daemon/src/generations/generations.spec.ts
@@ -0,0 +1,277 @@
+/** The callers' way through a daemon: whole answers, errors, broken links, deaths. */
+import {expect} from 'earl';
+import {after, before, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {request} from 'undici';
+import {FakeEngine} from '@samphirefield/fakes';
+import {
+  API_KEY,
+  expectedWords,
+  generation,
+  KEY,
+  post,
+  readEvents,
+  readStream,
+  TestDeployment,
+  waitFor,
+  type TestDaemon,
+} from '../testing/index.js';
+
+const CHAT = '/v1/chat/completions';
+const TIMING = '[timing]\nstream_silence_ms = 700\nresume_window_ms = 3000';
+
+let deployment: TestDeployment;
+let entry: TestDaemon;
+let other: TestDaemon;
+const engines: FakeEngine[] = [];
+
+async function startEngine(target: string): Promise<FakeEngine> {
+  const engine = await FakeEngine.start({
+    target,
+    zone: 'zone-a',
+    service: 'models',
+    models: [{model: 'large', version: '1'}],
+    daemons: deployment.internalUrls,
+    key: KEY,
+    announceMs: 100,
+    speed: 4,
+  });
+  engines.push(engine);
+  await deployment.waitForTargets([target]);
+  return engine;
+}
+
+async function stopEngines(): Promise<void> {
+  await Promise.all(engines.splice(0).map(engine => engine.die()));
+}
+
+/** Starts a streamed request and calls back with the text so far. */
+async function streamUntil(
+  daemon: TestDaemon,
+  tokens: number,
+  isEnough: (text: string) => boolean,
+  onEnough: () => void | Promise<void>,
+  headers: Record<string, string> = {},
+  note = '',
+): Promise<string> {
+  const response = await request(`${daemon.callersUrl}${CHAT}`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${API_KEY}`,
+      'content-type': 'application/json',
+      ...headers,
+    },
+    body: JSON.stringify(generation(tokens, true, note)),
+  });
+  let text = '';
+  let isTold = false;
+  try {
+    for await (const chunk of response.body) {
+      text += String(chunk);
+      if (isTold || !isEnough(text)) continue;
+      isTold = true;
+      await onEnough();
+    }
+  } catch {
+    // The test broke the connection.
+  }
+  return text;
+}
+
+const hasEvents = (count: number) => (text: string) =>
+  readEvents(text).length >= count;
+
+before(async () => {
+  deployment = await TestDeployment.start({
+    voters: 1,
+    entries: 1,
+    settings: TIMING,
+  });
+  entry = deployment.daemons[0]!;
+  other = deployment.daemons[1]!;
+});
+
+after(async () => {
+  await stopEngines();
+  await deployment.close();
+});
+
+test('a streamed answer brings every token once and in order', async () => {
+  const engine = await startEngine('t1');
+  const answer = await post(entry, CHAT, generation(60, true));
+  const {words, isDone} = readStream(answer.text);
+  expect(words).toEqual(expectedWords(60));
+  expect(isDone).toEqual(true);
+  expect(engine.started).toEqual(1);
+});
+
+test('a whole answer joins the same tokens', async () => {
+  const answer = await post(entry, CHAT, generation(25, false));
+  const body = JSON.parse(answer.text) as {
+    choices: Array<{message: {content: string}; finish_reason: string}>;
+  };
+  expect(body.choices[0]!.message.content.trim().split(' ')).toEqual(
+    expectedWords(25),
+  );
+  expect(body.choices[0]!.finish_reason).toEqual('stop');
+});
+
+test('duplicated and reordered events reach the caller once and in order', async () => {
+  engines[0]!.faults.isUnordered = true;
+  const answer = await post(entry, CHAT, generation(40, true));
+  engines[0]!.faults.isUnordered = false;
+  expect(readStream(answer.text).words).toEqual(expectedWords(40));
+});
+
+test('bad requests get their status and say that nothing ran', async () => {
+  const started = engines[0]!.started;
+  const cases: Array<[unknown, Record<string, string>, number]> = [
+    ['{"model": ', {}, 400],
+    [{model: 'large'}, {}, 400],
+    [{...generation(1, true), model: 'none'}, {}, 404],
+    [generation(1, true), {authorization: 'Bearer wrong'}, 401],
+    [generation(1, true), {authorization: ''}, 401],
+    [{...generation(1, true), max_tokens: -1}, {}, 400],
+    ['x'.repeat(1_100_000), {}, 413],
+    [generation(1, true), {'last-event-id': 'forged.token.3'}, 400],
+  ];
+  for (const [body, headers, status] of cases) {
+    const answer = await post(entry, CHAT, body, {headers});
+    expect(answer.status).toEqual(status);
+    expect((JSON.parse(answer.text) as {not_run: boolean}).not_run).toEqual(
+      true,
+    );
+  }
+  expect(engines[0]!.started).toEqual(started);
+});
+
+test('a stream whose link goes silent goes on over a new connection', async () => {
+  const engine = engines[0]!;
+  const started = engine.started;
+  const text = await streamUntil(entry, 80, hasEvents(5), () => {
+    engine.faults.hasSilentStreams = true;
+    setTimeout(() => (engine.faults.hasSilentStreams = false), 300);
+  });
+  expect(readStream(text).words).toEqual(expectedWords(80));
+  expect(engine.started).toEqual(started + 1);
+});
+
+test('a caller that lost its entry goes on at another one', async () => {
+  const controller = new AbortController();
+  const response = await request(`${entry.callersUrl}${CHAT}`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${API_KEY}`,
+      'content-type': 'application/json',
+    },
+    body: JSON.stringify(generation(120, true)),
+    signal: controller.signal,
+  });
+  let head = '';
+  try {
+    for await (const chunk of response.body) {
+      head += String(chunk);
+      if (hasEvents(10)(head)) controller.abort();
+    }
+  } catch {
+    // Left on purpose.
+  }
+  const seen = readEvents(head);
+  const lastEventId = seen.at(-1)!.id;
+  const rest = await post(other, CHAT, generation(120, true), {
+    headers: {'last-event-id': lastEventId},
+  });
+  const words = [...readStream(head).words, ...readStream(rest.text).words];
+  expect(words).toEqual(expectedWords(120));
+});
+
+test('a resume token of another workspace or a changed one is refused', async () => {
+  const answer = await post(entry, CHAT, generation(3, true));
+  const id = readEvents(answer.text)[0]!.id;
+  const forged = id.replace(/^./, first => (first === 'a' ? 'b' : 'a'));
+  const refused = await post(other, CHAT, generation(3, true), {
+    headers: {'last-event-id': forged},
+  });
+  expect(refused.status).toEqual(400);
+});
+
+test('a caller that left for good has its generation cancelled', async () => {
+  const engine = engines[0]!;
+  await streamUntil(entry, 100_000, hasEvents(3), () => {
+    throw new Error('leave');
+  });
+  expect(engine.engine.running.size).toEqual(1);
+  await waitFor(
+    'the generation is cancelled',
+    () => engine.engine.running.size === 0,
+  );
+});
+
+test('a slow caller stalls only its own stream, in a bounded buffer', async () => {
+  const slow = await request(`${entry.callersUrl}${CHAT}`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${API_KEY}`,
+      'content-type': 'application/json',
+    },
+    body: JSON.stringify(generation(400, true)),
+  });
+  const quick = await post(entry, CHAT, generation(50, true));
+  expect(readStream(quick.text).words).toEqual(expectedWords(50));
+  let text = '';
+  for await (const chunk of slow.body) text += String(chunk);
+  expect(readStream(text).words).toEqual(expectedWords(400));
+});
+
+test('a target that dies before the first token is replaced by another', async () => {
+  const second = await startEngine('t2');
+  const first = engines[0]!;
+  await deployment.change({kind: 'target', target: 't2' as never, isOut: true});
+  first.faults.isHung = true;
+  const answering = post(entry, CHAT, generation(30, true));
+  await delay(100);
+  await deployment.change({
+    kind: 'target',
+    target: 't2' as never,
+    isOut: false,
+  });
+  await first.die();
+  const answer = await answering;
+  expect(readStream(answer.text).words).toEqual(expectedWords(30));
+  expect(second.started).toEqual(1);
+});
+
+test('a target that dies after the first token ends the answer as incomplete', async () => {
+  const victim = engines[1]!;
+  const started = victim.started;
+  const text = await streamUntil(entry, 300, hasEvents(5), () => victim.die());
+  const {words, isDone, error} = readStream(text);
+  expect(isDone).toEqual(false);
+  expect(words).toEqual(expectedWords(words.length));
+  expect(JSON.parse(error!)).toLooseEqual({
+    error: {
+      message: 'the target was lost before the answer was complete',
+      type: 'server_error',
+      param: null,
+      code: 'incomplete',
+    },
+    not_run: false,
+    outcome: 'incomplete',
+  });
+  expect(victim.started).toEqual(started + 1);
+});
+
+test('a whole answer is generated again when its target dies half way', async () => {
+  const third = await startEngine('t3');
+  const answering = post(entry, CHAT, generation(200, false));
+  await waitFor('it runs on t3', () => third.engine.running.size === 1);
+  const fourth = await startEngine('t4');
+  await third.die();
+  const body = JSON.parse((await answering).text) as {
+    choices: Array<{message: {content: string}}>;
+  };
+  expect(body.choices[0]!.message.content.trim().split(' ')).toEqual(
+    expectedWords(200),
+  );
+  expect(fourth.started).toEqual(1);
+});
--- a/packages/daemon/src/rpc/client.ts
+++ b/packages/daemon/src/rpc/client.ts
@@ -45,6 +45,8 @@
   constructor(
     private readonly key: string,
     private readonly deployment: string,
+    /** The own address that calls come from; undefined lets the system choose. */
+    private readonly localAddress: string | undefined,
   ) {}
 
   /** Calls one method and returns its result as it came. */
@@ -86,7 +88,12 @@
     const origin = `http://${host}:${peer.port}`;
     const known = this.pools.get(origin);
     if (known) return known;
-    const pool = new Pool(origin, {connections: CONNECTIONS_PER_PEER});
+    const pool = new Pool(origin, {
+      connections: CONNECTIONS_PER_PEER,
+      ...(this.localAddress === undefined
+        ? {}
+        : {localAddress: this.localAddress}),
+    });
     this.pools.set(origin, pool);
     return pool;
   }
--- a/packages/daemon/src/scheduler/scheduler.ts
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -22,6 +22,7 @@
   overdue,
   remove,
   start,
+  waitingOf,
   type Candidate,
   type Demand,
   type FairQueue,
@@ -49,6 +50,11 @@
 /** No single request asks for more of a target's memory than this share. */
 const MAX_KV_SHARE = 0.5;
 
+interface QueueBounds {
+  readonly maxQueue: number;
+  readonly maxOfWorkspace: number;
+}
+
 interface Waiter {
   readonly request: AdmissionRequest;
   readonly kvNeedTokens: number;
@@ -112,6 +118,7 @@
         onAbort,
       });
       this.dispatch();
+      this.shedOverflow(request);
       if (this.waiters.has(request.request)) this.options.wantRoom();
     });
   }
@@ -200,16 +207,26 @@
     return Math.min(need, Math.floor(largest * MAX_KV_SHARE) || need);
   }
 
-  private enqueue(request: AdmissionRequest, kvNeedTokens: number) {
-    const {tables, clock, limits} = this.options;
+  private queueBounds(request: AdmissionRequest): QueueBounds {
+    const {tables, limits} = this.options;
     const {service, workspace} = request;
-    const queue = this.queues.get(service.service) ?? createQueue();
-    this.queues.set(service.service, queue);
     const limit = tables.rules.limits.find(
       rule =>
         rule.workspace === workspace.workspace &&
         (rule.service === undefined || rule.service === service.service),
     );
+    return {
+      maxQueue: Math.min(service.maxQueue, limits.queue_per_service),
+      maxOfWorkspace: limit?.maxQueue ?? Number.MAX_SAFE_INTEGER,
+    };
+  }
+
+  private enqueue(request: AdmissionRequest, kvNeedTokens: number) {
+    const {tables, clock} = this.options;
+    const {service, workspace} = request;
+    const queue = this.queues.get(service.service) ?? createQueue();
+    this.queues.set(service.service, queue);
+    const {maxQueue, maxOfWorkspace} = this.queueBounds(request);
     return enqueue(
       queue,
       {
@@ -224,11 +241,29 @@
         costTokens: Math.max(1, kvNeedTokens),
         enqueuedAtMs: clock.nowMs(),
       },
-      Math.min(service.maxQueue, limits.queue_per_service) + 1,
-      (limit?.maxQueue ?? Number.MAX_SAFE_INTEGER) + 1,
+      // One more than may wait: it may find room at once.
+      maxQueue + 1,
+      maxOfWorkspace + 1,
     );
   }
 
+  /** Refuses the newest request when it found no room and the queue is full. */
+  private shedOverflow(request: AdmissionRequest): void {
+    const waiter = this.waiters.get(request.request);
+    const queue = this.queues.get(request.service.service);
+    if (!waiter || !queue) return;
+    const {maxQueue, maxOfWorkspace} = this.queueBounds(request);
+    const waitingHere = waitingOf(queue, request.workspace.workspace);
+    if (queue.size > maxQueue) {
+      this.refuse(waiter, {kind: 'queue_full', limit: maxQueue});
+    } else if (waitingHere > maxOfWorkspace) {
+      this.refuse(waiter, {
+        kind: 'workspace_queue_full',
+        limit: maxOfWorkspace,
+      });
+    }
+  }
+
   private startOne(queue: FairQueue, nowMs: number): boolean {
     for (const head of headsInOrder(queue, nowMs)) {
       const waiter = this.waiters.get(head.request);
--- /dev/null
+++ b/packages/daemon/src/testing/deployment.ts
@@ -0,0 +1,429 @@
+/**
+ * A deployment on loopback for tests: daemons as processes or inside this one,
+ * each with its own loopback address, behind relays that can go silent.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {
+  mkdirSync,
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {createServer, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import {loadSettings, sha256Hex, silentLogger} from '@samphirefield/core';
+import type {OperatorAnswer, OperatorChange} from '@samphirefield/control';
+import {startDaemon, type RunningDaemon} from '../daemon.js';
+import type {ClusterStatus} from '../voter/index.js';
+import {Relay} from './relay.js';
+
+export const KEY = 'a-key-for-the-tests';
+export const API_KEY = 'api-key-of-the-tests';
+const WAIT_MS = 60_000;
+const POLL_MS = 20;
+
+export const RULES = `
+zone zone-a # test: first
+zone zone-b # test: second
+zone zone-c # test: third
+service models kind=engine path=/v1 queue=500 # test: generations
+service desk kind=plain path=/orders queue=500 # test: orders
+model large service=models # test: the only model
+once service=desk method=POST path=/orders # test: nobody pays twice
+workspace tests key-sha256=${sha256Hex(API_KEY)} # test: the caller
+`;
+
+export interface DeploymentOptions {
+  readonly voters?: number;
+  readonly entries?: number;
+  readonly mode?: 'inline' | 'process';
+  readonly rules?: string;
+  /** More lines of TOML, for example a [timing] table. */
+  readonly settings?: string;
+}
+
+export interface TestDaemon {
+  readonly id: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly isVoter: boolean;
+  readonly callersUrl: string;
+  readonly internalUrl: string;
+  readonly settingsFile: string;
+  readonly dataFolder: string;
+  readonly logFile: string;
+  readonly relay: Relay;
+  process: ChildProcess | undefined;
+  inline: RunningDaemon | undefined;
+}
+
+export interface CommandAnswer {
+  readonly status: number;
+  readonly body: {readonly kind: string; readonly answer?: OperatorAnswer};
+}
+
+async function freePort(address: string): Promise<number> {
+  const server = createServer();
+  await new Promise<void>(resolve => server.listen(0, address, resolve));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
+
+/** Waits for a condition; the bound only ends a test that would hang. */
+export async function waitFor<T>(
+  what: string,
+  check: () => Promise<T | undefined | false> | T | undefined | false,
+): Promise<T> {
+  const deadline = Date.now() + WAIT_MS;
+  while (Date.now() < deadline) {
+    try {
+      const value = await check();
+      if (value !== undefined && value !== false) return value;
+    } catch {
+      // Not reachable yet.
+    }
+    await delay(POLL_MS);
+  }
+  throw new Error(`never happened: ${what}`);
+}
+
+const daemonBin = fileURLToPath(new URL('../bin.js', import.meta.url));
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+
+export class TestDeployment {
+  readonly daemons: TestDaemon[] = [];
+  private nextCommand = 1;
+
+  private constructor(
+    private readonly folder: string,
+    private readonly options: DeploymentOptions,
+  ) {}
+
+  /** Starts the daemons, forms the group and applies the rules. */
+  static async start(options: DeploymentOptions = {}): Promise<TestDeployment> {
+    const folder = mkdtempSync(join(tmpdir(), 'samphirefield-test-'));
+    const deployment = new TestDeployment(folder, options);
+    await deployment.prepare();
+    await Promise.all(
+      deployment.daemons.map(daemon => deployment.startDaemon(daemon)),
+    );
+    const first = deployment.daemons[0]!;
+    await waitFor('the group is formed', async () => {
+      const answer = await deployment.operate(
+        first,
+        'POST',
+        '/operator/bootstrap',
+        {},
+      );
+      return answer.status === 200;
+    });
+    const rules = options.rules ?? RULES;
+    if (rules !== '') await deployment.applyRules(rules);
+    await deployment.waitForVoters();
+    await deployment.waitForReady();
+    return deployment;
+  }
+
+  get voters(): TestDaemon[] {
+    return this.daemons.filter(daemon => daemon.isVoter);
+  }
+
+  get internalUrls(): string[] {
+    return this.daemons.map(daemon => daemon.internalUrl);
+  }
+
+  daemon(id: string): TestDaemon {
+    return this.daemons.find(daemon => daemon.id === id)!;
+  }
+
+  async startDaemon(daemon: TestDaemon): Promise<void> {
+    if (this.options.mode === 'process') {
+      const log = openSync(daemon.logFile, 'a');
+      daemon.process = spawn(
+        process.execPath,
+        [daemonBin, '--settings', daemon.settingsFile],
+        {
+          stdio: ['ignore', log, log],
+        },
+      );
+    } else {
+      const settings = loadSettings(daemon.settingsFile)._unsafeUnwrap();
+      const started = await startDaemon(settings, silentLogger);
+      daemon.inline = started._unsafeUnwrap();
+    }
+    await waitFor(
+      `${daemon.id} listens`,
+      async () => (await this.get(daemon, '/healthz')).status === 200,
+    );
+  }
+
+  /** Ends a process at once and waits until it is gone. */
+  async kill(
+    daemon: TestDaemon,
+    signal: NodeJS.Signals = 'SIGKILL',
+  ): Promise<number | null> {
+    const {process: child} = daemon;
+    if (!child) return null;
+    daemon.process = undefined;
+    const gone = new Promise<number | null>(resolve =>
+      child.once('exit', code => resolve(code)),
+    );
+    child.kill(signal);
+    return gone;
+  }
+
+  freeze(daemon: TestDaemon): void {
+    daemon.process?.kill('SIGSTOP');
+  }
+
+  wake(daemon: TestDaemon): void {
+    daemon.process?.kill('SIGCONT');
+  }
+
+  wipe(daemon: TestDaemon): void {
+    rmSync(daemon.dataFolder, {recursive: true, force: true});
+  }
+
+  /** Swallows everything between a daemon and all others, both ways. */
+  cutOff(daemon: TestDaemon): void {
+    for (const other of this.daemons) {
+      if (other === daemon) continue;
+      other.relay.silence(daemon.address);
+      daemon.relay.silence(other.address);
+    }
+  }
+
+  heal(): void {
+    for (const one of this.daemons) {
+      for (const other of this.daemons) one.relay.heal(other.address);
+    }
+  }
+
+  async close(): Promise<void> {
+    for (const daemon of this.daemons) {
+      if (daemon.process) this.wake(daemon);
+      await this.kill(daemon);
+      await daemon.inline?.stop();
+      daemon.inline = undefined;
+      await daemon.relay.close();
+    }
+    rmSync(this.folder, {recursive: true, force: true});
+  }
+
+  async get(daemon: TestDaemon, path: string) {
+    const response = await request(`${daemon.callersUrl}${path}`, {
+      signal: AbortSignal.timeout(3_000),
+    });
+    return {status: response.statusCode, body: await response.body.text()};
+  }
+
+  async operate(
+    daemon: TestDaemon,
+    method: 'GET' | 'POST',
+    path: string,
+    body?: unknown,
+    key = KEY,
+  ) {
+    const response = await request(`${daemon.internalUrl}${path}`, {
+      method,
+      headers: {
+        authorization: `Bearer ${key}`,
+        'content-type': 'application/json',
+      },
+      body: body === undefined ? undefined : JSON.stringify(body),
+      signal: AbortSignal.timeout(10_000),
+    });
+    return {
+      status: response.statusCode,
+      body: (await response.body.json()) as CommandAnswer['body'],
+    };
+  }
+
+  async status(daemon = this.daemons[0]!): Promise<ClusterStatus> {
+    const answer = await this.operate(daemon, 'GET', '/operator/status');
+    if (answer.status !== 200) throw new Error(`status ${answer.status}`);
+    return answer.body as unknown as ClusterStatus;
+  }
+
+  async revision(daemon = this.daemons[0]!): Promise<number> {
+    const answer = await this.operate(daemon, 'GET', '/operator/config');
+    if (answer.status !== 200) throw new Error(`status ${answer.status}`);
+    return (answer.body as unknown as {revision: number}).revision;
+  }
+
+  /** Sends one operators' command through one daemon. */
+  command(
+    daemon: TestDaemon,
+    change: OperatorChange,
+    baseRevision: number,
+    commandId = `command-${this.nextCommand++}`,
+  ): Promise<CommandAnswer> {
+    return this.operate(daemon, 'POST', '/operator/command', {
+      commandId,
+      baseRevision,
+      operator: 'tests',
+      isUnseenAllowed: true,
+      change,
+    });
+  }
+
+  /** Changes something and waits until it is in force everywhere. */
+  async change(
+    change: OperatorChange,
+    via = this.daemons[0]!,
+  ): Promise<number> {
+    const commandId = `command-${this.nextCommand++}`;
+    const revision = await waitFor('a change is accepted', async () => {
+      const answer = await this.command(
+        via,
+        change,
+        await this.revision(via),
+        commandId,
+      );
+      const {answer: outcome} = answer.body;
+      if (outcome?.kind === 'accepted' || outcome?.kind === 'unchanged')
+        return outcome.revision;
+      return undefined;
+    });
+    await this.waitUntilInForce(revision, via);
+    return revision;
+  }
+
+  async applyRules(text: string): Promise<number> {
+    return this.change({kind: 'apply_rules', text});
+  }
+
+  async waitUntilInForce(
+    revision: number,
+    via = this.daemons[0]!,
+  ): Promise<void> {
+    await waitFor(`revision ${revision} is in force`, async () => {
+      const status = await this.status(via);
+      return status.revision >= revision && status.isInForce;
+    });
+  }
+
+  async waitForVoters(
+    count = this.voters.length,
+    via = this.daemons[0]!,
+  ): Promise<void> {
+    await waitFor(`${count} voters`, async () => {
+      const {members} = await this.status(via);
+      const isWhole =
+        members.length === count &&
+        members.every(member => member.role === 'voter');
+      return isWhole && members.every(member => member.lagEntries === 0);
+    });
+  }
+
+  async waitForReady(
+    daemons: readonly TestDaemon[] = this.daemons,
+  ): Promise<void> {
+    for (const daemon of daemons) {
+      await waitFor(
+        `${daemon.id} is ready`,
+        async () => (await this.get(daemon, '/readyz')).status === 200,
+      );
+    }
+  }
+
+  /** Waits until every entry holds slots on each of these targets. */
+  async waitForTargets(
+    targets: readonly string[],
+    via = this.daemons[0]!,
+  ): Promise<void> {
+    await waitFor(`targets ${targets.join(', ')}`, async () => {
+      const status = await this.status(via);
+      return targets.every(target =>
+        status.targets.some(
+          row => row.target === target && row.grantedSlots > 0 && !row.isLapsed,
+        ),
+      );
+    });
+  }
+
+  logOf(daemon: TestDaemon): string {
+    return readFileSync(daemon.logFile, 'utf8');
+  }
+
+  private async prepare(): Promise<void> {
+    const {voters = 3, entries = 0} = this.options;
+    const plans = await Promise.all(
+      Array.from({length: voters + entries}, async (_, index) => {
+        const address = `127.0.0.${10 + index}`;
+        const internalPort = await freePort(address);
+        const relay = new Relay(address, internalPort);
+        return {
+          id:
+            index < voters
+              ? `voter-${index + 1}`
+              : `entry-${index - voters + 1}`,
+          zone: ZONES[index % ZONES.length]!,
+          address,
+          isVoter: index < voters,
+          callersPort: await freePort(address),
+          internalPort,
+          relay,
+          relayPort: await relay.start(),
+        };
+      }),
+    );
+    const voterLines = plans
+      .filter(plan => plan.isVoter)
+      .flatMap(plan => [
+        '[[cluster.voters]]',
+        `id = "${plan.id}"`,
+        `address = "${plan.address}"`,
+        `port = ${plan.relayPort}`,
+      ]);
+    for (const plan of plans) {
+      const home = join(this.folder, plan.id);
+      mkdirSync(home);
+      const dataFolder = join(home, 'data');
+      const settingsFile = join(home, 'settings.toml');
+      const lines = [
+        '[instance]',
+        `id = "${plan.id}"`,
+        `zone = "${plan.zone}"`,
+        'deployment = "tests"',
+        '[callers]',
+        `address = "${plan.address}"`,
+        `port = ${plan.callersPort}`,
+        '[internal]',
+        `address = "${plan.address}"`,
+        `port = ${plan.internalPort}`,
+        '[cluster]',
+        `key = "${KEY}"`,
+        ...voterLines,
+        '[targets]',
+        `key = "${KEY}"`,
+        '[operators]',
+        `key = "${KEY}"`,
+        ...(plan.isVoter ? ['[voter]', `data_folder = "${dataFolder}"`] : []),
+        this.options.settings ?? '',
+      ];
+      writeFileSync(settingsFile, lines.join('\n'));
+      this.daemons.push({
+        id: plan.id,
+        zone: plan.zone,
+        address: plan.address,
+        isVoter: plan.isVoter,
+        callersUrl: `http://${plan.address}:${plan.callersPort}`,
+        internalUrl: `http://${plan.address}:${plan.internalPort}`,
+        settingsFile,
+        dataFolder,
+        logFile: join(home, 'log'),
+        relay: plan.relay,
+        process: undefined,
+        inline: undefined,
+      });
+    }
+  }
+}
--- a/packages/daemon/src/voter/voter-host.ts
+++ b/packages/daemon/src/voter/voter-host.ts
@@ -93,6 +93,14 @@
   };
 }
 
+/** Where the other daemons reach this one: as the list of voters has it. */
+export function advertisedAddress(settings: Settings): PeerAddress {
+  const {instance, internal, cluster} = settings;
+  const listed = cluster.voters.find(voter => voter.id === instance.id);
+  const {address, port} = listed ?? internal;
+  return {address, port};
+}
+
 export function allotmentTiming(settings: Settings): AllotmentTiming {
   const {timing} = settings;
   return {
@@ -316,12 +324,11 @@
 
   /** Forms a new group, once: refused when this replica was ever in one. */
   async bootstrap(): Promise<BootstrapAnswer> {
-    const {instance, internal} = this.options.settings;
+    const {settings} = this.options;
     const self: Replica = {
       id: this.identity.replica,
-      instance: instance.id,
-      address: internal.address,
-      port: internal.port,
+      instance: settings.instance.id,
+      ...advertisedAddress(settings),
       role: 'voter',
     };
     const result = await this.node.bootstrap({replicas: [self]});
