Give no place on an overfull target to anyone again

Cause: a simulation of entries and a leader with lost and late heartbeats, dead entries and changes of leader found a target with three requests that had borne at most two for a whole lease. After it turned cold each entry kept a limit of what it had in use, so a place that fell free was filled again.

Change: with more in use than a target bears, holders get shares of what it bears, by their use.

--- a/packages/policy/src/allotments/leader.ts
+++ b/packages/policy/src/allotments/leader.ts
@@ -261,6 +261,30 @@
   return use;
 }
 
+/**
+ * Divides one resource: each holder keeps what it uses and gets a share of what
+ * is free. With more in use than the target bears, each gets a share of what it
+ * bears instead: a place that falls free must not be filled again.
+ */
+function planShares(
+  bearable: number,
+  shares: readonly Weighted[],
+  used: readonly number[],
+  chunk: number,
+): readonly number[] {
+  const totalUsed = used.reduce((sum, value) => sum + value, 0);
+  const free = bearable - totalUsed;
+  if (free < 0) {
+    const byUse = shares.map((share, position) => ({
+      ...share,
+      weight: used[position]!,
+    }));
+    return divideUnits(Math.max(0, bearable), byUse);
+  }
+  const chunks = divideUnits(Math.floor(free / chunk), shares);
+  return chunks.map((count, position) => used[position]! + count * chunk);
+}
+
 /** The share that the plan gives to one holder, before what others still hold. */
 function plannedShare(
   tables: LeaderTables,
@@ -271,22 +295,22 @@
 ): Bearing {
   const shares = liveShares(tables, target, nowMs);
   const position = shares.findIndex(share => share.holder === holder);
-  const inUse = shares.reduce((sum, share) => sum + share.inUse, 0);
-  const kvInUse = shares.reduce((sum, share) => sum + share.kvInUse, 0);
-  const ghosts = ghostUse(tables, target, inUse, nowMs);
-  const freeSlots = bearing.slots - inUse - ghosts.slots;
-  const freeKv = bearing.kvTokens - kvInUse - ghosts.kvTokens;
+  const inUse = shares.map(share => share.inUse);
+  const kvInUse = shares.map(share => share.kvInUse);
+  const liveInUse = inUse.reduce((sum, value) => sum + value, 0);
+  const ghosts = ghostUse(tables, target, liveInUse, nowMs);
   const chunk = Math.max(
     1,
     Math.floor(bearing.kvTokens / KV_CHUNKS_PER_TARGET),
   );
-  const slots = divideUnits(Math.max(0, freeSlots), shares)[position] ?? 0;
-  const chunks = divideUnits(Math.floor(Math.max(0, freeKv) / chunk), shares);
-  const own = shares[position];
-  return {
-    slots: (own?.inUse ?? 0) + slots,
-    kvTokens: (own?.kvInUse ?? 0) + (chunks[position] ?? 0) * chunk,
-  };
+  const slots = planShares(bearing.slots - ghosts.slots, shares, inUse, 1);
+  const kvTokens = planShares(
+    bearing.kvTokens - ghosts.kvTokens,
+    shares,
+    kvInUse,
+    chunk,
+  );
+  return {slots: slots[position] ?? 0, kvTokens: kvTokens[position] ?? 0};
 }
 
 function allot(
