Refuse late copies of claims that were given back

A late copy of a claim released before it came was also called a mismatch.

Ruled out: a double run (the late grant has no holder that would send).

Change: a record keeps the latest eight claims that were given back; tests of the control tables and of every smaller decision.

--- /dev/null
+++ b/packages/control/src/control.spec.ts
@@ -0,0 +1,325 @@
+/** Tests of what the voters replicate: configuration, answers and the ledger. */
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {test} from 'node:test';
+import {
+  claimId,
+  commandId,
+  fingerprint,
+  revision,
+  zoneId,
+} from '@samphirefield/core';
+import {
+  applyCommand,
+  applyDeltas,
+  applyEdit,
+  ControlMachine,
+  createTables,
+  deltasSince,
+  diffRules,
+  EMPTY_CONFIG,
+  hashConfig,
+  MAX_KEPT_ANSWERS,
+  planMembership,
+  type ControlCommand,
+  type LedgerAnswer,
+  type LedgerBounds,
+  type MemberView,
+  type OperatorAnswer,
+} from './index.js';
+
+const BOUNDS: LedgerBounds = {
+  maxRecords: 3,
+  maxAnswerBytes: 20,
+  retentionMs: 1_000,
+};
+const ANSWER = {status: 200, contentType: 'text/plain', bodyBase64: 'b2s='};
+
+function operator(
+  id: string,
+  base: number,
+  zone: string,
+  isOut = true,
+): ControlCommand {
+  return {
+    kind: 'operator',
+    commandId: commandId(id),
+    baseRevision: revision(base),
+    operator: 'tests',
+    change: {kind: 'zone', zone: zoneId(zone), isOut},
+    atMs: 0,
+  };
+}
+
+const claim = (
+  key: string,
+  id: string,
+  print = 'f',
+  atMs = 0,
+): ControlCommand => ({
+  kind: 'claim',
+  key,
+  claimId: claimId(id),
+  fingerprint: fingerprint(print),
+  holder: `holder-of-${id}`,
+  atMs,
+  bounds: BOUNDS,
+});
+const complete = (
+  key: string,
+  id: string,
+  atMs = 0,
+  answer: typeof ANSWER | undefined = ANSWER,
+): ControlCommand => ({
+  kind: 'complete',
+  key,
+  claimId: claimId(id),
+  answer,
+  atMs,
+  bounds: BOUNDS,
+});
+const release = (key: string, id: string): ControlCommand => ({
+  kind: 'release',
+  key,
+  claimId: claimId(id),
+  holder: 'h',
+  atMs: 0,
+});
+
+test('of two commands from one revision the first wins, and resends change nothing', () => {
+  const tables = createTables();
+  const first = applyCommand(tables, operator('c1', 0, 'a'));
+  const second = applyCommand(tables, operator('c2', 0, 'b')) as OperatorAnswer;
+  expect(first.kind).toEqual('accepted');
+  expect(second.kind).toEqual('conflict');
+  expect(applyCommand(tables, operator('c1', 0, 'a'))).toEqual(first);
+  expect(applyCommand(tables, operator('c2', 0, 'b'))).toEqual(second);
+  expect(tables.config.outZones).toEqual([zoneId('a')]);
+});
+
+test('a resend changes nothing even after its answer was forgotten', () => {
+  const tables = createTables();
+  applyCommand(tables, operator('first', 0, 'a'));
+  for (let index = 1; index <= MAX_KEPT_ANSWERS; index += 1) {
+    applyCommand(tables, operator(`c${index}`, index, 'b', index % 2 === 1));
+  }
+  const before = tables.config;
+  expect(applyCommand(tables, operator('first', 0, 'a')).kind).toEqual(
+    'conflict',
+  );
+  expect(tables.config).toEqual(before);
+});
+
+test('deltas rebuild the configuration, and a gap asks for the whole', () => {
+  const tables = createTables();
+  for (let index = 0; index < 40; index += 1) {
+    const isOut = index % 6 < 3;
+    applyCommand(tables, operator(`c${index}`, index, `z${index % 3}`, isOut));
+  }
+  expect(tables.config.revision).toEqual(revision(40));
+  const view = applyDeltas(EMPTY_CONFIG, deltasSince(tables, 0)!)!;
+  expect(hashConfig(view)).toEqual(tables.configHash);
+  expect(applyDeltas(EMPTY_CONFIG, deltasSince(tables, 3)!)).toEqual(undefined);
+  expect(deltasSince(tables, 99)).toEqual(undefined);
+});
+
+test('a splice of lines turns any rules text into any other', () => {
+  const text = fc
+    .array(fc.constantFrom('a', 'b', '', 'c # x: y'))
+    .map(lines => lines.join('\n'));
+  fc.assert(
+    fc.property(text, text, (before, after) => {
+      const view = {...EMPTY_CONFIG, rulesText: before};
+      expect(applyEdit(view, diffRules(before, after)).rulesText).toEqual(
+        after,
+      );
+    }),
+    {seed: 2, numRuns: 300},
+  );
+});
+
+test('a claim is granted once, and its answer is given to repeats', () => {
+  const tables = createTables();
+  expect(applyCommand(tables, claim('k', 'c1')).kind).toEqual('granted');
+  expect(applyCommand(tables, claim('k', 'c1')).kind).toEqual('granted');
+  expect(applyCommand(tables, claim('k', 'c2')).kind).toEqual('in_progress');
+  applyCommand(tables, complete('k', 'c1'));
+  expect(applyCommand(tables, claim('k', 'c2'))).toEqual({
+    kind: 'done',
+    answer: ANSWER,
+  });
+  expect(applyCommand(tables, claim('k', 'c3', 'other')).kind).toEqual(
+    'mismatch',
+  );
+});
+
+test('a released claim frees the key, and a late copy of it is refused', () => {
+  const tables = createTables();
+  applyCommand(tables, release('k', 'c1'));
+  expect(applyCommand(tables, claim('k', 'c1')).kind).toEqual('released');
+  expect(applyCommand(tables, claim('k', 'c2')).kind).toEqual('granted');
+  applyCommand(tables, release('k', 'c1'));
+  expect(applyCommand(tables, claim('k', 'c3')).kind).toEqual('in_progress');
+});
+
+test('the claims of a holder that is gone are unknown, never free', () => {
+  const tables = createTables();
+  applyCommand(tables, claim('k', 'c1'));
+  applyCommand(tables, {kind: 'abandon', holder: 'holder-of-c1', atMs: 0});
+  expect(applyCommand(tables, claim('k', 'c2')).kind).toEqual('unknown');
+  expect(applyCommand(tables, release('k', 'c1')).kind).toEqual('unknown');
+  applyCommand(tables, complete('k', 'c1'));
+  expect(applyCommand(tables, claim('k', 'c2')).kind).toEqual('done');
+});
+
+test('the ledger is bounded in records, bytes and time', () => {
+  const tables = createTables();
+  for (const id of ['1', '2', '3']) {
+    applyCommand(tables, claim(`k${id}`, id));
+    applyCommand(
+      tables,
+      complete(`k${id}`, id, 0, {...ANSWER, bodyBase64: 'x'.repeat(9)}),
+    );
+  }
+  expect(applyCommand(tables, claim('k4', '4')).kind).toEqual('full');
+  expect(applyCommand(tables, claim('k1', '5'))).toEqual({
+    kind: 'done',
+    answer: undefined,
+  });
+  expect(applyCommand(tables, claim('k4', '6', 'f', 1_001)).kind).toEqual(
+    'granted',
+  );
+  expect(tables.ledger.records.size).toEqual(1);
+});
+
+test('no order of ledger commands runs one key twice', () => {
+  const ids = ['c1', 'c2', 'c3'];
+  const command = fc.tuple(
+    fc.constantFrom('claim', 'complete', 'release', 'abandon'),
+    fc.constantFrom(...ids),
+  );
+  fc.assert(
+    fc.property(fc.array(command, {maxLength: 30}), commands => {
+      const tables = createTables();
+      const granted = new Set<string>();
+      const released = new Set<string>();
+      const holds = new Set<string>();
+      for (const [kind, id] of commands) {
+        if (kind === 'claim') {
+          const answer = applyCommand(tables, claim('k', id));
+          if (answer.kind !== 'granted') continue;
+          // A claim that was ever granted and not released blocks all others.
+          const others = [...granted].filter(
+            other => other !== id && !released.has(other),
+          );
+          expect(others).toEqual([]);
+          expect(released.has(id)).toEqual(false);
+          granted.add(id);
+          holds.add(id);
+        } else if (kind === 'release') {
+          const answer = applyCommand(tables, release('k', id)) as LedgerAnswer;
+          const record = tables.ledger.records.get('k');
+          if (answer.kind === 'recorded' && record?.claimId === id)
+            released.add(id);
+        } else if (kind === 'complete') applyCommand(tables, complete('k', id));
+        else
+          applyCommand(tables, {
+            kind: 'abandon',
+            holder: `holder-of-${id}`,
+            atMs: 0,
+          });
+      }
+    }),
+    {seed: 4, numRuns: 2_000},
+  );
+});
+
+test('a snapshot brings back every table', () => {
+  const machine = new ControlMachine();
+  machine.apply(JSON.stringify(operator('c1', 0, 'a')));
+  machine.apply(JSON.stringify(claim('k', 'c1')));
+  machine.apply(JSON.stringify(complete('k', 'c1')));
+  machine.apply(JSON.stringify(claim('j', 'c2')));
+  const copy = new ControlMachine();
+  copy.restore(machine.snapshot());
+  expect(copy.tables.config).toEqual(machine.tables.config);
+  expect([...copy.tables.ledger.records]).toEqual([
+    ...machine.tables.ledger.records,
+  ]);
+  expect(copy.tables.ledger.totalAnswerBytes).toEqual(
+    machine.tables.ledger.totalAnswerBytes,
+  );
+  expect(copy.apply(JSON.stringify(operator('c1', 0, 'a'))).kind).toEqual(
+    'accepted',
+  );
+  expect([...copy.tables.ledger.keysByHolder.keys()]).toEqual(['holder-of-c2']);
+});
+
+const GOAL = {
+  voters: 3,
+  preferredInstances: ['a', 'b', 'c'],
+  replaceAfterMs: 60_000,
+  maxLagEntries: 10,
+};
+const member = (
+  replica: string,
+  change: Partial<MemberView> = {},
+): MemberView => ({
+  replica,
+  instance: replica.split('/')[0]!,
+  zone: `zone-${replica[0]}`,
+  role: 'voter',
+  silentMs: 0,
+  lagEntries: 0,
+  ...change,
+});
+const candidate = (replica: string) => ({
+  replica,
+  instance: replica.split('/')[0]!,
+  zone: `zone-${replica[0]}`,
+});
+
+test('a whole group is left alone', () => {
+  expect(
+    planMembership(
+      [member('a/1'), member('b/1'), member('c/1')],
+      [candidate('d/1')],
+      GOAL,
+    ),
+  ).toEqual(undefined);
+});
+
+test('a silent voter goes only once its replacement has the whole log', () => {
+  const lost = [
+    member('a/1'),
+    member('b/1'),
+    member('c/1', {silentMs: 70_000}),
+  ];
+  expect(planMembership(lost, [candidate('d/1')], GOAL)).toEqual({
+    kind: 'add_learner',
+    replica: 'd/1',
+  });
+  const behind = member('d/1', {role: 'learner', lagEntries: 500});
+  expect(planMembership([...lost, behind], [], GOAL)).toEqual(undefined);
+  const ready = member('d/1', {role: 'learner'});
+  expect(planMembership([...lost, ready], [], GOAL)).toEqual({
+    kind: 'remove',
+    replica: 'c/1',
+  });
+  expect(planMembership([lost[0]!, lost[1]!, ready], [], GOAL)).toEqual({
+    kind: 'promote',
+    replica: 'd/1',
+  });
+});
+
+test('an instance that comes back with another disk takes its own place at once', () => {
+  const group = [member('a/1'), member('b/1'), member('c/1')];
+  expect(
+    planMembership(group, [candidate('d/1'), candidate('c/2')], GOAL),
+  ).toEqual({kind: 'add_learner', replica: 'c/2'});
+  const ready = member('c/2', {role: 'learner'});
+  expect(planMembership([...group, ready], [], GOAL)).toEqual({
+    kind: 'remove',
+    replica: 'c/1',
+  });
+});
--- a/packages/control/src/ledger/logic.ts
+++ b/packages/control/src/ledger/logic.ts
@@ -17,6 +17,7 @@
   ReleaseCommand,
 } from './types.js';
 
+const MAX_RELEASED_KEPT = 8;
 const RECORDED: LedgerAnswer = {kind: 'recorded'};
 
 function answerKnown(record: LedgerRecord, claimId: ClaimId): LedgerAnswer {
@@ -36,8 +37,9 @@
   const {key, claimId, fingerprint, holder, atMs, bounds} = command;
   expireRecords(table, atMs - bounds.retentionMs);
   const known = table.records.get(key);
-  const isFree = known?.state === 'released' && known.claimId !== claimId;
-  if (known && !isFree) {
+  if (known?.released.includes(claimId)) return {kind: 'released'};
+  // A key whose claim was given back is free for any other one.
+  if (known && known.state !== 'released') {
     if (known.fingerprint !== fingerprint) return {kind: 'mismatch'};
     return answerKnown(known, claimId);
   }
@@ -48,6 +50,7 @@
     holder,
     state: 'claimed',
     answer: undefined,
+    released: known?.released ?? [],
     updatedAtMs: atMs,
   });
   return {kind: 'granted'};
@@ -67,7 +70,8 @@
 function release(table: LedgerTable, command: ReleaseCommand): LedgerAnswer {
   const {key, claimId, holder, atMs} = command;
   const known = table.records.get(key);
-  if (known && known.claimId !== claimId) return RECORDED;
+  if (known && known.claimId !== claimId)
+    return noteReleased(table, command, known);
   if (known?.state === 'done') return {kind: 'done', answer: known.answer};
   if (known?.state === 'unknown') return {kind: 'unknown'};
   // Without a record the claim itself may still be on its way: the released
@@ -78,11 +82,26 @@
     holder,
     state: 'released',
     answer: undefined,
+    released: [...(known?.released ?? []), claimId].slice(-MAX_RELEASED_KEPT),
     updatedAtMs: atMs,
   });
   return RECORDED;
 }
 
+/** Another claim has the key: this one may never get it any more. */
+function noteReleased(
+  table: LedgerTable,
+  command: ReleaseCommand,
+  known: LedgerRecord,
+): LedgerAnswer {
+  const released = [...known.released, command.claimId];
+  putRecord(table, command.key, {
+    ...known,
+    released: released.slice(-MAX_RELEASED_KEPT),
+  });
+  return RECORDED;
+}
+
 function forget(table: LedgerTable, command: ForgetCommand): LedgerAnswer {
   const known = table.records.get(command.key);
   if (known?.claimId !== command.claimId || known.state !== 'claimed') {
--- a/packages/control/src/ledger/types.ts
+++ b/packages/control/src/ledger/types.ts
@@ -24,6 +24,8 @@
   readonly state: ClaimState;
   /** Missing while in progress, and after the answer was dropped for room. */
   readonly answer: StoredAnswer | undefined;
+  /** The latest claims of this key that were given back; late copies of them are refused. */
+  readonly released: readonly ClaimId[];
   readonly updatedAtMs: number;
 }
 
--- /dev/null
+++ b/packages/policy/src/decisions.spec.ts
@@ -0,0 +1,342 @@
+/** Tests of the smaller decisions: order, lengths, queues, suspects, retries. */
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {test} from 'node:test';
+import {
+  fingerprint,
+  generationId,
+  requestId,
+  targetId,
+  workspaceId,
+  zoneId,
+} from '@samphirefield/core';
+import {
+  acceptEvent,
+  chooseTarget,
+  createBudget,
+  createHistogram,
+  createQuarantine,
+  createQueue,
+  createSequencer,
+  decideAfterFailure,
+  enqueue,
+  expectedRestTokens,
+  expireSuspects,
+  headsInOrder,
+  holdsPrefix,
+  recordCacheEvents,
+  recordDeath,
+  recordLength,
+  recordSuccess,
+  remove,
+  spendRetry,
+  start,
+  suspicionOf,
+  type CacheTable,
+  type Candidate,
+  type TrySituation,
+} from './index.js';
+
+const GENERATION = generationId('g');
+
+test('any order and any duplicates come out once and in order', () => {
+  const deliveries = fc.shuffledSubarray(
+    Array.from({length: 60}, (_, index) => index % 30),
+    {minLength: 60},
+  );
+  fc.assert(
+    fc.property(deliveries, order => {
+      const state = createSequencer<number>(undefined, 0);
+      const out = order.flatMap(sequence => [
+        ...acceptEvent(state, {
+          generation: GENERATION,
+          sequence,
+          payload: sequence,
+        })._unsafeUnwrap(),
+      ]);
+      expect(out).toEqual(Array.from({length: 30}, (_, index) => index));
+    }),
+    {seed: 5, numRuns: 200},
+  );
+});
+
+test('an event of another generation is refused', () => {
+  const state = createSequencer<string>(GENERATION, 0);
+  const event = {generation: generationId('other'), sequence: 0, payload: 'x'};
+  expect(acceptEvent(state, event)._unsafeUnwrapErr().kind).toEqual(
+    'foreign_generation',
+  );
+});
+
+test('an event far ahead does not fill the memory', () => {
+  const state = createSequencer<string>(GENERATION, 0);
+  const event = {generation: GENERATION, sequence: 5_000, payload: 'x'};
+  expect(acceptEvent(state, event)._unsafeUnwrapErr().kind).toEqual(
+    'window_exceeded',
+  );
+});
+
+test('the longer an output of a heavy tail has run, the more is left', () => {
+  const histogram = createHistogram();
+  for (let index = 0; index < 900; index += 1) recordLength(histogram, 100);
+  for (let index = 0; index < 100; index += 1) recordLength(histogram, 8_000);
+  const atStart = expectedRestTokens(histogram, 0);
+  expect(atStart > 700 && atStart < 1_100).toEqual(true);
+  expect(expectedRestTokens(histogram, 200) > 6_000).toEqual(true);
+  expect(expectedRestTokens(histogram, 50_000) > 0).toEqual(true);
+});
+
+function queueOf(...requests: Array<[string, string, number, number]>) {
+  const queue = createQueue();
+  for (const [id, workspace, priority, enqueuedAtMs] of requests) {
+    enqueue(
+      queue,
+      {
+        request: requestId(id),
+        workspace: workspaceId(workspace),
+        weight: 1,
+        priority,
+        costTokens: 100,
+        enqueuedAtMs,
+      },
+      100,
+      100,
+    );
+  }
+  return queue;
+}
+
+test('one workspace with many requests does not hold up another', () => {
+  const queue = queueOf(
+    ['a1', 'a', 5, 0],
+    ['a2', 'a', 5, 0],
+    ['a3', 'a', 5, 0],
+    ['b1', 'b', 5, 0],
+  );
+  const order: string[] = [];
+  while (queue.size > 0) {
+    const [head] = headsInOrder(queue, 0);
+    start(queue, head!);
+    order.push(head!.request);
+  }
+  expect(order.indexOf('b1') < 2).toEqual(true);
+});
+
+test('priority goes first, and waiting raises it', () => {
+  const queue = queueOf(['low', 'a', 6, 0], ['high', 'b', 4, 5_900]);
+  expect(headsInOrder(queue, 5_900)[0]!.request).toEqual(requestId('high'));
+  expect(headsInOrder(queue, 6_100)[0]!.request).toEqual(requestId('low'));
+});
+
+test('queues are bounded, and what was given up is gone', () => {
+  const queue = queueOf(['a1', 'a', 5, 0]);
+  const more = {
+    request: requestId('a2'),
+    workspace: workspaceId('a'),
+    weight: 1,
+    priority: 5,
+    costTokens: 1,
+    enqueuedAtMs: 0,
+  };
+  expect(enqueue(queue, more, 1, 9)._unsafeUnwrapErr().kind).toEqual(
+    'queue_full',
+  );
+  expect(enqueue(queue, more, 9, 1)._unsafeUnwrapErr().kind).toEqual(
+    'workspace_queue_full',
+  );
+  expect(remove(queue, workspaceId('a'), requestId('a1'))).toEqual(true);
+  expect(queue.size).toEqual(0);
+});
+
+const POISON = fingerprint('poison');
+const INNOCENT = fingerprint('innocent');
+
+test('a request that kills two targets is quarantined, its neighbours are not', () => {
+  const table = createQuarantine();
+  recordDeath(table, 't1/i', [POISON, INNOCENT], 0);
+  expect(suspicionOf(table, INNOCENT)).toEqual('suspect');
+  recordSuccess(table, INNOCENT);
+  recordDeath(table, 't2/i', [POISON, fingerprint('third')], 10);
+  expect(suspicionOf(table, POISON)).toEqual('quarantined');
+  expect(suspicionOf(table, INNOCENT)).toEqual('clear');
+  expect(suspicionOf(table, fingerprint('third'))).toEqual('suspect');
+  expireSuspects(table, 1_000, 500);
+  expect(suspicionOf(table, POISON)).toEqual('clear');
+});
+
+test('two suspects that died together twice are told apart by a third death', () => {
+  const table = createQuarantine();
+  recordDeath(table, 't1/i', [POISON, INNOCENT], 0);
+  recordDeath(table, 't2/i', [POISON, INNOCENT], 0);
+  expect(suspicionOf(table, POISON)).toEqual('suspect');
+  recordDeath(table, 't3/i', [POISON], 0);
+  expect(suspicionOf(table, POISON)).toEqual('quarantined');
+  expect(suspicionOf(table, INNOCENT)).toEqual('suspect');
+});
+
+test('the same death told twice counts once', () => {
+  const table = createQuarantine();
+  recordDeath(table, 't1/i', [POISON], 0);
+  recordDeath(table, 't1/i', [POISON], 0);
+  expect(suspicionOf(table, POISON)).toEqual('suspect');
+});
+
+const LOST: TrySituation = {
+  failure: 'lost',
+  isEngine: true,
+  mayRepeat: true,
+  hasForwarded: false,
+  hasGeneration: false,
+  resumesLeft: 4,
+  triesLeft: 2,
+  hasBudget: true,
+};
+const next = (change: Partial<TrySituation>) =>
+  decideAfterFailure({...LOST, ...change}).kind;
+
+test('a second generation starts only while the caller has seen nothing', () => {
+  expect(next({})).toEqual('try_another');
+  expect(next({hasForwarded: true})).toEqual('answer_incomplete');
+  expect(next({hasForwarded: true, hasGeneration: true})).toEqual('resume');
+  expect(
+    next({hasForwarded: true, hasGeneration: true, resumesLeft: 0}),
+  ).toEqual('answer_incomplete');
+});
+
+test('what may not be repeated runs again only if it certainly did not run', () => {
+  const once = {isEngine: false, mayRepeat: false};
+  expect(next({...once, failure: 'lost'})).toEqual('answer_unknown');
+  expect(next({...once, failure: 'silent'})).toEqual('answer_unknown');
+  expect(next({...once, failure: 'not_sent'})).toEqual('try_another');
+  expect(next({...once, failure: 'refused', triesLeft: 0})).toEqual(
+    'answer_not_run',
+  );
+});
+
+test('in no situation is "not run" said of what may have run', () => {
+  const situation = fc.record({
+    failure: fc.constantFrom(
+      'lost',
+      'silent',
+      'failed',
+      'broken_sequence',
+    ) as fc.Arbitrary<TrySituation['failure']>,
+    isEngine: fc.boolean(),
+    mayRepeat: fc.boolean(),
+    hasForwarded: fc.boolean(),
+    hasGeneration: fc.boolean(),
+    resumesLeft: fc.nat(2),
+    triesLeft: fc.nat(2),
+    hasBudget: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(situation, item => {
+      const {kind} = decideAfterFailure(item);
+      expect(kind === 'answer_not_run').toEqual(false);
+      if (!item.mayRepeat) expect(kind === 'try_another').toEqual(false);
+      if (item.hasForwarded) expect(kind === 'try_another').toEqual(false);
+    }),
+    {seed: 9, numRuns: 500},
+  );
+});
+
+test('retries are bounded by a budget', () => {
+  const budget = createBudget();
+  let spent = 0;
+  while (spendRetry(budget)) spent += 1;
+  expect(spent).toEqual(20);
+});
+
+function candidate(target: string, change: Partial<Candidate> = {}): Candidate {
+  return {
+    target: targetId(target),
+    zone: zoneId('z'),
+    isOutOfService: false,
+    isLeaving: false,
+    isAvoided: false,
+    holdsModel: true,
+    freeSlots: 4,
+    freeKvTokens: 1_000,
+    runningRequests: 2,
+    slots: 8,
+    kvUsedTokens: 100,
+    kvTokens: 10_000,
+    holdsPrefix: false,
+    runsSuspect: false,
+    ...change,
+  };
+}
+const REQUEST = {
+  kvNeedTokens: 500,
+  prefix: '',
+  isSuspect: false,
+  excluded: new Set<never>(),
+};
+
+test('a target without room, out of service or leaving is never chosen', () => {
+  const decision = chooseTarget(
+    [
+      candidate('a', {isOutOfService: true}),
+      candidate('b', {isLeaving: true}),
+      candidate('c', {freeSlots: 0}),
+      candidate('d', {freeKvTokens: 499}),
+    ],
+    REQUEST,
+  );
+  expect(decision).toEqual({
+    kind: 'none',
+    rejected: [
+      {target: targetId('a'), reason: 'out_of_service'},
+      {target: targetId('b'), reason: 'leaving'},
+      {target: targetId('c'), reason: 'no_free_slot'},
+      {target: targetId('d'), reason: 'no_free_memory'},
+    ],
+  });
+});
+
+test('the least loaded target is chosen, by memory as well as by slots', () => {
+  const decision = chooseTarget(
+    [
+      candidate('full', {kvUsedTokens: 9_000}),
+      candidate('busy', {runningRequests: 6}),
+      candidate('free'),
+    ],
+    REQUEST,
+  );
+  expect(decision.kind === 'chosen' && decision.target).toEqual(
+    targetId('free'),
+  );
+});
+
+test('a cached prefix is followed until its target is crowded', () => {
+  const prefixed = {...REQUEST, prefix: 'p'};
+  const others = [candidate('x'), candidate('y')];
+  const follow = chooseTarget(
+    [...others, candidate('c', {holdsPrefix: true})],
+    prefixed,
+  );
+  expect(follow.kind === 'chosen' && follow.reason).toEqual('prefix_cached');
+  const crowded = chooseTarget(
+    [...others, candidate('c', {holdsPrefix: true, runningRequests: 8})],
+    prefixed,
+  );
+  expect(crowded.kind === 'chosen' && crowded.target !== targetId('c')).toEqual(
+    true,
+  );
+});
+
+test('a gap in the cache events voids what was known', () => {
+  const table: CacheTable = new Map();
+  const target = targetId('t');
+  recordCacheEvents(table, target, 0, [{kind: 'stored', prefix: 'a'}]);
+  recordCacheEvents(table, target, 0, [
+    {kind: 'stored', prefix: 'a'},
+    {kind: 'stored', prefix: 'b'},
+  ]);
+  expect(
+    holdsPrefix(table, target, 'a') && holdsPrefix(table, target, 'b'),
+  ).toEqual(true);
+  recordCacheEvents(table, target, 5, [{kind: 'stored', prefix: 'c'}]);
+  expect(holdsPrefix(table, target, 'a')).toEqual(false);
+  expect(holdsPrefix(table, target, 'c')).toEqual(true);
+});
