Compare the body before answering a repeat from the ledger

Cause: a repeat with the same key and another body got the stored answer: the look-up before the claim did not compare fingerprints (first run of the test).

Ruled out: the claim itself, which compares them.

Change: the look-up takes the fingerprint. Tests of non-repeatable calls under lost answers, refusals, deaths of targets, entries and leaders and without a ledger; tests of cold, turning and leaving targets, poison, queues and announcements.

--- a/packages/control/src/ledger/logic.ts
+++ b/packages/control/src/ledger/logic.ts
@@ -1,5 +1,5 @@
 /** Applies ledger commands. Every command may come twice and late. */
-import type {ClaimId} from '@samphirefield/core';
+import type {ClaimId, Fingerprint} from '@samphirefield/core';
 import {
   dropOldAnswers,
   expireRecords,
@@ -146,12 +146,17 @@
   }
 }
 
-/** Looks a key up without claiming it. */
+/** Looks a key up for a request, without claiming it. */
 export function lookUp(
   table: LedgerTable,
   key: string,
-  claimId: ClaimId,
+  fingerprint: Fingerprint,
 ): LedgerAnswer | undefined {
   const record = table.records.get(key);
-  return record && answerKnown(record, claimId);
+  if (record === undefined) return undefined;
+  if (record.state === 'released') return {kind: 'released'};
+  if (record.fingerprint !== fingerprint) return {kind: 'mismatch'};
+  return record.state === 'claimed'
+    ? {kind: 'in_progress'}
+    : answerKnown(record, record.claimId);
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -102,7 +102,7 @@
   server.register(
     'ledger.peek',
     peekSchema,
-    ({key}) => host?.peek(key) ?? NO_VOTER,
+    ({key, fingerprint}) => host?.peek(key, fingerprint) ?? NO_VOTER,
   );
   server.register(
     'operator.command',
--- /dev/null
+++ b/packages/daemon/src/entry/bearing.spec.ts
@@ -0,0 +1,238 @@
+/** What targets bear: cold starts, turns, leaving, poison, fairness, announcements. */
+import {expect} from 'earl';
+import {test} from 'node:test';
+import {request} from 'undici';
+import {FakeEngine, type FakeEngineOptions} from '@samphirefield/fakes';
+import {
+  API_KEY,
+  expectedWords,
+  generation,
+  KEY,
+  post,
+  readStream,
+  RULES,
+  TestDeployment,
+  waitFor,
+  type DeploymentOptions,
+} from '../testing/index.js';
+
+const CHAT = '/v1/chat/completions';
+type StartEngine = (
+  target: string,
+  options?: Partial<FakeEngineOptions>,
+) => Promise<FakeEngine>;
+
+async function withEngines(
+  options: DeploymentOptions,
+  run: (deployment: TestDeployment, start: StartEngine) => Promise<void>,
+): Promise<void> {
+  const deployment = await TestDeployment.start({
+    voters: 1,
+    entries: 1,
+    ...options,
+  });
+  const engines: FakeEngine[] = [];
+  const start: StartEngine = async (target, change = {}) => {
+    const engine = await FakeEngine.start({
+      target,
+      zone: 'zone-a',
+      service: 'models',
+      models: [{model: 'large', version: '1'}],
+      daemons: deployment.internalUrls,
+      key: KEY,
+      announceMs: 100,
+      speed: 4,
+      ...change,
+    });
+    engines.push(engine);
+    return engine;
+  };
+  try {
+    await run(deployment, start);
+  } finally {
+    await Promise.all(engines.map(engine => engine.die()));
+    await deployment.close();
+  }
+}
+
+test('a cold target is never given more than it bears, by all entries together', async () => {
+  await withEngines({}, async (deployment, start) => {
+    const engine = await start('cold', {
+      isWarm: false,
+      config: {warmUpSteps: 120, coldSlots: 2},
+    });
+    await deployment.waitForTargets(['cold']);
+    const answers = await Promise.all(
+      Array.from({length: 24}, (_, index) =>
+        post(
+          deployment.daemons[index % 2]!,
+          CHAT,
+          generation(15, true, `${index}`),
+        ),
+      ),
+    );
+    for (const answer of answers)
+      expect(readStream(answer.text).words).toEqual(expectedWords(15));
+    expect(engine.engine.mostWhileCold <= 2).toEqual(true);
+    expect(engine.started).toEqual(24);
+  });
+});
+
+test('a warm target that turned cold gets no more than its cold limit once that is known', async () => {
+  await withEngines({}, async (deployment, start) => {
+    const engine = await start('t', {config: {warmUpSteps: 1_000_000}});
+    await deployment.waitForTargets(['t']);
+    engine.turnCold();
+    await waitFor(
+      'the leader knows',
+      async () => (await deployment.status()).targets[0]!.grantedSlots <= 2,
+    );
+    engine.engine.mostWhileCold = 0;
+    await Promise.all(
+      Array.from({length: 12}, (_, index) =>
+        post(
+          deployment.daemons[index % 2]!,
+          CHAT,
+          generation(5, true, `${index}`),
+        ),
+      ),
+    );
+    expect(engine.engine.mostWhileCold <= 2).toEqual(true);
+  });
+});
+
+test('a target that is leaving gets no new work, and its streams end whole', async () => {
+  await withEngines({}, async (deployment, start) => {
+    const leaving = await start('leaving');
+    await deployment.waitForTargets(['leaving']);
+    const running = post(deployment.daemons[0]!, CHAT, generation(250, true));
+    await waitFor('it runs', () => leaving.engine.running.size === 1);
+    const staying = await start('staying');
+    await deployment.waitForTargets(['staying']);
+    leaving.isLeavingInMs = 20_000;
+    await leaving.announce();
+    await waitFor('nothing is granted on it', async () => {
+      const row = (await deployment.status()).targets.find(
+        target => target.target === 'leaving',
+      )!;
+      return row.bearsSlots === 0 && row.grantedSlots <= 1;
+    });
+    const started = leaving.started;
+    for (let index = 0; index < 6; index += 1) {
+      await post(
+        deployment.daemons[index % 2]!,
+        CHAT,
+        generation(3, true, `${index}`),
+      );
+    }
+    expect(leaving.started).toEqual(started);
+    expect(staying.started).toEqual(6);
+    expect(readStream((await running).text).words).toEqual(expectedWords(250));
+  });
+});
+
+test('a poison request dies alone, and its neighbours are served', async () => {
+  const settings = '[timing]\nstream_silence_ms = 700';
+  await withEngines({settings}, async (deployment, start) => {
+    const engines = await Promise.all(
+      ['p1', 'p2', 'p3', 'p4'].map(target => start(target)),
+    );
+    for (const engine of engines) engine.faults.poison = 'poison-text';
+    await deployment.waitForTargets(['p1', 'p2', 'p3', 'p4']);
+    const neighbours = Array.from({length: 6}, (_, index) =>
+      post(
+        deployment.daemons[index % 2]!,
+        CHAT,
+        generation(150, false, `neighbour ${index}`),
+      ),
+    );
+    await waitFor(
+      'they run',
+      () =>
+        engines.reduce((sum, engine) => sum + engine.engine.running.size, 0) ===
+        6,
+    );
+    const poison = generation(5, true, 'poison-text');
+    const first = await post(deployment.daemons[0]!, CHAT, poison);
+    expect(first.status >= 400).toEqual(true);
+    const dead = async () => {
+      const alive = await Promise.all(
+        engines.map(engine =>
+          request(`${engine.url}/healthz`).then(
+            r => r.body.dump().then(() => true),
+            () => false,
+          ),
+        ),
+      );
+      return alive.filter(isAlive => !isAlive).length;
+    };
+    // It comes again, at once and through the other entry.
+    for (let index = 0; index < 6; index += 1) {
+      const again = await post(
+        deployment.daemons[(index + 1) % 2]!,
+        CHAT,
+        poison,
+      );
+      expect(again.status >= 400).toEqual(true);
+    }
+    const refused = await post(deployment.daemons[1]!, CHAT, poison);
+    expect(
+      (JSON.parse(refused.text) as {error: {code: string}}).error.code,
+    ).toEqual('quarantined');
+    expect((await dead()) <= 2).toEqual(true);
+    for (const answer of await Promise.all(neighbours)) {
+      const body = JSON.parse(answer.text) as {
+        choices: Array<{message: {content: string}}>;
+      };
+      expect(body.choices[0]!.message.content.trim().split(' ')).toEqual(
+        expectedWords(150),
+      );
+    }
+  });
+});
+
+test('queues are bounded and shed with Retry-After', async () => {
+  const rules = RULES.replace('path=/v1 queue=500', 'path=/v1 queue=2');
+  await withEngines({entries: 0, rules}, async (deployment, start) => {
+    await start('small', {config: {slots: 1, coldSlots: 1}});
+    await deployment.waitForTargets(['small']);
+    const answers = await Promise.all(
+      Array.from({length: 8}, (_, index) =>
+        post(deployment.daemons[0]!, CHAT, generation(20, true, `${index}`)),
+      ),
+    );
+    const shed = answers.filter(answer => answer.status === 429);
+    expect(answers.filter(answer => answer.status === 200).length).toEqual(3);
+    expect(shed.length).toEqual(5);
+    for (const answer of shed) {
+      expect(answer.headers['retry-after']).toEqual('2');
+      expect((JSON.parse(answer.text) as {not_run: boolean}).not_run).toEqual(
+        true,
+      );
+    }
+  });
+});
+
+test('announcements are checked, and only with the key of targets', async () => {
+  await withEngines({entries: 0}, async deployment => {
+    const announce = async (key: string, body: string) => {
+      const response = await request(
+        `${deployment.daemons[0]!.internalUrl}/targets/announce`,
+        {
+          method: 'POST',
+          headers: {
+            authorization: `Bearer ${key}`,
+            'content-type': 'application/json',
+          },
+          body,
+        },
+      );
+      return {status: response.statusCode, text: await response.body.text()};
+    };
+    expect((await announce('wrong', '{}')).status).toEqual(401);
+    expect((await announce(API_KEY, '{}')).status).toEqual(401);
+    expect((await announce(KEY, '{')).status).toEqual(400);
+    const wrong = await announce(KEY, JSON.stringify({target: 't', slots: -1}));
+    expect(wrong.status).toEqual(400);
+  });
+});
--- a/packages/daemon/src/plain/claims.ts
+++ b/packages/daemon/src/plain/claims.ts
@@ -76,12 +76,13 @@
 
   async peek(
     key: string,
+    fingerprint: Fingerprint,
   ): Promise<Result<LedgerAnswer | undefined, ClaimError>> {
     const {control, clock} = this.options;
     const deadlineMs = clock.nowMs() + CLAIM_DEADLINE_MS;
     const answer = await control.callLeader<
       ApplyAnswer<LedgerAnswer | undefined>
-    >('ledger.peek', {key}, deadlineMs);
+    >('ledger.peek', {key, fingerprint}, deadlineMs);
     if (answer.isErr() || answer.value.kind !== 'applied')
       return err({kind: 'ledger_unreachable'});
     return ok(answer.value.answer);
--- a/packages/daemon/src/plain/once.ts
+++ b/packages/daemon/src/plain/once.ts
@@ -87,7 +87,10 @@
   }
 
   async run(): Promise<Result<PlainAnswer, ApiError>> {
-    const known = await this.options.claims.peek(this.held.key);
+    const known = await this.options.claims.peek(
+      this.held.key,
+      this.request.fingerprint,
+    );
     if (known.isErr()) return err(LEDGER_DOWN);
     if (known.value && known.value.kind !== 'released')
       return this.fromLedger(known.value);
@@ -150,7 +153,7 @@
       if (deps.clock.nowMs() > deadlineMs || this.callerLeft.aborted)
         return err(STILL_RUNNING);
       await delay(POLL_MS);
-      const peeked = await claims.peek(this.held.key);
+      const peeked = await claims.peek(this.held.key, this.request.fingerprint);
       if (peeked.isOk()) answer = peeked.value;
     }
     return this.settle(answer);
--- a/packages/daemon/src/rpc/schemas.ts
+++ b/packages/daemon/src/rpc/schemas.ts
@@ -200,7 +200,10 @@
   z.object({kind: z.literal('abandon'), holder: z.string(), atMs: timeMs}),
 ]);
 
-export const peekSchema = z.object({key: z.string().min(1).max(1_024)});
+export const peekSchema = z.object({
+  key: z.string().min(1).max(1_024),
+  fingerprint: id<Fingerprint>(),
+});
 
 export const operatorChangeSchema = z.discriminatedUnion('kind', [
   z.object({kind: z.literal('apply_rules'), text: z.string().max(MAX_TEXT)}),
--- a/packages/daemon/src/voter/voter-host.ts
+++ b/packages/daemon/src/voter/voter-host.ts
@@ -6,6 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {
   parseRules,
+  type Fingerprint,
   formatRuleError,
   type Logger,
   type Settings,
@@ -248,9 +249,9 @@
     return result as ApplyAnswer<LedgerAnswer>;
   }
 
-  peek(key: string): ApplyAnswer<LedgerAnswer | undefined> {
+  peek(key: string, print: Fingerprint): ApplyAnswer<LedgerAnswer | undefined> {
     if (this.lead() === undefined) return this.notLeader();
-    const answer = lookUp(this.machine.tables.ledger, key, '' as never);
+    const answer = lookUp(this.machine.tables.ledger, key, print);
     return {kind: 'applied', answer};
   }
 
