Measure what a daemon adds to a stream

Cause: no figure stood behind the entry's cost.

Change: npm run bench:entry: direct and through one daemon in one run, then saturation and memory of open streams.

--- /dev/null
+++ b/packages/bench/src/deployment.ts
@@ -0,0 +1,239 @@
+/** A deployment of daemon processes for benchmarks. */
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import {sha256Hex} from '@samphirefield/core';
+import {
+  freePort,
+  ProcessGroup,
+  usageOf,
+  waitFor,
+  type Usage,
+} from './processes.js';
+
+export const KEY = 'a-key-for-benchmarks';
+export const API_KEY = 'api-key-for-benchmarks';
+const daemonBin = fileURLToPath(
+  new URL('../../daemon/dist/bin.js', import.meta.url),
+);
+
+export interface BenchDaemon {
+  readonly id: string;
+  readonly callersUrl: string;
+  readonly internalUrl: string;
+  readonly pid: number;
+}
+
+export function baseRules(workspaces: number): string {
+  const lines = [
+    'zone zone-a # bench: the only zone',
+    'service models kind=engine path=/v1 queue=100000 # bench: streams',
+    'service desk kind=plain path=/orders queue=100000 # bench: orders',
+    'once service=desk method=POST path=/orders # bench: claims',
+    'model large service=models # bench: the model',
+    `workspace bench key-sha256=${sha256Hex(API_KEY)} # bench: the caller`,
+  ];
+  for (let number = 1; number < workspaces; number += 1) {
+    lines.push(
+      `workspace w${number} key-sha256=${sha256Hex(`w${number}`)} weight=2 # bench: one of many`,
+    );
+  }
+  return `${lines.join('\n')}\n`;
+}
+
+function settingsText(
+  daemon: {id: string; callersPort: number; internalPort: number},
+  voters: ReadonlyArray<{id: string; internalPort: number}>,
+  dataFolder: string | undefined,
+  extra: string,
+): string {
+  const lines = [
+    '[instance]',
+    `id = "${daemon.id}"`,
+    'zone = "zone-a"',
+    'deployment = "bench"',
+    '[callers]',
+    'address = "127.0.0.1"',
+    `port = ${daemon.callersPort}`,
+    '[internal]',
+    'address = "127.0.0.1"',
+    `port = ${daemon.internalPort}`,
+    '[cluster]',
+    `key = "${KEY}"`,
+    ...voters.flatMap(voter => [
+      '[[cluster.voters]]',
+      `id = "${voter.id}"`,
+      'address = "127.0.0.1"',
+      `port = ${voter.internalPort}`,
+    ]),
+    '[targets]',
+    `key = "${KEY}"`,
+    '[operators]',
+    `key = "${KEY}"`,
+    ...(dataFolder ? ['[voter]', `data_folder = "${dataFolder}"`] : []),
+    '[log]',
+    'level = "warn"',
+    extra,
+  ];
+  return lines.join('\n');
+}
+
+export interface BenchOptions {
+  readonly voters: number;
+  readonly entries: number;
+  readonly workspaces?: number;
+  readonly settings?: string;
+}
+
+export class BenchDeployment {
+  readonly daemons: BenchDaemon[] = [];
+  private nextCommand = 1;
+
+  private constructor(readonly processes: ProcessGroup) {}
+
+  static async start(options: BenchOptions): Promise<BenchDeployment> {
+    const deployment = new BenchDeployment(new ProcessGroup());
+    const plans = await Promise.all(
+      Array.from(
+        {length: options.voters + options.entries},
+        async (_, index) => ({
+          id: `d${index}`,
+          isVoter: index < options.voters,
+          callersPort: await freePort(),
+          internalPort: await freePort(),
+        }),
+      ),
+    );
+    const voters = plans.filter(plan => plan.isVoter);
+    for (const plan of plans)
+      deployment.startDaemon(plan, voters, options.settings ?? '');
+    await Promise.all(
+      deployment.daemons.map(daemon =>
+        deployment.waitForPath(daemon, '/healthz'),
+      ),
+    );
+    await deployment.operate('POST', '/operator/bootstrap', {});
+    await deployment.applyRules(baseRules(options.workspaces ?? 1));
+    await Promise.all(
+      deployment.daemons.map(daemon =>
+        deployment.waitForPath(daemon, '/readyz'),
+      ),
+    );
+    await waitFor('all voters', async () => {
+      const status = await deployment.operate<{members: Array<{role: string}>}>(
+        'GET',
+        '/operator/status',
+      );
+      return (
+        status.members.filter(member => member.role === 'voter').length ===
+        options.voters
+      );
+    });
+    return deployment;
+  }
+
+  get internalUrls(): string[] {
+    return this.daemons.map(daemon => daemon.internalUrl);
+  }
+
+  async operate<Body>(
+    method: 'GET' | 'POST',
+    path: string,
+    body?: unknown,
+  ): Promise<Body> {
+    const response = await request(`${this.daemons[0]!.internalUrl}${path}`, {
+      method,
+      headers: {
+        authorization: `Bearer ${KEY}`,
+        'content-type': 'application/json',
+      },
+      body: body === undefined ? undefined : JSON.stringify(body),
+    });
+    return (await response.body.json()) as Body;
+  }
+
+  async change(change: object): Promise<number> {
+    let revision = 0;
+    const commandId = `bench-${this.nextCommand}`;
+    this.nextCommand += 1;
+    await waitFor('a change is accepted', async () => {
+      const config = await this.operate<{revision?: number}>(
+        'GET',
+        '/operator/config',
+      );
+      const answer = await this.operate<{
+        answer?: {kind: string; revision: number};
+      }>('POST', '/operator/command', {
+        commandId,
+        baseRevision: config.revision,
+        operator: 'bench',
+        isUnseenAllowed: true,
+        change,
+      });
+      revision = answer.answer?.revision ?? 0;
+      return (
+        answer.answer?.kind === 'accepted' ||
+        answer.answer?.kind === 'unchanged'
+      );
+    });
+    return revision;
+  }
+
+  applyRules(text: string): Promise<number> {
+    return this.change({kind: 'apply_rules', text});
+  }
+
+  async waitUntilInForce(): Promise<void> {
+    await waitFor(
+      'a change is in force',
+      async () =>
+        (await this.operate<{isInForce: boolean}>('GET', '/operator/status'))
+          .isInForce,
+    );
+  }
+
+  usages(): Usage[] {
+    return this.daemons.map(daemon => usageOf(daemon.pid));
+  }
+
+  close(): Promise<void> {
+    return this.processes.close();
+  }
+
+  private startDaemon(
+    plan: {
+      id: string;
+      isVoter: boolean;
+      callersPort: number;
+      internalPort: number;
+    },
+    voters: ReadonlyArray<{id: string; internalPort: number}>,
+    extra: string,
+  ): void {
+    const dataFolder = plan.isVoter
+      ? join(this.processes.folder, plan.id)
+      : undefined;
+    const file = this.processes.write(
+      `${plan.id}.toml`,
+      settingsText(plan, voters, dataFolder, extra),
+    );
+    const child = this.processes.start(plan.id, daemonBin, [
+      '--settings',
+      file,
+    ]);
+    this.daemons.push({
+      id: plan.id,
+      callersUrl: `http://127.0.0.1:${plan.callersPort}`,
+      internalUrl: `http://127.0.0.1:${plan.internalPort}`,
+      pid: child.pid!,
+    });
+  }
+
+  private waitForPath(daemon: BenchDaemon, path: string): Promise<void> {
+    return waitFor(`${daemon.id} ${path}`, async () => {
+      const response = await request(`${daemon.callersUrl}${path}`);
+      await response.body.dump();
+      return response.statusCode === 200;
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/entry.ts
@@ -0,0 +1,216 @@
+/**
+ * npm run bench:entry: what a daemon adds to a stream, and what it carries.
+ * Direct to the targets and through one daemon, in one run.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {API_KEY, BenchDeployment, KEY} from './deployment.js';
+import {usageOf} from './processes.js';
+import type {LoadReport} from './stream-load.js';
+
+const RATE_PER_S = 65;
+const TOKENS_PER_REQUEST = 226;
+const INTERVAL_MS = 79;
+const SECONDS = 40;
+const WARM_UP_SECONDS = 5;
+const TARGETS = 2;
+const FLOOD_STREAMS = 16;
+const FLOOD_TOKENS = 60_000;
+const OPEN_STREAMS = 2_000;
+const script = (name: string) =>
+  fileURLToPath(new URL(`${name}.js`, import.meta.url));
+const round = (value: number, digits = 2) => Number(value.toFixed(digits));
+
+async function startTargets(
+  deployment: BenchDeployment,
+  count: number,
+  intervalMs: number,
+): Promise<string[]> {
+  const targets = await Promise.all(
+    Array.from({length: count}, (_, index) =>
+      deployment.processes.run<{url: string}>(
+        `target-${intervalMs}-${index}`,
+        script('stream-target'),
+        [
+          `t-${intervalMs}-${index}`,
+          KEY,
+          `${intervalMs}`,
+          ...deployment.internalUrls,
+        ],
+      ),
+    ),
+  );
+  await delay(4_500);
+  return targets.map(target => target.url);
+}
+
+/** Load from one process per target, so that both ways have the same clients. */
+async function load(
+  deployment: BenchDeployment,
+  urls: readonly string[],
+  rate: number,
+  tokens: number,
+  seconds: number,
+): Promise<LoadReport[]> {
+  return Promise.all(
+    urls.map((url, index) =>
+      deployment.processes.run<LoadReport>(
+        `load-${index}`,
+        script('stream-load'),
+        [url, API_KEY, `${rate / urls.length}`, `${tokens}`, `${seconds}`],
+      ),
+    ),
+  );
+}
+
+function worst(
+  reports: readonly LoadReport[],
+  kind: 'firstTokenMs' | 'betweenTokensMs',
+  quantile: 'p50' | 'p95' | 'p99',
+): number {
+  return Math.max(...reports.map(report => report[kind][quantile]));
+}
+
+const total = (
+  reports: readonly LoadReport[],
+  key: 'tokens' | 'failures' | 'requests',
+) => reports.reduce((sum, report) => sum + report[key], 0);
+
+async function measureAdded(deployment: BenchDeployment): Promise<object> {
+  const urls = await startTargets(deployment, TARGETS, INTERVAL_MS);
+  const [daemon] = deployment.daemons;
+  const through = urls.map(() => daemon!.callersUrl);
+  await load(
+    deployment,
+    through,
+    RATE_PER_S,
+    TOKENS_PER_REQUEST,
+    WARM_UP_SECONDS,
+  );
+  const direct = await load(
+    deployment,
+    urls,
+    RATE_PER_S,
+    TOKENS_PER_REQUEST,
+    SECONDS,
+  );
+  const before = usageOf(daemon!.pid);
+  const startedAt = performance.now();
+  const loading = load(
+    deployment,
+    through,
+    RATE_PER_S,
+    TOKENS_PER_REQUEST,
+    SECONDS,
+  );
+  // The middle of the run, with all streams open.
+  await delay(20_000);
+  const start = {usage: usageOf(daemon!.pid), at: performance.now()};
+  await delay(15_000);
+  const end = {usage: usageOf(daemon!.pid), at: performance.now()};
+  const via = await loading;
+  const cores =
+    ((end.usage.cpuSeconds - start.usage.cpuSeconds) * 1_000) /
+    (end.at - start.at);
+  const after = usageOf(daemon!.pid);
+  const wholeCores =
+    ((after.cpuSeconds - before.cpuSeconds) * 1_000) /
+    (performance.now() - startedAt);
+  return {
+    requests_per_s: RATE_PER_S,
+    tokens_per_s: round(RATE_PER_S * TOKENS_PER_REQUEST, 0),
+    failures_direct: total(direct, 'failures'),
+    failures_through: total(via, 'failures'),
+    first_token_direct_p50_ms: round(worst(direct, 'firstTokenMs', 'p50')),
+    first_token_through_p50_ms: round(worst(via, 'firstTokenMs', 'p50')),
+    first_token_direct_p99_ms: round(worst(direct, 'firstTokenMs', 'p99')),
+    first_token_through_p99_ms: round(worst(via, 'firstTokenMs', 'p99')),
+    between_direct_p99_ms: round(worst(direct, 'betweenTokensMs', 'p99')),
+    between_through_p99_ms: round(worst(via, 'betweenTokensMs', 'p99')),
+    added_between_p99_ms: round(
+      worst(via, 'betweenTokensMs', 'p99') -
+        worst(direct, 'betweenTokensMs', 'p99'),
+    ),
+    daemon_cores_at_full_load: round(cores),
+    daemon_cores_over_the_run: round(wholeCores),
+    resident_mb: round(end.usage.residentBytes / 1_048_576, 0),
+  };
+}
+
+async function measureSaturation(): Promise<object> {
+  const deployment = await BenchDeployment.start({voters: 1, entries: 0});
+  try {
+    const [url] = await startTargets(deployment, 1, 0);
+    const [daemon] = deployment.daemons;
+    const direct = await load(
+      deployment,
+      [url!],
+      FLOOD_STREAMS,
+      FLOOD_TOKENS,
+      1,
+    );
+    const before = usageOf(daemon!.pid);
+    const via = await load(
+      deployment,
+      [daemon!.callersUrl],
+      FLOOD_STREAMS,
+      FLOOD_TOKENS,
+      1,
+    );
+    const cpuSeconds = usageOf(daemon!.pid).cpuSeconds - before.cpuSeconds;
+    return {
+      tokens: total(via, 'tokens'),
+      failures: total(via, 'failures'),
+      direct_tokens_per_s: round(direct[0]!.tokens / direct[0]!.seconds, 0),
+      through_tokens_per_s: round(via[0]!.tokens / via[0]!.seconds, 0),
+      tokens_per_core_second: round(total(via, 'tokens') / cpuSeconds, 0),
+    };
+  } finally {
+    await deployment.close();
+  }
+}
+
+async function measureMemory(): Promise<object> {
+  const deployment = await BenchDeployment.start({voters: 1, entries: 0});
+  try {
+    await startTargets(deployment, 1, 1_000);
+    const [daemon] = deployment.daemons;
+    const before = usageOf(daemon!.pid).residentBytes;
+    const loading = load(
+      deployment,
+      [daemon!.callersUrl],
+      OPEN_STREAMS / 8,
+      12,
+      8,
+    );
+    await delay(13_000);
+    const open = usageOf(daemon!.pid).residentBytes;
+    const reports = await loading;
+    return {
+      open_streams: OPEN_STREAMS,
+      failures: total(reports, 'failures'),
+      resident_before_mb: round(before / 1_048_576, 0),
+      resident_open_mb: round(open / 1_048_576, 0),
+      bytes_per_stream: round((open - before) / OPEN_STREAMS, 0),
+    };
+  } finally {
+    await deployment.close();
+  }
+}
+
+async function main(): Promise<void> {
+  const deployment = await BenchDeployment.start({voters: 1, entries: 0});
+  let added: object;
+  try {
+    added = await measureAdded(deployment);
+  } finally {
+    await deployment.close();
+  }
+  const saturation = await measureSaturation();
+  const memory = await measureMemory();
+  process.stdout.write(
+    `${JSON.stringify({added, saturation, memory}, null, 2)}\n`,
+  );
+}
+
+await main();
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Benchmarks; each is a script of its own. */
+export {BenchDeployment} from './deployment.js';
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,4 +1,5 @@
 /** Stand-ins for targets, for tests, benchmarks, replays and the demo only. */
+export {Announcer, type AnnouncerOptions} from './announcer.js';
 export * from './engine-model.js';
 export {
   FakeEngine,
