Give free room out in whole requests, and charge holders that died unheard

With the new plan the simulation of lost heartbeats found four faults that were there before: a dead entry may have filled its places after its last heartbeat; live use was taken from one moment when ghosts were settled; a new leader renewed places on cold targets without knowing all holders; load of holders that no leader heard of was not charged.

Ruled out: the bound of the check for two cases only, by their traces: with a change of leader within the window a report has to travel again, once per change.

Change: planShares serves waiting entries in whole requests and spreads the rest; ghosts keep all they may have started until reports leave no room; low use over two windows; nothing is renewed on targets that bear less than their full load; unknown load is charged once after the grace. A package that replays traces under the daemon's own scheduler, tables and heartbeats.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,3 +3,14 @@
 export {startDaemon, type RunningDaemon} from './daemon.js';
 export type {ClusterStatus} from './voter/index.js';
 export {RpcClient, type PeerAddress} from './rpc/index.js';
+export {
+  createEntryTables,
+  histogramFor,
+  type EntryTables,
+} from './entry/index.js';
+export {applyAnswer, buildHeartbeat} from './entry/report.js';
+export {
+  Scheduler,
+  type Admission,
+  type AdmissionRequest,
+} from './scheduler/index.js';
--- a/packages/policy/src/allotments/index.ts
+++ b/packages/policy/src/allotments/index.ts
@@ -12,4 +12,5 @@
   recordAnnouncement,
   toTargetView,
 } from './leader.js';
+export {planShares, type Claimant} from './plan-shares.js';
 export * from './types.js';
--- a/packages/policy/src/allotments/leader.ts
+++ b/packages/policy/src/allotments/leader.ts
@@ -16,8 +16,9 @@
 } from '../quarantine/index.js';
 import {affinityOf} from '../routing/index.js';
 import {bearingOf, type Bearing} from './bearing.js';
-import {divideUnits, type Share} from './divide.js';
+import {planShares, type Claimant} from './plan-shares.js';
 import {nextSuspectTurn} from './suspect-turns.js';
+import {holderId} from './types.js';
 import type {
   AllotmentTiming,
   EntryOrders,
@@ -34,12 +35,6 @@
   TargetView,
 } from './types.js';
 
-const IDLE_WEIGHT = 1;
-const WEIGHT_PER_WAITING = 32;
-const MAX_WAITING_WEIGHED = 16;
-/** Memory is given out in chunks, so that a share can hold a whole request. */
-const KV_CHUNKS_PER_TARGET = 64;
-
 /** Tables of a leader that has just won; earlier grants may be in use. */
 export function createLeaderTables(
   nowMs: number,
@@ -98,6 +93,7 @@
       reportedAtMs,
       finishedSinceWarm: 0,
       isLapsed: false,
+      isUnknownLoadCharged: false,
       version: 0,
     };
     tables.targets.set(target, row);
@@ -124,6 +120,8 @@
     grant.inUse = 0;
     grant.kvInUse = 0;
     grant.finished = 0;
+    grant.lowInUse = 0;
+    grant.lowInUseBefore = 0;
   }
 }
 
@@ -131,10 +129,28 @@
   return row !== undefined && nowMs < row.leaseEndMs;
 }
 
+/** Time over which the least use is kept: longer than reports are late. */
+const LOW_WINDOW_MS = 3_000;
+
+function lowUse(
+  known: Grant | undefined,
+  inUse: number,
+  nowMs: number,
+): Pick<Grant, 'lowInUse' | 'lowInUseBefore' | 'lowSinceMs'> {
+  // Of a holder heard for the first time, nothing is known of the past.
+  if (!known) return {lowInUse: inUse, lowInUseBefore: 0, lowSinceMs: nowMs};
+  const {lowInUse, lowInUseBefore, lowSinceMs} = known;
+  if (nowMs - lowSinceMs > LOW_WINDOW_MS) {
+    return {lowInUse: inUse, lowInUseBefore: lowInUse, lowSinceMs: nowMs};
+  }
+  return {lowInUse: Math.min(lowInUse, inUse), lowInUseBefore, lowSinceMs};
+}
+
 function recordHeld(
   tables: LeaderTables,
   holder: HolderId,
   held: HeldAllotment,
+  nowMs: number,
 ): void {
   const row = tables.targets.get(held.target);
   const isSameRun =
@@ -143,7 +159,8 @@
   tables.grants.set(held.target, grants);
   const inUse = isSameRun ? held.inUse : 0;
   const kvInUse = isSameRun ? held.kvInUse : 0;
-  const earlier = grants.get(holder)?.finished ?? 0;
+  const known = grants.get(holder);
+  const earlier = known?.finished ?? 0;
   if (row && isSameRun && row.announcement.is_warm) {
     row.finishedSinceWarm += Math.max(0, held.finished - earlier);
   }
@@ -153,6 +170,7 @@
     inUse,
     kvInUse,
     finished: held.finished,
+    ...lowUse(known, inUse, nowMs),
   });
 }
 
@@ -168,7 +186,9 @@
   for (const [target, grants] of tables.grants) {
     if (!heldTargets.has(target)) grants.delete(report.holder);
   }
-  for (const held of report.held) recordHeld(tables, report.holder, held);
+  for (const held of report.held) {
+    recordHeld(tables, report.holder, held, nowMs);
+  }
   for (const {death, fingerprints} of report.deaths) {
     recordDeath(tables.quarantine, death, fingerprints, nowMs);
   }
@@ -177,40 +197,28 @@
   }
 }
 
-interface Weighted extends Share {
-  readonly holder: HolderId;
-  readonly inUse: number;
-  readonly kvInUse: number;
-}
-
-function weightOf(row: EntryRow, service: ServiceId): number {
-  const waiting =
-    row.demand.find(item => item.service === service)?.waiting ?? 0;
-  return (
-    IDLE_WEIGHT + WEIGHT_PER_WAITING * Math.min(waiting, MAX_WAITING_WEIGHED)
-  );
-}
-
-function liveShares(
+function liveClaimants(
   tables: LeaderTables,
   target: TargetRow,
   nowMs: number,
-): Weighted[] {
-  const shares: Weighted[] = [];
+): Claimant[] {
+  const claimants: Claimant[] = [];
   const grants = tables.grants.get(target.target);
+  const service = target.announcement.service as ServiceId;
   for (const row of tables.entries.values()) {
     if (!isLive(row, nowMs)) continue;
     const grant = grants?.get(row.holder);
-    shares.push({
-      key: row.holder,
+    const demand = row.demand.find(item => item.service === service);
+    claimants.push({
       holder: row.holder,
-      weight: weightOf(row, target.announcement.service as ServiceId),
-      tieBreak: affinityOf(row.holder, target.target),
       inUse: grant?.inUse ?? 0,
       kvInUse: grant?.kvInUse ?? 0,
+      waiting: demand?.waiting ?? 0,
+      kvNeedTokens: demand?.kvNeedTokens ?? 0,
+      rank: affinityOf(row.holder, target.target),
     });
   }
-  return shares;
+  return claimants.sort((a, b) => b.rank - a.rank);
 }
 
 interface Use {
@@ -218,99 +226,135 @@
   kvTokens: number;
 }
 
-/** What entries that are gone may still have running on the target. */
-function ghostUse(
+/** The least that live entries can have had running around the last report. */
+function leastLiveUse(
+  tables: LeaderTables,
+  grants: GrantsOfTarget,
+  nowMs: number,
+): number {
+  let least = 0;
+  for (const [holder, grant] of grants) {
+    if (!isLive(tables.entries.get(holder), nowMs)) continue;
+    least += Math.min(grant.lowInUse, grant.lowInUseBefore);
+  }
+  return least;
+}
+
+/**
+ * What entries that are gone may still have running on the target: all that
+ * they might have started until their lease ended, until the target's own
+ * reports from after that leave no room for it.
+ */
+function settleGhosts(
   tables: LeaderTables,
   target: TargetRow,
-  liveInUse: number,
+  grants: GrantsOfTarget,
   nowMs: number,
-): Use {
-  const use: Use = {slots: 0, kvTokens: 0};
-  const grants = tables.grants.get(target.target) ?? new Map<HolderId, Grant>();
+): void {
+  const {running} = target.announcement.load;
+  const unexplained = running - leastLiveUse(tables, grants, nowMs);
   for (const [holder, grant] of grants) {
     const row = tables.entries.get(holder);
     if (isLive(row, nowMs)) continue;
-    const isReportNewer = target.reportedAtMs > (row?.leaseEndMs ?? 0);
-    const unexplained = target.announcement.load.running - liveInUse;
-    if (isReportNewer && unexplained <= 0) {
-      grants.delete(holder);
-      continue;
+    grant.inUse = Math.max(grant.inUse, grant.slots);
+    grant.kvInUse = Math.max(grant.kvInUse, grant.kvTokens);
+    if (target.reportedAtMs > (row?.leaseEndMs ?? 0)) {
+      grant.inUse = Math.min(grant.inUse, Math.max(0, unexplained));
     }
-    use.slots += grant.inUse;
-    use.kvTokens += grant.kvInUse;
+    grant.slots = grant.inUse;
+    if (grant.inUse === 0) grants.delete(holder);
   }
-  return use;
 }
 
-/** What the other holders may believe to have. */
-function grantedToOthers(
-  grants: GrantsOfTarget | undefined,
+const UNKNOWN_HOLDER = holderId('unknown');
+
+/**
+ * Charges, once after the grace, what the target reports beyond all live
+ * holders: a holder may have died before this leader heard of it.
+ */
+function chargeUnknownLoad(
+  tables: LeaderTables,
+  target: TargetRow,
+  grants: GrantsOfTarget,
+  nowMs: number,
+): void {
+  if (target.isUnknownLoadCharged || nowMs < tables.graceEndMs) return;
+  target.isUnknownLoadCharged = true;
+  const {load} = target.announcement;
+  const inUse = load.running - leastLiveUse(tables, grants, nowMs);
+  if (inUse <= 0) return;
+  grants.set(UNKNOWN_HOLDER, {
+    slots: inUse,
+    kvTokens: 0,
+    inUse,
+    kvInUse: 0,
+    finished: 0,
+    ...lowUse(undefined, inUse, nowMs),
+  });
+}
+
+function addUse(use: Use, slots: number, kvTokens: number): void {
+  use.slots += slots;
+  use.kvTokens += kvTokens;
+}
+
+/** What holders that are gone may still use. */
+function ghostUse(
   tables: LeaderTables,
-  holder: HolderId,
+  grants: GrantsOfTarget,
   nowMs: number,
 ): Use {
   const use: Use = {slots: 0, kvTokens: 0};
-  for (const [other, grant] of grants ?? []) {
-    if (other === holder) continue;
-    const isHeld = isLive(tables.entries.get(other), nowMs);
-    use.slots += isHeld ? Math.max(grant.slots, grant.inUse) : grant.inUse;
-    use.kvTokens += isHeld
-      ? Math.max(grant.kvTokens, grant.kvInUse)
-      : grant.kvInUse;
+  for (const [holder, grant] of grants) {
+    if (isLive(tables.entries.get(holder), nowMs)) continue;
+    addUse(use, grant.inUse, grant.kvInUse);
   }
   return use;
 }
 
-/**
- * Divides one resource: each holder keeps what it uses and gets a share of what
- * is free. With more in use than the target bears, each gets a share of what it
- * bears instead: a place that falls free must not be filled again.
- */
-function planShares(
-  bearable: number,
-  shares: readonly Weighted[],
-  used: readonly number[],
-  chunk: number,
-): readonly number[] {
-  const totalUsed = used.reduce((sum, value) => sum + value, 0);
-  const free = bearable - totalUsed;
-  if (free < 0) {
-    const byUse = shares.map((share, position) => ({
-      ...share,
-      weight: used[position]!,
-    }));
-    return divideUnits(Math.max(0, bearable), byUse);
+/** What the other holders may believe to have, or may still use. */
+function grantedToOthers(grants: GrantsOfTarget, holder: HolderId): Use {
+  const use: Use = {slots: 0, kvTokens: 0};
+  for (const [other, grant] of grants) {
+    if (other === holder) continue;
+    const slots = Math.max(grant.slots, grant.inUse);
+    addUse(use, slots, Math.max(grant.kvTokens, grant.kvInUse));
   }
-  const chunks = divideUnits(Math.floor(free / chunk), shares);
-  return chunks.map((count, position) => used[position]! + count * chunk);
+  return use;
 }
 
 /** The share that the plan gives to one holder, before what others still hold. */
 function plannedShare(
   tables: LeaderTables,
   target: TargetRow,
+  grants: GrantsOfTarget,
   bearing: Bearing,
   holder: HolderId,
   nowMs: number,
 ): Bearing {
-  const shares = liveShares(tables, target, nowMs);
-  const position = shares.findIndex(share => share.holder === holder);
-  const inUse = shares.map(share => share.inUse);
-  const kvInUse = shares.map(share => share.kvInUse);
-  const liveInUse = inUse.reduce((sum, value) => sum + value, 0);
-  const ghosts = ghostUse(tables, target, liveInUse, nowMs);
-  const chunk = Math.max(
-    1,
-    Math.floor(bearing.kvTokens / KV_CHUNKS_PER_TARGET),
-  );
-  const slots = planShares(bearing.slots - ghosts.slots, shares, inUse, 1);
-  const kvTokens = planShares(
-    bearing.kvTokens - ghosts.kvTokens,
-    shares,
-    kvInUse,
-    chunk,
-  );
-  return {slots: slots[position] ?? 0, kvTokens: kvTokens[position] ?? 0};
+  const claimants = liveClaimants(tables, target, nowMs);
+  const ghosts = ghostUse(tables, grants, nowMs);
+  const shares = planShares(claimants, {
+    slots: bearing.slots - ghosts.slots,
+    kvTokens: bearing.kvTokens - ghosts.kvTokens,
+  });
+  const position = claimants.findIndex(item => item.holder === holder);
+  return shares[position] ?? {slots: 0, kvTokens: 0};
+}
+
+/**
+ * What a new leader may renew while it has not heard from all holders: all of
+ * it on a target that bears its full load, nothing on one that does not, since
+ * the others may hold the little that it bears.
+ */
+function renewable(
+  target: TargetRow,
+  bearing: Bearing,
+  known: Grant | undefined,
+): Bearing {
+  const bearsAll = bearing.slots >= target.announcement.slots;
+  if (known === undefined || !bearsAll) return {slots: 0, kvTokens: 0};
+  return {slots: known.slots, kvTokens: known.kvTokens};
 }
 
 function allot(
@@ -322,18 +366,20 @@
 ): GivenAllotment | undefined {
   const grants = tables.grants.get(target.target) ?? new Map<HolderId, Grant>();
   tables.grants.set(target.target, grants);
+  chargeUnknownLoad(tables, target, grants, nowMs);
+  settleGhosts(tables, target, grants, nowMs);
   const known = grants.get(holder);
-  const others = grantedToOthers(grants, tables, holder, nowMs);
-  const planned = plannedShare(tables, target, bearing, holder, nowMs);
-  const isInGrace = nowMs < tables.graceEndMs;
-  const mostSlots = isInGrace
-    ? (known?.slots ?? 0)
-    : bearing.slots - others.slots;
-  const mostKv = isInGrace
-    ? (known?.kvTokens ?? 0)
-    : bearing.kvTokens - others.kvTokens;
-  const slots = Math.max(0, Math.min(planned.slots, mostSlots));
-  const kvTokens = Math.max(0, Math.min(planned.kvTokens, mostKv));
+  const others = grantedToOthers(grants, holder);
+  const planned = plannedShare(tables, target, grants, bearing, holder, nowMs);
+  const most =
+    nowMs < tables.graceEndMs
+      ? renewable(target, bearing, known)
+      : {
+          slots: bearing.slots - others.slots,
+          kvTokens: bearing.kvTokens - others.kvTokens,
+        };
+  const slots = Math.max(0, Math.min(planned.slots, most.slots));
+  const kvTokens = Math.max(0, Math.min(planned.kvTokens, most.kvTokens));
   if (slots === 0 && known === undefined) return undefined;
   grants.set(holder, {
     slots: Math.max(slots, known?.slots ?? 0),
@@ -341,6 +387,7 @@
     inUse: known?.inUse ?? 0,
     kvInUse: known?.kvInUse ?? 0,
     finished: known?.finished ?? 0,
+    ...lowUse(known, known?.inUse ?? 0, nowMs),
   });
   return {target: target.target, slots, kvTokens};
 }
--- a/packages/policy/src/allotments/types.ts
+++ b/packages/policy/src/allotments/types.ts
@@ -28,6 +28,8 @@
   /** Requests that ended on it since it was last cold. */
   finishedSinceWarm: number;
   isLapsed: boolean;
+  /** Whether load of holders that this leader never heard of is accounted for. */
+  isUnknownLoadCharged: boolean;
   /** The leader's version of the row, for entries that ask for news. */
   version: number;
 }
@@ -60,6 +62,10 @@
   inUse: number;
   kvInUse: number;
   finished: number;
+  /** The least in use lately, in this window of time and in the one before. */
+  lowInUse: number;
+  lowInUseBefore: number;
+  lowSinceMs: number;
 }
 
 export type GrantsOfTarget = Map<HolderId, Grant>;
--- /dev/null
+++ b/packages/replay/src/simulate/baselines.ts
@@ -0,0 +1,67 @@
+/**
+ * The policies to compare with: each places a request at once, on a target of a
+ * zone in service, and leaves the queue to the engine.
+ */
+import type {SimulatedEngine} from './engines.js';
+import type {Job, Router, RouterFactory, RouterHost} from './router.js';
+
+type Choose = (
+  engines: readonly SimulatedEngine[],
+  host: RouterHost,
+) => SimulatedEngine;
+
+function createBaseline(host: RouterHost, choose: Choose): Router {
+  const outZones = new Set<string>();
+  return {
+    arrive: (job: Job) => {
+      const usable = [...host.engines.values()].filter(
+        engine =>
+          engine.spec.service === job.arrival.service &&
+          !outZones.has(engine.spec.zone),
+      );
+      if (usable.length === 0) host.shed(job);
+      else host.place(job, choose(usable, host).spec.target);
+    },
+    onToken: () => undefined,
+    onFinished: () => undefined,
+    onReport: () => undefined,
+    onEvent: event => {
+      if (event.kind === 'zone_out') outZones.add(event.zone);
+      if (event.kind === 'zone_back') outZones.delete(event.zone);
+    },
+  };
+}
+
+function reportedLoad(engine: SimulatedEngine): number {
+  const {report, spec} = engine;
+  return Math.max(
+    report.running / spec.slots,
+    report.kvUsedTokens / spec.kv_tokens,
+  );
+}
+
+function lessLoaded(
+  left: SimulatedEngine,
+  right: SimulatedEngine,
+): SimulatedEngine {
+  return reportedLoad(right) < reportedLoad(left) ? right : left;
+}
+
+export const roundRobin: RouterFactory = host => {
+  let next = 0;
+  return createBaseline(host, engines => {
+    next += 1;
+    return engines[next % engines.length]!;
+  });
+};
+
+export const leastReportedLoad: RouterFactory = host =>
+  createBaseline(host, engines => engines.reduce(lessLoaded));
+
+export const powerOfTwo: RouterFactory = host =>
+  createBaseline(host, (engines, {randomBelow}) =>
+    lessLoaded(
+      engines[randomBelow(engines.length)]!,
+      engines[randomBelow(engines.length)]!,
+    ),
+  );
--- /dev/null
+++ b/packages/replay/src/simulate/measure.ts
@@ -0,0 +1,128 @@
+/** What a replay counts, and the figures that come of it. */
+import {build} from 'hdr-histogram-js';
+import type {Job} from './router.js';
+
+/** A gap between tokens longer than this is a stall. */
+const STALL_MS = 250;
+const MICROS_PER_MS = 1_000;
+
+interface JobRecord {
+  readonly job: Job;
+  lastTokenMs: number | undefined;
+  firstTokenMs: number | undefined;
+  tokens: number;
+  isFinished: boolean;
+  isShed: boolean;
+}
+
+export interface ReplayFigures {
+  readonly requests: number;
+  readonly completed: number;
+  readonly shed: number;
+  readonly lost: number;
+  /** Tokens of whole answers that ended within the trace, a second. */
+  readonly goodputTokensPerS: number;
+  /** All tokens that came within the trace, a second. */
+  readonly tokensPerS: number;
+  readonly stallS: number;
+  readonly preemptions: number;
+  readonly firstTokenP50Ms: number;
+  readonly firstTokenP99Ms: number;
+  readonly betweenTokensP99Ms: number;
+  /** The same for arrivals while a zone is out or has just come back. */
+  readonly zoneFirstTokenP99Ms: number | undefined;
+  readonly aboveBearing: number;
+}
+
+export class Recorder {
+  private readonly records = new Map<string, JobRecord>();
+  private readonly firstToken = build({highestTrackableValue: 10_000_000_000});
+  private readonly zoneFirstToken = build({
+    highestTrackableValue: 10_000_000_000,
+  });
+  private readonly between = build({highestTrackableValue: 10_000_000_000});
+  private stallMs = 0;
+  private goodTokens = 0;
+  private tokensInTrace = 0;
+
+  constructor(
+    private readonly durationMs: number,
+    private readonly isInZoneWindow: (atMs: number) => boolean,
+  ) {}
+
+  arrive(job: Job): void {
+    this.records.set(job.id, {
+      job,
+      lastTokenMs: undefined,
+      firstTokenMs: undefined,
+      tokens: 0,
+      isFinished: false,
+      isShed: false,
+    });
+  }
+
+  token(id: string, atMs: number): void {
+    const record = this.records.get(id)!;
+    record.tokens += 1;
+    if (atMs <= this.durationMs) this.tokensInTrace += 1;
+    if (record.lastTokenMs === undefined) this.noteFirst(record, atMs);
+    else this.noteGap(atMs - record.lastTokenMs);
+    record.lastTokenMs = atMs;
+  }
+
+  finish(id: string, atMs: number): void {
+    const record = this.records.get(id)!;
+    record.isFinished = true;
+    if (atMs <= this.durationMs) this.goodTokens += record.tokens;
+  }
+
+  shed(id: string): void {
+    this.records.get(id)!.isShed = true;
+  }
+
+  /** Whether every request was answered. */
+  get isDrained(): boolean {
+    return [...this.records.values()].every(
+      record => record.isFinished || record.isShed,
+    );
+  }
+
+  figures(preemptions: number, aboveBearing: number): ReplayFigures {
+    const records = [...this.records.values()];
+    const completed = records.filter(record => record.isFinished).length;
+    const shed = records.filter(record => record.isShed).length;
+    const quantile = (histogram: typeof this.between, q: number) =>
+      histogram.getValueAtPercentile(q) / MICROS_PER_MS;
+    return {
+      requests: records.length,
+      completed,
+      shed,
+      lost: records.length - completed - shed,
+      goodputTokensPerS: (this.goodTokens * 1_000) / this.durationMs,
+      tokensPerS: (this.tokensInTrace * 1_000) / this.durationMs,
+      stallS: this.stallMs / 1_000,
+      preemptions,
+      firstTokenP50Ms: quantile(this.firstToken, 50),
+      firstTokenP99Ms: quantile(this.firstToken, 99),
+      betweenTokensP99Ms: quantile(this.between, 99),
+      zoneFirstTokenP99Ms:
+        this.zoneFirstToken.totalCount > 0
+          ? quantile(this.zoneFirstToken, 99)
+          : undefined,
+      aboveBearing,
+    };
+  }
+
+  private noteFirst(record: JobRecord, atMs: number): void {
+    record.firstTokenMs = atMs;
+    const arrivedAtMs = record.job.arrival.at_ms;
+    const micros = Math.round((atMs - arrivedAtMs) * MICROS_PER_MS);
+    const isZone = this.isInZoneWindow(arrivedAtMs);
+    (isZone ? this.zoneFirstToken : this.firstToken).recordValue(micros);
+  }
+
+  private noteGap(gapMs: number): void {
+    this.between.recordValue(Math.round(gapMs * MICROS_PER_MS));
+    if (gapMs > STALL_MS) this.stallMs += gapMs - STALL_MS;
+  }
+}
--- /dev/null
+++ b/packages/replay/src/simulate/outcomes.ts
@@ -0,0 +1,44 @@
+/** Checks the figures of a replay against the trace's stated outcomes. */
+import type {TraceHead} from '../trace/index.js';
+import type {ReplayFigures} from './measure.js';
+
+export interface OutcomeCheck {
+  readonly name: string;
+  readonly bound: number;
+  readonly found: number;
+  readonly isMet: boolean;
+}
+
+export function checkOutcomes(
+  head: TraceHead,
+  figures: ReplayFigures,
+): OutcomeCheck[] {
+  const {outcomes} = head;
+  const checks: OutcomeCheck[] = [];
+  const atMost = (name: string, bound: number | undefined, found: number) => {
+    if (bound !== undefined)
+      checks.push({name, bound, found, isMet: found <= bound});
+  };
+  atMost('max_lost', outcomes.max_lost, figures.lost);
+  atMost('max_above_bearing', outcomes.max_above_bearing, figures.aboveBearing);
+  const share = figures.completed / Math.max(1, figures.requests);
+  const least = outcomes.min_completed_share;
+  if (least !== undefined) {
+    checks.push({
+      name: 'min_completed_share',
+      bound: least,
+      found: share,
+      isMet: share >= least,
+    });
+  }
+  if (figures.zoneFirstTokenP99Ms !== undefined) {
+    const ratio =
+      figures.zoneFirstTokenP99Ms / Math.max(1, figures.firstTokenP99Ms);
+    atMost(
+      'max_zone_first_token_ratio',
+      outcomes.max_zone_first_token_ratio,
+      ratio,
+    );
+  }
+  return checks;
+}
--- /dev/null
+++ b/packages/replay/src/simulate/replay.ts
@@ -0,0 +1,135 @@
+/** Replays a trace under one policy, in virtual time. */
+import {createRandom} from '@samphirefield/replication/fuzz';
+import type {Trace, TraceEvent, TraceLine} from '../trace/index.js';
+import {leastReportedLoad, powerOfTwo, roundRobin} from './baselines.js';
+import {EngineFleet} from './engines.js';
+import {EventQueue} from './events.js';
+import {Recorder, type ReplayFigures} from './measure.js';
+import type {Job, Router, RouterFactory} from './router.js';
+import {samphirefield} from './samphirefield.js';
+
+export type PolicyName =
+  'round_robin' | 'least_load' | 'power_of_two' | 'samphirefield';
+
+export const POLICIES: Readonly<Record<PolicyName, RouterFactory>> = {
+  round_robin: roundRobin,
+  least_load: leastReportedLoad,
+  power_of_two: powerOfTwo,
+  samphirefield,
+};
+
+/** How long the answers that are still open may take after the trace. */
+const DRAIN_MS = 900_000;
+/** How long after its return a zone counts as coming back. */
+const ZONE_SETTLE_MS = 20_000;
+
+function zoneWindow(trace: Trace): (atMs: number) => boolean {
+  const out = trace.lines.find(line => line.kind === 'zone_out')?.at_ms;
+  const back = trace.lines.find(line => line.kind === 'zone_back')?.at_ms;
+  if (out === undefined) return () => false;
+  const endMs = (back ?? Infinity) + ZONE_SETTLE_MS;
+  return atMs => atMs >= out && atMs <= endMs;
+}
+
+/** Lets promises of the scheduler settle before virtual time goes on. */
+async function settle(): Promise<void> {
+  const TURNS = 4;
+  for (let turn = 0; turn < TURNS; turn += 1) await Promise.resolve();
+}
+
+export async function replay(
+  trace: Trace,
+  policy: PolicyName,
+  seed: number,
+): Promise<ReplayFigures> {
+  const events = new EventQueue();
+  const recorder = new Recorder(trace.head.duration_ms, zoneWindow(trace));
+  const random = createRandom(seed);
+  let router: Router | undefined;
+  const fleet = new EngineFleet(trace.head.targets, events, {
+    onToken: (id, atMs) => {
+      recorder.token(id, atMs);
+      router?.onToken(id);
+    },
+    onFinished: (id, atMs) => {
+      recorder.finish(id, atMs);
+      router?.onFinished(id);
+    },
+    onReport: engine => router?.onReport(engine),
+  });
+  const place = (job: Job, target: string) => {
+    const {arrival} = job;
+    fleet.submit(target, {
+      id: job.id,
+      promptTokens: arrival.prompt_tokens,
+      outputTokens: arrival.output_tokens,
+      priority: arrival.priority,
+      prefix: arrival.prefix,
+    });
+  };
+  router = POLICIES[policy](
+    {
+      nowMs: () => events.nowMs,
+      schedule: (atMs, run) => events.schedule(atMs, run),
+      engines: fleet.engines,
+      place,
+      shed: job => recorder.shed(job.id),
+      randomBelow: random.below,
+    },
+    trace.head.entries,
+  );
+  scheduleLines(trace, events, fleet, router, recorder);
+  while (events.step(trace.head.duration_ms)) await settle();
+  let steps = 0;
+  const CHECK_EVERY = 5_000;
+  while (events.step(trace.head.duration_ms + DRAIN_MS)) {
+    await settle();
+    steps += 1;
+    if (steps % CHECK_EVERY === 0 && recorder.isDrained) break;
+  }
+  const engines = [...fleet.engines.values()];
+  const preemptions = engines.reduce(
+    (sum, engine) => sum + engine.state.preemptions,
+    0,
+  );
+  const aboveBearing = engines.reduce(
+    (sum, engine) => sum + engine.aboveBearing,
+    0,
+  );
+  return recorder.figures(preemptions, aboveBearing);
+}
+
+function scheduleLines(
+  trace: Trace,
+  events: EventQueue,
+  fleet: EngineFleet,
+  router: Router,
+  recorder: Recorder,
+): void {
+  trace.lines.forEach((line: TraceLine, position) => {
+    events.schedule(line.at_ms, () => {
+      if (line.kind !== 'arrival') {
+        applyEvent(line, fleet, router);
+        return;
+      }
+      const job: Job = {id: `job-${position}`, arrival: line};
+      recorder.arrive(job);
+      router.arrive(job);
+    });
+  });
+}
+
+function applyEvent(
+  event: TraceEvent,
+  fleet: EngineFleet,
+  router: Router,
+): void {
+  if (event.kind === 'turned_cold') fleet.turnCold(event.target);
+  if (event.kind === 'zone_back') {
+    // Engines of a zone that was away come back with nothing loaded.
+    for (const engine of fleet.engines.values()) {
+      if (engine.spec.zone === event.zone) fleet.turnCold(engine.spec.target);
+    }
+  }
+  router.onEvent(event);
+}
--- /dev/null
+++ b/packages/replay/src/simulate/samphirefield.ts
@@ -0,0 +1,311 @@
+/**
+ * Our own policy in a replay: the daemon's scheduler, tables and heartbeats and
+ * the leader's allotments, all in virtual time.
+ */
+import {
+  announcementSchema,
+  fingerprint,
+  instanceId,
+  parseRules,
+  requestId,
+  sha256Hex,
+  silentLogger,
+  zoneId,
+  type Announcement,
+  type RuleSet,
+} from '@samphirefield/core';
+import {
+  applyAnswer,
+  buildHeartbeat,
+  createEntryTables,
+  histogramFor,
+  Scheduler,
+  type Admission,
+  type EntryTables,
+} from '@samphirefield/daemon';
+import {
+  createLeaderTables,
+  handleReport,
+  holderId,
+  leaderTick,
+  recordAnnouncement,
+  recordLength,
+  type AllotmentTiming,
+  type LeaderTables,
+} from '@samphirefield/policy';
+import type {TraceEvent} from '../trace/index.js';
+import {REPORT_LAG_MS, type SimulatedEngine} from './engines.js';
+import type {Job, Router, RouterFactory, RouterHost} from './router.js';
+
+const HEARTBEAT_MS = 500;
+const HURRY_MS = 60;
+const NETWORK_MS = 2;
+const TICK_MS = 100;
+const LEASE_MS = 3_000;
+const QUEUE_WAIT_MS = 600_000;
+const MAX_TOKENS = 32_768;
+const TIMING: AllotmentTiming = {
+  leaseMs: LEASE_MS,
+  clockDriftMs: 50,
+  targetLapseMs: 4_000,
+  targetForgetMs: 600_000,
+  quarantineMs: 600_000,
+};
+
+function rulesFor(services: readonly string[]): RuleSet {
+  const lines = services.flatMap(service => [
+    `service ${service} kind=engine path=/v1 queue=1000000 # replay: trace`,
+    `affinity service=${service} # replay: trace`,
+  ]);
+  for (let number = 0; number < 10; number += 1) {
+    lines.push(
+      `workspace workspace-${number} key-sha256=${sha256Hex(`${number}`)} # replay: trace`,
+    );
+  }
+  return parseRules(lines.join('\n'))._unsafeUnwrap();
+}
+
+interface RunningJob {
+  readonly entry: SimulatedEntry;
+  readonly admission: Admission;
+}
+
+class SimulatedEntry {
+  readonly tables: EntryTables;
+  readonly scheduler: Scheduler;
+  private sequence = 0;
+  private dueMs = Infinity;
+
+  constructor(
+    number: number,
+    rules: RuleSet,
+    private readonly host: RouterHost,
+    private readonly leader: SimulatedLeader,
+    private readonly onAdmitted: (job: Job, running: RunningJob) => void,
+  ) {
+    const holder = holderId(`entry-${number}/replay`);
+    this.tables = createEntryTables(
+      holder,
+      instanceId(`entry-${number}`),
+      zoneId('zone-a'),
+    );
+    this.tables.rules = rules;
+    this.scheduler = new Scheduler({
+      tables: this.tables,
+      clock: {nowMs: host.nowMs, wallMs: host.nowMs},
+      logger: silentLogger,
+      limits: {
+        body_bytes: 1,
+        queue_per_service: 1_000_000,
+        queue_wait_ms: QUEUE_WAIT_MS,
+        stream_buffer_bytes: 1,
+        stored_answer_bytes: 1,
+        ledger_records: 1,
+        ledger_retention_ms: 1,
+      },
+      wantRoom: () => this.hurry(),
+    });
+    this.scheduleBeat(host.nowMs() + number);
+    this.scheduleTick();
+  }
+
+  arrive(job: Job): void {
+    const {arrival} = job;
+    const {rules} = this.tables;
+    const service = [...rules.services.values()].find(
+      rule => rule.service === arrival.service,
+    )!;
+    const workspace = [...rules.workspaces.values()].find(
+      rule => rule.workspace === arrival.workspace,
+    )!;
+    void this.scheduler
+      .acquire({
+        request: requestId(job.id),
+        workspace,
+        service,
+        model: 'model',
+        modelVersion: '1',
+        fingerprint: fingerprint(job.id),
+        prefix: arrival.prefix,
+        promptTokens: arrival.prompt_tokens,
+        maxOutputTokens: MAX_TOKENS,
+        excluded: new Set(),
+        signal: new AbortController().signal,
+      })
+      .then(admitted => {
+        if (admitted.isErr()) this.host.shed(job);
+        else this.onAdmitted(job, {entry: this, admission: admitted.value});
+      });
+  }
+
+  private hurry(): void {
+    const atMs = this.host.nowMs() + HURRY_MS;
+    if (this.dueMs > atMs) this.scheduleBeat(atMs);
+  }
+
+  private scheduleBeat(atMs: number): void {
+    this.dueMs = atMs;
+    this.host.schedule(atMs, () => {
+      if (this.dueMs === atMs) this.beat();
+    });
+  }
+
+  private scheduleTick(): void {
+    this.host.schedule(this.host.nowMs() + TICK_MS, () => {
+      this.scheduler.tick();
+      this.scheduleTick();
+    });
+  }
+
+  private beat(): void {
+    this.dueMs = Infinity;
+    this.sequence += 1;
+    const sentAtMs = this.host.nowMs();
+    const demand = this.scheduler.demand();
+    const heartbeat = buildHeartbeat(
+      this.tables,
+      this.sequence,
+      demand,
+      sentAtMs,
+    );
+    this.host.schedule(sentAtMs + NETWORK_MS, () => {
+      const answer = this.leader.answer(heartbeat.report);
+      this.host.schedule(sentAtMs + 2 * NETWORK_MS, () => {
+        let wantsSoon = demand.length > 0;
+        if (answer) {
+          const taken = applyAnswer(
+            this.tables,
+            heartbeat,
+            answer,
+            sentAtMs,
+            LEASE_MS,
+          );
+          wantsSoon ||= taken.wantsSoon;
+          this.scheduler.dispatch();
+        }
+        this.scheduleBeat(
+          this.host.nowMs() + (wantsSoon ? HURRY_MS : HEARTBEAT_MS),
+        );
+      });
+    });
+  }
+}
+
+class SimulatedLeader {
+  private readonly tables: LeaderTables;
+  private readonly outZones = new Set<ReturnType<typeof zoneId>>();
+
+  constructor(private readonly host: RouterHost) {
+    // The replay begins with a leader whose grace is over.
+    this.tables = createLeaderTables(-10_000, TIMING);
+    for (const engine of host.engines.values()) this.announce(engine);
+    this.scheduleTick();
+  }
+
+  announce(engine: SimulatedEngine): void {
+    recordAnnouncement(
+      this.tables,
+      this.announcementOf(engine),
+      this.host.nowMs(),
+    );
+  }
+
+  setZone(zone: string, isOut: boolean): void {
+    if (isOut) this.outZones.add(zoneId(zone));
+    else this.outZones.delete(zoneId(zone));
+  }
+
+  answer(report: Parameters<typeof handleReport>[1]) {
+    const state = {outZones: this.outZones, outTargets: new Set<never>()};
+    const orders = handleReport(
+      this.tables,
+      report,
+      state,
+      TIMING,
+      this.host.nowMs(),
+    );
+    if (orders === undefined) return undefined;
+    return {
+      kind: 'ok' as const,
+      leaderInstance: 'leader',
+      term: 1,
+      orders,
+      news: {kind: 'none' as const},
+      voters: [],
+    };
+  }
+
+  private scheduleTick(): void {
+    this.host.schedule(this.host.nowMs() + TICK_MS, () => {
+      leaderTick(this.tables, TIMING, this.host.nowMs());
+      this.scheduleTick();
+    });
+  }
+
+  private announcementOf(engine: SimulatedEngine): Announcement {
+    const {spec, state, report, warmSinceMs} = engine;
+    const warmForMs = Math.max(0, this.host.nowMs() - warmSinceMs);
+    return announcementSchema.parse({
+      target: spec.target,
+      incarnation: '1',
+      zone: spec.zone,
+      service: spec.service,
+      address: '127.0.0.1',
+      port: 1,
+      models: [{model: 'model', version: '1'}],
+      slots: spec.slots,
+      cold_slots: spec.cold_slots,
+      kv_tokens: spec.kv_tokens,
+      is_warm: state.isWarm,
+      warm_for_ms: state.isWarm ? Math.round(warmForMs) : 0,
+      load: {
+        running: report.running,
+        waiting: report.waiting,
+        kv_used_tokens: report.kvUsedTokens,
+        age_ms: REPORT_LAG_MS,
+      },
+    });
+  }
+}
+
+export const samphirefield: RouterFactory = (host, entryCount): Router => {
+  const services = new Set(
+    [...host.engines.values()].map(engine => engine.spec.service),
+  );
+  const rules = rulesFor([...services]);
+  const leader = new SimulatedLeader(host);
+  const running = new Map<string, RunningJob>();
+  const onAdmitted = (job: Job, started: RunningJob) => {
+    running.set(job.id, started);
+    host.place(job, started.admission.target.view.target);
+  };
+  const entries = Array.from(
+    {length: entryCount},
+    (_, number) => new SimulatedEntry(number, rules, host, leader, onAdmitted),
+  );
+  return {
+    arrive: job => entries[job.arrival.entry % entries.length]!.arrive(job),
+    onToken: id => {
+      const job = running.get(id);
+      if (job) job.admission.stream.generatedTokens += 1;
+    },
+    onFinished: id => {
+      const job = running.get(id);
+      if (job === undefined) return;
+      running.delete(id);
+      const {stream} = job.admission;
+      const histogram = histogramFor(
+        job.entry.tables,
+        stream.service,
+        stream.workspace,
+      );
+      recordLength(histogram, stream.generatedTokens);
+      job.entry.scheduler.release(job.admission, true);
+    },
+    onReport: engine => leader.announce(engine),
+    onEvent: (event: TraceEvent) => {
+      if (event.kind === 'zone_out') leader.setZone(event.zone, true);
+      if (event.kind === 'zone_back') leader.setZone(event.zone, false);
+    },
+  };
+};
