Ramp targets that come back into service, and reserve less of the expected rest

It also kept memory empty: the whole expected rest of every stream was set aside, though streams of a batch end at different times.

Ruled out: the lag of reports alone (it is 1 s; the requests came in the first heartbeat after the return).

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -11,10 +11,14 @@
   changeServiceState,
   checkRulesFile,
   createContext,
+  makeTrace,
+  replayTrace,
   showStatus,
   showVoters,
   type CommandContext,
   type GlobalOptions,
+  type ReplayOptions,
+  type TraceOptions,
 } from './commands/index.js';
 import {createOutput, EXIT, print, type ExitCode} from './output/index.js';
 
@@ -136,6 +140,37 @@
     });
 }
 
+function toPositive(text: string): number {
+  const value = Number(text);
+  if (!(value > 0 && value < 1e9)) {
+    throw new InvalidArgumentError('a positive number is expected');
+  }
+  return value;
+}
+
+function addReplay(program: Command): void {
+  const output = () =>
+    createOutput(program.opts<GlobalOptions>().json === true);
+  program
+    .command('replay <trace>')
+    .description('replay a trace under a policy and check its outcomes')
+    .option('--policy <name>', 'the policy', 'samphirefield')
+    .option('--seed <n>', 'seed of random choices', toRevision, 1)
+    .action(async (file: string, options: ReplayOptions) => {
+      process.exitCode = await replayTrace(output(), file, options);
+    });
+  program
+    .command('trace <deployment>')
+    .description('print a trace of a deployment, made from a seed')
+    .option('--seed <n>', 'the seed', toRevision, 1)
+    .option('--rate <n>', 'requests a second', toPositive, 5)
+    .option('--seconds <n>', 'its length', toPositive, 60)
+    .option('--zone-out', 'take a zone out and bring it back')
+    .action(async (deployment: string, options: TraceOptions) => {
+      process.exitCode = await makeTrace(output(), deployment, options);
+    });
+}
+
 function checkSettings(isJson: boolean, file: string): ExitCode {
   const settings = loadSettings(file);
   if (settings.isErr()) {
@@ -152,6 +187,7 @@
 export async function main(argv: readonly string[]): Promise<void> {
   const program = createProgram();
   addLocal(program);
+  addReplay(program);
   program
     .command('apply <file>')
     .description('put a rules file in force')
--- a/packages/daemon/src/entry/usage.ts
+++ b/packages/daemon/src/entry/usage.ts
@@ -70,6 +70,12 @@
   return made;
 }
 
+/**
+ * Share of the expected rest that is set aside. Streams end at different times,
+ * so a batch never holds the whole rest of all its streams at once.
+ */
+const REST_SHARE_RESERVED = 0.3;
+
 /** Memory that a stream holds now and is expected to need. */
 export function kvEstimate(
   histogram: LengthHistogram,
@@ -77,7 +83,8 @@
   generatedTokens: number,
   maxOutputTokens: number,
 ): number {
-  const rest = expectedRestTokens(histogram, generatedTokens);
+  const rest =
+    REST_SHARE_RESERVED * expectedRestTokens(histogram, generatedTokens);
   const output = Math.min(maxOutputTokens, generatedTokens + rest);
   return Math.ceil(promptTokens + Math.max(output, generatedTokens));
 }
--- a/packages/daemon/src/voter/peer-sender.ts
+++ b/packages/daemon/src/voter/peer-sender.ts
@@ -1,16 +1,18 @@
 /**
- * Sends replicas' messages to one peer, batched, one batch under way at a time.
- * Messages that wait for an unreachable peer are dropped, oldest first: the
- * consensus core sends again whatever still matters.
+ * Sends replicas' messages to one peer, batched, a few batches under way at a
+ * time: a heartbeat in flight must not hold up an append. Messages that wait
+ * for an unreachable peer are dropped, oldest first: the consensus core sends
+ * again whatever still matters.
  */
 import type {Envelope} from '@samphirefield/replication';
 import type {PeerAddress, RpcClient} from '../rpc/index.js';
 
 const MAX_WAITING = 1_024;
+const MAX_IN_FLIGHT = 3;
 
 export class PeerSender {
   private waiting: Envelope[] = [];
-  private isSending = false;
+  private inFlight = 0;
 
   constructor(
     private readonly rpc: RpcClient,
@@ -21,11 +23,11 @@
   send(envelope: Envelope): void {
     this.waiting.push(envelope);
     if (this.waiting.length > MAX_WAITING) this.waiting.shift();
-    if (!this.isSending) void this.drain();
+    if (this.inFlight < MAX_IN_FLIGHT) void this.drain();
   }
 
   private async drain(): Promise<void> {
-    this.isSending = true;
+    this.inFlight += 1;
     // Lets every message of this turn of the event loop join the batch.
     await Promise.resolve();
     while (this.waiting.length > 0) {
@@ -37,6 +39,6 @@
       }));
       await this.rpc.notify(this.peer, notifications, this.timeoutMs);
     }
-    this.isSending = false;
+    this.inFlight -= 1;
   }
 }
--- a/packages/policy/src/allotments/allotments.spec.ts
+++ b/packages/policy/src/allotments/allotments.spec.ts
@@ -166,6 +166,8 @@
         reportedAtMs: 0,
         finishedSinceWarm: Number.MAX_SAFE_INTEGER,
         isLapsed: false,
+        wasOut: false,
+        isRamping: false,
         isUnknownLoadCharged: true,
         version: 0,
       };
@@ -382,6 +384,17 @@
   expect(slotsOf(orders)).toEqual(undefined);
 });
 
+test('a target that comes back into service ramps, whatever it said before', () => {
+  const tables = leaderAfterGrace();
+  const out = {
+    outZones: new Set([zoneId('zone-a')]),
+    outTargets: new Set<TargetId>(),
+  };
+  handleReport(tables, report('e1', 1), out, TIMING, 10_000);
+  const back = handleReport(tables, report('e1', 2), NONE_OUT, TIMING, 10_100);
+  expect(slotsOf(back)).toEqual(2);
+});
+
 test('a leaving target bears nothing', () => {
   const tables = leaderAfterGrace();
   recordAnnouncement(tables, announcement('t', {leaving_in_ms: 5_000}), 10_001);
--- a/packages/policy/src/allotments/bearing.ts
+++ b/packages/policy/src/allotments/bearing.ts
@@ -1,10 +1,11 @@
 /** What a target bears now: nothing, its cold limit, a ramp, or all of it. */
+import {zoneId} from '@samphirefield/core';
 import type {ServiceState, TargetRow} from './types.js';
 
 /** A target that has been warm this long needs no ramp any more. */
 export const WARM_RAMP_MS = 20_000;
 /** Share of a target's memory that is given out; the rest takes up surprises. */
-export const KV_SHARE_GIVEN = 0.92;
+export const KV_SHARE_GIVEN = 0.96;
 
 export interface Bearing {
   readonly slots: number;
@@ -16,14 +17,31 @@
 function bearableSlots(row: TargetRow): number {
   const {slots, cold_slots, is_warm, warm_for_ms} = row.announcement;
   if (!is_warm) return Math.min(cold_slots, slots);
-  if (warm_for_ms >= WARM_RAMP_MS) return slots;
+  const needsRamp = row.isRamping || warm_for_ms < WARM_RAMP_MS;
+  if (!needsRamp) return slots;
   return Math.min(slots, cold_slots + row.finishedSinceWarm);
 }
 
+function isOutOfService(row: TargetRow, state: ServiceState): boolean {
+  const zone = zoneId(row.announcement.zone);
+  return state.outTargets.has(row.target) || state.outZones.has(zone);
+}
+
+/** Starts a ramp when a target comes back into service, and ends it. */
+export function trackService(row: TargetRow, state: ServiceState): void {
+  const isOut = isOutOfService(row, state);
+  if (row.wasOut && !isOut) {
+    row.isRamping = true;
+    row.finishedSinceWarm = 0;
+  }
+  row.wasOut = isOut;
+  const {slots, cold_slots} = row.announcement;
+  if (cold_slots + row.finishedSinceWarm >= slots) row.isRamping = false;
+}
+
 export function bearingOf(row: TargetRow, state: ServiceState): Bearing {
-  const {zone, leaving_in_ms, kv_tokens} = row.announcement;
-  const isOut =
-    state.outTargets.has(row.target) || state.outZones.has(zone as never);
+  const {leaving_in_ms, kv_tokens} = row.announcement;
+  const isOut = isOutOfService(row, state);
   if (isOut || row.isLapsed || leaving_in_ms !== undefined) return NOTHING;
   const kvTokens = Math.floor(kv_tokens * KV_SHARE_GIVEN);
   return {slots: bearableSlots(row), kvTokens};
--- a/packages/policy/src/allotments/leader.ts
+++ b/packages/policy/src/allotments/leader.ts
@@ -15,7 +15,7 @@
   recordSuccess,
 } from '../quarantine/index.js';
 import {affinityOf} from '../routing/index.js';
-import {bearingOf, type Bearing} from './bearing.js';
+import {bearingOf, trackService, type Bearing} from './bearing.js';
 import {planShares, type Claimant} from './plan-shares.js';
 import {nextSuspectTurn} from './suspect-turns.js';
 import {holderId} from './types.js';
@@ -93,6 +93,8 @@
       reportedAtMs,
       finishedSinceWarm: 0,
       isLapsed: false,
+      wasOut: false,
+      isRamping: false,
       isUnknownLoadCharged: false,
       version: 0,
     };
@@ -448,6 +450,7 @@
   recordReport(tables, report, nowMs);
   const allotments = renewUnknown(tables, report, nowMs);
   for (const target of tables.targets.values()) {
+    trackService(target, state);
     const bearing = bearingOf(target, state);
     const given = allot(tables, target, bearing, report.holder, nowMs);
     if (given) allotments.push(given);
--- a/packages/policy/src/allotments/types.ts
+++ b/packages/policy/src/allotments/types.ts
@@ -28,6 +28,10 @@
   /** Requests that ended on it since it was last cold. */
   finishedSinceWarm: number;
   isLapsed: boolean;
+  /** Whether it was out of service when last looked at. */
+  wasOut: boolean;
+  /** Set on return into service: what it says of its warmth may be old. */
+  isRamping: boolean;
   /** Whether load of holders that this leader never heard of is accounted for. */
   isUnknownLoadCharged: boolean;
   /** The leader's version of the row, for entries that ask for news. */
