Credit a returned target's finished work only after it was heard again

Ruled out: the ramp's start (2 places each, as stated); late grants.

Change: finished work counts once the target was heard after its return.

--- a/packages/policy/src/allotments/allotments.spec.ts
+++ b/packages/policy/src/allotments/allotments.spec.ts
@@ -168,6 +168,7 @@
         isLapsed: false,
         wasOut: false,
         isRamping: false,
+        returnedAtMs: 0,
         isUnknownLoadCharged: true,
         version: 0,
       };
@@ -393,6 +394,26 @@
   handleReport(tables, report('e1', 1), out, TIMING, 10_000);
   const back = handleReport(tables, report('e1', 2), NONE_OUT, TIMING, 10_100);
   expect(slotsOf(back)).toEqual(2);
+  const held = {
+    target: targetId('t'),
+    incarnation: 'i1',
+    slots: 2,
+    kvTokens: 0,
+    inUse: 0,
+    kvInUse: 0,
+  };
+  const beat = (sequence: number, finished: number) =>
+    handleReport(
+      tables,
+      report('e1', sequence, {held: [{...held, finished}]}),
+      NONE_OUT,
+      TIMING,
+      10_100 + sequence,
+    );
+  // What finishes counts only once the target was heard again.
+  expect(slotsOf(beat(3, 4))).toEqual(2);
+  recordAnnouncement(tables, announcement('t'), 10_200);
+  expect(slotsOf(beat(4, 5))).toEqual(3);
 });
 
 test('a leaving target bears nothing', () => {
--- a/packages/policy/src/allotments/bearing.ts
+++ b/packages/policy/src/allotments/bearing.ts
@@ -28,10 +28,15 @@
 }
 
 /** Starts a ramp when a target comes back into service, and ends it. */
-export function trackService(row: TargetRow, state: ServiceState): void {
+export function trackService(
+  row: TargetRow,
+  state: ServiceState,
+  nowMs: number,
+): void {
   const isOut = isOutOfService(row, state);
   if (row.wasOut && !isOut) {
     row.isRamping = true;
+    row.returnedAtMs = nowMs;
     row.finishedSinceWarm = 0;
   }
   row.wasOut = isOut;
--- a/packages/policy/src/allotments/leader.ts
+++ b/packages/policy/src/allotments/leader.ts
@@ -95,6 +95,7 @@
       isLapsed: false,
       wasOut: false,
       isRamping: false,
+      returnedAtMs: Number.NEGATIVE_INFINITY,
       isUnknownLoadCharged: false,
       version: 0,
     };
@@ -163,7 +164,9 @@
   const kvInUse = isSameRun ? held.kvInUse : 0;
   const known = grants.get(holder);
   const earlier = known?.finished ?? 0;
-  if (row && isSameRun && row.announcement.is_warm) {
+  const saysWarm =
+    row?.announcement.is_warm && row.heardAtMs > row.returnedAtMs;
+  if (row && isSameRun && saysWarm) {
     row.finishedSinceWarm += Math.max(0, held.finished - earlier);
   }
   grants.set(holder, {
@@ -450,7 +453,7 @@
   recordReport(tables, report, nowMs);
   const allotments = renewUnknown(tables, report, nowMs);
   for (const target of tables.targets.values()) {
-    trackService(target, state);
+    trackService(target, state, nowMs);
     const bearing = bearingOf(target, state);
     const given = allot(tables, target, bearing, report.holder, nowMs);
     if (given) allotments.push(given);
--- a/packages/policy/src/allotments/types.ts
+++ b/packages/policy/src/allotments/types.ts
@@ -32,6 +32,8 @@
   wasOut: boolean;
   /** Set on return into service: what it says of its warmth may be old. */
   isRamping: boolean;
+  /** When it came back; what was heard before does not count for the ramp. */
+  returnedAtMs: number;
   /** Whether load of holders that this leader never heard of is accounted for. */
   isUnknownLoadCharged: boolean;
   /** The leader's version of the row, for entries that ask for news. */
--- a/packages/replay/src/simulate/replay.ts
+++ b/packages/replay/src/simulate/replay.ts
@@ -45,7 +45,7 @@
   const events = new EventQueue();
   const recorder = new Recorder(trace.head.duration_ms, zoneWindow(trace));
   const random = createRandom(seed);
-  let router: Router | undefined;
+  let router: Router | undefined = undefined;
   const fleet = new EngineFleet(trace.head.targets, events, {
     onToken: (id, atMs) => {
       recorder.token(id, atMs);
