Order models onto targets, fenced and staggered; size the group by rule

Cause: nothing told targets what to load, and the number of voters was fixed.

Ruled out: a lock in the log for orders: one already under way would pass it.

Change: the leader plans loads from the model rules, two at a time and 2 s apart, with its term as the fencing epoch and its lease asked before the first byte. Targets that ignore epochs get orders only after every earlier one must have arrived, by a state heard after that. A voters rule. The leader's side of the allotments is three files now; status types stand once, for daemon and command line; both answers of followers are read by one function.

--- a/packages/cli/src/commands/change.ts
+++ b/packages/cli/src/commands/change.ts
@@ -2,12 +2,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {
   ChangeSummary,
+  ClusterStatus,
   OperatorAnswer,
   OperatorChange,
 } from '@samphirefield/control';
 import {EXIT, print, type ExitCode} from '../output/index.js';
 import {reportClientError, type CommandContext} from './context.js';
-import type {StatusBody} from './status.js';
 
 const IN_FORCE_WAIT_MS = 15_000;
 const POLL_MS = 200;
@@ -117,7 +117,7 @@
   while (Date.now() < deadlineMs) {
     const answer = await context.client.get('/operator/status');
     const status = answer.isOk()
-      ? (answer.value.body as StatusBody)
+      ? (answer.value.body as ClusterStatus)
       : undefined;
     if (status && status.revision >= revision && status.isInForce) return true;
     await delay(POLL_MS);
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,45 +1,9 @@
 /** `samphirefield status` and `samphirefield voters`. */
+import type {ClusterStatus, TargetStatus} from '@samphirefield/control';
 import {EXIT, formatTable, print, type ExitCode} from '../output/index.js';
 import {reportClientError, type CommandContext} from './context.js';
 
-export interface StatusBody {
-  readonly leader: string;
-  readonly term: number;
-  readonly revision: number;
-  readonly isInForce: boolean;
-  readonly outZones: readonly string[];
-  readonly outTargets: readonly string[];
-  readonly entries: ReadonlyArray<{
-    readonly instance: string;
-    readonly zone: string;
-    readonly revision: number;
-    readonly heardMsAgo: number;
-    readonly hasLease: boolean;
-  }>;
-  readonly targets: ReadonlyArray<{
-    readonly target: string;
-    readonly service: string;
-    readonly zone: string;
-    readonly isWarm: boolean;
-    readonly isLapsed: boolean;
-    readonly isLeaving: boolean;
-    readonly bearsSlots: number;
-    readonly grantedSlots: number;
-    readonly running: number;
-  }>;
-  readonly members: ReadonlyArray<{
-    readonly replica: string;
-    readonly role: string;
-    readonly silentMs: number;
-    readonly lagEntries: number;
-  }>;
-  readonly ledgerRecords: number;
-  readonly quarantined: readonly string[];
-}
-
-type TargetBody = StatusBody['targets'][number];
-
-function targetState(target: TargetBody, status: StatusBody): string {
+function targetState(target: TargetStatus, status: ClusterStatus): string {
   if (target.isLapsed) return 'silent';
   if (status.outTargets.includes(target.target)) return 'out';
   if (status.outZones.includes(target.zone)) return 'zone out';
@@ -47,7 +11,7 @@
   return target.isWarm ? 'warm' : 'cold';
 }
 
-function statusLines(status: StatusBody): string[] {
+function statusLines(status: ClusterStatus): string[] {
   const entries = status.entries.map(entry => [
     entry.instance,
     entry.zone,
@@ -82,11 +46,11 @@
 
 async function readStatus(
   context: CommandContext,
-  show: (status: StatusBody) => readonly string[],
+  show: (status: ClusterStatus) => readonly string[],
 ): Promise<ExitCode> {
   const answer = await context.client.get('/operator/status');
   if (answer.isErr()) return reportClientError(context.output, answer.error);
-  const status = answer.value.body as StatusBody;
+  const status = answer.value.body as ClusterStatus;
   print(context.output, status, () => show(status));
   return EXIT.done;
 }
--- a/packages/control/src/operators/index.ts
+++ b/packages/control/src/operators/index.ts
@@ -4,3 +4,9 @@
   OperatorChange,
   OperatorCommand,
 } from './types.js';
+export type {
+  ClusterStatus,
+  EntryStatus,
+  MemberStatus,
+  TargetStatus,
+} from './status.js';
--- a/packages/core/src/rules/grammar.ts
+++ b/packages/core/src/rules/grammar.ts
@@ -268,4 +268,23 @@
       ...source,
     }),
   },
+  voters: {
+    nameAllowed: 'none',
+    help: 'The size of the control group, and when a silent voter is replaced by another instance with a disk.',
+    example: 'voters count=3 replace-after-s=60 # Aisyah: one zone may be lost',
+    keys: {
+      count: optional(oneOf(['1', '3', '5']), '3', 'voters wanted'),
+      'replace-after-s': optional(
+        whole(5, 86_400),
+        60,
+        'seconds of silence before another instance takes its place',
+      ),
+    },
+    build: (_name, values, source) => ({
+      kind: 'voters',
+      count: Number(values['count']),
+      replaceAfterS: number(values['replace-after-s']),
+      ...source,
+    }),
+  },
 };
--- a/packages/core/src/rules/index.ts
+++ b/packages/core/src/rules/index.ts
@@ -20,6 +20,7 @@
   ServiceKind,
   ServiceRule,
   TargetRule,
+  VotersRule,
   WorkspaceRule,
   ZoneRule,
 } from './types.js';
--- a/packages/core/src/rules/rules.spec.ts
+++ b/packages/core/src/rules/rules.spec.ts
@@ -85,6 +85,13 @@
   expect(errorsOf(text)[0]?.line).toEqual(2);
 });
 
+test('the control group is sized by one rule', () => {
+  const rule = 'voters count=5 # A: b';
+  expect(parseRules(rule)._unsafeUnwrap().voters?.count).toEqual(5);
+  expect(errorsOf(`${rule}\n${rule}`)[0]?.line).toEqual(2);
+  expect(errorsOf('voters count=4 # A: b').length).toEqual(1);
+});
+
 test('a non-repeatable path has to belong to its service', () => {
   const text = `${SERVICE}\nonce service=desk path=/other # A: b`;
   expect(errorsOf(text)[0]?.message).toMatchRegex(/not under/);
--- a/packages/core/src/rules/ruleset.ts
+++ b/packages/core/src/rules/ruleset.ts
@@ -141,6 +141,9 @@
       report,
     ),
     targets: ofKind(rules, 'target'),
+    voters: indexBy(ofKind(rules, 'voters'), () => 'group', report).get(
+      'group',
+    ),
   };
   checkReferences(ruleSet, rules, report);
   checkPaths(services, report);
--- a/packages/core/src/rules/types.ts
+++ b/packages/core/src/rules/types.ts
@@ -92,6 +92,13 @@
   readonly zone: ZoneId;
 }
 
+/** `voters count=N replace-after-s=N`: the size of the control group. */
+export interface VotersRule extends RuleSource {
+  readonly kind: 'voters';
+  readonly count: number;
+  readonly replaceAfterS: number;
+}
+
 export type Rule =
   | ServiceRule
   | WorkspaceRule
@@ -101,7 +108,8 @@
   | AffinityRule
   | TargetRule
   | ModelRule
-  | ZoneRule;
+  | ZoneRule
+  | VotersRule;
 
 /** One error in a rules file, with its place. Columns start at 1. */
 export interface RuleError {
@@ -123,4 +131,5 @@
   readonly limits: readonly LimitRule[];
   readonly affinities: ReadonlyMap<ServiceId, AffinityRule>;
   readonly targets: readonly TargetRule[];
+  readonly voters: VotersRule | undefined;
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -47,7 +47,12 @@
 } from './rpc/index.js';
 import {Scheduler} from './scheduler/index.js';
 import {mountAnnounceApi, TargetClient} from './targets/index.js';
-import {advertisedAddress, VoterHost, type NotLeader} from './voter/index.js';
+import {
+  advertisedAddress,
+  VoterHost,
+  type NotLeader,
+  type OrderSender,
+} from './voter/index.js';
 
 const ENTRY_TICK_MS = 100;
 const FORGET_HEARD_MS = 60_000;
@@ -231,6 +236,7 @@
     })),
     callTimeoutMs: timing.rpc_timeout_ms,
   });
+  const targets = new TargetClient();
   let host: VoterHost | undefined;
   if (voter) {
     const opened = await VoterHost.open({
@@ -240,6 +246,7 @@
       clock,
       logger,
       addressOf: id => control.addressOf(id),
+      sendOrder: createOrderSender(settings, targets, () => host),
     });
     if (opened.isErr()) return err(opened.error);
     host = opened.value;
@@ -285,13 +292,33 @@
     tables,
     scheduler,
     heartbeat,
-    targets: new TargetClient(),
+    targets,
     claims,
     metrics,
     isDraining: false,
   });
 }
 
+/** Sends orders with the key of targets, while this daemon still leads. */
+function createOrderSender(
+  settings: Settings,
+  targets: TargetClient,
+  host: () => VoterHost | undefined,
+): OrderSender {
+  return async (order, announcement, timeoutMs) => {
+    const {address, port} = announcement;
+    const {target, incarnation, model, version, epoch} = order;
+    const sent = await targets.order(
+      {target, incarnation, address, port},
+      settings.targets.key,
+      {kind: 'load_model', model, version, epoch},
+      () => host()?.node.holdsLease() ?? false,
+      timeoutMs,
+    );
+    return sent.mapErr(error => error.kind);
+  };
+}
+
 const ANY_ADDRESS = ['0.0.0.0', '::'];
 
 /** Daemons call each other from the address that they are known by. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,7 +1,7 @@
 /** The daemon as a library, for tests and for embedding. */
 export {systemClock, type Clock} from './clock/index.js';
 export {startDaemon, type RunningDaemon} from './daemon.js';
-export type {ClusterStatus} from './voter/index.js';
+export type {ClusterStatus} from '@samphirefield/control';
 export {RpcClient, type PeerAddress} from './rpc/index.js';
 export {
   createEntryTables,
--- a/packages/daemon/src/targets/target-client.ts
+++ b/packages/daemon/src/targets/target-client.ts
@@ -128,6 +128,33 @@
     if (answer.isOk()) answer.value.body.discard();
   }
 
+  /** Gives an order; the answer is only its status. */
+  async order(
+    address: TargetAddress,
+    key: string,
+    body: object,
+    mayStart: () => boolean,
+    timeoutMs: number,
+  ): Promise<Result<void, TargetError>> {
+    const answer = await this.open(
+      address,
+      {
+        method: 'POST',
+        path: '/v1/orders',
+        headers: {
+          'content-type': 'application/json',
+          authorization: `Bearer ${key}`,
+        },
+        body: JSON.stringify(body),
+        mayStart,
+        firstByteTimeoutMs: timeoutMs,
+        signal: new AbortController().signal,
+      },
+      'fresh',
+    );
+    return answer.map(({body: rest}) => rest.discard());
+  }
+
   /** Whether this very run of the target still answers on a new connection. */
   async isAlive(address: TargetAddress): Promise<boolean> {
     const answer = await this.open(
--- a/packages/daemon/src/testing/deployment.ts
+++ b/packages/daemon/src/testing/deployment.ts
@@ -18,9 +18,12 @@
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {loadSettings, sha256Hex, silentLogger} from '@samphirefield/core';
-import type {OperatorAnswer, OperatorChange} from '@samphirefield/control';
+import type {
+  ClusterStatus,
+  OperatorAnswer,
+  OperatorChange,
+} from '@samphirefield/control';
 import {startDaemon, type RunningDaemon} from '../daemon.js';
-import type {ClusterStatus} from '../voter/index.js';
 import {Relay} from './relay.js';
 
 export const KEY = 'a-key-for-the-tests';
--- a/packages/daemon/src/voter/leadership.ts
+++ b/packages/daemon/src/voter/leadership.ts
@@ -25,6 +25,7 @@
   type ReplicaNode,
 } from '@samphirefield/replication';
 import type {Heartbeat} from '../rpc/index.js';
+import type {Placement} from './placement.js';
 import type {ConfigNews} from './types.js';
 
 /** What the leader last heard of a daemon beside its report. */
@@ -48,9 +49,10 @@
     private readonly node: ReplicaNode<ControlAnswer>,
     private readonly machine: ControlMachine,
     private readonly timing: AllotmentTiming,
-    private readonly goal: MembershipGoal,
+    private readonly goal: () => MembershipGoal,
     private readonly logger: Logger,
     private readonly startedAtMs: number,
+    private readonly placement: Placement,
   ) {
     this.tables = createLeaderTables(startedAtMs, timing);
   }
@@ -107,6 +109,7 @@
       }
     }
     this.abandonClaims(nowMs, wallMs);
+    this.placement.tick(this.tables.targets, nowMs);
     void this.mendMembership(nowMs);
   }
 
@@ -188,7 +191,7 @@
     const step = planMembership(
       this.memberViews(nowMs),
       this.candidates(nowMs),
-      this.goal,
+      this.goal(),
     );
     if (step === undefined) return;
     this.isChanging = true;
--- /dev/null
+++ b/packages/daemon/src/voter/rules-in-force.ts
@@ -0,0 +1,20 @@
+/** The rules that the voters agreed on, parsed once a revision. */
+import {parseRules, type RuleSet} from '@samphirefield/core';
+import type {ControlMachine} from '@samphirefield/control';
+
+export class RulesInForce {
+  private revision: number | undefined;
+  private rules: RuleSet | undefined;
+
+  constructor(private readonly machine: ControlMachine) {}
+
+  /** Undefined only if a newer version of this program accepted them. */
+  current(): RuleSet | undefined {
+    const {revision, rulesText} = this.machine.tables.config;
+    if (this.revision === revision) return this.rules;
+    const parsed = parseRules(rulesText);
+    this.revision = revision;
+    this.rules = parsed.isOk() ? parsed.value : undefined;
+    return this.rules;
+  }
+}
--- a/packages/daemon/src/voter/status.ts
+++ b/packages/daemon/src/voter/status.ts
@@ -1,9 +1,13 @@
 /** The operators' view of the deployment, as the leader sees it. */
-import type {ControlMachine} from '@samphirefield/control';
+import type {
+  ClusterStatus,
+  ControlMachine,
+  EntryStatus,
+  TargetStatus,
+} from '@samphirefield/control';
 import {parseRules, type TargetId, type ZoneId} from '@samphirefield/core';
 import {bearingOf} from '@samphirefield/policy';
 import type {Leadership} from './leadership.js';
-import type {ClusterStatus, EntryStatus, TargetStatus} from './types.js';
 
 export function seenZones(
   leadership: Leadership,
--- a/packages/daemon/src/voter/types.ts
+++ b/packages/daemon/src/voter/types.ts
@@ -1,11 +1,13 @@
 /** What the leader offers to the daemons of its deployment. */
 import type {
+  ClusterStatus,
   ConfigDelta,
   ConfigView,
   OperatorAnswer,
 } from '@samphirefield/control';
-import type {ZoneId, TargetId} from '@samphirefield/core';
-import type {EntryOrders} from '@samphirefield/policy';
+import type {Announcement, TargetId, ZoneId} from '@samphirefield/core';
+import type {Result} from 'neverthrow';
+import type {EntryOrders, LoadOrder} from '@samphirefield/policy';
 import type {SubmitError} from '@samphirefield/replication';
 
 /** Where the leader is, as far as this daemon knows. */
@@ -54,50 +56,14 @@
     }
   | {readonly kind: 'answered'; readonly answer: OperatorAnswer};
 
-/** One entry in the operators' status. */
-export interface EntryStatus {
-  readonly instance: string;
-  readonly zone: string;
-  readonly revision: number;
-  readonly heardMsAgo: number;
-  readonly hasLease: boolean;
-}
-
-export interface TargetStatus {
-  readonly target: string;
-  readonly service: string;
-  readonly zone: string;
-  readonly isWarm: boolean;
-  readonly isLapsed: boolean;
-  readonly isLeaving: boolean;
-  readonly bearsSlots: number;
-  readonly grantedSlots: number;
-  readonly running: number;
-}
+export type OrderFailure = 'not_sent' | 'refused' | 'failed' | 'lost';
 
-export interface MemberStatus {
-  readonly replica: string;
-  readonly instance: string;
-  readonly role: string;
-  readonly silentMs: number;
-  readonly lagEntries: number;
-}
-
-export interface ClusterStatus {
-  readonly leader: string;
-  readonly term: number;
-  readonly revision: number;
-  readonly configHash: string;
-  /** Whether every entry holds the revision or has lost its lease. */
-  readonly isInForce: boolean;
-  readonly outZones: readonly string[];
-  readonly outTargets: readonly string[];
-  readonly entries: readonly EntryStatus[];
-  readonly targets: readonly TargetStatus[];
-  readonly members: readonly MemberStatus[];
-  readonly ledgerRecords: number;
-  readonly quarantined: readonly string[];
-}
+/** Sends an order to a target; given up after `timeoutMs`. */
+export type OrderSender = (
+  order: LoadOrder,
+  announcement: Announcement,
+  timeoutMs: number,
+) => Promise<Result<void, OrderFailure>>;
 
 export type StatusAnswer =
   NotLeader | {readonly kind: 'ok'; readonly status: ClusterStatus};
--- a/packages/daemon/src/voter/voter-host.ts
+++ b/packages/daemon/src/voter/voter-host.ts
@@ -45,6 +45,8 @@
 } from '../rpc/index.js';
 import {Leadership} from './leadership.js';
 import {PeerSender} from './peer-sender.js';
+import {Placement} from './placement.js';
+import {RulesInForce} from './rules-in-force.js';
 import {buildStatus, seenTargets, seenZones} from './status.js';
 import type {
   ApplyAnswer,
@@ -54,6 +56,7 @@
   LeaderHint,
   NotLeader,
   OperatorOutcome,
+  OrderSender,
   StatusAnswer,
 } from './types.js';
 
@@ -63,7 +66,8 @@
 const SNAPSHOT_EVERY_ENTRIES = 20_000;
 const TARGET_FORGET_MS = 600_000;
 const VOTERS_WANTED = 3;
-const REPLACE_AFTER_MS = 60_000;
+const REPLACE_AFTER_S = 60;
+const MS_PER_S = 1_000;
 const MAX_LEARNER_LAG_ENTRIES = 100;
 
 export interface VoterHostOptions {
@@ -72,6 +76,7 @@
   readonly rpc: RpcClient;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly sendOrder: OrderSender;
   /** Where an instance's daemon is; for a replica that knows no members yet. */
   readonly addressOf: (instance: string) => PeerAddress | undefined;
 }
@@ -136,6 +141,7 @@
 
 export class VoterHost {
   readonly machine: ControlMachine;
+  private readonly rules: RulesInForce;
   private leadership: Leadership | undefined;
   private readonly senders = new Map<string, PeerSender>();
   private readonly timers: NodeJS.Timeout[] = [];
@@ -148,6 +154,7 @@
     opened: OpenedStorage,
   ) {
     this.machine = new ControlMachine();
+    this.rules = new RulesInForce(this.machine);
     this.node = new ReplicaNode<ControlAnswer>({
       config: raftConfig(options.settings, identity),
       storage: opened.storage,
@@ -357,28 +364,46 @@
     if (!this.node.holdsLease()) return undefined;
     const {term} = this.node.raft;
     if (this.leadership?.term !== term) {
-      const {clock, settings, logger} = this.options;
-      this.leadership = new Leadership(
-        term,
-        this.node,
-        this.machine,
-        allotmentTiming(settings),
-        this.membershipGoal(),
-        logger,
-        clock.nowMs(),
-      );
-      logger.info('leadership_taken', {term});
+      this.leadership = this.takeLeadership(term);
+      this.options.logger.info('leadership_taken', {term});
     }
     return this.leadership;
   }
 
+  private takeLeadership(term: number): Leadership {
+    const {clock, settings, logger, sendOrder} = this.options;
+    const nowMs = clock.nowMs();
+    const placement = new Placement({
+      rules: this.rules,
+      logger,
+      // Asked again when the order goes out: the leadership may be lost.
+      send: (order, announcement, timeoutMs) =>
+        this.node.holdsLease()
+          ? sendOrder(order, announcement, timeoutMs)
+          : Promise.resolve(err('not_sent' as const)),
+      epoch: term,
+      leaderSinceMs: nowMs,
+      oldLeaseMs: settings.timing.election_timeout_max_ms,
+    });
+    return new Leadership(
+      term,
+      this.node,
+      this.machine,
+      allotmentTiming(settings),
+      () => this.membershipGoal(),
+      logger,
+      nowMs,
+      placement,
+    );
+  }
+
   private membershipGoal(): MembershipGoal {
+    const {cluster} = this.options.settings;
+    const rule = this.rules.current()?.voters;
     return {
-      voters: VOTERS_WANTED,
-      preferredInstances: this.options.settings.cluster.voters.map(
-        voter => voter.id,
-      ),
-      replaceAfterMs: REPLACE_AFTER_MS,
+      voters: rule?.count ?? VOTERS_WANTED,
+      preferredInstances: cluster.voters.map(voter => voter.id),
+      replaceAfterMs: (rule?.replaceAfterS ?? REPLACE_AFTER_S) * MS_PER_S,
       maxLagEntries: MAX_LEARNER_LAG_ENTRIES,
     };
   }
--- a/packages/fakes/src/engine-server.ts
+++ b/packages/fakes/src/engine-server.ts
@@ -45,6 +45,10 @@
   readonly announceMs?: number;
   /** Speeds the model's clock up. */
   readonly speed?: number;
+  /** Time that loading a model takes. */
+  readonly loadMs?: number;
+  /** Obeys orders with an old epoch, and strangers. */
+  readonly ignoresEpochs?: boolean;
   /** Age of the load figures in each announcement. */
   readonly loadLagMs?: number;
   readonly tokenBytes?: number;
@@ -63,6 +67,14 @@
   dropsCacheEvents: boolean;
 }
 
+/** An order to load a model, as it came. */
+export interface ReceivedOrder {
+  readonly model: string;
+  readonly version: string;
+  readonly epoch: number;
+  readonly isAccepted: boolean;
+}
+
 interface Generation {
   readonly id: string;
   readonly isChat: boolean;
@@ -121,6 +133,10 @@
   /** Every generation that was ever started, for tests. */
   started = 0;
   isLeavingInMs: number | undefined;
+  /** Every order that came, and what became of it. */
+  readonly orders: ReceivedOrder[] = [];
+  private readonly models: Array<{model: string; version: string}>;
+  private highestEpoch = 0;
   private readonly generations = new Map<string, Generation>();
   private readonly announcer: Announcer;
   private readonly server: Server;
@@ -133,6 +149,7 @@
   private loads: Array<{atMs: number; load: Announcement['load']}> = [];
 
   private constructor(private readonly options: FakeEngineOptions) {
+    this.models = [...options.models];
     const isWarm = options.isWarm ?? true;
     this.engine = createEngine({...DEFAULT_ENGINE, ...options.config}, isWarm);
     this.warmSinceMs = isWarm ? Date.now() - 3_600_000 : Date.now();
@@ -200,7 +217,7 @@
       service: options.service,
       address: options.address ?? '127.0.0.1',
       port: this.port,
-      models: [...options.models],
+      models: [...this.models],
       slots,
       cold_slots: coldSlots,
       kv_tokens: kvTokens,
@@ -258,6 +275,10 @@
       await this.startGeneration(request, response, isChat);
       return;
     }
+    if (request.method === 'POST' && url.pathname === '/v1/orders') {
+      await this.takeOrder(request, response);
+      return;
+    }
     const isHealth = url.pathname === '/healthz';
     response.writeHead(isHealth ? 200 : 404, {
       'content-type': 'application/json',
@@ -265,6 +286,29 @@
     response.end('{}');
   }
 
+  private async takeOrder(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {key, ignoresEpochs = false, loadMs = 0} = this.options;
+    const order = JSON.parse(await readText(request)) as Omit<
+      ReceivedOrder,
+      'isAccepted'
+    >;
+    const isOwn = request.headers.authorization === `Bearer ${key}`;
+    const isCurrent = order.epoch >= this.highestEpoch;
+    const isAccepted = ignoresEpochs || (isOwn && isCurrent);
+    this.orders.push({...order, isAccepted});
+    response.writeHead(isAccepted ? 200 : 409, {
+      'content-type': 'application/json',
+    });
+    response.end(JSON.stringify({not_run: !isAccepted}));
+    if (!isAccepted) return;
+    this.highestEpoch = Math.max(this.highestEpoch, order.epoch);
+    const {model, version} = order;
+    setTimeout(() => this.models.push({model, version}), loadMs);
+  }
+
   private async startGeneration(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -5,6 +5,7 @@
   FakeEngine,
   type EngineFaults,
   type FakeEngineOptions,
+  type ReceivedOrder,
 } from './engine-server.js';
 export {
   FakePlain,
--- a/packages/policy/src/allotments/index.ts
+++ b/packages/policy/src/allotments/index.ts
@@ -5,12 +5,7 @@
   type Bearing,
 } from './bearing.js';
 export {divideUnits, type Share} from './divide.js';
-export {
-  createLeaderTables,
-  handleReport,
-  leaderTick,
-  recordAnnouncement,
-  toTargetView,
-} from './leader.js';
+export {recordAnnouncement, toTargetView} from './announcements.js';
+export {createLeaderTables, handleReport, leaderTick} from './leader.js';
 export {planShares, type Claimant} from './plan-shares.js';
 export * from './types.js';
--- a/packages/policy/src/allotments/leader.ts
+++ b/packages/policy/src/allotments/leader.ts
@@ -6,8 +6,7 @@
  * the target bears. After its lease, only what the holder still had running
  * counts, until the target's own report shows it gone.
  */
-import type {Announcement, ServiceId, TargetId} from '@samphirefield/core';
-import {targetId} from '@samphirefield/core';
+import type {ServiceId} from '@samphirefield/core';
 import {
   createQuarantine,
   expireSuspects,
@@ -15,10 +14,11 @@
   recordSuccess,
 } from '../quarantine/index.js';
 import {affinityOf} from '../routing/index.js';
+import {recordAnnouncement, toTargetView, touch} from './announcements.js';
 import {bearingOf, trackService, type Bearing} from './bearing.js';
+import {chargeUnknownLoad, isLive, lowUse, settleGhosts} from './ghosts.js';
 import {planShares, type Claimant} from './plan-shares.js';
 import {nextSuspectTurn} from './suspect-turns.js';
-import {holderId} from './types.js';
 import type {
   AllotmentTiming,
   EntryOrders,
@@ -32,7 +32,6 @@
   LeaderTables,
   ServiceState,
   TargetRow,
-  TargetView,
 } from './types.js';
 
 /** Tables of a leader that has just won; earlier grants may be in use. */
@@ -51,104 +50,6 @@
   };
 }
 
-function isNewsForEntries(before: Announcement, after: Announcement): boolean {
-  const KV_STEPS = 32;
-  const kvStep = (item: Announcement) =>
-    Math.floor(
-      (item.load.kv_used_tokens * KV_STEPS) / Math.max(1, item.kv_tokens),
-    );
-  return (
-    before.incarnation !== after.incarnation ||
-    before.is_warm !== after.is_warm ||
-    before.address !== after.address ||
-    before.port !== after.port ||
-    before.slots !== after.slots ||
-    before.kv_tokens !== after.kv_tokens ||
-    (before.leaving_in_ms === undefined) !==
-      (after.leaving_in_ms === undefined) ||
-    JSON.stringify(before.models) !== JSON.stringify(after.models) ||
-    kvStep(before) !== kvStep(after) ||
-    Math.abs(before.load.running - after.load.running) > before.slots / KV_STEPS
-  );
-}
-
-function touch(tables: LeaderTables, row: TargetRow): void {
-  tables.targetsVersion += 1;
-  row.version = tables.targetsVersion;
-}
-
-export function recordAnnouncement(
-  tables: LeaderTables,
-  announcement: Announcement,
-  heardAtMs: number,
-): void {
-  const target = targetId(announcement.target);
-  const reportedAtMs = heardAtMs - announcement.load.age_ms;
-  const known = tables.targets.get(target);
-  if (known === undefined) {
-    const row: TargetRow = {
-      target,
-      announcement,
-      heardAtMs,
-      reportedAtMs,
-      finishedSinceWarm: 0,
-      isLapsed: false,
-      wasOut: false,
-      isRamping: false,
-      returnedAtMs: Number.NEGATIVE_INFINITY,
-      isUnknownLoadCharged: false,
-      version: 0,
-    };
-    tables.targets.set(target, row);
-    touch(tables, row);
-    return;
-  }
-  if (heardAtMs < known.heardAtMs) return;
-  const before = known.announcement;
-  const isRestarted = before.incarnation !== announcement.incarnation;
-  const turnedCold = before.is_warm && !announcement.is_warm;
-  if (isRestarted || turnedCold) known.finishedSinceWarm = 0;
-  if (isRestarted) forgetUse(tables, target);
-  const isNews = isNewsForEntries(before, announcement) || known.isLapsed;
-  known.announcement = announcement;
-  known.heardAtMs = heardAtMs;
-  known.reportedAtMs = reportedAtMs;
-  known.isLapsed = false;
-  if (isNews) touch(tables, known);
-}
-
-/** A restarted target runs nothing, but what was granted on it still counts. */
-function forgetUse(tables: LeaderTables, target: TargetId): void {
-  for (const grant of tables.grants.get(target)?.values() ?? []) {
-    grant.inUse = 0;
-    grant.kvInUse = 0;
-    grant.finished = 0;
-    grant.lowInUse = 0;
-    grant.lowInUseBefore = 0;
-  }
-}
-
-function isLive(row: EntryRow | undefined, nowMs: number): boolean {
-  return row !== undefined && nowMs < row.leaseEndMs;
-}
-
-/** Time over which the least use is kept: longer than reports are late. */
-const LOW_WINDOW_MS = 3_000;
-
-function lowUse(
-  known: Grant | undefined,
-  inUse: number,
-  nowMs: number,
-): Pick<Grant, 'lowInUse' | 'lowInUseBefore' | 'lowSinceMs'> {
-  // Of a holder heard for the first time, nothing is known of the past.
-  if (!known) return {lowInUse: inUse, lowInUseBefore: 0, lowSinceMs: nowMs};
-  const {lowInUse, lowInUseBefore, lowSinceMs} = known;
-  if (nowMs - lowSinceMs > LOW_WINDOW_MS) {
-    return {lowInUse: inUse, lowInUseBefore: lowInUse, lowSinceMs: nowMs};
-  }
-  return {lowInUse: Math.min(lowInUse, inUse), lowInUseBefore, lowSinceMs};
-}
-
 function recordHeld(
   tables: LeaderTables,
   holder: HolderId,
@@ -231,73 +132,6 @@
   kvTokens: number;
 }
 
-/** The least that live entries can have had running around the last report. */
-function leastLiveUse(
-  tables: LeaderTables,
-  grants: GrantsOfTarget,
-  nowMs: number,
-): number {
-  let least = 0;
-  for (const [holder, grant] of grants) {
-    if (!isLive(tables.entries.get(holder), nowMs)) continue;
-    least += Math.min(grant.lowInUse, grant.lowInUseBefore);
-  }
-  return least;
-}
-
-/**
- * What entries that are gone may still have running on the target: all that
- * they might have started until their lease ended, until the target's own
- * reports from after that leave no room for it.
- */
-function settleGhosts(
-  tables: LeaderTables,
-  target: TargetRow,
-  grants: GrantsOfTarget,
-  nowMs: number,
-): void {
-  const {running} = target.announcement.load;
-  const unexplained = running - leastLiveUse(tables, grants, nowMs);
-  for (const [holder, grant] of grants) {
-    const row = tables.entries.get(holder);
-    if (isLive(row, nowMs)) continue;
-    grant.inUse = Math.max(grant.inUse, grant.slots);
-    grant.kvInUse = Math.max(grant.kvInUse, grant.kvTokens);
-    if (target.reportedAtMs > (row?.leaseEndMs ?? 0)) {
-      grant.inUse = Math.min(grant.inUse, Math.max(0, unexplained));
-    }
-    grant.slots = grant.inUse;
-    if (grant.inUse === 0) grants.delete(holder);
-  }
-}
-
-const UNKNOWN_HOLDER = holderId('unknown');
-
-/**
- * Charges, once after the grace, what the target reports beyond all live
- * holders: a holder may have died before this leader heard of it.
- */
-function chargeUnknownLoad(
-  tables: LeaderTables,
-  target: TargetRow,
-  grants: GrantsOfTarget,
-  nowMs: number,
-): void {
-  if (target.isUnknownLoadCharged || nowMs < tables.graceEndMs) return;
-  target.isUnknownLoadCharged = true;
-  const {load} = target.announcement;
-  const inUse = load.running - leastLiveUse(tables, grants, nowMs);
-  if (inUse <= 0) return;
-  grants.set(UNKNOWN_HOLDER, {
-    slots: inUse,
-    kvTokens: 0,
-    inUse,
-    kvInUse: 0,
-    finished: 0,
-    ...lowUse(undefined, inUse, nowMs),
-  });
-}
-
 function addUse(use: Use, slots: number, kvTokens: number): void {
   use.slots += slots;
   use.kvTokens += kvTokens;
@@ -409,26 +243,6 @@
     .map(({target, slots, kvTokens}) => ({target, slots, kvTokens}));
 }
 
-export function toTargetView(row: TargetRow): TargetView {
-  const {announcement} = row;
-  return {
-    target: row.target,
-    incarnation: announcement.incarnation,
-    zone: announcement.zone as TargetView['zone'],
-    service: announcement.service as TargetView['service'],
-    address: announcement.address,
-    port: announcement.port,
-    models: announcement.models,
-    slots: announcement.slots,
-    kvTokens: announcement.kv_tokens,
-    isWarm: announcement.is_warm,
-    isLeaving: announcement.leaving_in_ms !== undefined,
-    isLapsed: row.isLapsed,
-    running: announcement.load.running,
-    kvUsedTokens: announcement.load.kv_used_tokens,
-  };
-}
-
 /** Handles one heartbeat; undefined for one that was overtaken by a later one. */
 export function handleReport(
   tables: LeaderTables,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -6,6 +6,7 @@
 export * from './cache-hints/index.js';
 export * from './fair-queue/index.js';
 export * from './lengths/index.js';
+export * from './placement/index.js';
 export * from './quarantine/index.js';
 export * from './retries/index.js';
 export * from './routing/index.js';
--- a/packages/replication/src/raft/replication.ts
+++ b/packages/replication/src/raft/replication.ts
@@ -12,6 +12,7 @@
 import {quorumValue} from './membership.js';
 import {sendSnapshotChunk} from './snapshot-send.js';
 import {
+  acceptAnswer,
   appendToLog,
   becomeFollower,
   currentMembership,
@@ -266,16 +267,8 @@
   from: ReplicaId,
   response: AppendResponse,
 ): void {
-  if (response.term > state.term) {
-    becomeFollower(state, response.term, undefined);
-    return;
-  }
-  const progress = state.progress.get(from);
-  if (state.role !== 'leader' || response.term < state.term || !progress) {
-    return;
-  }
-  progress.heardAtMs = nowMs;
-  progress.ackedSentAtMs = Math.max(progress.ackedSentAtMs, response.sentAtMs);
+  const progress = acceptAnswer(state, nowMs, from, response);
+  if (progress === undefined) return;
   if (response.isSuccess) acceptMatch(state, progress, response.index, nowMs);
   else acceptReject(progress, response);
   sendWhatIsMissing(state, from, progress, nowMs);
--- a/packages/replication/src/raft/snapshot.ts
+++ b/packages/replication/src/raft/snapshot.ts
@@ -3,7 +3,7 @@
 import {acceptLeader, advanceCommit} from './replication.js';
 import {sendSnapshotChunk} from './snapshot-send.js';
 import {
-  becomeFollower,
+  acceptAnswer,
   rebuildMemberships,
   sendAfterPersist,
   type RaftState,
@@ -117,17 +117,8 @@
   from: ReplicaId,
   response: SnapshotResponse,
 ): void {
-  if (response.term > state.term) {
-    becomeFollower(state, response.term, undefined);
-    return;
-  }
-  const progress = state.progress.get(from);
-  if (state.role !== 'leader' || response.term < state.term || !progress) {
-    return;
-  }
-  progress.heardAtMs = nowMs;
-  progress.ackedSentAtMs = Math.max(progress.ackedSentAtMs, response.sentAtMs);
-  if (progress.mode !== 'snapshot') return;
+  const progress = acceptAnswer(state, nowMs, from, response);
+  if (progress?.mode !== 'snapshot') return;
   if (response.isInstalled) {
     progress.mode = 'probe';
     progress.probeSentAtMs = Number.NEGATIVE_INFINITY;
--- a/packages/replication/src/raft/state.ts
+++ b/packages/replication/src/raft/state.ts
@@ -219,6 +219,25 @@
   state.transferTo = undefined;
 }
 
+/** Notes a follower's answer; undefined when it is of no use to this leader. */
+export function acceptAnswer(
+  state: RaftState,
+  nowMs: number,
+  from: ReplicaId,
+  answer: {readonly term: number; readonly sentAtMs: number},
+): Progress | undefined {
+  if (answer.term > state.term) {
+    becomeFollower(state, answer.term, undefined);
+    return undefined;
+  }
+  const progress = state.progress.get(from);
+  const isCurrent = state.role === 'leader' && answer.term === state.term;
+  if (!isCurrent || progress === undefined) return undefined;
+  progress.heardAtMs = nowMs;
+  progress.ackedSentAtMs = Math.max(progress.ackedSentAtMs, answer.sentAtMs);
+  return progress;
+}
+
 export function sendNow(
   state: RaftState,
   to: ReplicaId,
--- a/scripts/compare.mjs
+++ b/scripts/compare.mjs
@@ -339,6 +339,8 @@
 
 if (isMainThread) {
   await main();
+  // The plotting library keeps a timer.
+  process.exit(0);
 } else {
   parentPort.on('message', async ({index, task}) => {
     parentPort.postMessage({index, result: await runTask(task)});
--- /dev/null
+++ b/scripts/mutants.mjs
@@ -0,0 +1,249 @@
+/**
+ * Checks the tests of failures: breaks one rule of the daemon at a time, in a
+ * copy of the build, and runs the test that has to notice.
+ *
+ *   npm run mutants [-- WORD]    only rules whose text holds WORD
+ */
+import {spawnSync} from 'node:child_process';
+import {
+  cpSync,
+  mkdirSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  symlinkSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {dirname, join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+const root = dirname(dirname(fileURLToPath(import.meta.url)));
+const TIMEOUT_MS = 150_000;
+
+/** The rule that is broken, the file, the change, and the test that notices. */
+const MUTANTS = [
+  [
+    'an entry without a view lease gives out no work',
+    'daemon/dist/entry/tables.js',
+    'return nowMs < tables.viewLeaseEndMs;',
+    'return true;',
+    'daemon/dist/voter/control.spec.js',
+    'silent partition of the entry',
+  ],
+  [
+    'a zone that is out is not chosen',
+    'policy/dist/allotments/bearing.js',
+    'return state.outTargets.has(row.target) || state.outZones.has(zone);',
+    'return false;',
+    'policy/dist/allotments/allotments.spec.js',
+    'zone that is out',
+  ],
+  [
+    'the claim is committed before a byte leaves',
+    'daemon/dist/plain/once.js',
+    "if (claimed.value.kind === 'granted') {",
+    'if (true) {',
+    'daemon/dist/plain/once.spec.js',
+    'repeats during',
+  ],
+  [
+    'a lost outcome is never run again',
+    'policy/dist/retries/logic.js',
+    'if (!situation.mayRepeat) {',
+    'if (false) {',
+    'daemon/dist/plain/once.spec.js',
+    'target that dies while it runs',
+  ],
+  [
+    'claims of a holder that is gone become unknown',
+    'control/dist/ledger/logic.js',
+    "state: 'unknown',\n            updatedAtMs: command.atMs,\n        });\n    }",
+    "state: 'released',\n            updatedAtMs: command.atMs,\n        });\n    }",
+    'control/dist/control.spec.js',
+    'holder that is gone',
+  ],
+  [
+    'a resend gets its first answer',
+    'control/dist/machine/control-machine.js',
+    'if (first)\n        return first;',
+    '',
+    'control/dist/control.spec.js',
+    'first wins',
+  ],
+  [
+    'of equal revisions only one wins',
+    'control/dist/machine/control-machine.js',
+    'if (baseRevision !== config.revision) {',
+    'if (false) {',
+    'control/dist/control.spec.js',
+    'first wins',
+  ],
+  [
+    'events of another generation are refused',
+    'policy/dist/sequence/logic.js',
+    'if (event.generation !== state.generation) {',
+    'if (false) {',
+    'policy/dist/decisions.spec.js',
+    'another generation',
+  ],
+  [
+    'duplicates are dropped',
+    'policy/dist/sequence/logic.js',
+    'if (event.sequence < state.nextSequence)',
+    'if (false)',
+    'daemon/dist/generations/generations.spec.js',
+    'duplicated and reordered',
+  ],
+  [
+    'a silent stream is resumed',
+    'policy/dist/retries/logic.js',
+    'if (situation.isEngine && isLinkFault && canResume)',
+    'if (false)',
+    'daemon/dist/generations/generations.spec.js',
+    'link goes silent',
+  ],
+  [
+    'no second generation after the first token',
+    'policy/dist/retries/logic.js',
+    "if (situation.hasForwarded)\n        return { kind: 'answer_incomplete' };",
+    '',
+    'policy/dist/decisions.spec.js',
+    'second generation',
+  ],
+  [
+    'resume tokens are sealed',
+    'daemon/dist/generations/resume-token.js',
+    'if (!secretsEqual(found, seal(key, text)))',
+    'if (false)',
+    'daemon/dist/generations/generations.spec.js',
+    'resume token',
+  ],
+  [
+    'a cold target bears its cold limit',
+    'policy/dist/allotments/bearing.js',
+    'if (!is_warm)\n        return Math.min(cold_slots, slots);',
+    '',
+    'daemon/dist/entry/bearing.spec.js',
+    'cold target is never',
+  ],
+  [
+    'a leaving target gets no new work',
+    'policy/dist/allotments/bearing.js',
+    '|| leaving_in_ms !== undefined',
+    '',
+    'daemon/dist/entry/bearing.spec.js',
+    'is leaving',
+  ],
+  [
+    'two deaths quarantine a request',
+    'policy/dist/quarantine/logic.js',
+    'if (row.deaths.size < DEATHS_TO_QUARANTINE)',
+    'if (true)',
+    'daemon/dist/entry/bearing.spec.js',
+    'poison request',
+  ],
+  [
+    'a planned stop waits for streams',
+    'daemon/dist/daemon.js',
+    'await waitForQuiet(parts);',
+    '',
+    'daemon/dist/voter/control.spec.js',
+    'planned stop',
+  ],
+  [
+    'only replicas that were never members may form a group',
+    'daemon/dist/operators/bootstrap.js',
+    'return reason === undefined',
+    'return true',
+    'daemon/dist/voter/control.spec.js',
+    'wiped disks on a majority',
+  ],
+  [
+    'a grant counts until its holder confirms a smaller one',
+    'policy/dist/allotments/leader.js',
+    'slots: Math.max(slots, known?.slots ?? 0),',
+    'slots,',
+    'policy/dist/allotments/allotments.spec.js',
+    'within the last lease',
+  ],
+  [
+    'a new leader gives nothing while others may hold grants',
+    'policy/dist/allotments/leader.js',
+    'graceEndMs: nowMs + timing.leaseMs + timing.clockDriftMs,',
+    'graceEndMs: nowMs,',
+    'policy/dist/allotments/allotments.spec.js',
+    'within the last lease|renews what entries hold',
+  ],
+  [
+    'operators need their key',
+    'daemon/dist/operators/api.js',
+    'if (!secretsEqual(presented, `Bearer ${key}`)) {',
+    'if (false) {',
+    'daemon/dist/voter/control.spec.js',
+    'wrong key',
+  ],
+];
+
+function copyBuild() {
+  const folder = mkdtempSync(join(tmpdir(), 'samphirefield-mutants-'));
+  mkdirSync(join(folder, 'node_modules'));
+  for (const name of readdirSync(join(root, 'node_modules'))) {
+    if (name !== '@samphirefield')
+      symlinkSync(
+        join(root, 'node_modules', name),
+        join(folder, 'node_modules', name),
+      );
+  }
+  mkdirSync(join(folder, 'node_modules/@samphirefield'));
+  for (const name of readdirSync(join(root, 'packages'))) {
+    const target = join(folder, 'packages', name);
+    mkdirSync(target, {recursive: true});
+    cpSync(join(root, 'packages', name, 'dist'), join(target, 'dist'), {
+      recursive: true,
+    });
+    cpSync(
+      join(root, 'packages', name, 'package.json'),
+      join(target, 'package.json'),
+    );
+    symlinkSync(target, join(folder, 'node_modules/@samphirefield', name));
+  }
+  return folder;
+}
+
+function runTest(folder, spec, pattern) {
+  const result = spawnSync(
+    process.execPath,
+    [
+      '--test',
+      `--test-name-pattern=${pattern}`,
+      join(folder, 'packages', spec),
+    ],
+    {cwd: folder, encoding: 'utf8', timeout: TIMEOUT_MS, killSignal: 'SIGKILL'},
+  );
+  const message =
+    /error: (?:\|-\s*)?(.*)/.exec(result.stdout ?? '')?.[1] ??
+    (result.status === null ? 'it never ended' : '');
+  return {isNoticed: result.status !== 0, message: message.slice(0, 90)};
+}
+
+const word = process.argv[2] ?? '';
+let missed = 0;
+console.log('| broken rule | noticed | by the test | first message |');
+console.log('| --- | --- | --- | --- |');
+for (const [rule, file, from, to, spec, pattern] of MUTANTS) {
+  if (!rule.includes(word)) continue;
+  const folder = copyBuild();
+  const path = join(folder, 'packages', file);
+  const text = readFileSync(path, 'utf8');
+  if (!text.includes(from)) throw new Error(`${file} does not hold: ${from}`);
+  writeFileSync(path, text.replace(from, to));
+  const {isNoticed, message} = runTest(folder, spec, pattern);
+  if (!isNoticed) missed += 1;
+  console.log(
+    `| ${rule} | ${isNoticed ? 'yes' : 'NO'} | ${spec.split('/').pop()}: ${pattern} | ${message} |`,
+  );
+  rmSync(folder, {recursive: true, force: true});
+}
+process.exitCode = missed === 0 ? 0 : 1;
