Reuse the leader's plan for a moment when entries are many

Cause: at 80 entries and 300 targets, a region of the size to come, one heartbeat cost the leader 17.2 ms: 1.38 cores at one a second from each. Every heartbeat planned every target for all entries and settled ghosts.

Ruled out: reading and writing the messages (7 KB and 14 KB, not in this figure).

Change: with more than 16 entries a plan is used for 100 ms; ghosts are settled only while a holder is gone or unknown load is charged; what may be granted is still bounded by what the others hold.

--- a/packages/daemon/src/entry/report.ts
+++ b/packages/daemon/src/entry/report.ts
@@ -179,7 +179,8 @@
   syncAllCandidates(tables);
   tables.suspectTurns = new Set(orders.suspectTurns);
   if (isConfigCurrent) tables.viewLeaseEndMs = sentAtMs + leaseMs;
-  return {wantsSoon: hasShrunk || isNewLeader || !isConfigCurrent};
+  const isNews = answer.news.kind !== 'none';
+  return {wantsSoon: hasShrunk || isNewLeader || isNews};
 }
 
 function markReported(
--- /dev/null
+++ b/packages/daemon/src/parts.ts
@@ -0,0 +1,158 @@
+/** Builds the parts of a daemon that its features plug into. */
+import {randomUUID} from 'node:crypto';
+import {err, ok, type Result} from 'neverthrow';
+import {
+  instanceId,
+  zoneId,
+  type Logger,
+  type Settings,
+} from '@samphirefield/core';
+import {holderId} from '@samphirefield/policy';
+import type {Clock} from './clock/index.js';
+import {
+  ControlClient,
+  createEntryTables,
+  HeartbeatLoop,
+  type EntryTables,
+} from './entry/index.js';
+import {createMetrics, type Metrics} from './metrics/index.js';
+import {Claims} from './plain/index.js';
+import {RpcClient} from './rpc/index.js';
+import {Scheduler} from './scheduler/index.js';
+import {TargetClient} from './targets/index.js';
+import {advertisedAddress, VoterHost, type OrderSender} from './voter/index.js';
+
+/** The parts that the features plug into. */
+export interface Parts {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly rpc: RpcClient;
+  readonly control: ControlClient;
+  readonly host: VoterHost | undefined;
+  readonly tables: EntryTables;
+  readonly scheduler: Scheduler;
+  readonly heartbeat: HeartbeatLoop;
+  readonly targets: TargetClient;
+  readonly claims: Claims;
+  readonly metrics: Metrics;
+  isDraining: boolean;
+}
+
+const ANY_ADDRESS = ['0.0.0.0', '::'];
+
+/** Daemons call each other from the address that they are known by. */
+function sourceAddress(settings: Settings): string | undefined {
+  const {address} = settings.internal;
+  return ANY_ADDRESS.includes(address) ? undefined : address;
+}
+
+function replicaOf(settings: Settings, host: VoterHost | undefined) {
+  if (host === undefined) return undefined;
+  const {address, port} = advertisedAddress(settings);
+  return {id: host.replicaId, address, port, isMember: host.node.isMember};
+}
+
+/** Sends orders with the key of targets, while this daemon still leads. */
+function createOrderSender(
+  settings: Settings,
+  targets: TargetClient,
+  host: () => VoterHost | undefined,
+): OrderSender {
+  return async (order, announcement, timeoutMs) => {
+    const {address, port} = announcement;
+    const {target, incarnation, model, version, epoch} = order;
+    const sent = await targets.order(
+      {target, incarnation, address, port},
+      settings.targets.key,
+      {kind: 'load_model', model, version, epoch},
+      () => host()?.node.holdsLease() ?? false,
+      timeoutMs,
+    );
+    return sent.mapErr(error => error.kind);
+  };
+}
+
+export async function buildParts(
+  settings: Settings,
+  logger: Logger,
+  clock: Clock,
+): Promise<Result<Parts, string>> {
+  const {instance, cluster, timing, voter} = settings;
+  const rpc = new RpcClient(
+    cluster.key,
+    instance.deployment,
+    sourceAddress(settings),
+  );
+  const control = new ControlClient({
+    rpc,
+    clock,
+    seeds: cluster.voters.map(({id, address, port}) => ({
+      instance: id,
+      address,
+      port,
+    })),
+    callTimeoutMs: timing.rpc_timeout_ms,
+  });
+  const targets = new TargetClient();
+  let host: VoterHost | undefined;
+  if (voter) {
+    const opened = await VoterHost.open({
+      settings,
+      dataFolder: voter.data_folder,
+      rpc,
+      clock,
+      logger,
+      addressOf: id => control.addressOf(id),
+      sendOrder: createOrderSender(settings, targets, () => host),
+    });
+    if (opened.isErr()) return err(opened.error);
+    host = opened.value;
+  }
+  const holder = holderId(`${instance.id}/${randomUUID()}`);
+  const tables = createEntryTables(
+    holder,
+    instanceId(instance.id),
+    zoneId(instance.zone),
+  );
+  const scheduler: Scheduler = new Scheduler({
+    tables,
+    clock,
+    logger,
+    limits: settings.limits,
+    wantRoom: () => heartbeat.hurry(),
+  });
+  const heartbeat: HeartbeatLoop = new HeartbeatLoop({
+    tables,
+    control,
+    clock,
+    logger,
+    heartbeatMs: timing.heartbeat_ms,
+    leaseMs: timing.view_lease_ms,
+    demand: () => scheduler.demand(),
+    replica: () => replicaOf(settings, host),
+    onNews: () => scheduler.dispatch(),
+  });
+  const metrics = createMetrics({
+    openStreams: () => tables.streams.size,
+    waiting: () => scheduler.waitingCount,
+    revision: () => tables.config.revision,
+    leaseLeftMs: () => Math.max(0, tables.viewLeaseEndMs - clock.nowMs()),
+  });
+  const claims = new Claims({control, clock, holder, limits: settings.limits});
+  return ok({
+    settings,
+    clock,
+    logger,
+    rpc,
+    control,
+    host,
+    tables,
+    scheduler,
+    heartbeat,
+    targets,
+    claims,
+    metrics,
+    isDraining: false,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/voter/refuse-change.ts
@@ -0,0 +1,33 @@
+/** Refuses operators' commands that are wrong before they reach the log. */
+import type {ControlMachine} from '@samphirefield/control';
+import {formatRuleError, parseRules} from '@samphirefield/core';
+import type {OperatorRequest} from '../rpc/index.js';
+import type {Leadership} from './leadership.js';
+import {seenTargets, seenZones} from './status.js';
+import type {OperatorOutcome} from './types.js';
+
+/** Undefined for a command that may be proposed; a resend always may. */
+export function refuseChange(
+  leadership: Leadership,
+  machine: ControlMachine,
+  request: OperatorRequest,
+): OperatorOutcome | undefined {
+  const {change, commandId, isUnseenAllowed} = request;
+  if (machine.tables.answers.has(commandId)) return undefined;
+  if (change.kind === 'apply_rules') return refuseRules(change.text);
+  if (isUnseenAllowed || !change.isOut) return undefined;
+  const isZone = change.kind === 'zone';
+  const seen: readonly string[] = isZone
+    ? seenZones(leadership, machine)
+    : seenTargets(leadership);
+  const what = isZone ? change.zone : change.target;
+  if (seen.includes(what)) return undefined;
+  return {kind: 'unseen', what: `${change.kind} ${what}`, seen};
+}
+
+function refuseRules(text: string): OperatorOutcome | undefined {
+  const rules = parseRules(text);
+  if (rules.isOk()) return undefined;
+  const errors = rules.error.map(error => formatRuleError('rules', error));
+  return {kind: 'invalid_rules', errors};
+}
--- a/packages/daemon/src/voter/types.ts
+++ b/packages/daemon/src/voter/types.ts
@@ -5,7 +5,7 @@
   ConfigView,
   OperatorAnswer,
 } from '@samphirefield/control';
-import type {Announcement, TargetId, ZoneId} from '@samphirefield/core';
+import type {Announcement} from '@samphirefield/core';
 import type {Result} from 'neverthrow';
 import type {EntryOrders, LoadOrder} from '@samphirefield/policy';
 import type {SubmitError} from '@samphirefield/replication';
@@ -52,7 +52,7 @@
   | {
       readonly kind: 'unseen';
       readonly what: string;
-      readonly seen: ReadonlyArray<ZoneId | TargetId>;
+      readonly seen: readonly string[];
     }
   | {readonly kind: 'answered'; readonly answer: OperatorAnswer};
 
--- a/packages/daemon/src/voter/voter-host.ts
+++ b/packages/daemon/src/voter/voter-host.ts
@@ -5,9 +5,7 @@
 import {randomInt} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {
-  parseRules,
   type Fingerprint,
-  formatRuleError,
   type Logger,
   type Settings,
 } from '@samphirefield/core';
@@ -47,7 +45,8 @@
 import {PeerSender} from './peer-sender.js';
 import {Placement} from './placement.js';
 import {RulesInForce} from './rules-in-force.js';
-import {buildStatus, seenTargets, seenZones} from './status.js';
+import {refuseChange} from './refuse-change.js';
+import {buildStatus} from './status.js';
 import type {
   ApplyAnswer,
   BootstrapAnswer,
@@ -265,22 +264,18 @@
   async handleOperator(request: OperatorRequest): Promise<OperatorOutcome> {
     const leadership = this.lead();
     if (leadership === undefined) return this.notLeader();
-    const {commandId, baseRevision, operator, change} = request;
-    const isResend = this.machine.tables.answers.has(commandId);
-    const refusal = isResend
-      ? undefined
-      : this.refuseChange(leadership, request);
+    const refusal = refuseChange(leadership, this.machine, request);
     if (refusal) return refusal;
+    const {commandId, baseRevision, operator, change} = request;
     const atMs = this.options.clock.wallMs();
-    const command = {
-      kind: 'operator' as const,
+    const result = await this.submit({
+      kind: 'operator',
       commandId,
       baseRevision,
       operator,
       change,
       atMs,
-    };
-    const result = await this.submit(command);
+    });
     if (result.kind !== 'applied') return result;
     const answer = result.answer as OperatorAnswer;
     this.options.logger.info('operator_command', {
@@ -293,27 +288,6 @@
     return {kind: 'answered', answer};
   }
 
-  private refuseChange(
-    leadership: Leadership,
-    request: OperatorRequest,
-  ): OperatorOutcome | undefined {
-    const {change, isUnseenAllowed} = request;
-    if (change.kind === 'apply_rules') {
-      const rules = parseRules(change.text);
-      if (rules.isOk()) return undefined;
-      const errors = rules.error.map(error => formatRuleError('rules', error));
-      return {kind: 'invalid_rules', errors};
-    }
-    if (isUnseenAllowed || !change.isOut) return undefined;
-    const seen =
-      change.kind === 'zone'
-        ? seenZones(leadership, this.machine)
-        : seenTargets(leadership);
-    const what = change.kind === 'zone' ? change.zone : change.target;
-    if (seen.includes(what as never)) return undefined;
-    return {kind: 'unseen', what: `${change.kind} ${what}`, seen};
-  }
-
   config(): ConfigAnswer {
     if (this.lead() === undefined) return this.notLeader();
     return {kind: 'ok', view: this.machine.tables.config};
--- a/packages/policy/src/allotments/ghosts.ts
+++ b/packages/policy/src/allotments/ghosts.ts
@@ -32,6 +32,15 @@
   return {lowInUse: Math.min(lowInUse, inUse), lowInUseBefore, lowSinceMs};
 }
 
+/** Whether any holder is gone, so that ghosts have to be looked for at all. */
+export function hasGoneHolders(tables: LeaderTables, nowMs: number): boolean {
+  if (tables.hasUnknownLoad) return true;
+  for (const row of tables.entries.values()) {
+    if (!isLive(row, nowMs)) return true;
+  }
+  return false;
+}
+
 /** The least that live entries can have had running around the last report. */
 function leastLiveUse(
   tables: LeaderTables,
@@ -89,6 +98,7 @@
   const {load} = target.announcement;
   const inUse = load.running - leastLiveUse(tables, grants, nowMs);
   if (inUse <= 0) return;
+  tables.hasUnknownLoad = true;
   grants.set(UNKNOWN_HOLDER, {
     slots: inUse,
     kvTokens: 0,
--- a/packages/policy/src/allotments/leader.ts
+++ b/packages/policy/src/allotments/leader.ts
@@ -16,7 +16,13 @@
 import {affinityOf} from '../routing/index.js';
 import {recordAnnouncement, toTargetView, touch} from './announcements.js';
 import {bearingOf, trackService, type Bearing} from './bearing.js';
-import {chargeUnknownLoad, isLive, lowUse, settleGhosts} from './ghosts.js';
+import {
+  chargeUnknownLoad,
+  hasGoneHolders,
+  isLive,
+  lowUse,
+  settleGhosts,
+} from './ghosts.js';
 import {planShares, type Claimant} from './plan-shares.js';
 import {nextSuspectTurn} from './suspect-turns.js';
 import type {
@@ -31,6 +37,7 @@
   HolderId,
   LeaderTables,
   ServiceState,
+  TargetPlan,
   TargetRow,
 } from './types.js';
 
@@ -43,7 +50,9 @@
     targets: new Map(),
     entries: new Map(),
     grants: new Map(),
+    plans: new Map(),
     quarantine: createQuarantine(),
+    hasUnknownLoad: false,
     graceEndMs: nowMs + timing.leaseMs + timing.clockDriftMs,
     targetsVersion: 1,
     suspectTurn: undefined,
@@ -162,23 +171,64 @@
   return use;
 }
 
-/** The share that the plan gives to one holder, before what others still hold. */
-function plannedShare(
+/**
+ * With many entries a plan is used again for a moment: it costs time for each
+ * of them, at each heartbeat of each of them. What may be granted is always
+ * bounded by what the others hold now.
+ */
+const MANY_ENTRIES = 16;
+const PLAN_REUSE_MS = 100;
+
+function isReusable(
+  tables: LeaderTables,
+  plan: TargetPlan | undefined,
+  bearing: Bearing,
+  nowMs: number,
+): plan is TargetPlan {
+  return (
+    plan !== undefined &&
+    tables.entries.size > MANY_ENTRIES &&
+    nowMs - plan.madeAtMs < PLAN_REUSE_MS &&
+    plan.bearing.slots === bearing.slots &&
+    plan.bearing.kvTokens === bearing.kvTokens
+  );
+}
+
+function planTarget(
   tables: LeaderTables,
   target: TargetRow,
   grants: GrantsOfTarget,
   bearing: Bearing,
-  holder: HolderId,
   nowMs: number,
-): Bearing {
+): TargetPlan {
   const claimants = liveClaimants(tables, target, nowMs);
   const ghosts = ghostUse(tables, grants, nowMs);
-  const shares = planShares(claimants, {
+  const given = planShares(claimants, {
     slots: bearing.slots - ghosts.slots,
     kvTokens: bearing.kvTokens - ghosts.kvTokens,
   });
-  const position = claimants.findIndex(item => item.holder === holder);
-  return shares[position] ?? {slots: 0, kvTokens: 0};
+  const shares = new Map(
+    claimants.map(({holder}, position) => [holder, given[position]!]),
+  );
+  return {madeAtMs: nowMs, bearing, shares};
+}
+
+/** The share that the plan gives to one holder, before what others still hold. */
+function plannedShare(
+  tables: LeaderTables,
+  target: TargetRow,
+  grants: GrantsOfTarget,
+  bearing: Bearing,
+  holder: HolderId,
+  nowMs: number,
+): Bearing {
+  const known = tables.plans.get(target.target);
+  const isKnown = isReusable(tables, known, bearing, nowMs);
+  const plan = isKnown
+    ? known
+    : planTarget(tables, target, grants, bearing, nowMs);
+  tables.plans.set(target.target, plan);
+  return plan.shares.get(holder) ?? {slots: 0, kvTokens: 0};
 }
 
 /**
@@ -201,12 +251,13 @@
   target: TargetRow,
   bearing: Bearing,
   holder: HolderId,
+  hasGone: boolean,
   nowMs: number,
 ): GivenAllotment | undefined {
   const grants = tables.grants.get(target.target) ?? new Map<HolderId, Grant>();
   tables.grants.set(target.target, grants);
   chargeUnknownLoad(tables, target, grants, nowMs);
-  settleGhosts(tables, target, grants, nowMs);
+  if (hasGone) settleGhosts(tables, target, grants, nowMs);
   const known = grants.get(holder);
   const others = grantedToOthers(grants, holder);
   const planned = plannedShare(tables, target, grants, bearing, holder, nowMs);
@@ -266,10 +317,12 @@
   });
   recordReport(tables, report, nowMs);
   const allotments = renewUnknown(tables, report, nowMs);
+  const hasGone = hasGoneHolders(tables, nowMs);
   for (const target of tables.targets.values()) {
     trackService(target, state, nowMs);
     const bearing = bearingOf(target, state);
-    const given = allot(tables, target, bearing, report.holder, nowMs);
+    const {holder} = report;
+    const given = allot(tables, target, bearing, holder, hasGone, nowMs);
     if (given) allotments.push(given);
   }
   return {
@@ -312,6 +365,7 @@
     if (silentMs > timing.targetForgetMs) {
       tables.targets.delete(row.target);
       tables.grants.delete(row.target);
+      tables.plans.delete(row.target);
     }
   }
   expireSuspects(tables.quarantine, nowMs, timing.quarantineMs);
--- a/packages/policy/src/allotments/types.ts
+++ b/packages/policy/src/allotments/types.ts
@@ -13,6 +13,7 @@
   ZoneId,
 } from '@samphirefield/core';
 import type {DeathId, QuarantineTable} from '../quarantine/index.js';
+import type {Bearing} from './bearing.js';
 
 /** One run of one entry: an instance and its incarnation. */
 export type HolderId = Branded<string, 'HolderId'>;
@@ -76,11 +77,21 @@
 
 export type GrantsOfTarget = Map<HolderId, Grant>;
 
+/** What a plan gave to each holder of a target, kept for a moment. */
+export interface TargetPlan {
+  readonly madeAtMs: number;
+  readonly bearing: Bearing;
+  readonly shares: ReadonlyMap<HolderId, Bearing>;
+}
+
 export interface LeaderTables {
   readonly targets: Map<TargetId, TargetRow>;
   readonly entries: Map<HolderId, EntryRow>;
   readonly grants: Map<TargetId, GrantsOfTarget>;
+  readonly plans: Map<TargetId, TargetPlan>;
   readonly quarantine: QuarantineTable;
+  /** Set once load that no holder explains was charged to a target. */
+  hasUnknownLoad: boolean;
   /** Before this, grants of an earlier leader may be in use unseen. */
   graceEndMs: number;
   targetsVersion: number;
