Serve requests that were taken before a planned stop, also waiting ones

Cause: SIGTERM refused the requests that waited in a queue, and a request in progress whose target died meanwhile could get no other target: both were cut off by a planned stop. Found by reading.

Ruled out: keeping the allotments only for running streams: a retry needs a new place.

Change: only the listeners refuse new requests; the scheduler goes on.

--- a/packages/daemon/src/apps.ts
+++ b/packages/daemon/src/apps.ts
@@ -101,6 +101,7 @@
     metrics,
     timing: settings.timing,
     budget: createBudget(),
+    isDraining: () => parts.isDraining,
     hurry: () => parts.heartbeat.hurry(),
   };
   const {body_bytes, stream_buffer_bytes, stored_answer_bytes} =
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -86,7 +86,6 @@
   };
   const drain = async () => {
     parts.isDraining = true;
-    parts.scheduler.drain();
     logger.info('draining', {open_requests: parts.tables.streams.size});
     await waitForQuiet(parts);
     await stop();
--- a/packages/daemon/src/generations/admission-errors.ts
+++ b/packages/daemon/src/generations/admission-errors.ts
@@ -34,8 +34,6 @@
         'this entry cannot prove that its configuration is current',
         RETRY_AFTER_S,
       );
-    case 'draining':
-      return notRun(503, 'draining', 'this entry is shutting down', 1);
     case 'quarantined':
       return notRun(
         422,
--- a/packages/daemon/src/generations/api.ts
+++ b/packages/daemon/src/generations/api.ts
@@ -1,6 +1,12 @@
 /** The OpenAI-compatible routes of the callers' listener. */
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
-import {readBody, sendError, notRun, type App} from '../http/index.js';
+import {
+  DRAINING,
+  notRun,
+  readBody,
+  sendError,
+  type App,
+} from '../http/index.js';
 import {authenticate} from '../callers/index.js';
 import {parseGenerationRequest} from './parse-request.js';
 import {resumeGeneration} from './resume-run.js';
@@ -79,6 +85,10 @@
 ): Promise<void> {
   const {deps} = options;
   const {response} = call;
+  if (deps.isDraining()) {
+    sendError(response, DRAINING);
+    return;
+  }
   const startedAtMs = deps.clock.nowMs();
   const workspace = authenticate(deps.tables.rules, call.authorization);
   if (workspace.isErr()) {
--- a/packages/daemon/src/generations/run.ts
+++ b/packages/daemon/src/generations/run.ts
@@ -58,6 +58,8 @@
   readonly metrics: Metrics;
   readonly timing: Settings['timing'];
   readonly budget: RetryBudget;
+  /** Whether new requests are refused; those taken before are served. */
+  readonly isDraining: () => boolean;
   /** Tells the leader soon, after a death. */
   readonly hurry: () => void;
 }
--- a/packages/daemon/src/http/errors.ts
+++ b/packages/daemon/src/http/errors.ts
@@ -51,3 +51,11 @@
   const base = {status, code, message, outcome: 'not_run' as const};
   return retryAfterS === undefined ? base : {...base, retryAfterS};
 }
+
+/** For new requests at an entry that shuts down; what it took, it serves. */
+export const DRAINING = notRun(
+  503,
+  'draining',
+  'this entry is shutting down',
+  1,
+);
--- a/packages/daemon/src/http/index.ts
+++ b/packages/daemon/src/http/index.ts
@@ -1,5 +1,11 @@
 export {readBody, type BodyError} from './body.js';
-export {notRun, toErrorBody, type ApiError, type Outcome} from './errors.js';
+export {
+  DRAINING,
+  notRun,
+  toErrorBody,
+  type ApiError,
+  type Outcome,
+} from './errors.js';
 export {sendError, sendJson} from './respond.js';
 export {
   createApp,
--- a/packages/daemon/src/plain/api.ts
+++ b/packages/daemon/src/plain/api.ts
@@ -12,7 +12,13 @@
 } from '@samphirefield/core';
 import {authenticate} from '../callers/index.js';
 import type {GenerationDeps} from '../generations/index.js';
-import {notRun, readBody, sendError, type App} from '../http/index.js';
+import {
+  DRAINING,
+  notRun,
+  readBody,
+  sendError,
+  type App,
+} from '../http/index.js';
 import {callPlain} from './call.js';
 import type {Claims} from './claims.js';
 import {callOnce} from './once.js';
@@ -68,6 +74,7 @@
   const {deps} = options;
   const {rules} = deps.tables;
   const {response, method, url} = call;
+  if (deps.isDraining()) return sendError(response, DRAINING);
   const path = url.split('?')[0]!;
   const workspace = authenticate(rules, call.authorization);
   if (workspace.isErr()) return sendError(response, workspace.error);
--- a/packages/daemon/src/scheduler/scheduler.ts
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -80,7 +80,6 @@
   private readonly waiters = new Map<RequestId, Waiter>();
   private readonly runningByService = new Map<ServiceId, number>();
   private readonly runningByWorkspace = new Map<string, number>();
-  private isDraining = false;
   private slice = 0;
 
   constructor(private readonly options: SchedulerOptions) {}
@@ -90,14 +89,6 @@
     return this.waiters.size;
   }
 
-  /** Refuses all new requests from now on, and those that wait. */
-  drain(): void {
-    this.isDraining = true;
-    for (const waiter of [...this.waiters.values()]) {
-      this.refuse(waiter, {kind: 'draining'});
-    }
-  }
-
   /** Resolves once the request has a place on a target. */
   acquire(
     request: AdmissionRequest,
@@ -179,7 +170,6 @@
 
   private refusalOf(request: AdmissionRequest): AdmissionError | undefined {
     const {tables, clock} = this.options;
-    if (this.isDraining) return {kind: 'draining'};
     if (!hasViewLease(tables, clock.nowMs())) return {kind: 'no_view_lease'};
     if (suspicionHere(tables, request.fingerprint) === 'quarantined') {
       return {kind: 'quarantined'};
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -35,6 +35,5 @@
   | EnqueueError
   | {readonly kind: 'waited_too_long'; readonly waitedMs: number}
   | {readonly kind: 'no_view_lease'}
-  | {readonly kind: 'draining'}
   | {readonly kind: 'quarantined'}
   | {readonly kind: 'caller_left'};
--- a/packages/daemon/src/voter/control.spec.ts
+++ b/packages/daemon/src/voter/control.spec.ts
@@ -371,3 +371,39 @@
     await engine!.die();
   });
 });
+
+test('a planned stop serves what already waits, also when a target dies meanwhile', async () => {
+  await withDeployment({entries: 1}, async deployment => {
+    const small = (target: string) =>
+      FakeEngine.start({
+        target,
+        zone: 'zone-a',
+        service: 'models',
+        models: [{model: 'large', version: '1'}],
+        daemons: deployment.internalUrls,
+        key: KEY,
+        announceMs: 200,
+        speed: 8,
+        config: {slots: 1, coldSlots: 1},
+      });
+    const first = await small('small-1');
+    await deployment.waitForTargets(['small-1']);
+    const entry = deployment.daemon('entry-1');
+    const running = post(entry, CHAT, generation(700, false));
+    await waitFor('it runs', () => first.engine.running.size === 1);
+    const waiting = post(entry, CHAT, generation(20, true, 'waiting'));
+    await delay(100);
+    const exited = deployment.kill(entry, 'SIGTERM');
+    await waitFor(
+      'it drains',
+      async () => (await deployment.get(entry, '/readyz')).status === 503,
+    );
+    const second = await small('small-2');
+    await deployment.waitForTargets(['small-2']);
+    await first.die();
+    expect(readStream((await waiting).text).isDone).toEqual(true);
+    expect((await running).status).toEqual(200);
+    expect(await exited).toEqual(0);
+    await second.die();
+  });
+});
