--- /dev/null
+++ b/packages/replication/src/node/replica-node.spec.ts
@@ -0,0 +1,115 @@
+/** The node that runs one replica: group commit, failed disks, snapshots. */
+import {expect} from 'earl';
+import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {replicaId, type RaftConfig} from '../raft/index.js';
+import type {LogBatch, ReplicaStorage, StoredState} from '../storage/index.js';
+import {ReplicaNode} from './index.js';
+
+const CONFIG: RaftConfig = {
+  id: replicaId('a/1'),
+  heartbeatMs: 10,
+  electionTimeoutMinMs: 20,
+  electionTimeoutMaxMs: 40,
+  clockDriftMs: 1,
+  maxEntriesPerMessage: 100,
+  maxBytesPerMessage: 100_000,
+  maxMessagesInFlight: 4,
+  snapshotChunkBytes: 1_000,
+  randomBelow: () => 0,
+};
+const EMPTY: StoredState = {
+  hardState: {term: 0, votedFor: null},
+  snapshot: undefined,
+  entries: [],
+  cutBytes: 0,
+};
+
+/** A disk in memory that can be slow, or broken. */
+class FakeStorage implements ReplicaStorage {
+  readonly batches: LogBatch[] = [];
+  snapshots = 0;
+  isBroken = false;
+
+  async append(batch: LogBatch): Promise<void> {
+    await delay(2);
+    if (this.isBroken) throw new Error('no space left on device');
+    this.batches.push(batch);
+  }
+
+  replace(): Promise<void> {
+    this.snapshots += 1;
+    return Promise.resolve();
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+async function startAlone(snapshotEveryEntries = 1_000_000) {
+  const storage = new FakeStorage();
+  const applied: string[] = [];
+  const failures: string[] = [];
+  const startedAt = performance.now();
+  const node = new ReplicaNode<number>({
+    config: CONFIG,
+    storage,
+    stored: EMPTY,
+    machine: {
+      apply: command => applied.push(command),
+      snapshot: () => Buffer.from(JSON.stringify(applied)),
+      restore: () => undefined,
+    },
+    send: () => undefined,
+    nowMs: () => performance.now() - startedAt,
+    onFailure: error => failures.push(error.message),
+    snapshotEveryEntries,
+  });
+  const self = {
+    id: CONFIG.id,
+    instance: 'a',
+    address: '127.0.0.1',
+    port: 1,
+    role: 'voter' as const,
+  };
+  await node.bootstrap({replicas: [self]});
+  while (!node.holdsLease()) {
+    node.tick();
+    await delay(5);
+  }
+  return {node, storage, applied, failures};
+}
+
+test('commands that come while the disk syncs share the next sync', async () => {
+  const {node, storage, applied} = await startAlone();
+  const before = storage.batches.length;
+  const answers = await Promise.all(
+    Array.from({length: 200}, (_, index) => node.submit(`c${index}`)),
+  );
+  expect(answers.every(answer => answer.isOk())).toEqual(true);
+  expect(applied).toEqual(Array.from({length: 200}, (_, index) => `c${index}`));
+  expect(storage.batches.length - before < 10).toEqual(true);
+  await node.stop('test');
+});
+
+test('a failed sync ends the replica: it answers nothing more and leads no more', async () => {
+  const {node, storage, applied, failures} = await startAlone();
+  storage.isBroken = true;
+  const answer = await node.submit('lost');
+  expect(answer._unsafeUnwrapErr().kind).toEqual('outcome_unknown');
+  expect([node.isLeader, node.holdsLease()]).toEqual([false, false]);
+  expect(failures).toEqual(['no space left on device']);
+  storage.isBroken = false;
+  expect((await node.submit('later'))._unsafeUnwrapErr().kind).toEqual(
+    'stopped',
+  );
+  expect(applied).toEqual([]);
+});
+
+test('a snapshot is taken after so many entries', async () => {
+  const {node, storage} = await startAlone(10);
+  for (let index = 0; index < 25; index += 1) await node.submit(`c${index}`);
+  expect(storage.snapshots).toEqual(2);
+  await node.stop('test');
+});
