Show that the tests of failures notice broken rules

Cause: a test that never failed shows little. Two of the first mutants were noticed only because the test fails without its neighbours, one changed nothing, and a failed test with open fakes never ended.

Change: npm run mutants breaks one rule of the daemon at a time in a copy of the build; the test has to pass before and fail after. The tests of generations start their engine before all of them. Test runs end when their tests have.

--- a/packages/daemon/src/generations/generations.spec.ts
+++ b/packages/daemon/src/generations/generations.spec.ts
@@ -89,6 +89,7 @@
   });
   entry = deployment.daemons[0]!;
   other = deployment.daemons[1]!;
+  await startEngine('t1');
 });
 
 after(async () => {
@@ -97,7 +98,7 @@
 });
 
 test('a streamed answer brings every token once and in order', async () => {
-  const engine = await startEngine('t1');
+  const engine = engines[0]!;
   const answer = await post(entry, CHAT, generation(60, true));
   const {words, isDone} = readStream(answer.text);
   expect(words).toEqual(expectedWords(60));
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -123,8 +123,8 @@
   [
     'a cold target bears its cold limit',
     'policy/dist/allotments/bearing.js',
-    'if (!is_warm)\n        return Math.min(cold_slots, slots);',
-    '',
+    'return Math.min(cold_slots, slots);',
+    'return slots;',
     'daemon/dist/entry/bearing.spec.js',
     'cold target is never',
   ],
@@ -217,6 +217,7 @@
     process.execPath,
     [
       '--test',
+      '--test-force-exit',
       `--test-name-pattern=${pattern}`,
       join(folder, 'packages', spec),
     ],
@@ -235,11 +236,15 @@
 for (const [rule, file, from, to, spec, pattern] of MUTANTS) {
   if (!rule.includes(word)) continue;
   const folder = copyBuild();
+  const before = runTest(folder, spec, pattern);
   const path = join(folder, 'packages', file);
   const text = readFileSync(path, 'utf8');
   if (!text.includes(from)) throw new Error(`${file} does not hold: ${from}`);
   writeFileSync(path, text.replace(from, to));
-  const {isNoticed, message} = runTest(folder, spec, pattern);
+  const after = runTest(folder, spec, pattern);
+  // A test that fails without the change shows nothing.
+  const isNoticed = after.isNoticed && !before.isNoticed;
+  const message = before.isNoticed ? 'fails without the change' : after.message;
   if (!isNoticed) missed += 1;
   console.log(
     `| ${rule} | ${isNoticed ? 'yes' : 'NO'} | ${spec.split('/').pop()}: ${pattern} | ${message} |`,
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -38,7 +38,12 @@
 }
 const result = spawnSync(
   process.execPath,
-  ['--test', `--test-concurrency=${CONCURRENCY}`, ...specs],
+  [
+    '--test',
+    '--test-force-exit',
+    `--test-concurrency=${CONCURRENCY}`,
+    ...specs,
+  ],
   {cwd: root, stdio: 'inherit'},
 );
 process.exit(result.status ?? 1);
