Remove three pieces that nothing uses

Cause: a last reading of the whole change found an interface (QueueDemand) and two functions (lastLogPosition, removeRecord) without a caller.

Change: the three are gone, with the imports that only they needed.

Figures: types, linter and formatter pass on the whole tree; 39 tests of the touched packages pass (raft, fuzz, replica-node, control, generations).

--- a/packages/control/src/ledger/store.ts
+++ b/packages/control/src/ledger/store.ts
@@ -30,10 +30,6 @@
   table.records.delete(key);
 }
 
-export function removeRecord(table: LedgerTable, key: string): void {
-  unlink(table, key);
-}
-
 /** Inserts or replaces a record as the newest one. */
 export function putRecord(
   table: LedgerTable,
--- a/packages/daemon/src/entry/report.ts
+++ b/packages/daemon/src/entry/report.ts
@@ -1,6 +1,6 @@
 /** Builds an entry's heartbeat, and takes in the leader's answer. */
 import {applyDeltas, hashConfig, type ConfigView} from '@samphirefield/control';
-import {parseRules, type ServiceId} from '@samphirefield/core';
+import {parseRules} from '@samphirefield/core';
 import {
   forgetTarget,
   type Demand,
@@ -14,12 +14,6 @@
 import {forgetCandidateLists, syncAllCandidates} from './candidates.js';
 import {usageOf} from './usage.js';
 
-export interface QueueDemand {
-  readonly service: ServiceId;
-  readonly waiting: number;
-  readonly kvNeedTokens: number;
-}
-
 function runningSuspects(tables: EntryTables): EntryReport['runningSuspects'] {
   return [...tables.streams.values()]
     .filter(stream => stream.isSuspect)
--- a/packages/replication/src/raft/replication.ts
+++ b/packages/replication/src/raft/replication.ts
@@ -3,7 +3,6 @@
   entryBytes,
   firstIndexOfTerm,
   lastIndex,
-  lastTerm,
   sliceEntries,
   snapshotIndex,
   termAt,
@@ -320,10 +319,3 @@
   const isCommitted = change !== undefined && change.index <= state.commitIndex;
   return isCommitted && !isSelfVoter(state);
 }
-
-export function lastLogPosition(state: RaftState): {
-  readonly index: number;
-  readonly term: number;
-} {
-  return {index: lastIndex(state.log), term: lastTerm(state.log)};
-}
