--- /dev/null
+++ b/packages/cluster/src/control/control-node.ts
@@ -0,0 +1,445 @@
+/**
+ * A control daemon: a replica of the group, the registry of targets, and,
+ * while it leads, the dispatcher that gives out places on engines.
+ */
+import type {Server} from 'node:net';
+import {err, ok, type Result} from 'neverthrow';
+import {
+  instanceId,
+  type InstanceId,
+  type Logger,
+  type RequestId,
+  type TargetId,
+  type ZoneId,
+} from '@samphirefield/core';
+import {
+  Dispatcher,
+  type Demand,
+  type DispatchAnswer,
+  type RouteTable,
+  type RunOutcome,
+  type TargetAnnouncement,
+} from '@samphirefield/gateway';
+import {
+  formatAddress,
+  LinkSet,
+  listenForLinks,
+  type Address,
+  type Peer,
+  type RpcHandlers,
+} from '../link/index.js';
+import {capacitiesOf} from '../capacities.js';
+import {Group, type GroupTiming, type SubmitOutcome} from './group.js';
+import type {ClusterCommand, ClusterState} from './machine.js';
+import type {
+  FinishMessage,
+  GroupStatus,
+  HeldRuns,
+  Hello,
+  JoinRequest,
+  RaftMessageOnLink,
+  TargetNews,
+  TargetsMessage,
+} from './messages.js';
+import {Registry} from './registry.js';
+
+const TICK_MS = 50;
+const STATUS_EVERY_MS = 1_000;
+const JOIN_EVERY_MS = 500;
+const RENEWALS_EVERY_MS = 300;
+const REGISTRY_TICK_MS = 250;
+const REOPEN_AFTER_MS = 1_000;
+const FORWARD_TIMEOUT_MS = 3_000;
+const READ_TIMEOUT_MS = 800;
+/** A daemon whose link broke keeps its places this long. */
+const ENTRY_GRACE_MS = 2_500;
+
+export interface ControlNodeOptions {
+  readonly instance: InstanceId;
+  readonly zone: ZoneId;
+  readonly dataFolder: string;
+  readonly address: Address;
+  readonly seeds: readonly Address[];
+  readonly isFirstStart: boolean;
+  readonly timing: GroupTiming;
+  /** A target that was not heard for this long gets no new work. */
+  readonly targetSilentAfterMs: number;
+  readonly decode: (document: string) => Result<RouteTable, unknown>;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+}
+
+export type ChangeOutcome = 'accepted' | 'unavailable';
+
+export class ControlNode {
+  private group: Group | undefined;
+  private readonly registry: Registry;
+  private readonly links: LinkSet;
+  private readonly dispatcher: Dispatcher;
+  private readonly subscribers = new Map<Peer, Hello>();
+  private readonly placing = new Map<
+    RequestId,
+    (answer: DispatchAnswer) => void
+  >();
+  private renewals = new Map<TargetId, TargetNews>();
+  private server: Server | undefined;
+  private readonly timers: NodeJS.Timeout[] = [];
+  private lastStatus = '';
+  private statusSentAtMs = 0;
+  private isStopping = false;
+
+  constructor(private readonly options: ControlNodeOptions) {
+    const {logger, nowMs} = options;
+    this.registry = new Registry({
+      silentAfterMs: options.targetSilentAfterMs,
+      logger,
+      nowMs,
+      onChange: (record, isSilent) => {
+        this.dispatcher.setTarget(record, isSilent, nowMs());
+        this.tellEntries([{...this.registry.toNews(record), isSilent}]);
+      },
+      onHeard: (record, isChange) => {
+        const news = this.registry.toNews(record);
+        if (isChange) this.tellControls([news]);
+        else this.renewals.set(record.announcement.id, news);
+      },
+    });
+    this.dispatcher = new Dispatcher({
+      onAnswer: (demand, answer) => this.answerPlace(demand, answer),
+      share: () => 1,
+      random: Math.random,
+    });
+    this.links = new LinkSet(this.handlers(), {
+      onUp: (_address, peer) => void this.greet(peer),
+      onDown: address => {
+        logger.warn('control_link_down', {peer: formatAddress(address)});
+      },
+    });
+  }
+
+  async start(): Promise<Result<void, string>> {
+    const {address, seeds, nowMs} = this.options;
+    const opened = await this.openGroup();
+    if (opened.isErr()) return err(opened.error);
+    this.server = await listenForLinks(address, this.handlers(), peer =>
+      this.onPeerClosed(peer),
+    );
+    this.linkTo(seeds);
+    this.every(TICK_MS, () => this.tick());
+    this.every(JOIN_EVERY_MS, () => this.askToJoin());
+    this.every(RENEWALS_EVERY_MS, () => this.sendRenewals());
+    this.every(REGISTRY_TICK_MS, () => {
+      this.registry.tick();
+      this.dispatcher.pump(nowMs());
+    });
+    return ok(undefined);
+  }
+
+  get isLeader(): boolean {
+    return this.group?.isLeader ?? false;
+  }
+
+  announce(announcement: TargetAnnouncement): void {
+    this.registry.announce(announcement);
+  }
+
+  leave(id: TargetId): void {
+    this.registry.leave(id);
+  }
+
+  /** Resolves once the change is durable on a quorum, or cannot be said to be. */
+  async change(command: ClusterCommand): Promise<ChangeOutcome> {
+    const startedAtMs = this.options.nowMs();
+    const outcome = await this.submitOrForward(command);
+    this.options.logger.info('change', {
+      change: command.kind,
+      version: command.kind === 'put_config' ? command.version : undefined,
+      zone: command.kind === 'set_zone' ? command.zone : undefined,
+      out: command.kind === 'set_zone' ? command.isOut : undefined,
+      outcome: outcome.kind,
+      reason: outcome.kind === 'unknown' ? outcome.reason : undefined,
+      took_ms: Math.round(this.options.nowMs() - startedAtMs),
+    });
+    return outcome.kind === 'applied' ? 'accepted' : 'unavailable';
+  }
+
+  /** The newest accepted state; undefined when nobody here can be sure of it. */
+  async readNewest(): Promise<ClusterState | undefined> {
+    if (this.isLeader) return this.group!.readNewest(READ_TIMEOUT_MS);
+    try {
+      return await this.leaderPeer()?.request<ClusterState>(
+        'read_newest',
+        {},
+        READ_TIMEOUT_MS,
+      );
+    } catch (error) {
+      this.options.logger.warn('read_failed', {reason: String(error)});
+      return undefined;
+    }
+  }
+
+  metrics(): Record<string, number> {
+    return {
+      leader: this.isLeader ? 1 : 0,
+      term: this.group?.term ?? 0,
+      state_index: this.group?.state.index ?? 0,
+      targets: this.registry.size,
+      subscribers: this.subscribers.size,
+      places_waiting: this.dispatcher.waitingCount,
+      places_held: this.dispatcher.runCount,
+    };
+  }
+
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    for (const timer of this.timers) clearInterval(timer);
+    await this.group?.stop('the daemon stops');
+    this.links.close();
+    this.server?.close();
+  }
+
+  private every(ms: number, run: () => void): void {
+    this.timers.push(setInterval(run, ms));
+  }
+
+  private async openGroup(): Promise<Result<void, string>> {
+    const {options} = this;
+    const group = await Group.open({
+      dataFolder: options.dataFolder,
+      address: options.address,
+      zone: options.zone,
+      seeds: options.seeds,
+      isFirstStart: options.isFirstStart,
+      timing: options.timing,
+      logger: options.logger,
+      nowMs: options.nowMs,
+      send: (envelope, to) => {
+        const message = {envelope, replyTo: options.address};
+        this.links.peerAt(to)?.notify('raft', message);
+      },
+      onChange: state => this.onState(state),
+      onDiskFailure: error => this.onDiskFailure(error),
+    });
+    if (group.isErr()) return err(group.error);
+    this.group = group.value;
+    this.onState(this.group.state);
+    return ok(undefined);
+  }
+
+  /** Takes part again, from what the disk holds, once it can be read. */
+  private onDiskFailure(error: Error): void {
+    this.options.logger.error('replica_stopped', {reason: error.message});
+    const failed = this.group;
+    this.group = undefined;
+    const reopen = async () => {
+      if (this.isStopping) return;
+      await failed?.node.stop('its disk failed').catch(() => undefined);
+      const opened = await this.openGroup();
+      if (opened.isOk()) return;
+      this.options.logger.error('replica_not_opened', {reason: opened.error});
+      setTimeout(() => void reopen(), REOPEN_AFTER_MS);
+    };
+    setTimeout(() => void reopen(), REOPEN_AFTER_MS);
+  }
+
+  private handlers(): RpcHandlers {
+    return {
+      hello: (hello: Hello, peer: Peer) => this.onHello(hello, peer),
+      raft: (message: RaftMessageOnLink) => {
+        this.linkTo([message.replyTo]);
+        this.group?.receive(message.envelope, message.replyTo);
+      },
+      join: (request: JoinRequest) => {
+        this.linkTo([request.address]);
+        this.group?.noteCandidate(request);
+      },
+      targets: (message: TargetsMessage) => {
+        for (const item of message.items) this.registry.learn(item);
+      },
+      status: (status: GroupStatus) => this.linkTo(status.members),
+      submit: (command: ClusterCommand) =>
+        this.group?.submit(command) ?? {kind: 'not_leader'},
+      read_newest: () => this.group?.readNewest(READ_TIMEOUT_MS),
+      pull_state: () => this.group?.state,
+      place: (demand: Demand) => this.place(demand),
+      finish: (message: FinishMessage) =>
+        this.dispatcher.release(
+          message.request,
+          message.outcome as RunOutcome,
+          this.options.nowMs(),
+        ),
+      held_runs: (held: HeldRuns) => {
+        for (const run of held.runs) {
+          this.dispatcher.adopt({...run, entry: held.entry});
+        }
+      },
+    };
+  }
+
+  private linkTo(addresses: readonly Address[]): void {
+    const self = formatAddress(this.options.address);
+    for (const address of addresses) {
+      if (formatAddress(address) !== self) this.links.add(address);
+    }
+  }
+
+  private async greet(peer: Peer): Promise<void> {
+    const {instance, zone} = this.options;
+    const hello: Hello = {instance, role: 'control', zone};
+    peer.notify('hello', hello);
+  }
+
+  private onHello(hello: Hello, peer: Peer): void {
+    this.subscribers.set(peer, hello);
+    peer.notify('targets', {items: this.registry.news()});
+    peer.notify('status', this.status());
+    this.options.logger.info('subscriber', {
+      peer: hello.instance,
+      role: hello.role,
+    });
+  }
+
+  private onPeerClosed(peer: Peer): void {
+    const hello = this.subscribers.get(peer);
+    this.subscribers.delete(peer);
+    if (hello?.role !== 'entry') return;
+    setTimeout(() => {
+      const isBack = [...this.subscribers.values()].some(
+        other => other.instance === hello.instance,
+      );
+      if (!isBack) this.dropEntry(hello.instance);
+    }, ENTRY_GRACE_MS);
+  }
+
+  private dropEntry(instance: InstanceId): void {
+    this.options.logger.warn('entry_lost', {entry: instance});
+    this.dispatcher.dropEntry(instanceId(instance), this.options.nowMs());
+  }
+
+  private tellEntries(items: readonly TargetNews[]): void {
+    this.tell('entry', items);
+  }
+
+  private tellControls(items: readonly TargetNews[]): void {
+    this.tell('control', items);
+  }
+
+  private tell(role: Hello['role'], items: readonly TargetNews[]): void {
+    for (const [peer, hello] of this.subscribers) {
+      if (hello.role === role) peer.notify('targets', {items});
+    }
+  }
+
+  private sendRenewals(): void {
+    if (this.renewals.size === 0) return;
+    const items = [...this.renewals.values()];
+    this.renewals = new Map();
+    this.tellControls(items);
+  }
+
+  private onState(state: ClusterState): void {
+    if (state.version > 0) {
+      const table = this.options.decode(state.document);
+      if (table.isOk()) {
+        this.dispatcher.configure(
+          capacitiesOf(table.value),
+          new Set(state.zonesOut),
+        );
+      }
+    }
+    this.sendStatus(true);
+  }
+
+  private status(): GroupStatus {
+    const entries = new Set(
+      [...this.subscribers.values()]
+        .filter(hello => hello.role === 'entry')
+        .map(hello => hello.instance),
+    );
+    return {
+      term: this.group?.term ?? 0,
+      leader: this.group?.leader,
+      members: this.group?.members ?? [],
+      index: this.group?.state.index ?? 0,
+      entryCount: entries.size,
+    };
+  }
+
+  private sendStatus(isForced: boolean): void {
+    const status = this.status();
+    const text = JSON.stringify(status);
+    const nowMs = this.options.nowMs();
+    const isDue = nowMs - this.statusSentAtMs >= STATUS_EVERY_MS;
+    if (!isForced && !isDue && text === this.lastStatus) return;
+    if (text !== this.lastStatus) {
+      this.options.logger.info('group_status', {
+        term: status.term,
+        leader: status.leader && formatAddress(status.leader),
+        members: status.members.map(formatAddress).join(','),
+        index: status.index,
+        entries: status.entryCount,
+      });
+    }
+    this.lastStatus = text;
+    this.statusSentAtMs = nowMs;
+    for (const peer of this.subscribers.keys()) peer.notify('status', status);
+  }
+
+  private tick(): void {
+    if (this.group === undefined) return;
+    this.group.tick();
+    this.linkTo(this.group.members);
+    this.sendStatus(false);
+  }
+
+  private askToJoin(): void {
+    const request = this.group?.joinRequest;
+    if (request === undefined) return;
+    for (const peer of this.links.up()) peer.notify('join', request);
+  }
+
+  private leaderPeer(): Peer | undefined {
+    const leader = this.group?.leader;
+    return leader && this.links.peerAt(leader);
+  }
+
+  private async submitOrForward(
+    command: ClusterCommand,
+  ): Promise<SubmitOutcome> {
+    if (this.isLeader) return this.group!.submit(command);
+    const peer = this.leaderPeer();
+    if (peer === undefined) return {kind: 'not_leader'};
+    try {
+      return await peer.request<SubmitOutcome>(
+        'submit',
+        command,
+        FORWARD_TIMEOUT_MS,
+      );
+    } catch (error) {
+      return {kind: 'unknown', reason: String(error)};
+    }
+  }
+
+  private place(demand: Demand): Promise<DispatchAnswer> {
+    if (!this.isLeader) return Promise.reject(new Error('not_leader'));
+    return new Promise(resolve => {
+      this.placing.set(demand.request, resolve);
+      this.dispatcher.acquire(demand, this.options.nowMs());
+    });
+  }
+
+  private answerPlace(demand: Demand, answer: DispatchAnswer): void {
+    const resolve = this.placing.get(demand.request);
+    this.placing.delete(demand.request);
+    resolve?.(answer);
+    this.options.logger.info('placement', {
+      run: demand.request,
+      outcome: answer.kind,
+      target: answer.kind === 'granted' ? answer.target : undefined,
+      reason: answer.kind === 'refused' ? answer.reason : undefined,
+      kv_tokens: Math.round(demand.kvTokens),
+      held: this.dispatcher.runCount,
+      waiting: this.dispatcher.waitingCount,
+    });
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/control/group.ts
@@ -0,0 +1,300 @@
+/**
+ * This daemon's replica of the control group: opens its disk, forms the first
+ * group from the seeds, asks to be taken in later, and, while it leads, keeps
+ * the wanted number of voters.
+ */
+import {randomInt, randomUUID} from 'node:crypto';
+import {mkdirSync} from 'node:fs';
+import {err, ok, type Result} from 'neverthrow';
+import {planMembership, type MemberView} from '@samphirefield/control';
+import type {Logger, ZoneId} from '@samphirefield/core';
+import {
+  formatStorageError,
+  lastIndex,
+  openFileStorage,
+  openIdentity,
+  replicaId,
+  ReplicaNode,
+  type Envelope,
+  type MembershipChange,
+  type RaftConfig,
+  type Replica,
+  type ReplicaId,
+} from '@samphirefield/replication';
+import {formatAddress, type Address} from '../link/index.js';
+import {
+  ClusterMachine,
+  type ClusterAnswer,
+  type ClusterCommand,
+  type ClusterState,
+} from './machine.js';
+import type {JoinRequest} from './messages.js';
+
+const DEPLOYMENT = 'samphirefield';
+/** Marks the replicas of the first group, whose ids follow from the seeds. */
+const FIRST_GROUP = 'first';
+const VOTERS_WANTED = 3;
+const REPLACE_AFTER_MS = 6_000;
+const MAX_LAG_ENTRIES = 50;
+const CANDIDATE_EXPIRES_MS = 3_000;
+const SNAPSHOT_EVERY_ENTRIES = 400;
+
+export interface GroupTiming {
+  readonly heartbeatMs: number;
+  readonly electionTimeoutMinMs: number;
+  readonly electionTimeoutMaxMs: number;
+  readonly clockDriftMs: number;
+}
+
+export interface GroupOptions {
+  readonly dataFolder: string;
+  /** Where the other daemons reach this one. */
+  readonly address: Address;
+  readonly zone: ZoneId;
+  readonly seeds: readonly Address[];
+  /** Whether the whole deployment starts for the first time. */
+  readonly isFirstStart: boolean;
+  readonly timing: GroupTiming;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  readonly send: (envelope: Envelope, to: Address) => void;
+  readonly onChange: (state: ClusterState) => void;
+  readonly onDiskFailure: (error: Error) => void;
+}
+
+export type SubmitOutcome =
+  | {readonly kind: 'applied'; readonly answer: ClusterAnswer}
+  | {readonly kind: 'not_leader'}
+  | {readonly kind: 'unknown'; readonly reason: string};
+
+function raftConfig(id: ReplicaId, timing: GroupTiming): RaftConfig {
+  return {
+    id,
+    ...timing,
+    maxEntriesPerMessage: 256,
+    maxBytesPerMessage: 1_048_576,
+    maxMessagesInFlight: 16,
+    snapshotChunkBytes: 262_144,
+    randomBelow: bound => randomInt(bound),
+  };
+}
+
+function toReplica(address: Address, id: ReplicaId): Replica {
+  return {
+    id,
+    instance: formatAddress(address),
+    address: address.host,
+    port: address.port,
+    role: 'voter',
+  };
+}
+
+const addressOf = (replica: Replica): Address => ({
+  host: replica.address,
+  port: replica.port,
+});
+
+export class Group {
+  private readonly candidates = new Map<
+    ReplicaId,
+    {request: JoinRequest; heardAtMs: number}
+  >();
+  private readonly addresses = new Map<ReplicaId, Address>();
+  private readonly zones = new Map<ReplicaId, ZoneId>();
+
+  private constructor(
+    private readonly options: GroupOptions,
+    private readonly machine: ClusterMachine,
+    readonly node: ReplicaNode<ClusterAnswer>,
+  ) {}
+
+  static async open(options: GroupOptions): Promise<Result<Group, string>> {
+    const {dataFolder, address, seeds, logger, timing} = options;
+    const self = formatAddress(address);
+    const isSeed = seeds.some(seed => formatAddress(seed) === self);
+    const isFirst = options.isFirstStart && isSeed;
+    try {
+      mkdirSync(dataFolder, {recursive: true});
+    } catch (error) {
+      return err((error as Error).message);
+    }
+    const identity = openIdentity(dataFolder, self, DEPLOYMENT, () =>
+      isFirst ? FIRST_GROUP : randomUUID(),
+    );
+    if (identity.isErr()) return err(formatStorageError(identity.error));
+    const opened = await openFileStorage(dataFolder);
+    if (opened.isErr()) return err(formatStorageError(opened.error));
+    const {storage, stored} = opened.value;
+    logger.info('replica_opened', {
+      replica: identity.value.replica,
+      entries: stored.entries.length,
+      snapshot: stored.snapshot?.index ?? 0,
+      cut_bytes: stored.cutBytes,
+      term: stored.hardState.term,
+    });
+    const machine = new ClusterMachine(options.onChange);
+    let group: Group | undefined;
+    const node = new ReplicaNode<ClusterAnswer>({
+      config: raftConfig(identity.value.replica, timing),
+      storage,
+      stored,
+      machine,
+      nowMs: options.nowMs,
+      send: envelopes => group?.send(envelopes),
+      onFailure: options.onDiskFailure,
+      snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+    });
+    group = new Group(options, machine, node);
+    if (isFirst && !node.isMember) {
+      const replicas = seeds.map(seed =>
+        toReplica(seed, replicaId(`${formatAddress(seed)}/${FIRST_GROUP}`)),
+      );
+      await node.bootstrap({replicas});
+      logger.info('group_formed', {members: replicas.length});
+    }
+    return ok(group);
+  }
+
+  get state(): ClusterState {
+    return this.machine.state;
+  }
+
+  get isLeader(): boolean {
+    return this.node.isLeader;
+  }
+
+  get term(): number {
+    return this.node.raft.term;
+  }
+
+  get leader(): Address | undefined {
+    const {leader} = this.node.raft;
+    const replica = this.node.membership.replicas.find(
+      item => item.id === leader,
+    );
+    return replica && addressOf(replica);
+  }
+
+  get members(): Address[] {
+    return this.node.membership.replicas.map(addressOf);
+  }
+
+  /** What this daemon sends while it is not in the group; undefined in it. */
+  get joinRequest(): JoinRequest | undefined {
+    const {id, membership} = this.node;
+    const isMember = membership.replicas.some(item => item.id === id);
+    if (isMember) return undefined;
+    const {address, zone} = this.options;
+    return {replica: id, address, zone};
+  }
+
+  tick(): void {
+    this.node.tick();
+    if (this.isLeader) this.planMembers();
+  }
+
+  receive(envelope: Envelope, replyTo: Address): void {
+    if (envelope.to !== this.node.id) return;
+    this.addresses.set(envelope.from, replyTo);
+    this.node.receive(envelope.from, envelope.message);
+  }
+
+  noteCandidate(request: JoinRequest): void {
+    const heardAtMs = this.options.nowMs();
+    this.candidates.set(request.replica, {request, heardAtMs});
+    this.zones.set(request.replica, request.zone);
+  }
+
+  async submit(command: ClusterCommand): Promise<SubmitOutcome> {
+    const result = await this.node.submit(JSON.stringify(command));
+    if (result.isOk()) return {kind: 'applied', answer: result.value};
+    const {error} = result;
+    if (error.kind === 'not_leader') return {kind: 'not_leader'};
+    return {kind: 'unknown', reason: error.kind};
+  }
+
+  /** The newest state, if this daemon can be sure that it is. */
+  async readNewest(timeoutMs: number): Promise<ClusterState | undefined> {
+    if (!this.isLeader) return undefined;
+    const isSure = await this.node.confirmLeadership(timeoutMs);
+    return isSure ? this.state : undefined;
+  }
+
+  async stop(reason: string): Promise<void> {
+    if (this.isLeader) await this.node.transferLeadership();
+    await this.node.stop(reason);
+  }
+
+  private send(envelopes: readonly Envelope[]): void {
+    for (const envelope of envelopes) {
+      const member = this.node.membership.replicas.find(
+        item => item.id === envelope.to,
+      );
+      const address = member
+        ? addressOf(member)
+        : this.addresses.get(envelope.to);
+      if (address) this.options.send(envelope, address);
+    }
+  }
+
+  private memberViews(nowMs: number): MemberView[] {
+    const {raft, membership} = this.node;
+    const last = lastIndex(raft.log);
+    return membership.replicas.map(replica => {
+      const isSelf = replica.id === this.node.id;
+      const progress = raft.progress.get(replica.id);
+      return {
+        replica: replica.id,
+        instance: replica.instance,
+        zone: this.zones.get(replica.id),
+        role: replica.role,
+        silentMs: isSelf ? 0 : nowMs - (progress?.heardAtMs ?? nowMs),
+        lagEntries: isSelf ? 0 : last - (progress?.matchIndex ?? 0),
+      };
+    });
+  }
+
+  private planMembers(): void {
+    const nowMs = this.options.nowMs();
+    for (const [id, {heardAtMs}] of this.candidates) {
+      if (nowMs - heardAtMs > CANDIDATE_EXPIRES_MS) this.candidates.delete(id);
+    }
+    const members = this.memberViews(nowMs);
+    const known = new Set(members.map(member => member.replica));
+    const candidates = [...this.candidates.values()]
+      .map(({request}) => ({
+        replica: request.replica as string,
+        instance: formatAddress(request.address),
+        zone: request.zone as string,
+      }))
+      .filter(candidate => !known.has(candidate.replica));
+    const step = planMembership(members, candidates, {
+      voters: VOTERS_WANTED,
+      preferredInstances: [],
+      replaceAfterMs: REPLACE_AFTER_MS,
+      maxLagEntries: MAX_LAG_ENTRIES,
+    });
+    if (step === undefined) return;
+    const change = this.toChange(step.kind, replicaId(step.replica));
+    if (change === undefined) return;
+    void this.node.change(change).then(result => {
+      if (result.isErr()) return;
+      this.options.logger.info('membership_changed', {
+        change: step.kind,
+        replica: step.replica,
+        term: this.term,
+      });
+    });
+  }
+
+  private toChange(
+    kind: MembershipChange['kind'],
+    id: ReplicaId,
+  ): MembershipChange | undefined {
+    if (kind !== 'add_learner') return {kind, id};
+    const candidate = this.candidates.get(id);
+    if (candidate === undefined) return undefined;
+    const replica = toReplica(candidate.request.address, id);
+    return {kind, replica};
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/control/registry.ts
@@ -0,0 +1,118 @@
+/** The targets as a control daemon knows them, and who is told of changes. */
+import type {Logger, TargetId} from '@samphirefield/core';
+import {
+  forgetOld,
+  markGone,
+  mergeAnnouncement,
+  type TargetAnnouncement,
+  type TargetRecord,
+  type TargetTable,
+} from '@samphirefield/gateway';
+import type {TargetNews} from './messages.js';
+
+const FORGET_MS = 120_000;
+
+export interface RegistryOptions {
+  readonly silentAfterMs: number;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** Something that every daemon has to know. */
+  readonly onChange: (record: TargetRecord, isSilent: boolean) => void;
+  /** A target's own word, heard here first; for the other control daemons. */
+  readonly onHeard: (record: TargetRecord, isChange: boolean) => void;
+}
+
+export class Registry {
+  private readonly table: TargetTable = new Map();
+  private readonly silent = new Set<TargetId>();
+
+  constructor(private readonly options: RegistryOptions) {}
+
+  get size(): number {
+    return this.table.size;
+  }
+
+  find(id: TargetId): TargetRecord | undefined {
+    return this.table.get(id);
+  }
+
+  /** Takes what a target says of itself. */
+  announce(announcement: TargetAnnouncement): void {
+    this.merge(announcement, 0, true);
+  }
+
+  /** Takes a target's farewell. */
+  leave(id: TargetId): void {
+    const gone = markGone(this.table, id);
+    if (gone === undefined) return;
+    const record = this.table.get(id)!;
+    this.log(gone, 'itself');
+    this.options.onChange(record, false);
+    this.options.onHeard(record, true);
+  }
+
+  /** Takes what another control daemon heard. */
+  learn(news: TargetNews): void {
+    if (news.isSilent) return;
+    this.merge(news.announcement, news.ageMs, false);
+  }
+
+  /** Finds targets that fell silent. */
+  tick(): void {
+    const nowMs = this.options.nowMs();
+    forgetOld(this.table, nowMs, FORGET_MS);
+    for (const [id, record] of this.table) {
+      const isSilent = nowMs - record.heardAtMs > this.options.silentAfterMs;
+      if (!isSilent || this.silent.has(id)) continue;
+      this.silent.add(id);
+      if (record.announcement.state === 'gone') continue;
+      this.options.logger.warn('target_silent', {
+        target: id,
+        silent_ms: Math.round(nowMs - record.heardAtMs),
+      });
+      this.options.onChange(record, true);
+    }
+  }
+
+  news(): TargetNews[] {
+    return [...this.table.values()].map(record => this.toNews(record));
+  }
+
+  toNews(record: TargetRecord): TargetNews {
+    const {announcement, heardAtMs} = record;
+    const ageMs = Math.max(0, this.options.nowMs() - heardAtMs);
+    return {announcement, ageMs, isSilent: this.silent.has(announcement.id)};
+  }
+
+  private merge(
+    announcement: TargetAnnouncement,
+    ageMs: number,
+    isFirstHand: boolean,
+  ): void {
+    const {id} = announcement;
+    const nowMs = this.options.nowMs();
+    const outcome = mergeAnnouncement(this.table, announcement, nowMs, ageMs);
+    if (outcome === 'stale') return;
+    const wasSilent = this.silent.delete(id);
+    const record = this.table.get(id)!;
+    const isChange = outcome === 'changed' || wasSilent;
+    if (isChange) {
+      this.log(announcement, isFirstHand ? 'itself' : 'a peer');
+      this.options.onChange(record, false);
+    }
+    if (isFirstHand) this.options.onHeard(record, isChange);
+  }
+
+  private log(announcement: TargetAnnouncement, from: string): void {
+    this.options.logger.info('target_changed', {
+      target: announcement.id,
+      state: announcement.state,
+      service: announcement.service,
+      zone: announcement.zone,
+      address: `${announcement.host}:${announcement.port}`,
+      sequence: announcement.sequence,
+      cold_ms: announcement.coldLeftMs,
+      heard_from: from,
+    });
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -0,0 +1,357 @@
+/**
+ * An entry daemon's side of the group: it learns configuration and targets
+ * from any control daemon, and asks the leader for places on engines. Without
+ * a leader it gives out places itself, from its own part of the capacity.
+ */
+import type {Result} from 'neverthrow';
+import {
+  zoneId,
+  type InstanceId,
+  type Logger,
+  type RequestId,
+  type ServiceId,
+  type TargetId,
+  type ZoneId,
+} from '@samphirefield/core';
+import {
+  buildRouteIndex,
+  Dispatcher,
+  forgetOld,
+  mergeAnnouncement,
+  type Demand,
+  type DispatchAnswer,
+  type InForce,
+  type Placer,
+  type RouteTable,
+  type RunOutcome,
+  type TargetRecord,
+  type TargetTable,
+} from '@samphirefield/gateway';
+import {capacitiesOf} from '../capacities.js';
+import type {
+  ClusterState,
+  GroupStatus,
+  HeldRun,
+  Hello,
+  TargetNews,
+  TargetsMessage,
+} from '../control/index.js';
+import {
+  formatAddress,
+  LinkSet,
+  type Address,
+  type Peer,
+} from '../link/index.js';
+
+const PULL_TIMEOUT_MS = 2_000;
+const PUMP_EVERY_MS = 100;
+const FORGET_EVERY_MS = 5_000;
+const FORGET_TARGET_MS = 600_000;
+/** Assumed until a control daemon has told how many there are. */
+const FIRST_ENTRY_COUNT = 16;
+/** Beyond a request's own waiting time, for the way to the leader and back. */
+const PLACE_MARGIN_MS = 1_000;
+
+export interface EntryNodeOptions {
+  readonly instance: InstanceId;
+  readonly zone: ZoneId;
+  readonly seeds: readonly Address[];
+  readonly decode: (document: string) => Result<RouteTable, unknown>;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  readonly onTable: (table: RouteTable) => void;
+  readonly onTarget: (record: TargetRecord) => void;
+}
+
+interface ControlView {
+  status: GroupStatus | undefined;
+  readonly silent: Set<TargetId>;
+}
+
+interface GrantedByLeader extends HeldRun {
+  readonly service: ServiceId;
+}
+
+export class EntryNode implements Placer {
+  private current: InForce | undefined;
+  private readonly table: TargetTable = new Map();
+  private readonly controls = new Map<string, ControlView>();
+  private readonly links: LinkSet;
+  private readonly local: Dispatcher;
+  private readonly waitingLocally = new Map<
+    RequestId,
+    (answer: DispatchAnswer) => void
+  >();
+  private readonly granted = new Map<RequestId, GrantedByLeader>();
+  private readonly timers: NodeJS.Timeout[] = [];
+  private knownEntryCount = FIRST_ENTRY_COUNT;
+  private isPulling = false;
+  private leader: Address | undefined;
+  private leaderTerm = 0;
+
+  constructor(private readonly options: EntryNodeOptions) {
+    const {nowMs} = options;
+    this.local = new Dispatcher({
+      onAnswer: (demand, answer) => this.answerLocally(demand, answer),
+      share: () => 1,
+      random: Math.random,
+    });
+    this.links = new LinkSet(
+      {
+        status: (status: GroupStatus, peer: Peer) =>
+          this.onStatus(status, peer),
+        targets: (message: TargetsMessage, peer: Peer) => {
+          for (const item of message.items) this.onTarget(item, peer);
+        },
+      },
+      {
+        onUp: (address, peer) => this.onUp(address, peer),
+        onDown: address => this.onDown(address),
+      },
+    );
+    this.timers.push(
+      setInterval(() => this.local.pump(nowMs()), PUMP_EVERY_MS),
+      setInterval(
+        () => forgetOld(this.table, nowMs(), FORGET_TARGET_MS),
+        FORGET_EVERY_MS,
+      ),
+    );
+  }
+
+  start(): void {
+    this.links.want(this.options.seeds);
+  }
+
+  inForce(): InForce | undefined {
+    return this.current;
+  }
+
+  get hasControl(): boolean {
+    return this.links.up().length > 0;
+  }
+
+  /** Entries that share what is counted over all of them. */
+  get entryCount(): number {
+    const counts = [...this.controls.values()].map(
+      view => view.status?.entryCount ?? 0,
+    );
+    this.knownEntryCount = Math.max(...counts, 0) || this.knownEntryCount;
+    return this.knownEntryCount;
+  }
+
+  /** The seeds of the settings have changed. */
+  addSeeds(seeds: readonly Address[]): void {
+    for (const seed of seeds) this.links.add(seed);
+  }
+
+  findTarget(id: TargetId): TargetRecord | undefined {
+    return this.table.get(id);
+  }
+
+  async place(demand: Demand): Promise<DispatchAnswer> {
+    const isEngine = this.hasEngine(demand.service);
+    const peer = isEngine && this.leader && this.links.peerAt(this.leader);
+    if (!peer) return this.placeLocally(demand);
+    try {
+      const answer = await peer.request<DispatchAnswer>(
+        'place',
+        demand,
+        demand.maxWaitMs + PLACE_MARGIN_MS,
+      );
+      if (answer.kind === 'granted') {
+        this.granted.set(demand.request, {
+          request: demand.request,
+          service: demand.service,
+          target: answer.target,
+          kvTokens: demand.kvTokens,
+        });
+      }
+      return answer;
+    } catch (error) {
+      this.options.logger.warn('leader_gave_no_place', {
+        run: demand.request,
+        reason: String(error),
+      });
+      return this.placeLocally(demand);
+    }
+  }
+
+  finish(request: RequestId, service: ServiceId, outcome: RunOutcome): void {
+    this.local.release(request, outcome, this.options.nowMs());
+    this.waitingLocally.delete(request);
+    this.granted.delete(request);
+    if (!this.hasEngine(service) || !this.leader) return;
+    this.links.peerAt(this.leader)?.notify('finish', {request, outcome});
+  }
+
+  metrics(): Record<string, number> {
+    return {
+      controls_up: this.links.up().length,
+      state_index: this.current?.view.index ?? 0,
+      targets: this.table.size,
+      places_held_locally: this.local.runCount,
+      places_waiting_locally: this.local.waitingCount,
+      places_from_leader: this.granted.size,
+    };
+  }
+
+  stop(): void {
+    for (const timer of this.timers) clearInterval(timer);
+    this.links.close();
+  }
+
+  private hasEngine(service: ServiceId): boolean {
+    return this.current?.index.findService(service)?.engine !== undefined;
+  }
+
+  private placeLocally(demand: Demand): Promise<DispatchAnswer> {
+    return new Promise(resolve => {
+      this.waitingLocally.set(demand.request, resolve);
+      this.local.acquire(demand, this.options.nowMs());
+    });
+  }
+
+  private answerLocally(demand: Demand, answer: DispatchAnswer): void {
+    const resolve = this.waitingLocally.get(demand.request);
+    this.waitingLocally.delete(demand.request);
+    resolve?.(answer);
+  }
+
+  private onUp(address: Address, peer: Peer): void {
+    const key = formatAddress(address);
+    peer.tag = key;
+    this.controls.set(key, {status: undefined, silent: new Set()});
+    const {instance, zone} = this.options;
+    const hello: Hello = {instance, role: 'entry', zone};
+    peer.notify('hello', hello);
+    this.options.logger.info('control_link_up', {control: key});
+  }
+
+  private onDown(address: Address): void {
+    const key = formatAddress(address);
+    this.controls.delete(key);
+    this.options.logger.warn('control_link_down', {control: key});
+    this.chooseLeader();
+    for (const record of this.table.values()) this.updateTarget(record);
+  }
+
+  private onStatus(status: GroupStatus, peer: Peer): void {
+    const view = this.controls.get(peer.tag ?? '');
+    if (view === undefined) return;
+    view.status = status;
+    for (const member of status.members) this.links.add(member);
+    this.chooseLeader();
+    if (status.index > (this.current?.view.index ?? 0)) void this.pull(peer);
+  }
+
+  private chooseLeader(): void {
+    let best: GroupStatus | undefined;
+    for (const {status} of this.controls.values()) {
+      if (status?.leader && status.term >= (best?.term ?? 0)) best = status;
+    }
+    const known = this.leader && formatAddress(this.leader);
+    const next = best?.leader && formatAddress(best.leader);
+    this.leader = best?.leader;
+    const isSame = known === next && best?.term === this.leaderTerm;
+    if (isSame) return;
+    this.leaderTerm = best?.term ?? 0;
+    this.options.logger.info('leader_known', {
+      leader: next,
+      term: this.leaderTerm,
+    });
+    if (this.leader) this.reportRuns(this.leader);
+  }
+
+  private reportRuns(leader: Address): void {
+    const runs = [...this.granted.values()];
+    if (runs.length === 0) return;
+    const {instance} = this.options;
+    this.links.peerAt(leader)?.notify('held_runs', {entry: instance, runs});
+  }
+
+  private async pull(peer: Peer): Promise<void> {
+    if (this.isPulling) return;
+    this.isPulling = true;
+    try {
+      const state = await peer.request<ClusterState>(
+        'pull_state',
+        {},
+        PULL_TIMEOUT_MS,
+      );
+      this.take(state);
+    } catch (error) {
+      this.options.logger.warn('pull_failed', {reason: String(error)});
+    } finally {
+      this.isPulling = false;
+    }
+    this.pullNewest();
+  }
+
+  /** Pulls again if another change came meanwhile. */
+  private pullNewest(): void {
+    const index = this.current?.view.index ?? 0;
+    for (const [key, {status}] of this.controls) {
+      if (!status || status.index <= index) continue;
+      const peer = this.links.up().find(item => item.tag === key);
+      if (peer) void this.pull(peer);
+      return;
+    }
+  }
+
+  private take(state: ClusterState): void {
+    if (state.index <= (this.current?.view.index ?? 0)) return;
+    const {logger, nowMs} = this.options;
+    const known = this.current?.view;
+    const isSameTable = known && known.table.version === state.version;
+    const zonesOut = new Set(state.zonesOut.map(zone => zoneId(zone)));
+    let table: RouteTable;
+    if (isSameTable) ({table} = known);
+    else {
+      if (state.version === 0) return;
+      const decoded = this.options.decode(state.document);
+      if (decoded.isErr()) {
+        logger.error('config_unreadable', {version: state.version});
+        return;
+      }
+      table = decoded.value;
+    }
+    const index = isSameTable ? this.current!.index : buildRouteIndex(table);
+    this.current = {view: {index: state.index, table, zonesOut}, index};
+    this.local.configure(capacitiesOf(table), zonesOut);
+    this.local.pump(nowMs());
+    if (!isSameTable) this.options.onTable(table);
+    logger.info('config_in_force', {
+      index: state.index,
+      version: table.version,
+      routes: table.routes.length,
+      zones_out: [...zonesOut].join(','),
+    });
+  }
+
+  private onTarget(news: TargetNews, peer: Peer): void {
+    const {id} = news.announcement;
+    const view = this.controls.get(peer.tag ?? '');
+    const nowMs = this.options.nowMs();
+    const outcome = mergeAnnouncement(
+      this.table,
+      news.announcement,
+      nowMs,
+      news.ageMs,
+    );
+    if (news.isSilent) view?.silent.add(id);
+    else view?.silent.delete(id);
+    const record = this.table.get(id);
+    if (record === undefined) return;
+    if (outcome === 'changed') this.options.onTarget(record);
+    this.updateTarget(record);
+  }
+
+  private updateTarget(record: TargetRecord): void {
+    const {id} = record.announcement;
+    const views = [...this.controls.values()];
+    // One control daemon that hears a target outweighs those that do not.
+    const isSilent =
+      views.length > 0 && views.every(view => view.silent.has(id));
+    this.local.setTarget(record, isSilent, this.options.nowMs());
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/entry/index.ts
@@ -0,0 +1,1 @@
+export * from './entry-node.js';
--- /dev/null
+++ b/packages/cluster/src/link/index.ts
@@ -0,0 +1,2 @@
+export * from './links.js';
+export * from './peer.js';
--- /dev/null
+++ b/packages/cluster/src/link/links.ts
@@ -0,0 +1,128 @@
+/** Outgoing links that are kept open, and the listener for incoming ones. */
+import {connect, createServer, type Server} from 'node:net';
+import {Peer, type RpcHandlers} from './peer.js';
+
+const CONNECT_TIMEOUT_MS = 800;
+const RECONNECT_MIN_MS = 100;
+const RECONNECT_MAX_MS = 800;
+
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+export const formatAddress = (address: Address): string =>
+  `${address.host}:${address.port}`;
+
+export interface LinkEvents {
+  onUp(address: Address, peer: Peer): void;
+  onDown(address: Address): void;
+}
+
+interface Link {
+  readonly address: Address;
+  peer: Peer | undefined;
+  retryMs: number;
+  timer: NodeJS.Timeout | undefined;
+  isWanted: boolean;
+}
+
+/** Keeps one connection to each wanted address. */
+export class LinkSet {
+  private readonly links = new Map<string, Link>();
+
+  constructor(
+    private readonly handlers: RpcHandlers,
+    private readonly events: LinkEvents,
+  ) {}
+
+  want(addresses: readonly Address[]): void {
+    const wanted = new Set(addresses.map(formatAddress));
+    for (const [key, link] of this.links) {
+      if (!wanted.has(key)) this.drop(key, link);
+    }
+    for (const address of addresses) this.add(address);
+  }
+
+  add(address: Address): void {
+    const key = formatAddress(address);
+    if (this.links.has(key)) return;
+    const link: Link = {
+      address,
+      peer: undefined,
+      retryMs: RECONNECT_MIN_MS,
+      timer: undefined,
+      isWanted: true,
+    };
+    this.links.set(key, link);
+    this.open(link);
+  }
+
+  peerAt(address: Address): Peer | undefined {
+    return this.links.get(formatAddress(address))?.peer;
+  }
+
+  up(): Peer[] {
+    return [...this.links.values()].flatMap(link => link.peer ?? []);
+  }
+
+  close(): void {
+    for (const [key, link] of this.links) this.drop(key, link);
+  }
+
+  private drop(key: string, link: Link): void {
+    link.isWanted = false;
+    clearTimeout(link.timer);
+    this.links.delete(key);
+    link.peer?.close();
+  }
+
+  private open(link: Link): void {
+    const {host, port} = link.address;
+    const socket = connect({host, port});
+    let isSettled = false;
+    const settle = (isUp: boolean) => {
+      if (isSettled) return;
+      isSettled = true;
+      clearTimeout(timer);
+      socket.removeAllListeners();
+      socket.on('error', () => undefined);
+      if (!isUp || !link.isWanted) {
+        socket.destroy();
+        this.retry(link);
+        return;
+      }
+      link.retryMs = RECONNECT_MIN_MS;
+      const peer = new Peer(socket, this.handlers, () => {
+        link.peer = undefined;
+        this.events.onDown(link.address);
+        this.retry(link);
+      });
+      link.peer = peer;
+      this.events.onUp(link.address, peer);
+    };
+    const timer = setTimeout(() => settle(false), CONNECT_TIMEOUT_MS);
+    socket.once('error', () => settle(false));
+    socket.once('connect', () => settle(true));
+  }
+
+  private retry(link: Link): void {
+    if (!link.isWanted) return;
+    link.timer = setTimeout(() => this.open(link), link.retryMs);
+    link.retryMs = Math.min(link.retryMs * 2, RECONNECT_MAX_MS);
+  }
+}
+
+export function listenForLinks(
+  address: Address,
+  handlers: RpcHandlers,
+  onClosed: (peer: Peer) => void,
+): Promise<Server> {
+  const server = createServer(socket => {
+    new Peer(socket, handlers, onClosed);
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address, () => resolve(server));
+  });
+}
--- a/packages/core/src/logging/index.ts
+++ b/packages/core/src/logging/index.ts
@@ -8,3 +8,4 @@
   type LogLevel,
   type LogValue,
 } from './logger.js';
+export * from './line-logger.js';
--- /dev/null
+++ b/packages/core/src/logging/line-logger.ts
@@ -0,0 +1,96 @@
+/**
+ * A logger for processes that must never wait for their log: lines are
+ * gathered and written together, each kind of event has a limit per second,
+ * and what was left out is counted in a line of its own.
+ */
+import {formatLine, type LogFields, type Logger, type LogLevel} from './logger.js';
+
+const FLUSH_MS = 100;
+const WINDOW_MS = 1_000;
+const MAX_BUFFERED_BYTES = 262_144;
+
+export interface LineLoggerOptions {
+  /** Lines of one event in a second; more are counted only. */
+  readonly maxLinesPerS: number;
+  /** Writes without blocking; calls back once the text was taken. */
+  readonly write: (text: string, done: () => void) => void;
+  readonly wallMs: () => number;
+}
+
+interface EventCount {
+  written: number;
+  leftOut: number;
+}
+
+export interface LineLogger extends Logger {
+  /** Writes what is gathered. */
+  flush(): void;
+}
+
+export function createLineLogger(
+  base: LogFields,
+  options: LineLoggerOptions,
+): LineLogger {
+  const counts = new Map<string, EventCount>();
+  let lines: string[] = [];
+  let bufferedBytes = 0;
+  let isWriting = false;
+  let timer: NodeJS.Timeout | undefined;
+  let windowStartMs = 0;
+
+  const flush = () => {
+    if (isWriting || lines.length === 0) return;
+    const text = lines.join('');
+    lines = [];
+    bufferedBytes = 0;
+    isWriting = true;
+    options.write(text, () => {
+      isWriting = false;
+      if (lines.length > 0) schedule();
+    });
+  };
+  const schedule = () => {
+    if (timer) return;
+    timer = setTimeout(() => {
+      timer = undefined;
+      flush();
+    }, FLUSH_MS);
+    timer.unref();
+  };
+  const push = (level: string, event: string, fields: LogFields) => {
+    const line = formatLine(options.wallMs(), level, event, {...base, ...fields});
+    bufferedBytes += line.length + 1;
+    lines.push(`${line}\n`);
+    schedule();
+  };
+  const rollWindow = () => {
+    const nowMs = options.wallMs();
+    if (Math.abs(nowMs - windowStartMs) < WINDOW_MS) return;
+    windowStartMs = nowMs;
+    for (const [event, {leftOut}] of counts) {
+      if (leftOut > 0) push('warn', 'lines_left_out', {of: event, count: leftOut});
+    }
+    counts.clear();
+  };
+  const write = (level: LogLevel) => (event: string, fields: LogFields = {}) => {
+    rollWindow();
+    const count = counts.get(event) ?? {written: 0, leftOut: 0};
+    counts.set(event, count);
+    const isOver =
+      count.written >= options.maxLinesPerS ||
+      bufferedBytes > MAX_BUFFERED_BYTES;
+    if (isOver) {
+      count.leftOut += 1;
+      return;
+    }
+    count.written += 1;
+    push(level, event, fields);
+  };
+  return {
+    debug: () => undefined,
+    info: write('info'),
+    warn: write('warn'),
+    error: write('error'),
+    flush,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/budget/budget.ts
@@ -0,0 +1,60 @@
+/**
+ * A budget of retries that all entries share: each may use its part of the
+ * fixed slack, and a ratio of the requests that it took itself. So the sum
+ * stays within the bound without a message per retry.
+ */
+import type {ServiceId} from '@samphirefield/core';
+import type {RetryBudget} from '../exchange/index.js';
+
+export interface RetryBound {
+  /** Retries allowed per request. */
+  readonly ratio: number;
+  /** Retries allowed besides, over all entries, in one window. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+/** Part of the bound that is used, for entries that come and go. */
+const SAFETY = 0.7;
+
+interface Counts {
+  requestsAtMs: number[];
+  retriesAtMs: number[];
+}
+
+export function createRetryBudget(
+  bound: RetryBound,
+  entryCount: () => number,
+  nowMs: () => number,
+): RetryBudget {
+  const services = new Map<ServiceId, Counts>();
+  const countsOf = (service: ServiceId): Counts => {
+    const known = services.get(service) ?? {requestsAtMs: [], retriesAtMs: []};
+    services.set(service, known);
+    return known;
+  };
+  const dropOld = (times: number[]) => {
+    const oldestMs = nowMs() - bound.windowMs;
+    const kept = times.findIndex(time => time > oldestMs);
+    times.splice(0, kept < 0 ? times.length : kept);
+  };
+  return {
+    noteRequest: service => {
+      const {requestsAtMs} = countsOf(service);
+      dropOld(requestsAtMs);
+      requestsAtMs.push(nowMs());
+    },
+    tryTake: service => {
+      const {requestsAtMs, retriesAtMs} = countsOf(service);
+      dropOld(requestsAtMs);
+      dropOld(retriesAtMs);
+      const allowed =
+        SAFETY *
+        (bound.ratio * requestsAtMs.length +
+          bound.slack / Math.max(1, entryCount()));
+      if (retriesAtMs.length + 1 > allowed) return false;
+      retriesAtMs.push(nowMs());
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/budget/index.ts
@@ -0,0 +1,1 @@
+export * from './budget.js';
--- /dev/null
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -0,0 +1,336 @@
+/**
+ * Gives requests places on targets. It knows every run that it granted, so the
+ * sum over all daemons that ask it never exceeds what a target bears.
+ *
+ * It takes the time as a parameter and does no input or output: `onAnswer` is
+ * called for each demand once it is granted or refused.
+ */
+import type {
+  InstanceId,
+  RequestId,
+  ServiceId,
+  TargetId,
+  ZoneId,
+} from '@samphirefield/core';
+import type {TargetRecord} from '../registry/index.js';
+import type {
+  Demand,
+  DispatchAnswer,
+  RunOutcome,
+  ServiceCapacity,
+} from './types.js';
+
+/** Share of an engine's memory that is planned with. */
+const KV_FILL = 0.92;
+/** A target in another availability zone has to be this much emptier. */
+const OTHER_ZONE_PENALTY = 0.06;
+/** Weight of a target's recent failures against its load. */
+const FAILURE_PENALTY = 3;
+const FAILURE_HALF_LIFE_MS = 2_500;
+const AVOID_UNREACHABLE_MS = 1_000;
+const AVOID_REJECTING_MS = 250;
+const TIE_BREAK = 0.02;
+const MS_PER_S = 1_000;
+
+interface Run {
+  readonly request: RequestId;
+  readonly entry: InstanceId;
+  readonly target: TargetId;
+  readonly kvTokens: number;
+}
+
+interface TargetState {
+  record: TargetRecord;
+  isSilent: boolean;
+  runs: number;
+  kvTokens: number;
+  avoidUntilMs: number;
+  /** Decaying count of failures and of all ended runs. */
+  failures: number;
+  ended: number;
+  decayedAtMs: number;
+  coldTokens: number;
+  coldAtMs: number;
+}
+
+interface Waiting {
+  readonly demand: Demand;
+  readonly sinceMs: number;
+  readonly order: number;
+}
+
+export interface DispatcherOptions {
+  readonly onAnswer: (demand: Demand, answer: DispatchAnswer) => void;
+  /** This dispatcher's part of every target's capacity, in (0, 1]. */
+  readonly share: () => number;
+  /** In [0, 1); parts targets that are equally good. */
+  readonly random: () => number;
+}
+
+export class Dispatcher {
+  private readonly targets = new Map<TargetId, TargetState>();
+  private readonly byService = new Map<ServiceId, Set<TargetId>>();
+  private readonly runs = new Map<RequestId, Run>();
+  private readonly capacities = new Map<ServiceId, ServiceCapacity>();
+  private zonesOut: ReadonlySet<ZoneId> = new Set();
+  private waiting: Waiting[] = [];
+  private nextOrder = 0;
+
+  constructor(private readonly options: DispatcherOptions) {}
+
+  get waitingCount(): number {
+    return this.waiting.length;
+  }
+
+  get runCount(): number {
+    return this.runs.size;
+  }
+
+  configure(
+    capacities: readonly ServiceCapacity[],
+    zonesOut: ReadonlySet<ZoneId>,
+  ): void {
+    this.capacities.clear();
+    for (const capacity of capacities) {
+      this.capacities.set(capacity.service, capacity);
+    }
+    this.zonesOut = zonesOut;
+  }
+
+  setTarget(record: TargetRecord, isSilent: boolean, nowMs: number): void {
+    const {id, service, bornMs} = record.announcement;
+    const known = this.targets.get(id);
+    if (known) {
+      const isReborn = known.record.announcement.bornMs !== bornMs;
+      this.byService.get(known.record.announcement.service)?.delete(id);
+      known.record = record;
+      known.isSilent = isSilent;
+      if (isReborn) this.forgetRuns(id, known);
+    } else {
+      this.targets.set(id, {
+        record,
+        isSilent,
+        runs: 0,
+        kvTokens: 0,
+        avoidUntilMs: 0,
+        failures: 0,
+        ended: 0,
+        decayedAtMs: nowMs,
+        coldTokens: 0,
+        coldAtMs: nowMs,
+      });
+    }
+    const members = this.byService.get(service) ?? new Set();
+    members.add(id);
+    this.byService.set(service, members);
+  }
+
+  removeTarget(id: TargetId): void {
+    const known = this.targets.get(id);
+    if (known === undefined) return;
+    this.byService.get(known.record.announcement.service)?.delete(id);
+    this.targets.delete(id);
+  }
+
+  acquire(demand: Demand, nowMs: number): void {
+    const target = this.mayOvertake(demand)
+      ? this.choose(demand, nowMs, false)
+      : undefined;
+    if (target) {
+      this.grant(demand, target, nowMs);
+      return;
+    }
+    this.waiting.push({demand, sinceMs: nowMs, order: this.nextOrder++});
+    this.waiting.sort(
+      (a, b) => a.demand.priority - b.demand.priority || a.order - b.order,
+    );
+    this.pump(nowMs);
+  }
+
+  /** Notes a run that another dispatcher granted, or this one before a restart. */
+  adopt(run: Run): void {
+    if (this.runs.has(run.request)) return;
+    const target = this.targets.get(run.target);
+    this.runs.set(run.request, run);
+    if (target === undefined) return;
+    target.runs += 1;
+    target.kvTokens += run.kvTokens;
+  }
+
+  release(request: RequestId, outcome: RunOutcome, nowMs: number): void {
+    this.waiting = this.waiting.filter(item => item.demand.request !== request);
+    const run = this.runs.get(request);
+    if (run === undefined) return;
+    this.runs.delete(request);
+    const target = this.targets.get(run.target);
+    if (target === undefined) return;
+    target.runs = Math.max(0, target.runs - 1);
+    target.kvTokens = Math.max(0, target.kvTokens - run.kvTokens);
+    this.noteOutcome(target, outcome, nowMs);
+    this.pump(nowMs);
+  }
+
+  /** Frees what a daemon held that is no longer there. */
+  dropEntry(entry: InstanceId, nowMs: number): void {
+    this.waiting = this.waiting.filter(item => item.demand.entry !== entry);
+    const lost = [...this.runs.values()].filter(run => run.entry === entry);
+    for (const run of lost) this.release(run.request, 'abandoned', nowMs);
+  }
+
+  /** Serves those who wait, as far as there is room or their time is up. */
+  pump(nowMs: number): void {
+    const left: Waiting[] = [];
+    const blocked = new Set<ServiceId>();
+    for (const item of this.waiting) {
+      const {demand, sinceMs} = item;
+      const waitedMs = nowMs - sinceMs;
+      const isImpatient = waitedMs >= demand.patienceMs;
+      const isBlocked = blocked.has(demand.service) && !isImpatient;
+      const target = isBlocked
+        ? undefined
+        : this.choose(demand, nowMs, isImpatient);
+      if (target) this.grant(demand, target, nowMs);
+      else if (waitedMs >= demand.maxWaitMs) this.refuse(demand);
+      else {
+        left.push(item);
+        blocked.add(demand.service);
+      }
+    }
+    this.waiting = left;
+  }
+
+  private mayOvertake(demand: Demand): boolean {
+    return !this.waiting.some(
+      item =>
+        item.demand.service === demand.service &&
+        item.demand.priority <= demand.priority,
+    );
+  }
+
+  private grant(demand: Demand, target: TargetState, nowMs: number): void {
+    const {id} = target.record.announcement;
+    const {request, entry, kvTokens} = demand;
+    this.runs.set(request, {request, entry, target: id, kvTokens});
+    target.runs += 1;
+    target.kvTokens += kvTokens;
+    if (this.isCold(target, nowMs)) target.coldTokens -= 1;
+    this.options.onAnswer(demand, {kind: 'granted', target: id});
+  }
+
+  private refuse(demand: Demand): void {
+    const members = this.byService.get(demand.service) ?? new Set();
+    const hasUsable = [...members].some(id =>
+      this.isUsable(this.targets.get(id)!, demand),
+    );
+    const reason = hasUsable ? 'crowded' : 'no_target';
+    this.options.onAnswer(demand, {kind: 'refused', reason});
+  }
+
+  private choose(
+    demand: Demand,
+    nowMs: number,
+    isImpatient: boolean,
+  ): TargetState | undefined {
+    let best: TargetState | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const id of this.byService.get(demand.service) ?? []) {
+      const target = this.targets.get(id)!;
+      if (!this.isUsable(target, demand)) continue;
+      if (this.isCold(target, nowMs) && !this.mayTakeCold(target, nowMs)) {
+        continue;
+      }
+      const load = this.loadWith(target, demand);
+      if (load > 1 && !isImpatient) continue;
+      const cost = load + this.penalty(target, demand, nowMs);
+      if (cost < bestCost) {
+        best = target;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  private isUsable(target: TargetState, demand: Demand): boolean {
+    const {id, state, zone} = target.record.announcement;
+    return (
+      state === 'ready' &&
+      !target.isSilent &&
+      !this.zonesOut.has(zone) &&
+      !demand.excluded.includes(id)
+    );
+  }
+
+  /** How full the target would be; above 1 it bears no more. */
+  private loadWith(target: TargetState, demand: Demand): number {
+    const share = this.options.share();
+    const slots = Math.max(1, target.record.announcement.slots * share);
+    const slotLoad = (target.runs + 1) / slots;
+    const kvTokens = this.capacities.get(demand.service)?.kvTokens;
+    if (kvTokens === undefined) return slotLoad;
+    const memory = Math.max(demand.kvTokens, kvTokens * KV_FILL * share);
+    return Math.max(slotLoad, (target.kvTokens + demand.kvTokens) / memory);
+  }
+
+  private penalty(target: TargetState, demand: Demand, nowMs: number): number {
+    this.decay(target, nowMs);
+    const isOtherZone = target.record.announcement.zone !== demand.zone;
+    const failureShare = target.failures / Math.max(1, target.ended);
+    const isAvoided = nowMs < target.avoidUntilMs;
+    return (
+      (isOtherZone ? OTHER_ZONE_PENALTY : 0) +
+      failureShare * FAILURE_PENALTY +
+      (isAvoided ? FAILURE_PENALTY : 0) +
+      this.options.random() * TIE_BREAK
+    );
+  }
+
+  private decay(target: TargetState, nowMs: number): void {
+    const factor =
+      0.5 ** ((nowMs - target.decayedAtMs) / FAILURE_HALF_LIFE_MS);
+    target.failures *= factor;
+    target.ended *= factor;
+    target.decayedAtMs = nowMs;
+  }
+
+  private noteOutcome(
+    target: TargetState,
+    outcome: RunOutcome,
+    nowMs: number,
+  ): void {
+    if (outcome === 'abandoned') return;
+    this.decay(target, nowMs);
+    target.ended += 1;
+    if (outcome === 'served') return;
+    if (outcome !== 'rejected') target.failures += 1;
+    const avoidMs =
+      outcome === 'not_connected' ? AVOID_UNREACHABLE_MS : AVOID_REJECTING_MS;
+    if (outcome !== 'failed') target.avoidUntilMs = nowMs + avoidMs;
+  }
+
+  private isCold(target: TargetState, nowMs: number): boolean {
+    return nowMs < target.record.coldUntilMs;
+  }
+
+  /** One token a request; a second's worth is the most that is saved up. */
+  private mayTakeCold(target: TargetState, nowMs: number): boolean {
+    const {service} = target.record.announcement;
+    const perS =
+      (this.capacities.get(service)?.coldRequestsPerS ?? 0) *
+      this.options.share();
+    if (perS === 0) return true;
+    const gained = ((nowMs - target.coldAtMs) / MS_PER_S) * perS;
+    target.coldTokens = Math.min(Math.max(1, perS / 2), target.coldTokens + gained);
+    target.coldAtMs = nowMs;
+    return target.coldTokens >= 1;
+  }
+
+  private forgetRuns(id: TargetId, target: TargetState): void {
+    target.runs = 0;
+    target.kvTokens = 0;
+    target.failures = 0;
+    target.ended = 0;
+    for (const run of this.runs.values()) {
+      if (run.target === id) this.runs.delete(run.request);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/index.ts
@@ -0,0 +1,2 @@
+export * from './dispatcher.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/exchange/body.ts
@@ -0,0 +1,25 @@
+/** Reads a request's body up to the limit that is in force. */
+import type {IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+
+export type BodyError = 'too_large' | 'caller_left';
+
+export function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<Buffer, BodyError>> {
+  const declared = Number(req.headers['content-length'] ?? 0);
+  if (declared > maxBytes) return Promise.resolve(err('too_large'));
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    req.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) resolve(err('too_large'));
+      else chunks.push(chunk);
+    });
+    req.on('end', () => resolve(ok(Buffer.concat(chunks))));
+    req.on('error', () => resolve(err('caller_left')));
+    req.on('close', () => resolve(err('caller_left')));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -0,0 +1,365 @@
+/**
+ * The life of one request: route, workspace, body, a place on a target, the
+ * sending, and another target where the kind of the request allows it.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  requestId,
+  type RequestId,
+  type ServiceId,
+  type TargetId,
+  type WorkspaceId,
+} from '@samphirefield/core';
+import type {RunOutcome} from '../dispatch/index.js';
+import {KIND_TRAITS, pickService, type Route} from '../routes/index.js';
+import {readBody} from './body.js';
+import {statusOf, writeOwnAnswer} from './own-answer.js';
+import {writeRequest} from './request-text.js';
+import {send, type Sending, type SendResult} from './send.js';
+import type {GatewayParts, OwnAnswer, RequestFacts} from './types.js';
+
+const CONNECT_TIMEOUT_MS = 400;
+/** Sendings of one request, counting those that a target rejected. */
+const MAX_SENDINGS = 4;
+/** Share of the objective that a request waits for a place that fits it. */
+const PATIENCE_SHARE = 0.3;
+/** Share of the time left that a request waits for any place. */
+const MAX_WAIT_SHARE = 0.6;
+const RETRY_AFTER_MS = 400;
+const RETRY_AFTER_SHARE = 0.3;
+/** Expected output as a share of the stated maximum, without a hint. */
+const OUTPUT_SHARE = 0.6;
+/** Of a generation's output, what it holds on average while it runs. */
+const HELD_OUTPUT_SHARE = 0.6;
+const DEFAULT_DEADLINE_MS = 60_000;
+const MIN_LEFT_MS = 1;
+
+let runCounter = 0;
+
+interface Admitted {
+  readonly route: Route;
+  readonly service: ServiceId;
+  readonly workspace: WorkspaceId | undefined;
+  readonly priority: number;
+  readonly body: Buffer;
+}
+
+type Step =
+  | {readonly kind: 'done'; readonly status: number}
+  | {readonly kind: 'own'; readonly answer: OwnAnswer}
+  | {readonly kind: 'retry'; readonly last: OwnAnswer; readonly counts: boolean}
+  | {readonly kind: 'broken_off'};
+
+export class Exchange {
+  private readonly startedAtMs: number;
+  private readonly facts: RequestFacts;
+  private endsAtMs: number;
+  private isOver = false;
+  private sending: Sending | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private waitingRun: {request: RequestId; service: ServiceId} | undefined;
+  private readonly excluded: TargetId[] = [];
+  private runs = 0;
+  private sendings = 0;
+  private waitedMs = 0;
+  private lastTarget: TargetId | undefined;
+
+  constructor(
+    private readonly parts: GatewayParts,
+    private readonly req: IncomingMessage,
+    private readonly res: ServerResponse,
+  ) {
+    this.startedAtMs = parts.nowMs();
+    this.facts = parts.protocol.readRequest(req.headers);
+    this.endsAtMs =
+      this.startedAtMs + (this.facts.deadlineMs ?? DEFAULT_DEADLINE_MS);
+  }
+
+  async run(): Promise<void> {
+    this.res.on('close', () => this.onClose());
+    const admitted = await this.admit();
+    if (admitted === undefined) return;
+    this.endsAtMs = Math.min(
+      this.endsAtMs,
+      this.startedAtMs + admitted.route.timeoutMs,
+    );
+    this.timer = setTimeout(() => this.onTimeout(), this.leftMs());
+    try {
+      await this.serve(admitted);
+    } finally {
+      clearTimeout(this.timer);
+    }
+  }
+
+  private leftMs(): number {
+    return this.endsAtMs - this.parts.nowMs();
+  }
+
+  private async admit(): Promise<Admitted | undefined> {
+    const inForce = this.parts.inForce();
+    if (inForce === undefined) return this.refuse({kind: 'not_configured'});
+    const {index, view} = inForce;
+    const host = (this.req.headers.host ?? '').split(':')[0]!.toLowerCase();
+    const path = (this.req.url ?? '/').split('?')[0]!;
+    const route = index.findRoute(host, path);
+    if (route === undefined) return this.refuse({kind: 'no_route'});
+    const needsKey = index.needsKeys && !route.isPublic;
+    const {key} = this.facts;
+    const workspace =
+      key === undefined ? undefined : index.findWorkspace(key);
+    if (needsKey && workspace === undefined) {
+      return this.refuse({kind: 'unknown_key'});
+    }
+    const body = await readBody(this.req, view.table.limits.maxBodyBytes);
+    if (body.isErr()) {
+      if (body.error === 'too_large') this.refuse({kind: 'body_too_large'});
+      return undefined;
+    }
+    return {
+      route,
+      service: pickService(route, this.parts.random()),
+      workspace: workspace?.name,
+      priority: workspace?.priority ?? route.priority,
+      body: body.value,
+    };
+  }
+
+  private refuse(answer: OwnAnswer): undefined {
+    if (this.isOver) return undefined;
+    this.isOver = true;
+    const shareMs = Math.max(0, this.leftMs()) * RETRY_AFTER_SHARE;
+    if (!this.req.complete) this.res.setHeader('connection', 'close');
+    writeOwnAnswer(this.res, answer, Math.min(RETRY_AFTER_MS, shareMs));
+    this.log(answer.kind, statusOf(answer), 'reason' in answer ? answer.reason : undefined);
+    return undefined;
+  }
+
+  private async serve(admitted: Admitted): Promise<void> {
+    this.parts.budget.noteRequest(admitted.service);
+    for (;;) {
+      const step = await this.attempt(admitted);
+      if (this.isOver) return;
+      if (step.kind === 'done') {
+        this.isOver = true;
+        this.log('served', step.status);
+        return;
+      }
+      if (step.kind === 'broken_off') {
+        this.isOver = true;
+        this.log('broken_off', 0);
+        this.res.destroy();
+        return;
+      }
+      if (step.kind === 'own') {
+        this.refuse(step.answer);
+        return;
+      }
+      const isSpent =
+        this.sendings >= MAX_SENDINGS ||
+        (step.counts && !this.parts.budget.tryTake(admitted.service));
+      if (isSpent) {
+        this.refuse(step.last);
+        return;
+      }
+    }
+  }
+
+  /** One place on a target, and what came of it. */
+  private async attempt(admitted: Admitted): Promise<Step> {
+    const {parts} = this;
+    const run = requestId(`${parts.instance}/${++runCounter}`);
+    const {service, route} = admitted;
+    this.waitingRun = {request: run, service};
+    const askedAtMs = parts.nowMs();
+    const answer = await parts.placer.place({
+      request: run,
+      service,
+      entry: parts.instance,
+      zone: parts.zone,
+      kvTokens: this.expectedKvTokens(),
+      priority: admitted.priority,
+      patienceMs: route.objectiveMs * PATIENCE_SHARE,
+      maxWaitMs: Math.max(0, this.leftMs()) * MAX_WAIT_SHARE,
+      excluded: this.excluded,
+    });
+    this.waitingRun = undefined;
+    this.waitedMs += parts.nowMs() - askedAtMs;
+    const finish = (outcome: RunOutcome) =>
+      parts.placer.finish(run, service, outcome);
+    if (answer.kind === 'refused') {
+      return {kind: 'own', answer: {kind: 'not_run', reason: answer.reason}};
+    }
+    if (this.isOver) {
+      finish('abandoned');
+      return {kind: 'broken_off'};
+    }
+    const {outcome, step} = await this.sendTo(answer.target, admitted);
+    finish(outcome);
+    return step;
+  }
+
+  private expectedKvTokens(): number {
+    const {promptTokens, maxOutputTokens, hintedOutputTokens} = this.facts;
+    const outputTokens = hintedOutputTokens ?? maxOutputTokens * OUTPUT_SHARE;
+    return promptTokens + outputTokens * HELD_OUTPUT_SHARE;
+  }
+
+  private async sendTo(
+    id: TargetId,
+    admitted: Admitted,
+  ): Promise<{outcome: RunOutcome; step: Step}> {
+    const {parts, facts} = this;
+    this.lastTarget = id;
+    const record = parts.placer.findTarget(id);
+    const retry = (reason: string, counts: boolean): Step => ({
+      kind: 'retry',
+      last: {kind: 'not_run', reason},
+      counts,
+    });
+    this.excluded.push(id);
+    if (record === undefined) {
+      return {outcome: 'abandoned', step: retry('the target has gone', false)};
+    }
+    const {host, port} = record.announcement;
+    const timeoutMs = Math.min(CONNECT_TIMEOUT_MS, this.leftMs());
+    const pooled = await parts.pool.acquire({host, port}, timeoutMs);
+    if (pooled === undefined) {
+      this.sendings += 1;
+      return {
+        outcome: 'not_connected',
+        step: retry('the target cannot be reached', false),
+      };
+    }
+    if (this.isOver) {
+      pooled.connection.destroy();
+      return {outcome: 'abandoned', step: {kind: 'broken_off'}};
+    }
+    this.sendings += 1;
+    const ownHeaders = parts.protocol.writeSendFacts({
+      target: id,
+      workspace: admitted.workspace,
+      leftMs: Math.max(MIN_LEFT_MS, Math.floor(this.leftMs())),
+    });
+    this.sending = send({
+      connection: pooled.connection,
+      request: writeRequest(
+        this.req,
+        admitted.body,
+        name => parts.protocol.isPassedOn(name),
+        ownHeaders,
+      ),
+      attempt: facts.attempt,
+      res: this.res,
+      protocol: parts.protocol,
+      isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
+      onHead: () => undefined,
+    });
+    const result = await this.sending.result;
+    this.sending = undefined;
+    return this.judge(result, admitted.route);
+  }
+
+  /** What a sending's end means for the target and for the request. */
+  private judge(
+    result: SendResult,
+    route: Route,
+  ): {outcome: RunOutcome; step: Step} {
+    const {mayRepeat} = KIND_TRAITS[route.kind];
+    switch (result.kind) {
+      case 'passed_on':
+        return {outcome: 'served', step: {kind: 'done', status: result.status}};
+      case 'not_run': {
+        const reason = result.isMisdirected
+          ? 'another target has the address'
+          : 'the target rejected it';
+        const last: OwnAnswer = {kind: 'not_run', reason};
+        return {
+          outcome: 'rejected',
+          step: {kind: 'retry', last, counts: true},
+        };
+      }
+      case 'failed': {
+        this.runs += 1;
+        if (mayRepeat && this.runs < route.maxRuns) {
+          const last: OwnAnswer = {
+            kind: 'outcome_unknown',
+            reason: `the target answered ${result.status}`,
+          };
+          return {outcome: 'failed', step: {kind: 'retry', last, counts: true}};
+        }
+        result.sink.end();
+        return {
+          outcome: 'failed',
+          step: {kind: 'done', status: result.status},
+        };
+      }
+      case 'lost': {
+        this.runs += 1;
+        if (result.hasStarted) {
+          return {outcome: 'failed', step: {kind: 'broken_off'}};
+        }
+        const last: OwnAnswer = {
+          kind: 'outcome_unknown',
+          reason: result.error.reason,
+        };
+        const isRepeated = mayRepeat && this.runs < route.maxRuns;
+        return {
+          outcome: 'failed',
+          step: isRepeated
+            ? {kind: 'retry', last, counts: true}
+            : {kind: 'own', answer: last},
+        };
+      }
+      case 'ended':
+        return {outcome: 'abandoned', step: {kind: 'broken_off'}};
+    }
+  }
+
+  private onClose(): void {
+    if (this.res.writableFinished || this.isOver) return;
+    this.isOver = true;
+    this.log('caller_left', 0);
+    this.abandon();
+  }
+
+  private onTimeout(): void {
+    if (this.isOver) return;
+    const {sending} = this;
+    if (sending?.hasStarted()) {
+      this.isOver = true;
+      this.log('timed_out_midway', 0);
+      this.res.destroy();
+    } else if (sending) {
+      this.refuse({kind: 'timed_out'});
+    } else {
+      this.refuse({kind: 'not_run', reason: 'no place in time'});
+    }
+    this.abandon();
+  }
+
+  private abandon(): void {
+    this.sending?.cancel();
+    const {waitingRun} = this;
+    if (waitingRun) {
+      this.parts.placer.finish(
+        waitingRun.request,
+        waitingRun.service,
+        'abandoned',
+      );
+    }
+  }
+
+  private log(outcome: string, status: number, reason?: string): void {
+    this.parts.logger.info('request', {
+      request: this.facts.attempt,
+      outcome,
+      status,
+      reason,
+      target: this.lastTarget,
+      sendings: this.sendings,
+      waited_ms: Math.round(this.waitedMs),
+      took_ms: Math.round(this.parts.nowMs() - this.startedAtMs),
+      view: this.parts.inForce()?.view.index,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/exchange/own-answer.ts
@@ -0,0 +1,38 @@
+/** The gateway's own answers as HTTP. */
+import type {ServerResponse} from 'node:http';
+import type {OwnAnswer} from './types.js';
+
+const MS_PER_S = 1_000;
+
+const STATUS: Readonly<Record<OwnAnswer['kind'], number>> = {
+  not_configured: 503,
+  no_route: 404,
+  unknown_key: 401,
+  body_too_large: 413,
+  not_run: 503,
+  outcome_unknown: 502,
+  timed_out: 504,
+};
+
+export function statusOf(answer: OwnAnswer): number {
+  return STATUS[answer.kind];
+}
+
+export function writeOwnAnswer(
+  res: ServerResponse,
+  answer: OwnAnswer,
+  retryAfterMs: number,
+): void {
+  const status = statusOf(answer);
+  const reason = 'reason' in answer ? answer.reason : undefined;
+  const body = JSON.stringify({error: answer.kind, reason});
+  const headers: Record<string, string | number> = {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  };
+  if (status === 503) {
+    headers['retry-after'] = (retryAfterMs / MS_PER_S).toFixed(2);
+  }
+  res.writeHead(status, headers);
+  res.end(body);
+}
--- /dev/null
+++ b/packages/gateway/src/exchange/request-text.ts
@@ -0,0 +1,83 @@
+/** Writes a request as it goes to a target, and drops hop-by-hop headers. */
+import type {IncomingMessage} from 'node:http';
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+
+export function isHopByHop(name: string): boolean {
+  return HOP_BY_HOP.has(name);
+}
+
+/** The headers that a message's `Connection` header binds to one connection. */
+export function connectionHeaders(value: string | undefined): Set<string> {
+  const names = (value ?? '').split(',').map(name => name.trim().toLowerCase());
+  return new Set(names.filter(name => name !== ''));
+}
+
+function forwardedHeaders(
+  req: IncomingMessage,
+  isPassedOn: (name: string) => boolean,
+): string[] {
+  const bound = connectionHeaders(req.headers.connection);
+  const lines: string[] = [];
+  for (let i = 0; i + 1 < req.rawHeaders.length; i += 2) {
+    const name = req.rawHeaders[i]!;
+    const lower = name.toLowerCase();
+    const isDropped =
+      HOP_BY_HOP.has(lower) || bound.has(lower) || lower === 'content-length';
+    if (isDropped || !isPassedOn(lower)) continue;
+    lines.push(`${name}: ${req.rawHeaders[i + 1]!}`);
+  }
+  return lines;
+}
+
+/** The whole request, with its body's length in place of any other framing. */
+export function writeRequest(
+  req: IncomingMessage,
+  body: Buffer,
+  isPassedOn: (name: string) => boolean,
+  ownHeaders: readonly string[],
+): Buffer {
+  const lines = [
+    `${req.method} ${req.url} HTTP/1.1`,
+    ...forwardedHeaders(req, isPassedOn),
+  ];
+  for (let i = 0; i + 1 < ownHeaders.length; i += 2) {
+    lines.push(`${ownHeaders[i]}: ${ownHeaders[i + 1]}`);
+  }
+  const hadBody =
+    req.headers['content-length'] !== undefined ||
+    req.headers['transfer-encoding'] !== undefined;
+  if (hadBody || body.length > 0) lines.push(`Content-Length: ${body.length}`);
+  const head = Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1');
+  return body.length > 0 ? Buffer.concat([head, body]) : head;
+}
+
+/** An answer's headers without those that concern one connection only. */
+export function answerHeaders(rawHeaders: readonly string[]): string[] {
+  const kept: string[] = [];
+  let connection: string | undefined;
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    if (rawHeaders[i]!.toLowerCase() === 'connection') {
+      connection = `${connection ?? ''},${rawHeaders[i + 1]!}`;
+    }
+  }
+  const bound = connectionHeaders(connection);
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    const lower = rawHeaders[i]!.toLowerCase();
+    if (HOP_BY_HOP.has(lower) || bound.has(lower)) continue;
+    if (lower === 'content-length') continue;
+    kept.push(rawHeaders[i]!, rawHeaders[i + 1]!);
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/gateway/src/exchange/types.ts
@@ -0,0 +1,110 @@
+/**
+ * What the gateway has to know of the protocol that callers and targets speak.
+ * An adapter supplies it; every decision on these facts is made here.
+ */
+import type {IncomingHttpHeaders} from 'node:http';
+import type {
+  InstanceId,
+  Logger,
+  RequestId,
+  ServiceId,
+  TargetId,
+  WorkspaceId,
+  ZoneId,
+} from '@samphirefield/core';
+import type {
+  Demand,
+  DispatchAnswer,
+  RunOutcome,
+} from '../dispatch/index.js';
+import type {TargetRecord} from '../registry/index.js';
+import type {GatewayView, RouteIndex} from '../routes/index.js';
+import type {AnswerHead, UpstreamPool} from '../upstream/index.js';
+
+/** What a request's headers say. */
+export interface RequestFacts {
+  /** The caller's own id of this attempt. */
+  readonly attempt: string | undefined;
+  /** How long the caller waits, counted from when it sent the request. */
+  readonly deadlineMs: number | undefined;
+  readonly key: string | undefined;
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  /** The caller's guess of the output; right at the median only. */
+  readonly hintedOutputTokens: number | undefined;
+}
+
+/** What the gateway tells a target about a request. */
+export interface SendFacts {
+  /** Any other target at the address refuses the request. */
+  readonly target: TargetId;
+  readonly workspace: WorkspaceId | undefined;
+  readonly leftMs: number;
+}
+
+/** What the head of a target's answer says. */
+export interface AnswerFacts {
+  /** The attempt that it answers. */
+  readonly attempt: string | undefined;
+  /** The target's word that the request did not run. */
+  readonly isNotRun: boolean;
+  /** Another target has the address. */
+  readonly isMisdirected: boolean;
+  /** Whether the target signed it as its own answer. */
+  readonly isSigned: boolean;
+}
+
+export interface GatewayProtocol {
+  readRequest(headers: IncomingHttpHeaders): RequestFacts;
+  readAnswer(head: AnswerHead): AnswerFacts;
+  /** Whether a caller's header, in lower case, goes on to the target. */
+  isPassedOn(name: string): boolean;
+  /** The headers that only the gateway may set; names and values by turns. */
+  writeSendFacts(facts: SendFacts): readonly string[];
+}
+
+/** Finds places on targets; answers once for each demand. */
+export interface Placer {
+  place(demand: Demand): Promise<DispatchAnswer>;
+  finish(request: RequestId, service: ServiceId, outcome: RunOutcome): void;
+  findTarget(id: TargetId): TargetRecord | undefined;
+}
+
+export interface RetryBudget {
+  /** Counts the first sending of a request. */
+  noteRequest(service: ServiceId): void;
+  /** Takes leave to send a request once more. */
+  tryTake(service: ServiceId): boolean;
+}
+
+export interface InForce {
+  readonly view: GatewayView;
+  readonly index: RouteIndex;
+}
+
+export interface GatewayParts {
+  readonly instance: InstanceId;
+  readonly zone: ZoneId;
+  readonly protocol: GatewayProtocol;
+  readonly placer: Placer;
+  readonly budget: RetryBudget;
+  readonly pool: UpstreamPool;
+  readonly logger: Logger;
+  /** Undefined until the first configuration was learned. */
+  readonly inForce: () => InForce | undefined;
+  readonly nowMs: () => number;
+  /** In [0, 1). */
+  readonly random: () => number;
+}
+
+/** The gateway's own answers: why a request has no answer of a target. */
+export type OwnAnswer =
+  | {readonly kind: 'not_configured'}
+  | {readonly kind: 'no_route'}
+  | {readonly kind: 'unknown_key'}
+  | {readonly kind: 'body_too_large'}
+  /** Not run, and it never will. */
+  | {readonly kind: 'not_run'; readonly reason: string}
+  /** It may have run, or did, and its answer is lost. */
+  | {readonly kind: 'outcome_unknown'; readonly reason: string}
+  | {readonly kind: 'timed_out'};
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,11 @@
+/**
+ * A gateway for routed HTTP: finds the route and the workspace of a request,
+ * gives it a place on a target, and passes the answer on exactly once.
+ */
+export * from './budget/index.js';
+export * from './dispatch/index.js';
+export * from './exchange/index.js';
+export * from './registry/index.js';
+export * from './routes/index.js';
+export * from './server/index.js';
+export * from './upstream/index.js';
--- /dev/null
+++ b/packages/gateway/src/registry/index.ts
@@ -0,0 +1,2 @@
+export * from './logic.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/routes/index.ts
@@ -0,0 +1,3 @@
+export * from './lookup.js';
+export * from './types.js';
+export * from './validate.js';
--- /dev/null
+++ b/packages/gateway/src/routes/validate.ts
@@ -0,0 +1,59 @@
+/** The rules that a whole route table has to meet before it may be accepted. */
+import {err, ok, type Result} from 'neverthrow';
+import type {Route, RouteTable} from './types.js';
+
+export interface InvalidTable {
+  readonly kind: 'invalid_table';
+  readonly reason: string;
+}
+
+const refuse = (reason: string) => err({kind: 'invalid_table' as const, reason});
+
+function findDuplicate(values: readonly string[]): string | undefined {
+  const seen = new Set<string>();
+  return values.find(value => seen.size === seen.add(value).size);
+}
+
+function checkRoute(
+  route: Route,
+  services: ReadonlySet<string>,
+): string | undefined {
+  const {name, services: backends} = route;
+  const unknown = backends.find(item => !services.has(item.service));
+  if (unknown) return `route ${name} names the unknown service ${unknown.service}`;
+  if (backends.some(item => item.weight < 0)) return `route ${name} has a negative weight`;
+  const totalWeight = backends.reduce((sum, item) => sum + item.weight, 0);
+  if (totalWeight <= 0) return `route ${name} has weights that add up to 0`;
+  if (route.timeoutMs <= 0) return `route ${name} has no timeout`;
+  const isPrefix =
+    route.pathPrefix.startsWith('/') && route.pathPrefix.endsWith('/');
+  if (!isPrefix) return `route ${name} has a prefix without its slashes`;
+  return undefined;
+}
+
+/** Checks what no single field shows: names, duplicates, weights, keys. */
+export function validateRouteTable(
+  table: RouteTable,
+): Result<RouteTable, InvalidTable> {
+  const services = new Set<string>(table.services.map(item => item.name));
+  for (const route of table.routes) {
+    const reason = checkRoute(route, services);
+    if (reason) return refuse(reason);
+  }
+  const places = table.routes.map(route => `${route.host} ${route.pathPrefix}`);
+  const place = findDuplicate(places);
+  if (place) return refuse(`two routes share the place ${place}`);
+  const service = findDuplicate(table.services.map(item => item.name));
+  if (service) return refuse(`two services are called ${service}`);
+  const owners = table.workspaces.flatMap(({name, keys}) =>
+    [...new Set(keys)].map(key => ({name, key})),
+  );
+  const key = findDuplicate(owners.map(owner => owner.key));
+  if (key !== undefined) {
+    const names = owners.filter(owner => owner.key === key);
+    return refuse(
+      `the workspaces ${names.map(owner => owner.name).join(' and ')} share a key`,
+    );
+  }
+  return ok(table);
+}
--- /dev/null
+++ b/packages/gateway/src/server/index.ts
@@ -0,0 +1,1 @@
+export * from './server.js';
--- /dev/null
+++ b/packages/gateway/src/server/server.ts
@@ -0,0 +1,86 @@
+/** The HTTP server that callers connect to. */
+import {createServer, type Server} from 'node:http';
+import type {Socket} from 'node:net';
+import {Exchange, type GatewayParts} from '../exchange/index.js';
+import type {CallerLimits} from '../routes/index.js';
+
+const MAX_HEADER_BYTES = 65_536;
+const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+const CONNECTION_CHECK_MS = 1_000;
+const LISTEN_BACKLOG = 1_024;
+
+export interface GatewayServer {
+  /** Requests that are being served. */
+  activeCount(): number;
+  applyLimits(limits: CallerLimits): void;
+  /** Ends each connection after the answer that is under way. */
+  startDraining(): void;
+  /** Takes no new connections. */
+  stopListening(): void;
+  close(): void;
+}
+
+export function startGatewayServer(
+  host: string,
+  port: number,
+  parts: GatewayParts,
+): Promise<GatewayServer> {
+  let active = 0;
+  let isDraining = false;
+  const server: Server = createServer(
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
+      headersTimeout: DEFAULT_LIMITS.headerTimeoutMs,
+      requestTimeout: 0,
+      noDelay: true,
+    },
+    (req, res) => {
+      active += 1;
+      res.on('close', () => (active -= 1));
+      if (isDraining) res.setHeader('connection', 'close');
+      const exchange = new Exchange(parts, req, res);
+      exchange.run().catch((error: unknown) => {
+        parts.logger.error('exchange_crashed', {
+          reason: (error as Error).stack,
+        });
+        res.destroy();
+      });
+    },
+  );
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    const isTooLong = error.code === 'HPE_HEADER_OVERFLOW';
+    const status = isTooLong
+      ? '431 Request Header Fields Too Large'
+      : '400 Bad Request';
+    if (socket.writable && error.code !== 'ECONNRESET') {
+      socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    } else socket.destroy();
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host, port, backlog: LISTEN_BACKLOG}, () => {
+      resolve({
+        activeCount: () => active,
+        applyLimits: limits => {
+          server.keepAliveTimeout = limits.idleTimeoutMs;
+          server.headersTimeout = limits.headerTimeoutMs;
+        },
+        startDraining: () => {
+          isDraining = true;
+        },
+        stopListening: () => server.close(),
+        close: () => {
+          server.close();
+          server.closeAllConnections();
+        },
+      });
+    });
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/upstream/connection.ts
@@ -0,0 +1,170 @@
+/**
+ * One connection to a target. It carries one request at a time and knows
+ * whether any byte of it may have left, which is what "not run" rests on.
+ */
+import {connect, type Socket} from 'node:net';
+import {createAnswerParser, type AnswerParser} from './parser.js';
+import type {
+  AnswerHandlers,
+  AnswerHead,
+  UpstreamAddress,
+  UpstreamError,
+} from './types.js';
+
+/** An idle connection is given up this long before the target would close it. */
+const IDLE_MARGIN_MS = 700;
+const DEFAULT_IDLE_MS = 4_000;
+const MS_PER_S = 1_000;
+const PROBE_DELAY_MS = 1_000;
+
+export interface ConnectionEvents {
+  onIdle(connection: UpstreamConnection): void;
+  onClosed(connection: UpstreamConnection): void;
+}
+
+export class UpstreamConnection {
+  isClosed = false;
+  /** On the clock of `performance.now`. */
+  idleUntilMs = 0;
+  private handlers: AnswerHandlers | undefined;
+  private head: AnswerHead | undefined;
+  private isOwnAnswer = false;
+  private isKeptAlive = true;
+  private hasData = false;
+  private readonly parser: AnswerParser;
+
+  private constructor(
+    private readonly socket: Socket,
+    private readonly events: ConnectionEvents,
+  ) {
+    this.parser = createAnswerParser({
+      onHead: (head, isKeptAlive) => this.onHead(head, isKeptAlive),
+      onData: data => {
+        if (this.isOwnAnswer) this.handlers?.onData(data);
+      },
+      onEnd: () => this.onAnswerEnd(),
+    });
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true, PROBE_DELAY_MS);
+    socket.on('data', data => this.onSocketData(data));
+    socket.on('end', () => this.onSocketEnd());
+    socket.on('error', error => this.fail({kind: 'broken', reason: error.message}));
+    socket.on('close', () => this.fail({kind: 'broken', reason: 'closed'}));
+  }
+
+  /** Resolves with undefined when no connection came about in time. */
+  static open(
+    address: UpstreamAddress,
+    timeoutMs: number,
+    events: ConnectionEvents,
+  ): Promise<UpstreamConnection | undefined> {
+    return new Promise(resolve => {
+      const socket = connect({host: address.host, port: address.port});
+      const giveUp = () => {
+        clearTimeout(timer);
+        socket.removeAllListeners();
+        socket.on('error', () => undefined);
+        socket.destroy();
+        resolve(undefined);
+      };
+      const timer = setTimeout(giveUp, timeoutMs);
+      socket.once('error', giveUp);
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        socket.removeAllListeners();
+        resolve(new UpstreamConnection(socket, events));
+      });
+    });
+  }
+
+  get isBusy(): boolean {
+    return this.handlers !== undefined;
+  }
+
+  send(data: Buffer | string, handlers: AnswerHandlers): void {
+    this.handlers = handlers;
+    this.head = undefined;
+    this.hasData = false;
+    this.socket.write(data);
+  }
+
+  pause(): void {
+    this.socket.pause();
+  }
+
+  resume(): void {
+    this.socket.resume();
+  }
+
+  /** Gives the exchange up; the target sees its connection close. */
+  destroy(): void {
+    this.handlers = undefined;
+    this.close();
+  }
+
+  private onHead(head: AnswerHead, isKeptAlive: boolean): void {
+    this.head = head;
+    this.isKeptAlive = isKeptAlive;
+    this.isOwnAnswer = this.handlers?.isOwn(head) ?? false;
+    if (this.isOwnAnswer) this.handlers?.onHead(head);
+  }
+
+  private onAnswerEnd(): void {
+    if (!this.isOwnAnswer) return;
+    const {handlers} = this;
+    this.handlers = undefined;
+    this.isOwnAnswer = false;
+    const isBodySent = this.socket.writableLength === 0;
+    const mayKeep = this.isKeptAlive && isBodySent && !this.parser.hasRest();
+    if (mayKeep) this.becomeIdle();
+    else this.close();
+    handlers?.onEnd();
+  }
+
+  private becomeIdle(): void {
+    const timeout = /timeout=(\d+)/.exec(
+      this.head?.headers.get('keep-alive') ?? '',
+    );
+    const idleMs = timeout ? Number(timeout[1]) * MS_PER_S : DEFAULT_IDLE_MS;
+    this.idleUntilMs = performance.now() + idleMs - IDLE_MARGIN_MS;
+    if (idleMs <= IDLE_MARGIN_MS) this.close();
+    else this.events.onIdle(this);
+  }
+
+  private onSocketData(data: Buffer): void {
+    if (this.handlers === undefined) {
+      // Bytes that nobody asked for would be taken for the next answer.
+      this.close();
+      return;
+    }
+    this.hasData = true;
+    const reason = this.parser.execute(data);
+    if (reason !== undefined) this.fail({kind: 'malformed', reason});
+  }
+
+  private onSocketEnd(): void {
+    const endsHere = this.head?.endsWithConnection && this.isOwnAnswer;
+    if (endsHere) {
+      this.isKeptAlive = false;
+      this.parser.finish();
+    }
+    this.fail({
+      kind: 'broken',
+      reason: this.hasData ? 'ended early' : 'ended without an answer',
+    });
+  }
+
+  private fail(error: UpstreamError): void {
+    const {handlers} = this;
+    this.handlers = undefined;
+    this.close();
+    handlers?.onError(error);
+  }
+
+  private close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.socket.destroy();
+    this.events.onClosed(this);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/upstream/index.ts
@@ -0,0 +1,4 @@
+export * from './connection.js';
+export * from './parser.js';
+export * from './pool.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/upstream/parser.ts
@@ -0,0 +1,111 @@
+/**
+ * Parser of answers: http-parser-js, made strict where a lenient reading would
+ * make a damaged answer look complete.
+ */
+import {HTTPParser} from 'http-parser-js';
+import type {AnswerHead} from './types.js';
+
+export interface AnswerParser {
+  /** Returns an error's text, or undefined. */
+  execute(data: Buffer): string | undefined;
+  /** The connection ended; true when that completes an answer. */
+  finish(): void;
+  /** Whether bytes follow the answer that has just ended. */
+  hasRest(): boolean;
+}
+
+export interface ParserEvents {
+  onHead(head: AnswerHead, isKeptAlive: boolean): void;
+  onData(data: Buffer): void;
+  onEnd(): void;
+}
+
+/** What the library's types leave out. */
+interface ChunkStates {
+  BODY_CHUNKHEAD(): void;
+  line: string;
+  chunk: Buffer;
+  offset: number;
+  end: number;
+}
+
+const CHUNK_HEAD = /^[0-9a-f]{1,8}[ \t]*(;|\r?$)/i;
+const FIRST_FINAL_STATUS = 200;
+const BODILESS = new Set([204, 304]);
+const SKIP_BODY = 1;
+
+function toHead(
+  status: number,
+  statusText: string,
+  rawHeaders: readonly string[],
+): AnswerHead {
+  const headers = new Map<string, string>();
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    headers.set(rawHeaders[i]!.toLowerCase(), rawHeaders[i + 1]!);
+  }
+  const endsWithConnection =
+    !headers.has('content-length') &&
+    !headers.has('transfer-encoding') &&
+    !BODILESS.has(status);
+  return {status, statusText, rawHeaders, headers, endsWithConnection};
+}
+
+/** A length or coding that two readers could understand differently. */
+function findFramingFault(head: AnswerHead): string | undefined {
+  const length = head.headers.get('content-length');
+  const coding = head.headers.get('transfer-encoding');
+  if (length !== undefined && !/^\d+$/.test(length)) return 'a bad length';
+  if (coding === undefined) return undefined;
+  if (length !== undefined) return 'a length beside a transfer coding';
+  return coding.toLowerCase() === 'chunked' ? undefined : 'an unknown coding';
+}
+
+function checkChunkHeads(parser: InstanceType<typeof HTTPParser>): void {
+  const states = parser as unknown as ChunkStates;
+  const readChunkHead = states.BODY_CHUNKHEAD;
+  states.BODY_CHUNKHEAD = function (this: ChunkStates) {
+    const newline = this.chunk.indexOf(0x0a, this.offset);
+    if (newline >= 0 && newline < this.end) {
+      const line = this.line + this.chunk.toString('latin1', this.offset, newline);
+      if (!CHUNK_HEAD.test(line)) throw new Error('a bad chunk head');
+    }
+    readChunkHead.call(this);
+  };
+}
+
+export function createAnswerParser(events: ParserEvents): AnswerParser {
+  const parser = new HTTPParser(HTTPParser.RESPONSE);
+  checkChunkHeads(parser);
+  let fault: string | undefined;
+  let isInterim = false;
+  parser[HTTPParser.kOnHeadersComplete] = info => {
+    isInterim = info.statusCode < FIRST_FINAL_STATUS;
+    if (isInterim) return SKIP_BODY;
+    const head = toHead(info.statusCode, info.statusMessage, info.headers);
+    fault ??= findFramingFault(head);
+    if (fault) return SKIP_BODY;
+    events.onHead(head, info.shouldKeepAlive);
+    return BODILESS.has(info.statusCode) ? SKIP_BODY : 0;
+  };
+  parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
+    if (!fault) events.onData(chunk.subarray(offset, offset + length));
+  };
+  parser[HTTPParser.kOnMessageComplete] = () => {
+    if (!isInterim && !fault) events.onEnd();
+  };
+  return {
+    execute: data => {
+      if (fault) return fault;
+      const outcome = parser.execute(data);
+      if (outcome instanceof Error) fault ??= outcome.message;
+      return fault;
+    },
+    finish: () => {
+      if (!fault) parser.finish();
+    },
+    hasRest: () => {
+      const {offset, end} = parser as unknown as ChunkStates;
+      return offset < end;
+    },
+  };
+}
--- a/packages/replication/src/node/replica-node.ts
+++ b/packages/replication/src/node/replica-node.ts
@@ -5,9 +5,11 @@
  * Inputs that come in while the disk syncs are handled together afterwards, so
  * one sync carries many proposals (group commit).
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
 import {
   bootstrap,
+  broadcastHeartbeats,
   compact,
   createRaft,
   currentMembership,
@@ -16,6 +18,7 @@
   lastIndex,
   propose,
   proposeChange,
+  quorumHeardAtMs,
   snapshotIndex,
   stepMessage,
   stepPersisted,
@@ -37,6 +40,8 @@
 import type {ReplicaStorage, StoredState} from '../storage/index.js';
 import type {StateMachine} from './state-machine.js';
 
+const CONFIRM_POLL_MS = 3;
+
 export type SubmitError =
   | ProposeError
   /** The leadership was lost first: the command may or may not come to apply. */
@@ -138,7 +143,27 @@
     });
   }
 
-  /** Forms a new group of this replica alone. */
+  /**
+   * Whether this replica still led after the call began: a quorum answered a
+   * message that was sent since. Needs no clock that runs through a suspension.
+   */
+  async confirmLeadership(timeoutMs: number): Promise<boolean> {
+    const {nowMs} = this.options;
+    const startedAtMs = nowMs();
+    this.enqueue(now => {
+      if (this.raft.role === 'leader') broadcastHeartbeats(this.raft, now);
+    });
+    while (nowMs() - startedAtMs < timeoutMs) {
+      await delay(CONFIRM_POLL_MS);
+      if (!this.isLeader) return false;
+      const isOpen = this.raft.commitIndex >= this.raft.termStartIndex;
+      const isHeard = quorumHeardAtMs(this.raft) > startedAtMs;
+      if (isOpen && isHeard) return this.raft.appliedIndex >= this.raft.commitIndex;
+    }
+    return false;
+  }
+
+  /** Forms a new group, as each of its first members does by itself. */
   bootstrap(membership: Membership): Promise<Result<void, ProposeError>> {
     return new Promise(resolve => {
       this.enqueue(() => resolve(bootstrap(this.raft, membership)));
--- a/packages/replication/src/raft/index.ts
+++ b/packages/replication/src/raft/index.ts
@@ -1,4 +1,4 @@
-export {holdsLease, leaseEndMs} from './lease.js';
+export {holdsLease, leaseEndMs, quorumHeardAtMs} from './lease.js';
 export {lastIndex, snapshotIndex} from './log.js';
 export {
   changeMembership,
@@ -9,6 +9,7 @@
   votersOf,
   type MembershipChange,
 } from './membership.js';
+export {broadcastHeartbeats} from './replication.js';
 export {compact} from './snapshot-send.js';
 export {
   createRaft,
--- a/packages/replication/src/raft/lease.ts
+++ b/packages/replication/src/raft/lease.ts
@@ -31,3 +31,14 @@
   const hasCommittedInTerm = state.commitIndex >= state.termStartIndex;
   return hasCommittedInTerm && nowMs < leaseEndMs(state, nowMs);
 }
+
+/**
+ * The latest of this leader's own times such that a quorum answered a message
+ * sent then or later. Minus infinity for a replica that does not lead.
+ */
+export function quorumHeardAtMs(state: RaftState): number {
+  if (state.role !== 'leader') return Number.NEGATIVE_INFINITY;
+  return quorumValue(currentMembership(state), id =>
+    ackedSentAtMs(state, id, Number.POSITIVE_INFINITY),
+  );
+}
--- a/packages/replication/src/storage/frame.ts
+++ b/packages/replication/src/storage/frame.ts
@@ -4,7 +4,7 @@
  *
  *   magic (4 bytes) | payload length (4) | CRC-32 of length and payload (4) | payload
  */
-import {crc32} from '@node-rs/crc32';
+import {crc32} from 'node:zlib';
 import {Packr} from 'msgpackr';
 import {err, ok, type Result} from 'neverthrow';
 
--- a/packages/replication/src/storage/identity.ts
+++ b/packages/replication/src/storage/identity.ts
@@ -67,11 +67,12 @@
   folder: string,
   instance: string,
   deployment: string,
+  makeSuffix: () => string = randomUUID,
 ): Result<Identity, StorageError> {
   const file = join(folder, IDENTITY_NAME);
   if (!existsSync(file)) {
     const made = {
-      replica: replicaId(`${instance}/${randomUUID()}`),
+      replica: replicaId(`${instance}/${makeSuffix()}`),
       deployment,
     };
     try {
