Pass an answer without framing on without framing

Ruled out: a wrong chunk or length reading (the log of the connection showed neither header). Change: such an answer goes out with Connection: close and no length. Conclusion: framing is never added to what cannot be known to be whole.

--- a/packages/gateway/src/exchange/answer-sink.ts
+++ b/packages/gateway/src/exchange/answer-sink.ts
@@ -86,10 +86,15 @@
     this.isHeadSent = true;
     const {status, statusText, rawHeaders} = this.head;
     const headers = answerHeaders(rawHeaders);
-    if (lengthBytes !== undefined) {
+    this.res.sendDate = false;
+    if (this.head.endsWithConnection) {
+      // Whether it was whole nobody can tell, so it gets no framing from us.
+      this.res.removeHeader('transfer-encoding');
+      this.res.shouldKeepAlive = false;
+      headers.push('Connection', 'close');
+    } else if (lengthBytes !== undefined) {
       headers.push('Content-Length', String(lengthBytes));
     }
-    this.res.sendDate = false;
     this.res.writeHead(status, statusText, headers);
   }
 }
