Move running generations off targets that leave

Change: the gateway finds a destination, copies the run's memory while it runs, stops it, copies the rest and goes on there, dropping repeated events and refusing gaps.

--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -83,6 +83,7 @@
     (answer: DispatchAnswer) => void
   >();
   private readonly granted = new Map<RequestId, GrantedByLeader>();
+  private readonly leaving = new Map<TargetId, Set<() => void>>();
   private readonly timers: NodeJS.Timeout[] = [];
   private knownEntryCount = FIRST_ENTRY_COUNT;
   private isPulling = false;
@@ -148,6 +149,21 @@
     return this.table.get(id);
   }
 
+  onLeaving(id: TargetId, listener: () => void): () => void {
+    const state = this.table.get(id)?.announcement.state;
+    if (state !== undefined && state !== 'ready') {
+      listener();
+      return () => undefined;
+    }
+    const listeners = this.leaving.get(id) ?? new Set();
+    this.leaving.set(id, listeners);
+    listeners.add(listener);
+    return () => {
+      listeners.delete(listener);
+      if (listeners.size === 0) this.leaving.delete(id);
+    };
+  }
+
   async place(demand: Demand): Promise<DispatchAnswer> {
     const isEngine = this.hasEngine(demand.service);
     const peer = isEngine && this.leader && this.links.peerAt(this.leader);
@@ -342,10 +358,19 @@
     else view?.silent.delete(id);
     const record = this.table.get(id);
     if (record === undefined) return;
-    if (outcome === 'changed') this.options.onTarget(record);
+    if (outcome === 'changed') this.onTargetChanged(record);
     this.updateTarget(record);
   }
 
+  private onTargetChanged(record: TargetRecord): void {
+    this.options.onTarget(record);
+    const {id, state} = record.announcement;
+    if (state === 'ready') return;
+    const listeners = this.leaving.get(id);
+    this.leaving.delete(id);
+    for (const listener of listeners ?? []) listener();
+  }
+
   private updateTarget(record: TargetRecord): void {
     const {id} = record.announcement;
     const views = [...this.controls.values()];
--- a/packages/gateway/src/exchange/answer-sink.ts
+++ b/packages/gateway/src/exchange/answer-sink.ts
@@ -1,49 +1,51 @@
 /**
- * Passes one target's answer to the caller. Streams go out as they come, event
+ * Passes a target's answer to the caller. Streams go out as they come, event
  * by event; other answers only once they are whole, so that a broken one can
  * still be replaced.
  */
 import type {ServerResponse} from 'node:http';
 import type {AnswerHead} from '../upstream/index.js';
+import {EventRelay, type RelayFault} from './event-relay.js';
 import {answerHeaders} from './request-text.js';
 
 /** A longer answer is passed on before it is whole. */
 const HOLD_MAX_BYTES = 1_048_576;
-const EVENT_END = Buffer.from('\n\n');
 
 export class AnswerSink {
-  /** Whole events that were passed on. */
-  eventCount = 0;
   private held: Buffer[] = [];
   private heldBytes = 0;
   private isHeadSent = false;
+  /** Set when the answer is a stream of events. */
+  readonly events: EventRelay | undefined;
 
   constructor(
     private readonly res: ServerResponse,
     private readonly head: AnswerHead,
-    private readonly isStreamed: boolean,
-    private readonly onFull: () => void,
-  ) {}
+    isStreamed: boolean,
+    /** Called when the caller reads more slowly than the target writes. */
+    public onFull: () => void,
+  ) {
+    if (isStreamed) {
+      this.events = new EventRelay({write: data => this.flush(data)});
+    }
+  }
 
   /** Whether the caller was sent any part of this answer. */
   get hasStarted(): boolean {
     return this.isHeadSent;
   }
 
-  take(data: Buffer): void {
-    if (this.isStreamed) this.takeEvents(data);
-    else this.hold(data);
+  take(data: Buffer): RelayFault {
+    if (this.events) return this.events.take(data);
+    this.hold(data);
+    return undefined;
   }
 
   /** Passes on what is held, and the end. */
   end(): void {
-    const rest = Buffer.concat(this.held);
+    const rest = this.events?.takeRest() ?? Buffer.concat(this.held);
     this.held = [];
-    if (!this.isHeadSent) {
-      this.sendHead(rest.length);
-      this.res.end(rest);
-      return;
-    }
+    if (!this.isHeadSent) this.sendHead(rest.length);
     this.res.end(rest.length > 0 ? rest : undefined);
   }
 
@@ -59,20 +61,6 @@
     this.held = [];
   }
 
-  private takeEvents(data: Buffer): void {
-    const pending = this.held.length > 0 ? Buffer.concat([...this.held, data]) : data;
-    const lastEnd = pending.lastIndexOf(EVENT_END);
-    if (lastEnd < 0) {
-      this.held = [pending];
-      return;
-    }
-    const cut = lastEnd + EVENT_END.length;
-    const whole = pending.subarray(0, cut);
-    this.held = cut < pending.length ? [pending.subarray(cut)] : [];
-    this.eventCount += countEvents(whole);
-    this.flush(whole);
-  }
-
   private flush(data: Buffer): void {
     if (!this.isHeadSent) this.sendHead(undefined);
     this.write(data);
@@ -98,13 +86,3 @@
     this.res.writeHead(status, statusText, headers);
   }
 }
-
-function countEvents(data: Buffer): number {
-  let count = 0;
-  let position = data.indexOf(EVENT_END);
-  while (position >= 0) {
-    count += 1;
-    position = data.indexOf(EVENT_END, position + EVENT_END.length);
-  }
-  return count;
-}
--- /dev/null
+++ b/packages/gateway/src/exchange/event-relay.ts
@@ -0,0 +1,85 @@
+/**
+ * Passes the events of a stream on, each once and in order, also when the
+ * generation goes on at another target in the middle. Only whole events leave;
+ * what a target that broke off left unfinished is dropped.
+ */
+
+const EVENT_END = Buffer.from('\n\n');
+const ID_FIELD = /(?:^|\n)id: ?(\d+)(?=\r?\n|$)/;
+
+export type RelayFault = 'gap' | undefined;
+
+export interface EventRelayOptions {
+  readonly write: (data: Buffer) => void;
+}
+
+export class EventRelay {
+  /** Id of the last event that was passed on; undefined before the first. */
+  lastEventId: number | undefined;
+  eventCount = 0;
+  private partial: Buffer | undefined;
+  private mustDropRepeats = false;
+
+  constructor(private readonly options: EventRelayOptions) {}
+
+  /** Whether the last source ended in the middle of an event. */
+  get hasPartial(): boolean {
+    return this.partial !== undefined;
+  }
+
+  /** Another target goes on with the stream. */
+  startNextSource(): void {
+    this.partial = undefined;
+    this.mustDropRepeats = true;
+  }
+
+  /** Returns a fault when an event is missing before one of these. */
+  take(data: Buffer): RelayFault {
+    const pending = this.partial ? Buffer.concat([this.partial, data]) : data;
+    let start = 0;
+    let passFrom = 0;
+    for (;;) {
+      const end = pending.indexOf(EVENT_END, start);
+      if (end < 0) break;
+      const next = end + EVENT_END.length;
+      const verdict = this.judge(pending.subarray(start, end));
+      if (verdict === 'gap') {
+        this.pass(pending.subarray(passFrom, start));
+        return 'gap';
+      }
+      if (verdict === 'repeat') {
+        this.pass(pending.subarray(passFrom, start));
+        passFrom = next;
+      }
+      start = next;
+    }
+    this.pass(pending.subarray(passFrom, start));
+    this.partial = start < pending.length ? pending.subarray(start) : undefined;
+    return undefined;
+  }
+
+  /** What is left at the end of a source that ended as complete. */
+  takeRest(): Buffer | undefined {
+    const rest = this.partial;
+    this.partial = undefined;
+    return rest;
+  }
+
+  private pass(data: Buffer): void {
+    if (data.length > 0) this.options.write(data);
+  }
+
+  private judge(event: Buffer): 'pass' | 'repeat' | 'gap' {
+    const match = ID_FIELD.exec(event.toString('latin1'));
+    if (match === null) return 'pass';
+    const id = Number(match[1]);
+    const last = this.lastEventId;
+    if (last !== undefined && id <= last) {
+      return this.mustDropRepeats ? 'repeat' : 'gap';
+    }
+    if (last !== undefined && id > last + 1) return 'gap';
+    this.lastEventId = id;
+    this.eventCount += 1;
+    return 'pass';
+  }
+}
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -11,10 +11,18 @@
   type WorkspaceId,
 } from '@samphirefield/core';
 import type {RunOutcome} from '../dispatch/index.js';
+import {
+  moveRun,
+  type Destination,
+  type MoveResult,
+  type ResumePoint,
+} from '../moves/index.js';
 import {KIND_TRAITS, pickService, type Route} from '../routes/index.js';
 import {readBody} from './body.js';
 import {statusOf, writeOwnAnswer} from './own-answer.js';
 import {writeRequest} from './request-text.js';
+import type {UpstreamAddress, UpstreamConnection} from '../upstream/index.js';
+import type {AnswerSink} from './answer-sink.js';
 import {send, type Sending, type SendResult} from './send.js';
 import type {GatewayParts, OwnAnswer, RequestFacts} from './types.js';
 
@@ -44,6 +52,18 @@
   readonly body: Buffer;
 }
 
+/** Where a request runs. */
+interface Place {
+  readonly target: TargetId;
+  readonly address: UpstreamAddress;
+  readonly run: RequestId;
+}
+
+interface PlaceWatch {
+  /** The run has ended here; returns the move that was begun. */
+  end(): Promise<MoveResult | undefined> | undefined;
+}
+
 type Step =
   | {readonly kind: 'done'; readonly status: number}
   | {readonly kind: 'own'; readonly answer: OwnAnswer}
@@ -62,6 +82,7 @@
   private runs = 0;
   private sendings = 0;
   private waitedMs = 0;
+  private moves = 0;
   private lastTarget: TargetId | undefined;
 
   constructor(
@@ -193,7 +214,7 @@
       finish('abandoned');
       return {kind: 'broken_off'};
     }
-    const {outcome, step} = await this.sendTo(answer.target, admitted);
+    const {outcome, step} = await this.sendTo(answer.target, admitted, run);
     finish(outcome);
     return step;
   }
@@ -207,8 +228,9 @@
   private async sendTo(
     id: TargetId,
     admitted: Admitted,
+    run: RequestId,
   ): Promise<{outcome: RunOutcome; step: Step}> {
-    const {parts, facts} = this;
+    const {parts} = this;
     this.lastTarget = id;
     const record = parts.placer.findTarget(id);
     const retry = (reason: string, counts: boolean): Step => ({
@@ -235,28 +257,165 @@
       return {outcome: 'abandoned', step: {kind: 'broken_off'}};
     }
     this.sendings += 1;
-    const ownHeaders = parts.protocol.writeSendFacts({
+    const sending = this.startSending(pooled.connection, admitted, id, undefined);
+    const result = await this.follow(sending, admitted, {
       target: id,
+      address: {host, port},
+      run,
+    });
+    this.sending = undefined;
+    return this.judge(result, admitted.route);
+  }
+
+  private startSending(
+    connection: UpstreamConnection,
+    admitted: Admitted,
+    target: TargetId,
+    goesOn: {sink: AnswerSink; resume: ResumePoint} | undefined,
+  ): Sending {
+    const {protocol} = this.parts;
+    const ownHeaders = protocol.writeSendFacts({
+      target,
       workspace: admitted.workspace,
       leftMs: Math.max(MIN_LEFT_MS, Math.floor(this.leftMs())),
+      resume: goesOn?.resume,
+      lastEventId: goesOn?.sink.events?.lastEventId,
     });
     this.sending = send({
-      connection: pooled.connection,
+      connection,
       request: writeRequest(
         this.req,
         admitted.body,
-        name => parts.protocol.isPassedOn(name),
+        name => protocol.isPassedOn(name),
         ownHeaders,
       ),
-      attempt: facts.attempt,
+      attempt: this.facts.attempt,
       res: this.res,
-      protocol: parts.protocol,
+      protocol,
       isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
-      onHead: () => undefined,
+      goesOn: goesOn?.sink,
     });
-    const result = await this.sending.result;
-    this.sending = undefined;
-    return this.judge(result, admitted.route);
+    return this.sending;
+  }
+
+  /** Waits for the end of an answer, wherever its generation goes meanwhile. */
+  private async follow(
+    first: Sending,
+    admitted: Admitted,
+    start: Place,
+  ): Promise<SendResult> {
+    let sending = first;
+    let place = start;
+    let held: Destination | undefined;
+    for (;;) {
+      const watch = this.watchPlace(place, admitted);
+      const result = await sending.result;
+      const moving = watch.end();
+      if (result.kind !== 'lost' || moving === undefined || this.isOver) {
+        void moving?.then(moved => this.dropMove(moved));
+        held?.release(result.kind === 'passed_on');
+        return result;
+      }
+      const moved = await moving;
+      const next = moved && (await this.resume(moved, sending, admitted));
+      held?.release(true);
+      if (next === undefined) return result;
+      this.parts.placer.finish(place.run, admitted.service, 'served');
+      held = moved?.destination;
+      const {target, address} = moved!.resume;
+      this.lastTarget = target;
+      place = {target, address, run: place.run};
+      sending = next;
+    }
+  }
+
+  /** Starts a move when the target says that it leaves. */
+  private watchPlace(place: Place, admitted: Admitted): PlaceWatch {
+    const {parts} = this;
+    let moving: Promise<MoveResult | undefined> | undefined;
+    let hasEnded = false;
+    const {attempt} = this.facts;
+    const engine = parts.inForce()?.index.findService(admitted.service)?.engine;
+    if (!engine?.canMove || attempt === undefined) {
+      return {end: () => undefined};
+    }
+    const stopWatching = parts.placer.onLeaving(place.target, () => {
+      moving = moveRun({
+        attempt,
+        source: place,
+        mover: parts.mover,
+        findDestination: excluded => this.findDestination(admitted, excluded),
+        isOver: () => this.isOver || hasEnded,
+        log: (step, fields) =>
+          parts.logger.info('move', {request: attempt, step, source: place.target, ...fields}),
+      });
+    });
+    return {
+      end: () => {
+        hasEnded = true;
+        stopWatching();
+        return moving;
+      },
+    };
+  }
+
+  private async findDestination(
+    admitted: Admitted,
+    excluded: readonly TargetId[],
+  ): Promise<Destination | undefined> {
+    const {placer} = this.parts;
+    const run = requestId(`${this.parts.instance}/${++runCounter}`);
+    const {service} = admitted;
+    const source = placer.findTarget(excluded[0]!);
+    const answer = await placer.place({
+      request: run,
+      service,
+      entry: this.parts.instance,
+      zone: source?.announcement.zone ?? this.parts.zone,
+      kvTokens: this.expectedKvTokens(),
+      priority: admitted.priority,
+      patienceMs: 0,
+      maxWaitMs: 0,
+      excluded,
+    });
+    if (answer.kind === 'refused') return undefined;
+    const release = (isUsed: boolean) =>
+      placer.finish(run, service, isUsed ? 'served' : 'abandoned');
+    const record = placer.findTarget(answer.target);
+    if (record === undefined) {
+      release(false);
+      return undefined;
+    }
+    const {host, port} = record.announcement;
+    return {target: answer.target, address: {host, port}, release};
+  }
+
+  private async resume(
+    moved: MoveResult,
+    before: Sending,
+    admitted: Admitted,
+  ): Promise<Sending | undefined> {
+    const sink = before.sink();
+    const {resume} = moved;
+    const pooled = await this.parts.pool.acquire(
+      resume.address,
+      CONNECT_TIMEOUT_MS,
+    );
+    if (pooled === undefined || this.isOver) {
+      pooled?.connection.destroy();
+      moved.destination?.release(false);
+      return undefined;
+    }
+    this.moves += 1;
+    const goesOn = sink && {sink, resume};
+    return this.startSending(pooled.connection, admitted, resume.target, goesOn);
+  }
+
+  /** Frees what a move prepared when it turned out not to be needed. */
+  private dropMove(moved: MoveResult | undefined): void {
+    if (moved === undefined) return;
+    moved.destination?.release(false);
+    this.parts.mover.drop(moved.resume.from, moved.resume.handle);
   }
 
   /** What a sending's end means for the target and for the request. */
@@ -357,6 +516,7 @@
       reason,
       target: this.lastTarget,
       sendings: this.sendings,
+      moves: this.moves,
       waited_ms: Math.round(this.waitedMs),
       took_ms: Math.round(this.parts.nowMs() - this.startedAtMs),
       view: this.parts.inForce()?.view.index,
--- a/packages/gateway/src/exchange/request-text.ts
+++ b/packages/gateway/src/exchange/request-text.ts
@@ -27,6 +27,7 @@
 function forwardedHeaders(
   req: IncomingMessage,
   isPassedOn: (name: string) => boolean,
+  replaced: ReadonlySet<string>,
 ): string[] {
   const bound = connectionHeaders(req.headers.connection);
   const lines: string[] = [];
@@ -35,7 +36,7 @@
     const lower = name.toLowerCase();
     const isDropped =
       HOP_BY_HOP.has(lower) || bound.has(lower) || lower === 'content-length';
-    if (isDropped || !isPassedOn(lower)) continue;
+    if (isDropped || replaced.has(lower) || !isPassedOn(lower)) continue;
     lines.push(`${name}: ${req.rawHeaders[i + 1]!}`);
   }
   return lines;
@@ -48,9 +49,12 @@
   isPassedOn: (name: string) => boolean,
   ownHeaders: readonly string[],
 ): Buffer {
+  const replaced = new Set(
+    ownHeaders.filter((_, i) => i % 2 === 0).map(name => name.toLowerCase()),
+  );
   const lines = [
     `${req.method} ${req.url} HTTP/1.1`,
-    ...forwardedHeaders(req, isPassedOn),
+    ...forwardedHeaders(req, isPassedOn, replaced),
   ];
   for (let i = 0; i + 1 < ownHeaders.length; i += 2) {
     lines.push(`${ownHeaders[i]}: ${ownHeaders[i + 1]}`);
--- a/packages/gateway/src/exchange/send.ts
+++ b/packages/gateway/src/exchange/send.ts
@@ -28,6 +28,8 @@
   cancel(): void;
   /** Whether any part of the answer went to the caller. */
   hasStarted(): boolean;
+  /** The answer so far, once its head has come. */
+  sink(): AnswerSink | undefined;
 }
 
 export interface SendOptions {
@@ -37,8 +39,8 @@
   readonly res: ServerResponse;
   readonly protocol: GatewayProtocol;
   readonly isStreamed: boolean;
-  /** Called when the head of the answer has come. */
-  readonly onHead: () => void;
+  /** The stream that this answer goes on with; undefined for a new one. */
+  readonly goesOn: AnswerSink | undefined;
 }
 
 const FIRST_FAILURE_STATUS = 500;
@@ -51,7 +53,9 @@
 
 export function send(options: SendOptions): Sending {
   const {connection, res, protocol, attempt, isStreamed} = options;
-  let sink: AnswerSink | undefined;
+  let sink = options.goesOn;
+  sink?.events?.startNextSource();
+  if (sink) sink.onFull = () => connection.pause();
   let facts: AnswerFacts | undefined;
   let head: AnswerHead | undefined;
   let settle: (result: SendResult) => void = () => undefined;
@@ -62,6 +66,10 @@
     settle(value);
   };
   res.on('drain', onDrain);
+  const breakOff = (error: UpstreamError) => {
+    connection.destroy();
+    finish({kind: 'lost', error, hasStarted: sink?.hasStarted ?? false});
+  };
 
   connection.send(options.request, {
     isOwn: answer => {
@@ -71,20 +79,31 @@
     onHead: answer => {
       head = answer;
       facts = protocol.readAnswer(answer);
+      if (isSuccess(answer.status) && !facts.isSigned) {
+        breakOff({kind: 'malformed', reason: 'a success unsigned'});
+        return;
+      }
+      if (options.goesOn) return;
       const mayStream = isStreamed && isSuccess(answer.status);
       sink = new AnswerSink(res, answer, mayStream, () => connection.pause());
-      options.onHead();
-      if (!isSuccess(answer.status) || facts.isSigned) return;
-      connection.destroy();
-      const error = {kind: 'malformed', reason: 'a success unsigned'} as const;
-      finish({kind: 'lost', error, hasStarted: false});
     },
-    onData: data => sink?.take(data),
+    onData: data => {
+      // A failure in place of a stream's next events is no part of the stream.
+      if (options.goesOn && !isSuccess(head!.status)) return;
+      const fault = sink?.take(data);
+      if (fault) breakOff({kind: 'malformed', reason: `a ${fault} of events`});
+    },
     onEnd: () => {
       if (facts!.isNotRun || facts!.isMisdirected) {
         finish({kind: 'not_run', isMisdirected: facts!.isMisdirected});
         return;
       }
+      if (options.goesOn && !isSuccess(head!.status)) {
+        const reason = `${head!.status} in place of the rest`;
+        const hasStarted = sink!.hasStarted;
+        finish({kind: 'lost', error: {kind: 'broken', reason}, hasStarted});
+        return;
+      }
       if (head!.status >= FIRST_FAILURE_STATUS) {
         finish({kind: 'failed', sink: sink!, status: head!.status});
         return;
@@ -100,6 +119,7 @@
   return {
     result,
     hasStarted: () => sink?.hasStarted ?? false,
+    sink: () => sink,
     cancel: () => {
       connection.destroy();
       finish({kind: 'ended'});
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -17,6 +17,7 @@
   DispatchAnswer,
   RunOutcome,
 } from '../dispatch/index.js';
+import type {MemoryMover, ResumePoint} from '../moves/index.js';
 import type {TargetRecord} from '../registry/index.js';
 import type {GatewayView, RouteIndex} from '../routes/index.js';
 import type {AnswerHead, UpstreamPool} from '../upstream/index.js';
@@ -40,6 +41,10 @@
   readonly target: TargetId;
   readonly workspace: WorkspaceId | undefined;
   readonly leftMs: number;
+  /** Set when a generation goes on from memory that was moved. */
+  readonly resume: ResumePoint | undefined;
+  /** The last event that the caller has; undefined before the first. */
+  readonly lastEventId: number | undefined;
 }
 
 /** What the head of a target's answer says. */
@@ -68,6 +73,8 @@
   place(demand: Demand): Promise<DispatchAnswer>;
   finish(request: RequestId, service: ServiceId, outcome: RunOutcome): void;
   findTarget(id: TargetId): TargetRecord | undefined;
+  /** Calls back once when the target begins to leave; returns the way out. */
+  onLeaving(id: TargetId, listener: () => void): () => void;
 }
 
 export interface RetryBudget {
@@ -89,6 +96,7 @@
   readonly placer: Placer;
   readonly budget: RetryBudget;
   readonly pool: UpstreamPool;
+  readonly mover: MemoryMover;
   readonly logger: Logger;
   /** Undefined until the first configuration was learned. */
   readonly inForce: () => InForce | undefined;
--- /dev/null
+++ b/packages/gateway/src/moves/index.ts
@@ -0,0 +1,2 @@
+export * from './move.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/moves/move.ts
@@ -0,0 +1,131 @@
+/**
+ * One move of a running generation: find a destination, copy its memory while
+ * it runs, then stop it and copy the rest. What stopped goes on at the
+ * destination, or at the source when the last copy failed.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import type {TargetId} from '@samphirefield/core';
+import type {UpstreamAddress} from '../upstream/index.js';
+import type {CopyAnswer, MemoryMover, ResumePoint} from './types.js';
+
+const COPY_TIMEOUT_MS = 2_500;
+const ASK_AGAIN_MS = 120;
+const MAX_ASKS = 14;
+const MAX_DESTINATIONS = 3;
+
+export interface Destination {
+  readonly target: TargetId;
+  readonly address: UpstreamAddress;
+  /** Gives the place back. */
+  release(isUsed: boolean): void;
+}
+
+export interface MoveOptions {
+  readonly attempt: string;
+  readonly source: {readonly target: TargetId; readonly address: UpstreamAddress};
+  readonly mover: MemoryMover;
+  /** A place on another target, if there is one. */
+  readonly findDestination: (
+    excluded: readonly TargetId[],
+  ) => Promise<Destination | undefined>;
+  /** Whether the run has ended, or its caller has left. */
+  readonly isOver: () => boolean;
+  readonly log: (step: string, fields: Record<string, string>) => void;
+}
+
+export interface MoveResult {
+  readonly resume: ResumePoint;
+  readonly destination: Destination | undefined;
+}
+
+type CopyOutcome =
+  | {readonly kind: 'copied'; readonly handle: string}
+  | {readonly kind: 'try_another'}
+  | {readonly kind: 'give_up'};
+
+/** Asks until the run is there to be copied, or cannot be. */
+async function copyRunning(
+  options: MoveOptions,
+  destination: Destination,
+): Promise<CopyOutcome> {
+  for (let asks = 0; asks < MAX_ASKS && !options.isOver(); asks += 1) {
+    const answer = await copy(options, destination, false);
+    switch (answer.kind) {
+      case 'copied':
+        return {kind: 'copied', handle: answer.handle};
+      case 'no_run':
+      case 'busy':
+        await delay(ASK_AGAIN_MS);
+        break;
+      case 'refused':
+        return {kind: 'try_another'};
+      case 'unreachable':
+        return {kind: 'give_up'};
+    }
+  }
+  return {kind: 'give_up'};
+}
+
+async function copy(
+  options: MoveOptions,
+  destination: Destination,
+  isLast: boolean,
+): Promise<CopyAnswer> {
+  const {mover, source, attempt} = options;
+  const answer = await mover.copy(
+    source.address,
+    attempt,
+    destination.address,
+    isLast,
+    COPY_TIMEOUT_MS,
+  );
+  options.log(isLast ? 'last_copy' : 'copy', {
+    answer: answer.kind,
+    destination: destination.target,
+  });
+  return answer;
+}
+
+/** Stops the run and copies the rest of its memory. */
+async function finishCopy(
+  options: MoveOptions,
+  destination: Destination,
+): Promise<MoveResult | undefined> {
+  const {source} = options;
+  const answer = await copy(options, destination, true);
+  if (answer.kind === 'copied') {
+    const {target, address} = destination;
+    const resume = {target, address, from: source.address, handle: answer.handle};
+    return {resume, destination};
+  }
+  destination.release(false);
+  if (answer.kind !== 'refused' || answer.handle === undefined) return undefined;
+  const resume = {...source, from: source.address, handle: answer.handle};
+  return {resume, destination: undefined};
+}
+
+/** Undefined when the run stays where it is, or is lost with its target. */
+export async function moveRun(
+  options: MoveOptions,
+): Promise<MoveResult | undefined> {
+  const excluded: TargetId[] = [options.source.target];
+  for (let tries = 0; tries < MAX_DESTINATIONS; tries += 1) {
+    const destination = await options.findDestination(excluded);
+    if (destination === undefined) {
+      options.log('no_destination', {});
+      return undefined;
+    }
+    const outcome = await copyRunning(options, destination);
+    if (outcome.kind === 'copied' && !options.isOver()) {
+      return finishCopy(options, destination);
+    }
+    destination.release(false);
+    if (outcome.kind === 'copied') {
+      options.mover.drop(options.source.address, outcome.handle);
+      return undefined;
+    }
+    if (outcome.kind === 'give_up') return undefined;
+    excluded.push(destination.target);
+  }
+  return undefined;
+}
