Move runs off one target in turn, to the same availability zone first

Ruled out: missing notices (each cut run had begun its move). Change: the leader gives turns per source; a run is copied only once it has begun to answer; destinations in the source's zone are preferred.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -14,6 +14,7 @@
 } from '@samphirefield/core';
 import {
   Dispatcher,
+  MoveTurns,
   type Demand,
   type DispatchAnswer,
   type RouteTable,
@@ -37,6 +38,7 @@
   HeldRuns,
   Hello,
   JoinRequest,
+  MoveTurnMessage,
   RaftMessageOnLink,
   TargetNews,
   TargetsMessage,
@@ -76,6 +78,7 @@
   private readonly registry: Registry;
   private readonly links: LinkSet;
   private readonly dispatcher: Dispatcher;
+  private readonly turns: MoveTurns;
   private readonly subscribers = new Map<Peer, Hello>();
   private readonly placing = new Map<
     RequestId,
@@ -109,6 +112,7 @@
       share: () => 1,
       random: Math.random,
     });
+    this.turns = new MoveTurns(nowMs);
     this.links = new LinkSet(this.handlers(), {
       onUp: (_address, peer) => void this.greet(peer),
       onDown: address => {
@@ -131,6 +135,7 @@
     this.every(REGISTRY_TICK_MS, () => {
       this.registry.tick();
       this.dispatcher.pump(nowMs());
+      this.turns.tick();
     });
     return ok(undefined);
   }
@@ -268,6 +273,12 @@
           message.outcome as RunOutcome,
           this.options.nowMs(),
         ),
+      take_turn: ({source, holder}: MoveTurnMessage) =>
+        new Promise(resolve => {
+          this.turns.ask(source, holder, () => resolve({}));
+        }),
+      end_turn: ({source, holder}: MoveTurnMessage) =>
+        this.turns.end(source, holder),
       held_runs: (held: HeldRuns) => {
         for (const run of held.runs) {
           this.dispatcher.adopt({...run, entry: held.entry});
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -61,3 +61,9 @@
   readonly request: RequestId;
   readonly outcome: string;
 }
+
+/** Asks for, or gives back, the turn to move a run off a target. */
+export interface MoveTurnMessage {
+  readonly source: TargetId;
+  readonly holder: RequestId;
+}
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -49,6 +49,7 @@
 const FORGET_TARGET_MS = 600_000;
 /** Assumed until a control daemon has told how many there are. */
 const FIRST_ENTRY_COUNT = 16;
+const TURN_TIMEOUT_MS = 2_500;
 /** Beyond a request's own waiting time, for the way to the leader and back. */
 const PLACE_MARGIN_MS = 1_000;
 
@@ -164,6 +165,21 @@
     };
   }
 
+  async takeMoveTurn(source: TargetId, holder: RequestId): Promise<void> {
+    const peer = this.leader && this.links.peerAt(this.leader);
+    if (!peer) return;
+    try {
+      await peer.request('take_turn', {source, holder}, TURN_TIMEOUT_MS);
+    } catch (error) {
+      this.options.logger.warn('no_move_turn', {reason: String(error)});
+    }
+  }
+
+  endMoveTurn(source: TargetId, holder: RequestId): void {
+    const peer = this.leader && this.links.peerAt(this.leader);
+    peer?.notify('end_turn', {source, holder});
+  }
+
   async place(demand: Demand): Promise<DispatchAnswer> {
     const isEngine = this.hasEngine(demand.service);
     const peer = isEngine && this.leader && this.links.peerAt(this.leader);
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -22,8 +22,6 @@
 
 /** Share of an engine's memory that is planned with. */
 const KV_FILL = 0.92;
-/** A target in another availability zone has to be this much emptier. */
-const OTHER_ZONE_PENALTY = 0.06;
 /** Weight of a target's recent failures against its load. */
 const FAILURE_PENALTY = 3;
 const FAILURE_HALF_LIFE_MS = 2_500;
@@ -277,7 +275,7 @@
     const failureShare = target.failures / Math.max(1, target.ended);
     const isAvoided = nowMs < target.avoidUntilMs;
     return (
-      (isOtherZone ? OTHER_ZONE_PENALTY : 0) +
+      (isOtherZone ? demand.otherZonePenalty : 0) +
       failureShare * FAILURE_PENALTY +
       (isAvoided ? FAILURE_PENALTY : 0) +
       this.options.random() * TIE_BREAK
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -14,6 +14,8 @@
   /** The daemon that sends it, and its availability zone. */
   readonly entry: InstanceId;
   readonly zone: ZoneId;
+  /** How much emptier, of 1, a target in another zone has to be. */
+  readonly otherZonePenalty: number;
   /** Memory it is expected to need on an engine; 0 on plain services. */
   readonly kvTokens: number;
   /** 0 is the most urgent. */
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -41,6 +41,10 @@
 const HELD_OUTPUT_SHARE = 0.6;
 const DEFAULT_DEADLINE_MS = 60_000;
 const MIN_LEFT_MS = 1;
+/** How much emptier a target in another availability zone has to be. */
+const OTHER_ZONE_PENALTY = 0.06;
+/** Memory takes twice as long to another zone, on a link that others need. */
+const MOVE_ZONE_PENALTY = 0.5;
 
 let runCounter = 0;
 
@@ -197,6 +201,7 @@
       service,
       entry: parts.instance,
       zone: parts.zone,
+      otherZonePenalty: OTHER_ZONE_PENALTY,
       kvTokens: this.expectedKvTokens(),
       priority: admitted.priority,
       patienceMs: route.objectiveMs * PATIENCE_SHARE,
@@ -308,7 +313,7 @@
     let place = start;
     let held: Destination | undefined;
     for (;;) {
-      const watch = this.watchPlace(place, admitted);
+      const watch = this.watchPlace(place, admitted, sending);
       const result = await sending.result;
       const moving = watch.end();
       if (result.kind !== 'lost' || moving === undefined || this.isOver) {
@@ -330,7 +335,11 @@
   }
 
   /** Starts a move when the target says that it leaves. */
-  private watchPlace(place: Place, admitted: Admitted): PlaceWatch {
+  private watchPlace(
+    place: Place,
+    admitted: Admitted,
+    sending: Sending,
+  ): PlaceWatch {
     const {parts} = this;
     let moving: Promise<MoveResult | undefined> | undefined;
     let hasEnded = false;
@@ -340,14 +349,20 @@
       return {end: () => undefined};
     }
     const stopWatching = parts.placer.onLeaving(place.target, () => {
+      const holder = requestId(`${parts.instance}/${++runCounter}`);
       moving = moveRun({
         attempt,
+        hasStarted: () => sending.hasStarted(),
+        takeTurn: () => parts.placer.takeMoveTurn(place.target, holder),
+        endTurn: () => parts.placer.endMoveTurn(place.target, holder),
         source: place,
         mover: parts.mover,
         findDestination: excluded => this.findDestination(admitted, excluded),
         isOver: () => this.isOver || hasEnded,
-        log: (step, fields) =>
-          parts.logger.info('move', {request: attempt, step, source: place.target, ...fields}),
+        log: (step, fields) => {
+          const source = place.target;
+          parts.logger.info('move', {request: attempt, step, source, ...fields});
+        },
       });
     });
     return {
@@ -372,6 +387,7 @@
       service,
       entry: this.parts.instance,
       zone: source?.announcement.zone ?? this.parts.zone,
+      otherZonePenalty: MOVE_ZONE_PENALTY,
       kvTokens: this.expectedKvTokens(),
       priority: admitted.priority,
       patienceMs: 0,
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -75,6 +75,9 @@
   findTarget(id: TargetId): TargetRecord | undefined;
   /** Calls back once when the target begins to leave; returns the way out. */
   onLeaving(id: TargetId, listener: () => void): () => void;
+  /** Resolves when a run may be moved off the target, one after the other. */
+  takeMoveTurn(source: TargetId, holder: RequestId): Promise<void>;
+  endMoveTurn(source: TargetId, holder: RequestId): void;
 }
 
 export interface RetryBudget {
--- a/packages/gateway/src/moves/index.ts
+++ b/packages/gateway/src/moves/index.ts
@@ -1,2 +1,3 @@
 export * from './move.js';
 export * from './types.js';
+export * from './turns.js';
--- a/packages/gateway/src/moves/move.ts
+++ b/packages/gateway/src/moves/move.ts
@@ -9,6 +9,8 @@
 import type {CopyAnswer, MemoryMover, ResumePoint} from './types.js';
 
 const COPY_TIMEOUT_MS = 2_500;
+const START_POLL_MS = 40;
+const MAX_START_POLLS = 100;
 const ASK_AGAIN_MS = 120;
 const MAX_ASKS = 14;
 const MAX_DESTINATIONS = 3;
@@ -28,6 +30,11 @@
   readonly findDestination: (
     excluded: readonly TargetId[],
   ) => Promise<Destination | undefined>;
+  /** Whether the run has begun to answer; before, there is nothing to copy. */
+  readonly hasStarted: () => boolean;
+  /** Resolves when it is this run's turn on the source's link. */
+  readonly takeTurn: () => Promise<void>;
+  readonly endTurn: () => void;
   /** Whether the run has ended, or its caller has left. */
   readonly isOver: () => boolean;
   readonly log: (step: string, fields: Record<string, string>) => void;
@@ -104,12 +111,34 @@
   return {resume, destination: undefined};
 }
 
+async function waitForStart(options: MoveOptions): Promise<void> {
+  let polls = 0;
+  while (!options.hasStarted() && !options.isOver()) {
+    if (polls >= MAX_START_POLLS) return;
+    polls += 1;
+    await delay(START_POLL_MS);
+  }
+}
+
 /** Undefined when the run stays where it is, or is lost with its target. */
 export async function moveRun(
   options: MoveOptions,
+): Promise<MoveResult | undefined> {
+  await waitForStart(options);
+  await options.takeTurn();
+  try {
+    return await moveInTurn(options);
+  } finally {
+    options.endTurn();
+  }
+}
+
+async function moveInTurn(
+  options: MoveOptions,
 ): Promise<MoveResult | undefined> {
   const excluded: TargetId[] = [options.source.target];
   for (let tries = 0; tries < MAX_DESTINATIONS; tries += 1) {
+    if (options.isOver()) return undefined;
     const destination = await options.findDestination(excluded);
     if (destination === undefined) {
       options.log('no_destination', {});
