Start a moved run nowhere anew; refuse at once when every target was tried

Ruled out: the move itself (the source had crashed, the copy had ended). Change: whatever a destination answers, a run that began elsewhere has run; a demand whose every usable target was tried is refused at once with a time to come back. Two tests, both failing before (the crash among them).

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -138,6 +138,10 @@
       this.grant(demand, target, nowMs);
       return;
     }
+    if (this.hasTriedAll(demand)) {
+      this.options.onAnswer(demand, {kind: 'refused', reason: 'all_tried'});
+      return;
+    }
     this.waiting.push({demand, sinceMs: nowMs, order: this.nextOrder++});
     this.waiting.sort(
       (a, b) => a.demand.priority - b.demand.priority || a.order - b.order,
@@ -215,10 +219,25 @@
     this.options.onAnswer(demand, {kind: 'granted', target: id});
   }
 
-  private refuse(demand: Demand): void {
+  private membersOf(demand: Demand): TargetState[] {
     const members = this.byService.get(demand.service) ?? new Set();
-    const hasUsable = [...members].some(id =>
-      this.isUsable(this.targets.get(id)!, demand),
+    return [...members].map(id => this.targets.get(id)!);
+  }
+
+  private hasTriedAll(demand: Demand): boolean {
+    if (demand.excluded.length === 0) return false;
+    const usable = this.membersOf(demand).filter(target =>
+      this.isUsable(target, {...demand, excluded: []}),
+    );
+    return (
+      usable.length > 0 &&
+      usable.every(target => !this.isUsable(target, demand))
+    );
+  }
+
+  private refuse(demand: Demand): void {
+    const hasUsable = this.membersOf(demand).some(target =>
+      this.isUsable(target, demand),
     );
     const reason = hasUsable ? 'crowded' : 'no_target';
     this.options.onAnswer(demand, {kind: 'refused', reason});
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -39,6 +39,8 @@
 export type DispatchRefusal =
   /** No target of the service may be used. */
   | 'no_target'
+  /** Each usable target is among those that the demand excludes. */
+  | 'all_tried'
   /** Every usable target stayed full for as long as the request could wait. */
   | 'crowded';
 
--- /dev/null
+++ b/packages/gateway/src/exchange/exchange.spec.ts
@@ -0,0 +1,337 @@
+/** One request's way, before targets that fail in every way they can. */
+import {expect} from 'earl';
+import {setTimeout as delay} from 'node:timers/promises';
+import {test, type TestContext} from 'node:test';
+import type {MemoryMover} from '../moves/index.js';
+import {
+  call,
+  startTestGateway,
+  type TestGatewayOptions,
+} from '../testing/gateway.js';
+import {
+  startScriptedTarget,
+  wholeAnswer,
+  type ReceivedRequest,
+} from '../testing/scripted-target.js';
+
+type Script = (request: ReceivedRequest) => void;
+
+const answerWith =
+  (text: string): Script =>
+  ({socket}) =>
+    socket.write(text);
+const closeUnanswered: Script = ({socket}) => socket.destroy();
+const rejected = wholeAnswer('', ['Not-Run: 1'], '503 Busy');
+
+async function setUp(
+  t: TestContext,
+  options: Omit<TestGatewayOptions, 'targets'>,
+  scripts: readonly Script[],
+) {
+  const targets = await Promise.all(scripts.map(startScriptedTarget));
+  const gateway = await startTestGateway({...options, targets});
+  t.after(() => {
+    gateway.close();
+    for (const target of targets) target.close();
+  });
+  return {targets, gateway};
+}
+
+const streamHead = [
+  'HTTP/1.1 200 OK',
+  'Signed: yes',
+  'Transfer-Encoding: chunked',
+  '',
+  '',
+].join('\r\n');
+const chunk = (text: string) =>
+  `${text.length.toString(16)}\r\n${text}\r\n`;
+const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
+const events = (from: number, to: number) =>
+  Array.from({length: to - from + 1}, (_, i) => event(from + i)).join('');
+const STREAM_END = '0\r\n\r\n';
+
+test('passes method, path, query, body and answer on unchanged', async t => {
+  const {targets, gateway} = await setUp(t, {kind: 'unsafe'}, [
+    answerWith(wholeAnswer('done', ['X-Own: 1'])),
+  ]);
+  const answer = await call(gateway.port, {body: 'order 7'});
+  expect(answer.status).toEqual(200);
+  expect(answer.body).toEqual('done');
+  expect(answer.headers['x-own']).toEqual('1');
+  const [received] = targets[0]!.received;
+  expect(received!.head.split('\r\n')[0]).toEqual('POST /x?q=1 HTTP/1.1');
+  expect(received!.body).toEqual('order 7');
+});
+
+test('replaces internal headers and drops those of one connection', async t => {
+  const {targets, gateway} = await setUp(t, {kind: 'safe'}, [
+    answerWith(wholeAnswer('done')),
+  ]);
+  await call(gateway.port, {
+    headers: {internal: 'forged', connection: 'bound', bound: 'x', kept: 'y'},
+  });
+  const head = targets[0]!.received[0]!.head.toLowerCase();
+  expect(head.includes('forged')).toEqual(false);
+  expect(head.includes('internal: t1')).toEqual(true);
+  expect(head.includes('bound')).toEqual(false);
+  expect(head.includes('kept: y')).toEqual(true);
+});
+
+test('sends what a target rejected to another, whatever its kind', async t => {
+  for (const kind of ['safe', 'unsafe', 'stream'] as const) {
+    const {targets, gateway} = await setUp(t, {kind}, [
+      answerWith(rejected),
+      answerWith(wholeAnswer('done')),
+    ]);
+    const answer = await call(gateway.port);
+    expect(answer.status).toEqual(200);
+    expect(targets.map(target => target.received.length)).toEqual([1, 1]);
+  }
+});
+
+test('says not run, and when to come back, if all rejected it', async t => {
+  const {gateway} = await setUp(t, {kind: 'unsafe'}, [answerWith(rejected)]);
+  const answer = await call(gateway.port, {headers: {'deadline-ms': '600'}});
+  expect(answer.status).toEqual(503);
+  expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+  expect(gateway.held()).toEqual(0);
+});
+
+test('repeats a safe request whose answer was lost', async t => {
+  const {gateway} = await setUp(t, {kind: 'safe'}, [
+    closeUnanswered,
+    answerWith(wholeAnswer('done')),
+  ]);
+  expect((await call(gateway.port)).body).toEqual('done');
+});
+
+test('never repeats an unsafe request, and never calls it not run', async t => {
+  for (const kind of ['unsafe', 'stream'] as const) {
+    const {targets, gateway} = await setUp(t, {kind}, [
+      closeUnanswered,
+      answerWith(wholeAnswer('done')),
+    ]);
+    expect((await call(gateway.port)).status).toEqual(502);
+    expect(targets[1]!.received.length).toEqual(0);
+  }
+});
+
+test('keeps to the runs that the route allows', async t => {
+  const {targets, gateway} = await setUp(
+    t,
+    {kind: 'safe', route: {maxRuns: 1}},
+    [closeUnanswered, answerWith(wholeAnswer('done'))],
+  );
+  expect((await call(gateway.port)).status).toEqual(502);
+  expect(targets[1]!.received.length).toEqual(0);
+});
+
+test('keeps to the retry budget', async t => {
+  const {targets, gateway} = await setUp(t, {kind: 'safe', retries: 0}, [
+    closeUnanswered,
+    answerWith(wholeAnswer('done')),
+  ]);
+  expect((await call(gateway.port)).status).toEqual(502);
+  expect(targets[1]!.received.length).toEqual(0);
+});
+
+test("passes a target's own failure on as it is", async t => {
+  const failure = wholeAnswer('broken', [], '500 Failed');
+  const {gateway} = await setUp(t, {kind: 'unsafe'}, [answerWith(failure)]);
+  const answer = await call(gateway.port);
+  expect(answer.status).toEqual(500);
+  expect(answer.body).toEqual('broken');
+  expect(answer.headers['signed']).toEqual('yes');
+});
+
+test('takes no success that the target did not sign', async t => {
+  const unsigned = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi';
+  const {gateway} = await setUp(t, {kind: 'unsafe'}, [answerWith(unsigned)]);
+  expect((await call(gateway.port)).status).toEqual(502);
+});
+
+test('passes no truncated answer on', async t => {
+  const {gateway} = await setUp(t, {kind: 'unsafe'}, [
+    ({socket}) => socket.end(wholeAnswer('whole').slice(0, -2)),
+  ]);
+  expect((await call(gateway.port)).status).toEqual(502);
+});
+
+test('passes no damaged chunk on', async t => {
+  const {gateway} = await setUp(t, {kind: 'unsafe'}, [
+    answerWith(streamHead + chunk('half') + 'zz\r\n\r\n'),
+  ]);
+  expect((await call(gateway.port)).status).toEqual(502);
+});
+
+test('adds no framing to an answer that ends with its connection', async t => {
+  const {gateway} = await setUp(t, {kind: 'unsafe'}, [
+    ({socket}) => socket.end('HTTP/1.1 200 OK\r\nSigned: yes\r\n\r\nsome'),
+  ]);
+  const answer = await call(gateway.port);
+  expect(answer.body).toEqual('some');
+  expect(answer.headers['content-length']).toEqual(undefined);
+  expect(answer.headers['transfer-encoding']).toEqual(undefined);
+  expect(answer.headers.connection).toEqual('close');
+});
+
+test('skips an answer to an earlier request', async t => {
+  const foreign = wholeAnswer('foreign', ['Attempt: a0']);
+  const own = wholeAnswer('own', ['Attempt: a1']);
+  const {gateway} = await setUp(t, {kind: 'unsafe'}, [
+    answerWith(foreign + own),
+  ]);
+  expect((await call(gateway.port)).body).toEqual('own');
+});
+
+test('uses no connection again that brought more than an answer', async t => {
+  const {targets, gateway} = await setUp(t, {kind: 'safe'}, [
+    ({socket, number}) => {
+      const rest = number === 1 ? wholeAnswer('stray') : '';
+      socket.write(wholeAnswer(`own ${number}`) + rest);
+    },
+  ]);
+  expect((await call(gateway.port)).body).toEqual('own 1');
+  expect((await call(gateway.port)).body).toEqual('own 2');
+  const [first, second] = targets[0]!.received;
+  expect(first!.socket).not.toEqual(second!.socket);
+});
+
+test('gives the work up when its caller has left', async t => {
+  let closed = 0;
+  const {gateway} = await setUp(t, {kind: 'stream'}, [
+    ({socket}) => {
+      socket.on('close', () => (closed += 1));
+      socket.write(streamHead + chunk(event(1)));
+    },
+  ]);
+  await call(gateway.port, {onData: (_text, leave) => leave()}).catch(
+    () => undefined,
+  );
+  for (let i = 0; i < 100 && closed === 0; i += 1) await delay(10);
+  expect(closed).toEqual(1);
+  expect(gateway.held()).toEqual(0);
+});
+
+test('ends a sent request at the timeout as unknown', async t => {
+  const {gateway} = await setUp(
+    t,
+    {kind: 'unsafe', route: {timeoutMs: 80}},
+    [() => undefined],
+  );
+  expect((await call(gateway.port)).status).toEqual(504);
+});
+
+test('ends a request without a place at the timeout as not run', async t => {
+  const {targets, gateway} = await setUp(
+    t,
+    {kind: 'unsafe', route: {timeoutMs: 80}},
+    [answerWith(wholeAnswer('done'))],
+  );
+  gateway.leave(0);
+  expect((await call(gateway.port)).status).toEqual(503);
+  expect(targets[0]!.received.length).toEqual(0);
+});
+
+test('never lets a stream that broke off look complete', async t => {
+  const {gateway} = await setUp(t, {kind: 'stream'}, [
+    ({socket}) => socket.end(streamHead + chunk(events(1, 2) + 'id: 3\nda')),
+  ]);
+  const answer = await call(gateway.port);
+  expect(answer.isComplete).toEqual(false);
+  expect(answer.body).toEqual(events(1, 2));
+});
+
+test('goes on at another target when its own leaves', async t => {
+  const steps: string[] = [];
+  let source: ReceivedRequest | undefined;
+  const mover: MemoryMover = {
+    copy: (_source, attempt, _destination, isLast) => {
+      steps.push(`${attempt} ${isLast ? 'last' : 'first'}`);
+      // The run stops, and its stream closes without its end.
+      if (isLast) source!.socket.end(chunk(event(3)));
+      return Promise.resolve({kind: 'copied', handle: 'h1'});
+    },
+    drop: () => undefined,
+  };
+  const {targets, gateway} = await setUp(t, {kind: 'stream', mover}, [
+    request => {
+      source = request;
+      request.socket.write(streamHead + chunk(events(1, 2)));
+    },
+    answerWith(streamHead + chunk(events(4, 6)) + STREAM_END),
+  ]);
+  let hasLeft = false;
+  const answer = await call(gateway.port, {
+    onData: () => {
+      if (hasLeft) return;
+      hasLeft = true;
+      gateway.leave(0);
+    },
+  });
+  expect(answer.isComplete).toEqual(true);
+  expect(answer.body).toEqual(events(1, 6));
+  expect(steps).toEqual(['a1 first', 'a1 last']);
+  const {head} = targets[1]!.received[0]!;
+  expect(head.includes('Resume: h1\r\nLast: 3')).toEqual(true);
+  expect(gateway.held()).toEqual(0);
+});
+
+test('joins no stream with one that leaves a gap', async t => {
+  let source: ReceivedRequest | undefined;
+  const mover: MemoryMover = {
+    copy: (_source, _attempt, _destination, isLast) => {
+      if (isLast) source!.socket.end();
+      return Promise.resolve({kind: 'copied', handle: 'h1'});
+    },
+    drop: () => undefined,
+  };
+  const {gateway} = await setUp(t, {kind: 'stream', mover}, [
+    request => {
+      source = request;
+      request.socket.write(streamHead + chunk(events(1, 2)));
+    },
+    answerWith(streamHead + chunk(events(4, 6)) + STREAM_END),
+  ]);
+  let hasLeft = false;
+  const answer = await call(gateway.port, {
+    onData: () => {
+      if (hasLeft) return;
+      hasLeft = true;
+      gateway.leave(0);
+    },
+  });
+  expect(answer.isComplete).toEqual(false);
+  expect(answer.body).toEqual(events(1, 2));
+});
+
+test('starts a moved run nowhere anew when its destination rejects it', async t => {
+  let source: ReceivedRequest | undefined;
+  const mover: MemoryMover = {
+    copy: (_source, _attempt, _destination, isLast) => {
+      if (isLast) source!.socket.end();
+      return Promise.resolve({kind: 'copied', handle: 'h1'});
+    },
+    drop: () => undefined,
+  };
+  const {targets, gateway} = await setUp(t, {kind: 'stream', mover}, [
+    request => {
+      source = request;
+      request.socket.write(streamHead + chunk(events(1, 2)));
+    },
+    answerWith(wholeAnswer('', ['Not-Run: 1'], '421 Misdirected')),
+    answerWith(streamHead + chunk(events(1, 6)) + STREAM_END),
+  ]);
+  let hasLeft = false;
+  const answer = await call(gateway.port, {
+    onData: () => {
+      if (hasLeft) return;
+      hasLeft = true;
+      gateway.leave(0);
+    },
+  });
+  expect(answer.isComplete).toEqual(false);
+  expect(answer.body).toEqual(events(1, 2));
+  expect(targets[2]!.received.length).toEqual(0);
+});
--- a/packages/gateway/src/exchange/send.ts
+++ b/packages/gateway/src/exchange/send.ts
@@ -98,16 +98,17 @@
       if (fault) breakOff({kind: 'malformed', reason: `a ${fault} of events`});
     },
     onEnd: () => {
-      if (facts!.isNotRun || facts!.isMisdirected) {
-        finish({kind: 'not_run', isMisdirected: facts!.isMisdirected});
-        return;
-      }
+      // A run that began elsewhere has run, whatever its next target says.
       if (options.goesOn && !isSuccess(head!.status)) {
         const reason = `${head!.status} in place of the rest`;
         const hasStarted = sink!.hasStarted;
         finish({kind: 'lost', error: {kind: 'broken', reason}, hasStarted});
         return;
       }
+      if (facts!.isNotRun || facts!.isMisdirected) {
+        finish({kind: 'not_run', isMisdirected: facts!.isMisdirected});
+        return;
+      }
       if (head!.status >= FIRST_FAILURE_STATUS) {
         finish({kind: 'failed', sink: sink!, status: head!.status});
         return;
--- a/packages/gateway/src/server/server.ts
+++ b/packages/gateway/src/server/server.ts
@@ -1,6 +1,6 @@
 /** The HTTP server that callers connect to. */
 import {createServer, type Server} from 'node:http';
-import type {Socket} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {Exchange, type GatewayParts} from '../exchange/index.js';
 import type {CallerLimits} from '../routes/index.js';
 
@@ -15,6 +15,7 @@
 const LISTEN_BACKLOG = 1_024;
 
 export interface GatewayServer {
+  readonly port: number;
   /** Requests that are being served. */
   activeCount(): number;
   applyLimits(limits: CallerLimits): void;
@@ -67,6 +68,7 @@
     server.once('error', reject);
     server.listen({host, port, backlog: LISTEN_BACKLOG}, () => {
       resolve({
+        port: (server.address() as AddressInfo).port,
         activeCount: () => active,
         applyLimits: limits => {
           server.keepAliveTimeout = limits.idleTimeoutMs;
--- /dev/null
+++ b/packages/gateway/src/testing/gateway.ts
@@ -0,0 +1,292 @@
+/** A gateway before scripted targets, with a plain protocol of its own. */
+import {request, type IncomingHttpHeaders} from 'node:http';
+import {
+  instanceId,
+  serviceId,
+  silentLogger,
+  targetId,
+  zoneId,
+  type TargetId,
+} from '@samphirefield/core';
+import type {
+  Demand,
+  DispatchAnswer,
+  GatewayProtocol,
+  MemoryMover,
+  Placer,
+  RequestKind,
+  Route,
+  TargetRecord,
+} from '../index.js';
+import {Dispatcher} from '../dispatch/index.js';
+import {buildRouteIndex} from '../routes/index.js';
+import {startGatewayServer, type GatewayServer} from '../server/index.js';
+import {UpstreamPool} from '../upstream/index.js';
+import type {ScriptedTarget} from './scripted-target.js';
+
+export const testProtocol: GatewayProtocol = {
+  readRequest: headers => ({
+    attempt: headers['attempt'] as string | undefined,
+    deadlineMs: headers['deadline-ms']
+      ? Number(headers['deadline-ms'])
+      : undefined,
+    key: undefined,
+    promptTokens: 100,
+    maxOutputTokens: 100,
+    hintedOutputTokens: undefined,
+  }),
+  readAnswer: ({status, headers}) => ({
+    attempt: headers.get('attempt'),
+    isNotRun: headers.has('not-run'),
+    isMisdirected: status === 421,
+    isSigned: headers.has('signed'),
+  }),
+  isPassedOn: name => name !== 'internal',
+  writeSendFacts: ({target, leftMs, resume, lastEventId}) => [
+    'Internal',
+    target,
+    'Left-Ms',
+    String(leftMs),
+    ...(resume ? ['Resume', resume.handle, 'Last', String(lastEventId)] : []),
+  ],
+};
+
+export interface TestGateway {
+  readonly port: number;
+  readonly server: GatewayServer;
+  /** Says that a target leaves. */
+  leave(position: number): void;
+  /** Runs that hold a place. */
+  held(): number;
+  close(): void;
+}
+
+export interface TestGatewayOptions {
+  readonly kind: RequestKind;
+  readonly targets: readonly ScriptedTarget[];
+  readonly route?: Partial<Route>;
+  readonly mover?: MemoryMover;
+  /** Retries that the budget gives; default: any number. */
+  readonly retries?: number;
+}
+
+const SERVICE = serviceId('s');
+const NO_MOVES: MemoryMover = {
+  copy: () => Promise.resolve({kind: 'no_run'}),
+  drop: () => undefined,
+};
+
+function toRecord(target: ScriptedTarget, position: number): TargetRecord {
+  return {
+    announcement: {
+      id: targetId(`t${position + 1}`),
+      bornMs: 1,
+      sequence: 1,
+      service: SERVICE,
+      host: target.host,
+      port: target.port,
+      zone: zoneId('a'),
+      slots: 100,
+      state: 'ready',
+      coldLeftMs: 0,
+    },
+    heardAtMs: 0,
+    coldUntilMs: 0,
+  };
+}
+
+class TestPlacer implements Placer {
+  readonly records = new Map<TargetId, TargetRecord>();
+  readonly leaving = new Map<TargetId, () => void>();
+  private readonly waiting = new Map<string, (answer: DispatchAnswer) => void>();
+  readonly dispatcher = new Dispatcher({
+    onAnswer: ({request}, answer) => this.waiting.get(request)?.(answer),
+    share: () => 1,
+    // Targets that are equally good are taken in order.
+    random: () => 0,
+  });
+
+  constructor(targets: readonly ScriptedTarget[]) {
+    const nowMs = performance.now();
+    targets.map(toRecord).forEach(record => {
+      this.records.set(record.announcement.id, record);
+      this.dispatcher.setTarget(record, false, nowMs);
+    });
+    this.dispatcher.configure(
+      [{service: SERVICE, kvTokens: undefined, coldRequestsPerS: 0}],
+      new Set(),
+    );
+  }
+
+  place(demand: Demand): Promise<DispatchAnswer> {
+    return new Promise(resolve => {
+      this.waiting.set(demand.request, resolve);
+      this.dispatcher.acquire(demand, performance.now());
+    });
+  }
+
+  finish(...[run, , outcome]: Parameters<Placer['finish']>): void {
+    this.dispatcher.release(run, outcome, performance.now());
+  }
+
+  findTarget(id: TargetId): TargetRecord | undefined {
+    return this.records.get(id);
+  }
+
+  onLeaving(id: TargetId, listener: () => void): () => void {
+    this.leaving.set(id, listener);
+    return () => this.leaving.delete(id);
+  }
+
+  takeMoveTurn(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  endMoveTurn(): void {
+    return;
+  }
+
+  leave(id: TargetId): void {
+    const record = this.records.get(id)!;
+    const announcement = {...record.announcement, state: 'draining' as const};
+    const draining = {...record, announcement};
+    this.records.set(id, draining);
+    this.dispatcher.setTarget(draining, false, performance.now());
+    this.leaving.get(id)?.();
+  }
+}
+
+export async function startTestGateway(
+  options: TestGatewayOptions,
+): Promise<TestGateway> {
+  const placer = new TestPlacer(options.targets);
+  const pool = new UpstreamPool();
+  let retriesLeft = options.retries ?? Number.POSITIVE_INFINITY;
+  const table = {
+    version: 1,
+    routes: [
+      {
+        name: 'r',
+        host: 'test',
+        pathPrefix: '/',
+        kind: options.kind,
+        timeoutMs: 5_000,
+        objectiveMs: 500,
+        priority: 0,
+        services: [{service: SERVICE, weight: 1}],
+        maxRuns: 2,
+        isPublic: true,
+        eventGapMs: 100,
+        ...options.route,
+      },
+    ],
+    services: [
+      {
+        name: SERVICE,
+        healthPath: '/',
+        maxConnections: 100,
+        coldRequestsPerS: 0,
+        engine: {
+          slots: 100,
+          kvTokens: 100_000,
+          bytesPerKvToken: 1,
+          linkMbps: 1,
+          canMove: true,
+          tokensPerEvent: 1,
+        },
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    workspaces: [],
+  };
+  const inForce = {
+    view: {index: 1, table, zonesOut: new Set<never>()},
+    index: buildRouteIndex(table),
+  };
+  const server = await startGatewayServer('127.0.0.1', 0, {
+    instance: instanceId('e1'),
+    zone: zoneId('a'),
+    protocol: testProtocol,
+    placer,
+    budget: {
+      noteRequest: () => undefined,
+      tryTake: () => (retriesLeft -= 1) >= 0,
+    },
+    pool,
+    mover: options.mover ?? NO_MOVES,
+    logger: silentLogger,
+    inForce: () => inForce,
+    nowMs: () => performance.now(),
+    random: () => 0,
+  });
+  return {
+    port: server.port,
+    server,
+    leave: position => placer.leave(targetId(`t${position + 1}`)),
+    held: () => placer.dispatcher.runCount,
+    close: () => {
+      server.close();
+      pool.close();
+    },
+  };
+}
+
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer came to its end. */
+  readonly isComplete: boolean;
+}
+
+export interface CallOptions {
+  readonly attempt?: string;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+  /** Called with all that came so far. */
+  readonly onData?: (text: string, leave: () => void) => void;
+}
+
+/** Sends one request on a connection of its own. */
+export function call(
+  port: number,
+  options: CallOptions = {},
+): Promise<CallerAnswer> {
+  const {attempt = 'a1', body = 'hello', headers = {}, onData} = options;
+  return new Promise((resolve, reject) => {
+    const req = request(
+      {
+        host: '127.0.0.1',
+        port,
+        method: 'POST',
+        path: '/x?q=1',
+        agent: false,
+        headers: {host: 'test', attempt, ...headers},
+      },
+      res => {
+        let text = '';
+        const finish = () =>
+          resolve({
+            status: res.statusCode!,
+            headers: res.headers,
+            body: text,
+            isComplete: res.complete,
+          });
+        res.setEncoding('latin1');
+        res.on('data', (part: string) => {
+          text += part;
+          onData?.(text, () => req.destroy());
+        });
+        res.on('end', finish);
+        res.on('error', finish);
+      },
+    );
+    req.on('error', reject);
+    req.end(body);
+  });
+}
