Test the control group and its entries through losses; close links on stop

Cause: specs of the group failed: a stopped control daemon kept the links that others had opened to it, so they went on sending to it. Change: the listener ends its links. Eleven tests: forming from seeds in any order, highest version, lost leader, no quorum, stop of all, wiped disk, replacement at another address, entries, places summed over entries, silent targets.

--- /dev/null
+++ b/packages/cluster/src/cluster.spec.ts
@@ -0,0 +1,232 @@
+/** The group of control daemons and its entries, through losses. */
+import {expect} from 'earl';
+import {test, type TestContext} from 'node:test';
+import {
+  instanceId,
+  requestId,
+  targetId,
+  zoneId,
+  type ZoneId,
+} from '@samphirefield/core';
+import type {Demand} from '@samphirefield/gateway';
+import {
+  announcement,
+  SERVICE,
+  TestCluster,
+  until,
+} from './testing/cluster.js';
+
+async function setUp(t: TestContext, size = 3): Promise<TestCluster> {
+  const cluster = await TestCluster.create(size);
+  t.after(() => cluster.close());
+  return cluster;
+}
+
+async function startAll(cluster: TestCluster, order = [0, 1, 2]) {
+  for (const i of order) await cluster.start(i, true);
+  await until('a leader', () => cluster.leader() !== undefined);
+}
+
+const zone = (name: string): ZoneId => zoneId(name);
+const demand = (name: string): Demand => ({
+  request: requestId(name),
+  service: SERVICE,
+  entry: instanceId('e1'),
+  zone: zone('z0'),
+  otherZonePenalty: 0.1,
+  kvTokens: 4_000,
+  priority: 0,
+  patienceMs: 5_000,
+  maxWaitMs: 5_000,
+  excluded: [],
+});
+
+test('forms one group from its seeds in any order', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster, [2, 0, 1]);
+  await cluster.put(0, 5);
+  for (const i of [0, 1, 2]) {
+    await until(`daemon ${i} reads`, async () => {
+      return (await cluster.readVersion(i)) === 5;
+    });
+  }
+  const leaders = [...cluster.controls.values()].filter(n => n.isLeader);
+  expect(leaders.length).toEqual(1);
+});
+
+test('holds the highest version, and acknowledges lower ones', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  await cluster.put(0, 9);
+  await cluster.put(1, 4);
+  await until('9 is read', async () => (await cluster.readVersion(2)) === 9);
+});
+
+test('never shows an older version after its leader stopped', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  await cluster.put(0, 1);
+  const leader = cluster.leader()!;
+  await cluster.stop(leader);
+  const [i] = [...cluster.controls.keys()];
+  await cluster.put(i!, 2);
+  await cluster.start(leader, false);
+  await until('the old leader reads 2', async () => {
+    const version = await cluster.readVersion(leader);
+    expect(version === undefined || version === 2).toEqual(true);
+    return version === 2;
+  });
+});
+
+test('accepts and reads nothing without a quorum', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  await cluster.put(0, 1);
+  const kept = cluster.leader()!;
+  for (const i of [0, 1, 2]) if (i !== kept) await cluster.stop(i);
+  const node = cluster.controls.get(kept)!;
+  expect(await node.readNewest()).toEqual(undefined);
+  const change = {kind: 'put_config', version: 2, document: '2'} as const;
+  expect(await node.change(change)).toEqual('unavailable');
+});
+
+test('keeps what it accepted through a stop of all', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  await cluster.put(0, 7);
+  await cluster.controls.get(0)!.change({
+    kind: 'set_zone',
+    zone: zone('z1'),
+    isOut: true,
+  });
+  for (const i of [0, 1, 2]) await cluster.stop(i);
+  for (const i of [0, 1, 2]) await cluster.start(i, false);
+  await until('7 is read', async () => (await cluster.readVersion(1)) === 7);
+  const state = await cluster.controls.get(1)!.readNewest();
+  expect(state?.zonesOut).toEqual([zone('z1')]);
+});
+
+test('takes a wiped disk in again, and may then lose another', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  await cluster.put(0, 3);
+  const wiped = (cluster.leader()! + 1) % 3;
+  await cluster.stop(wiped);
+  cluster.wipe(wiped);
+  await cluster.start(wiped, false);
+  await until('the wiped daemon is a voter again', () => {
+    const metrics = cluster.controls.get(wiped)!.metrics();
+    return metrics['is_voter'] === 1 && metrics['members'] === 3;
+  });
+  const other = [0, 1, 2].find(i => i !== wiped && i !== cluster.leader())!;
+  await cluster.stop(other);
+  await cluster.put(wiped, 4);
+  expect(await cluster.readVersion(wiped)).toEqual(4);
+});
+
+test('an empty disk alone forms no group', async t => {
+  const cluster = await setUp(t);
+  await cluster.start(0, false);
+  const node = cluster.controls.get(0)!;
+  await new Promise(resolve => setTimeout(resolve, 900));
+  expect(node.isLeader).toEqual(false);
+  expect(await node.readNewest()).toEqual(undefined);
+});
+
+test('a daemon at another address replaces one that is gone', async t => {
+  const cluster = await setUp(t, 4);
+  await startAll(cluster);
+  await cluster.put(0, 3);
+  const gone = (cluster.leader()! + 1) % 3;
+  await cluster.stop(gone);
+  await cluster.start(3, false);
+  await until('the new daemon is a voter', () =>
+    [...cluster.controls.values()].some(
+      node =>
+        node.isLeader &&
+        node.metrics()['voters'] === 3 &&
+        node.metrics()['members'] === 3,
+    ),
+  );
+  await cluster.put(3, 4);
+  expect(await cluster.readVersion(3)).toEqual(4);
+});
+
+test('entries follow configuration, zones and targets', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  const entry = cluster.startEntry();
+  await cluster.put(0, 6);
+  await until('the entry has 6', () => {
+    return entry.inForce()?.view.table.version === 6;
+  });
+  cluster.controls.get(1)!.announce(announcement());
+  await until('the entry knows the target', () => {
+    return entry.findTarget(targetId('i-1')) !== undefined;
+  });
+  let hasLeft = false;
+  entry.onLeaving(targetId('i-1'), () => (hasLeft = true));
+  cluster.controls
+    .get(2)!
+    .announce(announcement({sequence: 2, state: 'draining'}));
+  await until('the entry hears that it leaves', () => hasLeft);
+  await cluster.controls.get(0)!.change({
+    kind: 'set_zone',
+    zone: zone('z0'),
+    isOut: true,
+  });
+  await until('the zone is out at the entry', () => {
+    return entry.inForce()!.view.zonesOut.has(zone('z0'));
+  });
+});
+
+test('places on engines are counted over all entries', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  const entries = [cluster.startEntry('e1'), cluster.startEntry('e2')];
+  await cluster.put(0, 1);
+  for (const node of cluster.controls.values()) node.announce(announcement());
+  await until('both entries know all', () =>
+    entries.every(
+      entry =>
+        entry.inForce() !== undefined &&
+        entry.findTarget(targetId('i-1')) !== undefined &&
+        entry.metrics()['has_leader'] === 1,
+    ),
+  );
+  const [first, second] = entries;
+  expect((await first!.place(demand('r1'))).kind).toEqual('granted');
+  expect((await second!.place(demand('r2'))).kind).toEqual('granted');
+  // 4,000 tokens each: a third does not fit before one has ended.
+  const third = second!.place(demand('r3'));
+  const early = await Promise.race([
+    third.then(() => 'granted'),
+    new Promise(resolve => setTimeout(() => resolve('waits'), 200)),
+  ]);
+  expect(early).toEqual('waits');
+  first!.finish(requestId('r1'), SERVICE, 'served');
+  expect((await third).kind).toEqual('granted');
+});
+
+test('a target that falls silent gets nothing until it is heard', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  const entry = cluster.startEntry();
+  await cluster.put(0, 1);
+  for (const node of cluster.controls.values()) node.announce(announcement());
+  await until('the entry knows the target', () => {
+    return entry.findTarget(targetId('i-1')) !== undefined;
+  });
+  await until('it is silent', async () => {
+    const asked = demand(`r${Math.random()}`);
+    const answer = await entry.place({...asked, kvTokens: 1, maxWaitMs: 0});
+    entry.finish(asked.request, SERVICE, 'served');
+    return answer.kind === 'refused';
+  });
+  cluster.controls.get(0)!.announce(announcement({sequence: 2}));
+  await until('it is heard', async () => {
+    const asked = demand(`r${Math.random()}`);
+    const answer = await entry.place({...asked, kvTokens: 1, maxWaitMs: 0});
+    return answer.kind === 'granted';
+  });
+});
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -2,7 +2,6 @@
  * A control daemon: a replica of the group, the registry of targets, and,
  * while it leads, the dispatcher that gives out places on engines.
  */
-import type {Server} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import {
   instanceId,
@@ -26,6 +25,7 @@
   LinkSet,
   listenForLinks,
   type Address,
+  type LinkListener,
   type Peer,
   type RpcHandlers,
 } from '../link/index.js';
@@ -85,7 +85,7 @@
     (answer: DispatchAnswer) => void
   >();
   private renewals = new Map<TargetId, TargetNews>();
-  private server: Server | undefined;
+  private listener: LinkListener | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
   private lastStatus = '';
   private statusSentAtMs = 0;
@@ -125,7 +125,7 @@
     const {address, seeds, nowMs} = this.options;
     const opened = await this.openGroup();
     if (opened.isErr()) return err(opened.error);
-    this.server = await listenForLinks(address, this.handlers(), peer =>
+    this.listener = await listenForLinks(address, this.handlers(), peer =>
       this.onPeerClosed(peer),
     );
     this.linkTo(seeds);
@@ -188,6 +188,9 @@
       leader: this.isLeader ? 1 : 0,
       term: this.group?.term ?? 0,
       state_index: this.group?.state.index ?? 0,
+      is_voter: this.group?.isVoter ? 1 : 0,
+      voters: this.group?.voterCount ?? 0,
+      members: this.group?.members.length ?? 0,
       targets: this.registry.size,
       subscribers: this.subscribers.size,
       places_waiting: this.dispatcher.waitingCount,
@@ -200,7 +203,7 @@
     for (const timer of this.timers) clearInterval(timer);
     await this.group?.stop('the daemon stops');
     this.links.close();
-    this.server?.close();
+    this.listener?.close();
   }
 
   private every(ms: number, run: () => void): void {
--- a/packages/cluster/src/control/group.ts
+++ b/packages/cluster/src/control/group.ts
@@ -10,11 +10,13 @@
 import type {Logger, ZoneId} from '@samphirefield/core';
 import {
   formatStorageError,
+  isVoter,
   lastIndex,
   openFileStorage,
   openIdentity,
   replicaId,
   ReplicaNode,
+  votersOf,
   type Envelope,
   type MembershipChange,
   type RaftConfig,
@@ -174,6 +176,14 @@
     return replica && addressOf(replica);
   }
 
+  get isVoter(): boolean {
+    return isVoter(this.node.membership, this.node.id);
+  }
+
+  get voterCount(): number {
+    return votersOf(this.node.membership).length;
+  }
+
   get members(): Address[] {
     return this.node.membership.replicas.map(addressOf);
   }
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -218,6 +218,7 @@
 
   metrics(): Record<string, number> {
     return {
+      has_leader: this.leader === undefined ? 0 : 1,
       controls_up: this.links.up().length,
       state_index: this.current?.view.index ?? 0,
       targets: this.table.size,
--- a/packages/cluster/src/link/links.ts
+++ b/packages/cluster/src/link/links.ts
@@ -1,5 +1,5 @@
 /** Outgoing links that are kept open, and the listener for incoming ones. */
-import {connect, createServer, type Server} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {Peer, type RpcHandlers} from './peer.js';
 
 const CONNECT_TIMEOUT_MS = 800;
@@ -113,16 +113,30 @@
   }
 }
 
+export interface LinkListener {
+  /** Takes no more links and ends those that are open. */
+  close(): void;
+}
+
 export function listenForLinks(
   address: Address,
   handlers: RpcHandlers,
   onClosed: (peer: Peer) => void,
-): Promise<Server> {
+): Promise<LinkListener> {
+  const peers = new Set<Peer>();
   const server = createServer(socket => {
-    new Peer(socket, handlers, onClosed);
+    const peer = new Peer(socket, handlers, closed => {
+      peers.delete(closed);
+      onClosed(closed);
+    });
+    peers.add(peer);
   });
+  const close = () => {
+    server.close();
+    for (const peer of peers) peer.close();
+  };
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(address, () => resolve(server));
+    server.listen(address, () => resolve({close}));
   });
 }
--- /dev/null
+++ b/packages/cluster/src/testing/cluster.ts
@@ -0,0 +1,196 @@
+/** Control and entry daemons on loopback, each on a folder of its own. */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {createServer, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {ok} from 'neverthrow';
+import {
+  instanceId,
+  serviceId,
+  silentLogger,
+  targetId,
+  zoneId,
+} from '@samphirefield/core';
+import type {RouteTable, TargetAnnouncement} from '@samphirefield/gateway';
+import {ControlNode} from '../control/index.js';
+import {EntryNode} from '../entry/index.js';
+import type {Address} from '../link/index.js';
+
+const TIMING = {
+  heartbeatMs: 40,
+  electionTimeoutMinMs: 200,
+  electionTimeoutMaxMs: 400,
+  clockDriftMs: 10,
+};
+const POLL_MS = 15;
+const WAIT_MAX_MS = 20_000;
+export const SERVICE = serviceId('advice');
+
+const nowMs = () => performance.now();
+
+/** A table whose version is the document's number. */
+export function decodeTestDocument(document: string) {
+  const table: RouteTable = {
+    version: Number(document),
+    routes: [],
+    services: [
+      {
+        name: SERVICE,
+        healthPath: '/',
+        maxConnections: 10,
+        coldRequestsPerS: 0,
+        engine: {
+          slots: 4,
+          kvTokens: 10_000,
+          bytesPerKvToken: 1,
+          linkMbps: 1,
+          canMove: true,
+          tokensPerEvent: 1,
+        },
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    workspaces: [],
+  };
+  return ok(table);
+}
+
+async function freeAddress(): Promise<Address> {
+  const server = createServer();
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return {host: '127.0.0.1', port};
+}
+
+/** Polls until the condition holds; fails after a long time. */
+export async function until(
+  what: string,
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const startedAtMs = nowMs();
+  while (!(await condition())) {
+    if (nowMs() - startedAtMs > WAIT_MAX_MS) throw new Error(`never: ${what}`);
+    await delay(POLL_MS);
+  }
+}
+
+export class TestCluster {
+  readonly controls = new Map<number, ControlNode>();
+  readonly entries: EntryNode[] = [];
+  private readonly folders: string[] = [];
+
+  private constructor(
+    readonly addresses: readonly Address[],
+    private readonly root: string,
+  ) {
+    addresses.forEach((_, i) => this.folders.push(join(root, `disk-${i}`)));
+  }
+
+  static async create(size: number): Promise<TestCluster> {
+    const addresses: Address[] = [];
+    while (addresses.length < size) addresses.push(await freeAddress());
+    const root = mkdtempSync(join(tmpdir(), 'samphirefield-cluster-'));
+    return new TestCluster(addresses, root);
+  }
+
+  /** Starts daemon `i`; the first three addresses are the seeds. */
+  async start(i: number, isFirstStart: boolean): Promise<ControlNode> {
+    const node = new ControlNode({
+      instance: instanceId(`c${i}`),
+      zone: zoneId(`z${i}`),
+      dataFolder: this.folders[i]!,
+      address: this.addresses[i]!,
+      seeds: this.addresses.slice(0, 3),
+      isFirstStart,
+      timing: TIMING,
+      targetSilentAfterMs: 600,
+      decode: decodeTestDocument,
+      logger: silentLogger,
+      nowMs,
+    });
+    const started = await node.start();
+    if (started.isErr()) throw new Error(started.error);
+    this.controls.set(i, node);
+    return node;
+  }
+
+  async stop(i: number): Promise<void> {
+    const node = this.controls.get(i);
+    this.controls.delete(i);
+    await node?.stop();
+  }
+
+  wipe(i: number): void {
+    rmSync(this.folders[i]!, {recursive: true, force: true});
+  }
+
+  startEntry(name = 'e1'): EntryNode {
+    const entry = new EntryNode({
+      instance: instanceId(name),
+      zone: zoneId('z0'),
+      seeds: this.addresses.slice(0, 3),
+      decode: decodeTestDocument,
+      logger: silentLogger,
+      nowMs,
+      onTable: () => undefined,
+      onTarget: () => undefined,
+    });
+    this.entries.push(entry);
+    entry.start();
+    return entry;
+  }
+
+  /** Sends a change to daemon `i` until it is accepted, as an operator does. */
+  async put(i: number, version: number): Promise<void> {
+    const command = {
+      kind: 'put_config' as const,
+      version,
+      document: String(version),
+    };
+    await until(`version ${version} is accepted`, async () => {
+      return (await this.controls.get(i)!.change(command)) === 'accepted';
+    });
+  }
+
+  async readVersion(i: number): Promise<number | undefined> {
+    return (await this.controls.get(i)!.readNewest())?.version;
+  }
+
+  leader(): number | undefined {
+    for (const [i, node] of this.controls) if (node.isLeader) return i;
+    return undefined;
+  }
+
+  async close(): Promise<void> {
+    for (const entry of this.entries) entry.stop();
+    for (const i of [...this.controls.keys()]) await this.stop(i);
+    rmSync(this.root, {recursive: true, force: true});
+  }
+}
+
+export function announcement(
+  changed: Partial<TargetAnnouncement> = {},
+): TargetAnnouncement {
+  return {
+    id: targetId('i-1'),
+    bornMs: 1,
+    sequence: 1,
+    service: SERVICE,
+    host: '127.0.0.1',
+    port: 1,
+    zone: zoneId('z0'),
+    slots: 4,
+    state: 'ready',
+    coldLeftMs: 0,
+    ...changed,
+  };
+}
