--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -9,12 +9,7 @@
   type ZoneId,
 } from '@samphirefield/core';
 import type {Demand} from '@samphirefield/gateway';
-import {
-  announcement,
-  SERVICE,
-  TestCluster,
-  until,
-} from './testing/cluster.js';
+import {announcement, SERVICE, TestCluster, until} from './testing/cluster.js';
 
 async function setUp(t: TestContext, size = 3): Promise<TestCluster> {
   const cluster = await TestCluster.create(size);
@@ -35,8 +30,11 @@
   zone: zone('z0'),
   otherZonePenalty: 0.1,
   kvTokens: 4_000,
+  prefillTokens: 0,
+  wantsBackup: false,
   priority: 0,
   patienceMs: 5_000,
+  noTargetWaitMs: 5_000,
   maxWaitMs: 5_000,
   excluded: [],
 });
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -18,6 +18,7 @@
   type DispatchAnswer,
   type RouteTable,
   type RunOutcome,
+  type ServiceCapacity,
   type TargetAnnouncement,
 } from '@samphirefield/gateway';
 import {
@@ -87,6 +88,9 @@
   private renewals = new Map<TargetId, TargetNews>();
   private listener: LinkListener | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
+  private isStateDirty = false;
+  private decodedVersion = 0;
+  private capacities: ServiceCapacity[] = [];
   private lastStatus = '';
   private statusSentAtMs = 0;
   private isStopping = false;
@@ -225,12 +229,12 @@
         const message = {envelope, replyTo: options.address};
         this.links.peerAt(to)?.notify('raft', message);
       },
-      onChange: state => this.onState(state),
+      onChange: () => this.onState(),
       onDiskFailure: error => this.onDiskFailure(error),
     });
     if (group.isErr()) return err(group.error);
     this.group = group.value;
-    this.onState(this.group.state);
+    this.onState();
     return ok(undefined);
   }
 
@@ -351,16 +355,31 @@
     this.tellControls(items);
   }
 
-  private onState(state: ClusterState): void {
-    if (state.version > 0) {
+  /** Acts on the newest state once all that is ready was applied. */
+  private onState(): void {
+    if (this.isStateDirty) return;
+    this.isStateDirty = true;
+    setImmediate(() => {
+      this.isStateDirty = false;
+      this.useState();
+    });
+  }
+
+  private useState(): void {
+    const state = this.group?.state;
+    if (state === undefined) return;
+    if (state.version !== this.decodedVersion && state.version > 0) {
       const table = this.options.decode(state.document);
-      if (table.isOk()) {
-        this.dispatcher.configure(
-          capacitiesOf(table.value),
-          new Set(state.zonesOut),
-        );
+      if (table.isErr()) {
+        this.options.logger.error('config_unreadable', {
+          version: state.version,
+        });
+        return;
       }
+      this.decodedVersion = state.version;
+      this.capacities = capacitiesOf(table.value);
     }
+    this.dispatcher.configure(this.capacities, new Set(state.zonesOut));
     this.sendStatus(true);
   }
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -27,6 +27,15 @@
 const FAILURE_HALF_LIFE_MS = 2_500;
 const AVOID_UNREACHABLE_MS = 1_000;
 const AVOID_REJECTING_MS = 250;
+/** Pace at which an engine reads prompts beside its running requests. */
+const PREFILL_TOKENS_PER_MS = 9;
+/** Prompts waiting to be read for this long weigh as much as a full target. */
+const PREFILL_FULL_MS = 1_200;
+/** A target that has just started is slow. */
+const COLD_PENALTY = 0.4;
+/** Backups take room only up to here, so that they displace no run. */
+const BACKUP_MAX_LOAD = 0.55;
+const BACKUP_ZONE_PENALTY = 0.2;
 const TIE_BREAK = 0.02;
 const MS_PER_S = 1_000;
 
@@ -35,6 +44,7 @@
   readonly entry: InstanceId;
   readonly target: TargetId;
   readonly kvTokens: number;
+  readonly backup?: TargetId;
 }
 
 interface TargetState {
@@ -49,6 +59,8 @@
   decayedAtMs: number;
   coldTokens: number;
   coldAtMs: number;
+  /** When it will have read the prompts that were sent to it. */
+  prefillUntilMs: number;
 }
 
 interface Waiting {
@@ -116,6 +128,7 @@
         decayedAtMs: nowMs,
         coldTokens: 0,
         coldAtMs: nowMs,
+        prefillUntilMs: nowMs,
       });
     }
     const members = this.byService.get(service) ?? new Set();
@@ -164,6 +177,8 @@
     const run = this.runs.get(request);
     if (run === undefined) return;
     this.runs.delete(request);
+    const backup = run.backup && this.targets.get(run.backup);
+    if (backup) backup.kvTokens = Math.max(0, backup.kvTokens - run.kvTokens);
     const target = this.targets.get(run.target);
     if (target === undefined) return;
     target.runs = Math.max(0, target.runs - 1);
@@ -192,7 +207,7 @@
         ? undefined
         : this.choose(demand, nowMs, isImpatient);
       if (target) this.grant(demand, target, nowMs);
-      else if (waitedMs >= demand.maxWaitMs) this.refuse(demand);
+      else if (this.isTimeUp(demand, waitedMs)) this.refuse(demand);
       else {
         left.push(item);
         blocked.add(demand.service);
@@ -212,11 +227,42 @@
   private grant(demand: Demand, target: TargetState, nowMs: number): void {
     const {id} = target.record.announcement;
     const {request, entry, kvTokens} = demand;
-    this.runs.set(request, {request, entry, target: id, kvTokens});
     target.runs += 1;
     target.kvTokens += kvTokens;
+    const holder = demand.wantsBackup
+      ? this.chooseBackup(demand, target)
+      : undefined;
+    if (holder) holder.kvTokens += kvTokens;
+    const backup = holder?.record.announcement.id;
+    this.runs.set(request, {request, entry, target: id, kvTokens, backup});
     if (this.isCold(target, nowMs)) target.coldTokens -= 1;
-    this.options.onAnswer(demand, {kind: 'granted', target: id});
+    target.prefillUntilMs =
+      Math.max(nowMs, target.prefillUntilMs) +
+      demand.prefillTokens / PREFILL_TOKENS_PER_MS;
+    this.options.onAnswer(demand, {kind: 'granted', target: id, backup});
+  }
+
+  /** The emptiest other target, of the same zone if it can be. */
+  private chooseBackup(
+    demand: Demand,
+    target: TargetState,
+  ): TargetState | undefined {
+    const {id, zone} = target.record.announcement;
+    let best: TargetState | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const other of this.membersOf(demand)) {
+      const {announcement} = other.record;
+      if (announcement.id === id || !this.isUsable(other, demand)) continue;
+      const load = this.loadWith(other, demand);
+      if (load > BACKUP_MAX_LOAD) continue;
+      const isOtherZone = announcement.zone !== zone;
+      const cost = load + (isOtherZone ? BACKUP_ZONE_PENALTY : 0);
+      if (cost < bestCost) {
+        best = other;
+        bestCost = cost;
+      }
+    }
+    return best;
   }
 
   private membersOf(demand: Demand): TargetState[] {
@@ -235,11 +281,17 @@
     );
   }
 
+  private hasUsable(demand: Demand): boolean {
+    return this.membersOf(demand).some(target => this.isUsable(target, demand));
+  }
+
+  private isTimeUp(demand: Demand, waitedMs: number): boolean {
+    if (waitedMs >= demand.maxWaitMs) return true;
+    return waitedMs >= demand.noTargetWaitMs && !this.hasUsable(demand);
+  }
+
   private refuse(demand: Demand): void {
-    const hasUsable = this.membersOf(demand).some(target =>
-      this.isUsable(target, demand),
-    );
-    const reason = hasUsable ? 'crowded' : 'no_target';
+    const reason = this.hasUsable(demand) ? 'crowded' : 'no_target';
     this.options.onAnswer(demand, {kind: 'refused', reason});
   }
 
@@ -293,9 +345,12 @@
     const isOtherZone = target.record.announcement.zone !== demand.zone;
     const failureShare = target.failures / Math.max(1, target.ended);
     const isAvoided = nowMs < target.avoidUntilMs;
+    const backlogMs = Math.max(0, target.prefillUntilMs - nowMs);
     return (
       (isOtherZone ? demand.otherZonePenalty : 0) +
       failureShare * FAILURE_PENALTY +
+      backlogMs / PREFILL_FULL_MS +
+      (this.isCold(target, nowMs) ? COLD_PENALTY : 0) +
       (isAvoided ? FAILURE_PENALTY : 0) +
       this.options.random() * TIE_BREAK
     );
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -18,10 +18,16 @@
   readonly otherZonePenalty: number;
   /** Memory it is expected to need on an engine; 0 on plain services. */
   readonly kvTokens: number;
+  /** Prompt that the engine has to read first; 0 on plain services. */
+  readonly prefillTokens: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Whether another target should keep a copy of its memory as it grows. */
+  readonly wantsBackup: boolean;
   /** How long it may wait for a fitting place before it takes a crowded one. */
   readonly patienceMs: number;
+  /** How long it may wait while no target may be used. */
+  readonly noTargetWaitMs: number;
   /** How long it may wait for any place at all. */
   readonly maxWaitMs: number;
   readonly excluded: readonly TargetId[];
@@ -45,7 +51,12 @@
   | 'crowded';
 
 export type DispatchAnswer =
-  | {readonly kind: 'granted'; readonly target: TargetId}
+  | {
+      readonly kind: 'granted';
+      readonly target: TargetId;
+      /** Keeps a copy of the run's memory; undefined where room is short. */
+      readonly backup?: TargetId;
+    }
   | {readonly kind: 'refused'; readonly reason: DispatchRefusal};
 
 /** How a granted run ended, as far as it tells of its target. */
--- a/packages/gateway/src/exchange/exchange.spec.ts
+++ b/packages/gateway/src/exchange/exchange.spec.ts
@@ -44,8 +44,7 @@
   '',
   '',
 ].join('\r\n');
-const chunk = (text: string) =>
-  `${text.length.toString(16)}\r\n${text}\r\n`;
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
 const events = (from: number, to: number) =>
   Array.from({length: to - from + 1}, (_, i) => event(from + i)).join('');
@@ -215,11 +214,9 @@
 });
 
 test('ends a sent request at the timeout as unknown', async t => {
-  const {gateway} = await setUp(
-    t,
-    {kind: 'unsafe', route: {timeoutMs: 80}},
-    [() => undefined],
-  );
+  const {gateway} = await setUp(t, {kind: 'unsafe', route: {timeoutMs: 80}}, [
+    () => undefined,
+  ]);
   expect((await call(gateway.port)).status).toEqual(504);
 });
 
@@ -253,6 +250,7 @@
       if (isLast) source!.socket.end(chunk(event(3)));
       return Promise.resolve({kind: 'copied', handle: 'h1'});
     },
+    backupHandle: attempt => attempt,
     drop: () => undefined,
   };
   const {targets, gateway} = await setUp(t, {kind: 'stream', mover}, [
@@ -285,6 +283,7 @@
       if (isLast) source!.socket.end();
       return Promise.resolve({kind: 'copied', handle: 'h1'});
     },
+    backupHandle: attempt => attempt,
     drop: () => undefined,
   };
   const {gateway} = await setUp(t, {kind: 'stream', mover}, [
@@ -309,10 +308,14 @@
 test('starts a moved run nowhere anew when its destination rejects it', async t => {
   let source: ReceivedRequest | undefined;
   const mover: MemoryMover = {
-    copy: (_source, _attempt, _destination, isLast) => {
+    copy: (from, _attempt, _destination, isLast) => {
+      if (from.port !== targets[0]!.port) {
+        return Promise.resolve({kind: 'no_run'});
+      }
       if (isLast) source!.socket.end();
       return Promise.resolve({kind: 'copied', handle: 'h1'});
     },
+    backupHandle: attempt => attempt,
     drop: () => undefined,
   };
   const {targets, gateway} = await setUp(t, {kind: 'stream', mover}, [
@@ -335,3 +338,53 @@
   expect(answer.body).toEqual(events(1, 2));
   expect(targets[2]!.received.length).toEqual(0);
 });
+
+test('starts nothing that would outlast a planned stop', async t => {
+  const {targets, gateway} = await setUp(t, {kind: 'stream'}, [
+    answerWith(streamHead + chunk(events(1, 2)) + STREAM_END),
+  ]);
+  gateway.stopIn(60_000);
+  expect((await call(gateway.port)).status).toEqual(200);
+  gateway.stopIn(1_000);
+  expect((await call(gateway.port)).status).toEqual(503);
+  expect(targets[0]!.received.length).toEqual(1);
+});
+
+test('goes on from a backup when its target has died', async t => {
+  const mover: MemoryMover = {
+    copy: () => Promise.resolve({kind: 'unreachable', reason: 'gone'}),
+    backupHandle: attempt => `backup of ${attempt}`,
+    drop: () => undefined,
+  };
+  const {targets, gateway} = await setUp(t, {kind: 'stream', mover}, [
+    ({socket}) => socket.end(streamHead + chunk(events(1, 2) + 'id: 3\nda')),
+    answerWith(streamHead + chunk(events(3, 6)) + STREAM_END),
+  ]);
+  const answer = await call(gateway.port, {headers: {output: '900'}});
+  expect(answer.isComplete).toEqual(true);
+  expect(answer.body).toEqual(events(1, 6));
+  const [first] = targets[0]!.received;
+  const [second] = targets[1]!.received;
+  expect(first!.head.includes('Backup-At: 127.0.0.1')).toEqual(true);
+  expect(second!.head.includes('Resume: backup of a1')).toEqual(true);
+  expect(gateway.held()).toEqual(0);
+});
+
+test('goes on at a target that lives when only its connection broke', async t => {
+  const mover: MemoryMover = {
+    copy: () => Promise.resolve({kind: 'refused', handle: 'h2'}),
+    backupHandle: attempt => attempt,
+    drop: () => undefined,
+  };
+  const {targets, gateway} = await setUp(t, {kind: 'stream', mover}, [
+    ({socket, number}) => {
+      if (number === 1) socket.end(streamHead + chunk(events(1, 2)));
+      else socket.write(streamHead + chunk(events(2, 4)) + STREAM_END);
+    },
+    answerWith(streamHead + chunk(events(1, 4)) + STREAM_END),
+  ]);
+  const answer = await call(gateway.port);
+  expect(answer.body).toEqual(events(1, 4));
+  expect(answer.isComplete).toEqual(true);
+  expect(targets[1]!.received.length).toEqual(0);
+});
--- /dev/null
+++ b/packages/gateway/src/exchange/judge.ts
@@ -0,0 +1,69 @@
+/** What the end of a sending means for its target and for the request. */
+import type {RunOutcome} from '../dispatch/index.js';
+import {KIND_TRAITS, type Route} from '../routes/index.js';
+import type {SendResult} from './send.js';
+import type {OwnAnswer} from './types.js';
+
+/** What to do next with a request. */
+export type Step =
+  | {readonly kind: 'done'; readonly status: number}
+  | {readonly kind: 'own'; readonly answer: OwnAnswer}
+  | {
+      readonly kind: 'retry';
+      /** The answer if it is not sent again. */
+      readonly last: OwnAnswer;
+      /** Whether sending it again draws on the retry budget. */
+      readonly counts: boolean;
+    }
+  | {readonly kind: 'broken_off'};
+
+export interface Verdict {
+  readonly outcome: RunOutcome;
+  readonly step: Step;
+}
+
+function retry(last: OwnAnswer): Step {
+  return {kind: 'retry', last, counts: true};
+}
+
+/** `runs` counts the targets that may have run it, this one included. */
+export function judge(result: SendResult, route: Route, runs: number): Verdict {
+  const mayRunAgain = KIND_TRAITS[route.kind].mayRepeat && runs < route.maxRuns;
+  switch (result.kind) {
+    case 'passed_on':
+      return {outcome: 'served', step: {kind: 'done', status: result.status}};
+    case 'not_run': {
+      const reason = result.isMisdirected
+        ? 'another target has the address'
+        : 'the target rejected it';
+      return {outcome: 'rejected', step: retry({kind: 'not_run', reason})};
+    }
+    case 'failed': {
+      const reason = `the target answered ${result.status}`;
+      if (mayRunAgain) {
+        const step = retry({kind: 'outcome_unknown', reason});
+        return {outcome: 'failed', step};
+      }
+      result.sink.end();
+      return {outcome: 'failed', step: {kind: 'done', status: result.status}};
+    }
+    case 'lost': {
+      if (result.hasStarted) {
+        return {outcome: 'failed', step: {kind: 'broken_off'}};
+      }
+      const answer: OwnAnswer = {
+        kind: 'outcome_unknown',
+        reason: result.error.reason,
+      };
+      const step: Step = mayRunAgain ? retry(answer) : {kind: 'own', answer};
+      return {outcome: 'failed', step};
+    }
+    case 'ended':
+      return {outcome: 'abandoned', step: {kind: 'broken_off'}};
+  }
+}
+
+/** Whether a target may have run the request. */
+export function mayHaveRun(result: SendResult): boolean {
+  return result.kind === 'failed' || result.kind === 'lost';
+}
--- /dev/null
+++ b/packages/gateway/src/exchange/place.ts
@@ -0,0 +1,127 @@
+/** Where a request runs, and the demands by which it gets there. */
+import {
+  requestId,
+  type RequestId,
+  type ServiceId,
+  type TargetId,
+  type WorkspaceId,
+} from '@samphirefield/core';
+import type {Demand} from '../dispatch/index.js';
+import type {Route} from '../routes/index.js';
+import type {UpstreamAddress} from '../upstream/index.js';
+import type {GatewayParts, Placer, RequestFacts} from './types.js';
+
+/** Expected output as a share of the stated maximum, without a hint. */
+const OUTPUT_SHARE = 0.6;
+/** Of a generation's output, what it holds on average while it runs. */
+const HELD_OUTPUT_SHARE = 0.6;
+/** Shorter generations are over before a backup would help. */
+const BACKUP_MIN_OUTPUT_TOKENS = 200;
+/** Share of the objective that a request waits for a place that fits it. */
+const PATIENCE_SHARE = 0.3;
+/** Share of the objective that a request waits while no target is there. */
+const NO_TARGET_WAIT_SHARE = 0.5;
+/** Share of the time left that a request waits for any place. */
+const MAX_WAIT_SHARE = 0.6;
+/** How much emptier a target in another availability zone has to be. */
+const OTHER_ZONE_PENALTY = 0.06;
+/** Memory takes twice as long to another zone, on a link that others need. */
+const MOVE_ZONE_PENALTY = 0.5;
+
+let runCounter = 0;
+
+/** A name for one run, or one turn, that no other daemon uses. */
+export function newRunId(parts: GatewayParts): RequestId {
+  runCounter += 1;
+  return requestId(`${parts.instance}/${runCounter}`);
+}
+
+/** A request whose route and workspace are known, with its whole body. */
+export interface Admitted {
+  readonly route: Route;
+  readonly service: ServiceId;
+  readonly workspace: WorkspaceId | undefined;
+  readonly priority: number;
+  readonly body: Buffer;
+}
+
+/** A target that has, or may get, a run's memory. */
+export interface MemoryHolder {
+  readonly target: TargetId;
+  readonly address: UpstreamAddress;
+}
+
+export interface Place extends MemoryHolder {
+  readonly run: RequestId;
+  readonly backup: MemoryHolder | undefined;
+}
+
+export function findHolder(
+  placer: Placer,
+  target: TargetId,
+): MemoryHolder | undefined {
+  const record = placer.findTarget(target);
+  if (record === undefined) return undefined;
+  const {host, port} = record.announcement;
+  return {target, address: {host, port}};
+}
+
+function expectedKvTokens(facts: RequestFacts): number {
+  const {promptTokens, maxOutputTokens, hintedOutputTokens} = facts;
+  const outputTokens = hintedOutputTokens ?? maxOutputTokens * OUTPUT_SHARE;
+  return promptTokens + outputTokens * HELD_OUTPUT_SHARE;
+}
+
+/** Asks for a place to start a request. */
+export function startDemand(
+  parts: GatewayParts,
+  admitted: Admitted,
+  facts: RequestFacts,
+  run: RequestId,
+  excluded: readonly TargetId[],
+  leftMs: number,
+): Demand {
+  const {objectiveMs} = admitted.route;
+  return {
+    request: run,
+    service: admitted.service,
+    entry: parts.instance,
+    zone: parts.zone,
+    otherZonePenalty: OTHER_ZONE_PENALTY,
+    kvTokens: expectedKvTokens(facts),
+    prefillTokens: facts.promptTokens,
+    wantsBackup: facts.maxOutputTokens >= BACKUP_MIN_OUTPUT_TOKENS,
+    priority: admitted.priority,
+    patienceMs: objectiveMs * PATIENCE_SHARE,
+    noTargetWaitMs: objectiveMs * NO_TARGET_WAIT_SHARE,
+    maxWaitMs: Math.max(0, leftMs) * MAX_WAIT_SHARE,
+    excluded,
+  };
+}
+
+/** Asks for a place to move a running generation to, at once or not at all. */
+export function moveDemand(
+  parts: GatewayParts,
+  admitted: Admitted,
+  facts: RequestFacts,
+  run: RequestId,
+  excluded: readonly TargetId[],
+): Demand {
+  const [source] = excluded;
+  const record = source && parts.placer.findTarget(source);
+  return {
+    request: run,
+    service: admitted.service,
+    entry: parts.instance,
+    zone: record ? record.announcement.zone : parts.zone,
+    otherZonePenalty: MOVE_ZONE_PENALTY,
+    kvTokens: expectedKvTokens(facts),
+    prefillTokens: 0,
+    wantsBackup: false,
+    priority: admitted.priority,
+    patienceMs: 0,
+    noTargetWaitMs: 0,
+    maxWaitMs: 0,
+    excluded,
+  };
+}
--- a/packages/gateway/src/exchange/send.ts
+++ b/packages/gateway/src/exchange/send.ts
@@ -32,6 +32,10 @@
   cancel(): void;
   /** Whether any part of the answer went to the caller. */
   hasStarted(): boolean;
+  /** Ends a stream that went silent, as if its connection had broken. */
+  breakOff(reason: string): void;
+  /** When anything last came, on the clock of `performance.now`. */
+  heardAtMs(): number;
   /** The answer so far, once its head has come. */
   sink(): AnswerSink | undefined;
 }
@@ -62,6 +66,7 @@
   if (sink) sink.onFull = () => connection.pause();
   let facts: AnswerFacts | undefined;
   let head: AnswerHead | undefined;
+  let heardAtMs = performance.now();
   let settle: (result: SendResult) => void = () => undefined;
   const result = new Promise<SendResult>(resolve => (settle = resolve));
   const onDrain = () => connection.resume();
@@ -92,6 +97,7 @@
       sink = new AnswerSink(res, answer, mayStream, () => connection.pause());
     },
     onData: data => {
+      heardAtMs = performance.now();
       // A failure in place of a stream's next events is no part of the stream.
       if (options.goesOn && !isSuccess(head!.status)) return;
       const fault = sink?.take(data);
@@ -123,6 +129,8 @@
 
   return {
     result,
+    breakOff: reason => breakOff({kind: 'broken', reason}),
+    heardAtMs: () => heardAtMs,
     hasStarted: () => sink?.hasStarted ?? false,
     sink: () => sink,
     cancel: () => {
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -16,7 +16,11 @@
 import type {MemoryMover, ResumePoint} from '../moves/index.js';
 import type {TargetRecord} from '../registry/index.js';
 import type {GatewayView, RouteIndex} from '../routes/index.js';
-import type {AnswerHead, UpstreamPool} from '../upstream/index.js';
+import type {
+  AnswerHead,
+  UpstreamAddress,
+  UpstreamPool,
+} from '../upstream/index.js';
 
 /** What a request's headers say. */
 export interface RequestFacts {
@@ -39,6 +43,8 @@
   readonly leftMs: number;
   /** Set when a generation goes on from memory that was moved. */
   readonly resume: ResumePoint | undefined;
+  /** Keeps a copy of the run's memory as it grows. */
+  readonly backup: UpstreamAddress | undefined;
   /** The last event that the caller has; undefined before the first. */
   readonly lastEventId: number | undefined;
 }
@@ -100,6 +106,8 @@
   /** Undefined until the first configuration was learned. */
   readonly inForce: () => InForce | undefined;
   readonly nowMs: () => number;
+  /** When this process ends, once it was asked to stop. */
+  readonly stopsAtMs: () => number | undefined;
   /** In [0, 1). */
   readonly random: () => number;
 }
--- a/packages/gateway/src/server/server.ts
+++ b/packages/gateway/src/server/server.ts
@@ -21,6 +21,8 @@
   applyLimits(limits: CallerLimits): void;
   /** Ends each connection after the answer that is under way. */
   startDraining(): void;
+  /** Closes the connections that carry no request. */
+  closeIdle(): void;
   /** Takes no new connections. */
   stopListening(): void;
   close(): void;
@@ -77,6 +79,7 @@
         startDraining: () => {
           isDraining = true;
         },
+        closeIdle: () => server.closeIdleConnections(),
         stopListening: () => server.close(),
         close: () => {
           server.close();
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -32,7 +32,7 @@
       : undefined,
     key: undefined,
     promptTokens: 100,
-    maxOutputTokens: 100,
+    maxOutputTokens: Number(headers['output'] ?? 100),
     hintedOutputTokens: undefined,
   }),
   readAnswer: ({status, headers}) => ({
@@ -42,11 +42,12 @@
     isSigned: headers.has('signed'),
   }),
   isPassedOn: name => name !== 'internal',
-  writeSendFacts: ({target, leftMs, resume, lastEventId}) => [
+  writeSendFacts: ({target, leftMs, backup, resume, lastEventId}) => [
     'Internal',
     target,
     'Left-Ms',
     String(leftMs),
+    ...(backup ? ['Backup-At', backup.host] : []),
     ...(resume ? ['Resume', resume.handle, 'Last', String(lastEventId)] : []),
   ],
 };
@@ -54,6 +55,8 @@
 export interface TestGateway {
   readonly port: number;
   readonly server: GatewayServer;
+  /** The process was asked to stop and ends in `ms`. */
+  stopIn(ms: number): void;
   /** Says that a target leaves. */
   leave(position: number): void;
   /** Runs that hold a place. */
@@ -73,6 +76,7 @@
 const SERVICE = serviceId('s');
 const NO_MOVES: MemoryMover = {
   copy: () => Promise.resolve({kind: 'no_run'}),
+  backupHandle: attempt => attempt,
   drop: () => undefined,
 };
 
@@ -98,7 +102,10 @@
 class TestPlacer implements Placer {
   readonly records = new Map<TargetId, TargetRecord>();
   readonly leaving = new Map<TargetId, () => void>();
-  private readonly waiting = new Map<string, (answer: DispatchAnswer) => void>();
+  private readonly waiting = new Map<
+    string,
+    (answer: DispatchAnswer) => void
+  >();
   readonly dispatcher = new Dispatcher({
     onAnswer: ({request}, answer) => this.waiting.get(request)?.(answer),
     share: () => 1,
@@ -161,6 +168,7 @@
 ): Promise<TestGateway> {
   const placer = new TestPlacer(options.targets);
   const pool = new UpstreamPool();
+  let stopsAtMs: number | undefined;
   let retriesLeft = options.retries ?? Number.POSITIVE_INFINITY;
   const table = {
     version: 1,
@@ -222,11 +230,13 @@
     logger: silentLogger,
     inForce: () => inForce,
     nowMs: () => performance.now(),
+    stopsAtMs: () => stopsAtMs,
     random: () => 0,
   });
   return {
     port: server.port,
     server,
+    stopIn: ms => (stopsAtMs = performance.now() + ms),
     leave: position => placer.leave(targetId(`t${position + 1}`)),
     held: () => placer.dispatcher.runCount,
     close: () => {
