--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -11,8 +11,12 @@
 import type {Demand} from '@samphirefield/gateway';
 import {announcement, SERVICE, TestCluster, until} from './testing/cluster.js';
 
-async function setUp(t: TestContext, size = 3): Promise<TestCluster> {
-  const cluster = await TestCluster.create(size);
+async function setUp(
+  t: TestContext,
+  size = 3,
+  voters = 3,
+): Promise<TestCluster> {
+  const cluster = await TestCluster.create(size, voters);
   t.after(() => cluster.close());
   return cluster;
 }
@@ -228,3 +232,20 @@
     return answer.kind === 'granted';
   });
 });
+
+test('grows from its seeds to the voters that the losses need', async t => {
+  const cluster = await setUp(t, 5, 5);
+  for (const i of [4, 1, 0, 3, 2]) await cluster.start(i, true);
+  await until('five voters', () =>
+    [...cluster.controls.values()].every(
+      node => node.metrics()['voters'] === 5,
+    ),
+  );
+  await cluster.put(0, 1);
+  const leader = cluster.leader()!;
+  const others = [0, 1, 2, 3, 4].filter(i => i !== leader);
+  await cluster.stop(leader);
+  await cluster.stop(others[0]!);
+  await cluster.put(others[1]!, 2);
+  expect(await cluster.readVersion(others[1]!)).toEqual(2);
+});
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -65,6 +65,8 @@
   readonly seeds: readonly Address[];
   readonly isFirstStart: boolean;
   readonly timing: GroupTiming;
+  /** Voters that the group is to have; an odd number. */
+  readonly voters: number;
   /** A target that was not heard for this long gets no new work. */
   readonly targetSilentAfterMs: number;
   readonly decode: (document: string) => Result<RouteTable, unknown>;
@@ -223,6 +225,7 @@
       seeds: options.seeds,
       isFirstStart: options.isFirstStart,
       timing: options.timing,
+      voters: options.voters,
       logger: options.logger,
       nowMs: options.nowMs,
       send: (envelope, to) => {
--- a/packages/cluster/src/control/group.ts
+++ b/packages/cluster/src/control/group.ts
@@ -35,7 +35,6 @@
 const DEPLOYMENT = 'samphirefield';
 /** Marks the replicas of the first group, whose ids follow from the seeds. */
 const FIRST_GROUP = 'first';
-const VOTERS_WANTED = 3;
 const REPLACE_AFTER_MS = 6_000;
 const MAX_LAG_ENTRIES = 50;
 const CANDIDATE_EXPIRES_MS = 3_000;
@@ -57,6 +56,8 @@
   /** Whether the whole deployment starts for the first time. */
   readonly isFirstStart: boolean;
   readonly timing: GroupTiming;
+  /** Voters that the leader keeps; an odd number. */
+  readonly voters: number;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly send: (envelope: Envelope, to: Address) => void;
@@ -278,7 +279,7 @@
       }))
       .filter(candidate => !known.has(candidate.replica));
     const step = planMembership(members, candidates, {
-      voters: VOTERS_WANTED,
+      voters: this.options.voters,
       preferredInstances: [],
       replaceAfterMs: REPLACE_AFTER_MS,
       maxLagEntries: MAX_LAG_ENTRIES,
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -90,16 +90,17 @@
 
   private constructor(
     readonly addresses: readonly Address[],
+    private readonly voters: number,
     private readonly root: string,
   ) {
     addresses.forEach((_, i) => this.folders.push(join(root, `disk-${i}`)));
   }
 
-  static async create(size: number): Promise<TestCluster> {
+  static async create(size: number, voters = 3): Promise<TestCluster> {
     const addresses: Address[] = [];
     while (addresses.length < size) addresses.push(await freeAddress());
     const root = mkdtempSync(join(tmpdir(), 'samphirefield-cluster-'));
-    return new TestCluster(addresses, root);
+    return new TestCluster(addresses, voters, root);
   }
 
   /** Starts daemon `i`; the first three addresses are the seeds. */
@@ -112,6 +113,7 @@
       seeds: this.addresses.slice(0, 3),
       isFirstStart,
       timing: TIMING,
+      voters: this.voters,
       targetSilentAfterMs: 600,
       decode: decodeTestDocument,
       logger: silentLogger,
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -49,6 +49,7 @@
   private moves = 0;
   private waitedMs = 0;
   private lastTarget: TargetId | undefined;
+  private service: ServiceId | undefined;
 
   constructor(
     private readonly parts: GatewayParts,
@@ -65,6 +66,7 @@
     this.res.on('close', () => this.onClose());
     const admitted = await this.admit();
     if (admitted === undefined) return;
+    this.service = admitted.service;
     const timeoutAtMs = this.startedAtMs + admitted.route.timeoutMs;
     this.endsAtMs = Math.min(this.endsAtMs, timeoutAtMs);
     const timer = setTimeout(() => this.onTimeout(), this.leftMs());
@@ -310,18 +312,30 @@
   }
 
   private log(outcome: string, status: number, reason?: string): void {
-    const {parts} = this;
+    const {parts, sendings, moves, service} = this;
+    const waitedMs = Math.round(this.waitedMs);
+    const tookMs = Math.round(parts.nowMs() - this.startedAtMs);
     parts.logger.info('request', {
       request: this.facts.attempt,
       outcome,
       status,
       reason,
+      service,
       target: this.lastTarget,
-      sendings: this.sendings,
-      moves: this.moves,
-      waited_ms: Math.round(this.waitedMs),
-      took_ms: Math.round(parts.nowMs() - this.startedAtMs),
+      sendings,
+      moves,
+      waited_ms: waitedMs,
+      took_ms: tookMs,
       view: parts.inForce()?.view.index,
     });
+    parts.observe({
+      outcome,
+      status,
+      service,
+      tookMs,
+      waitedMs,
+      sendings,
+      moves,
+    });
   }
 }
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -13,6 +13,7 @@
   ZoneId,
 } from '@samphirefield/core';
 import type {Demand, DispatchAnswer, RunOutcome} from '../dispatch/index.js';
+import type {RequestObserver} from '../metrics/index.js';
 import type {MemoryMover, ResumePoint} from '../moves/index.js';
 import type {TargetRecord} from '../registry/index.js';
 import type {GatewayView, RouteIndex} from '../routes/index.js';
@@ -103,6 +104,7 @@
   readonly pool: UpstreamPool;
   readonly mover: MemoryMover;
   readonly logger: Logger;
+  readonly observe: RequestObserver;
   /** Undefined until the first configuration was learned. */
   readonly inForce: () => InForce | undefined;
   readonly nowMs: () => number;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from './budget/index.js';
 export * from './dispatch/index.js';
 export * from './exchange/index.js';
+export * from './metrics/index.js';
 export * from './moves/index.js';
 export * from './registry/index.js';
 export * from './routes/index.js';
--- /dev/null
+++ b/packages/gateway/src/metrics/index.ts
@@ -0,0 +1,1 @@
+export * from './metrics.js';
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -228,6 +228,7 @@
     pool,
     mover: options.mover ?? NO_MOVES,
     logger: silentLogger,
+    observe: () => undefined,
     inForce: () => inForce,
     nowMs: () => performance.now(),
     stopsAtMs: () => stopsAtMs,
