Take backups of long runs out again; recover streams at a target that lives

Cause: streams are cut when a target dies; the idea was to keep a copy of each long run's memory at a second target while targets are under 0.55 full. The copies take the room and the links that bursts and moves need. Change: backups removed; kept is the recovery of a stream whose connection broke while its target lives (it is asked to stop the run and hand its memory over).

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -33,9 +33,6 @@
 const PREFILL_FULL_MS = 1_200;
 /** A target that has just started is slow. */
 const COLD_PENALTY = 0.4;
-/** Backups take room only up to here, so that they displace no run. */
-const BACKUP_MAX_LOAD = 0.55;
-const BACKUP_ZONE_PENALTY = 0.2;
 const TIE_BREAK = 0.02;
 const MS_PER_S = 1_000;
 
@@ -44,7 +41,6 @@
   readonly entry: InstanceId;
   readonly target: TargetId;
   readonly kvTokens: number;
-  readonly backup?: TargetId;
 }
 
 interface TargetState {
@@ -177,8 +173,6 @@
     const run = this.runs.get(request);
     if (run === undefined) return;
     this.runs.delete(request);
-    const backup = run.backup && this.targets.get(run.backup);
-    if (backup) backup.kvTokens = Math.max(0, backup.kvTokens - run.kvTokens);
     const target = this.targets.get(run.target);
     if (target === undefined) return;
     target.runs = Math.max(0, target.runs - 1);
@@ -229,40 +223,12 @@
     const {request, entry, kvTokens} = demand;
     target.runs += 1;
     target.kvTokens += kvTokens;
-    const holder = demand.wantsBackup
-      ? this.chooseBackup(demand, target)
-      : undefined;
-    if (holder) holder.kvTokens += kvTokens;
-    const backup = holder?.record.announcement.id;
-    this.runs.set(request, {request, entry, target: id, kvTokens, backup});
+    this.runs.set(request, {request, entry, target: id, kvTokens});
     if (this.isCold(target, nowMs)) target.coldTokens -= 1;
     target.prefillUntilMs =
       Math.max(nowMs, target.prefillUntilMs) +
       demand.prefillTokens / PREFILL_TOKENS_PER_MS;
-    this.options.onAnswer(demand, {kind: 'granted', target: id, backup});
-  }
-
-  /** The emptiest other target, of the same zone if it can be. */
-  private chooseBackup(
-    demand: Demand,
-    target: TargetState,
-  ): TargetState | undefined {
-    const {id, zone} = target.record.announcement;
-    let best: TargetState | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    for (const other of this.membersOf(demand)) {
-      const {announcement} = other.record;
-      if (announcement.id === id || !this.isUsable(other, demand)) continue;
-      const load = this.loadWith(other, demand);
-      if (load > BACKUP_MAX_LOAD) continue;
-      const isOtherZone = announcement.zone !== zone;
-      const cost = load + (isOtherZone ? BACKUP_ZONE_PENALTY : 0);
-      if (cost < bestCost) {
-        best = other;
-        bestCost = cost;
-      }
-    }
-    return best;
+    this.options.onAnswer(demand, {kind: 'granted', target: id});
   }
 
   private membersOf(demand: Demand): TargetState[] {
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -22,8 +22,6 @@
   readonly prefillTokens: number;
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Whether another target should keep a copy of its memory as it grows. */
-  readonly wantsBackup: boolean;
   /** How long it may wait for a fitting place before it takes a crowded one. */
   readonly patienceMs: number;
   /** How long it may wait while no target may be used. */
@@ -51,12 +49,7 @@
   | 'crowded';
 
 export type DispatchAnswer =
-  | {
-      readonly kind: 'granted';
-      readonly target: TargetId;
-      /** Keeps a copy of the run's memory; undefined where room is short. */
-      readonly backup?: TargetId;
-    }
+  | {readonly kind: 'granted'; readonly target: TargetId}
   | {readonly kind: 'refused'; readonly reason: DispatchRefusal};
 
 /** How a granted run ended, as far as it tells of its target. */
--- a/packages/gateway/src/exchange/answer-sink.ts
+++ b/packages/gateway/src/exchange/answer-sink.ts
@@ -15,6 +15,8 @@
   private held: Buffer[] = [];
   private heldBytes = 0;
   private isHeadSent = false;
+  /** When the caller was sent the head, on the clock of `performance.now`. */
+  startedAtMs: number | undefined;
   /** Set when the answer is a stream of events. */
   readonly events: EventRelay | undefined;
 
@@ -72,6 +74,7 @@
 
   private sendHead(lengthBytes: number | undefined): void {
     this.isHeadSent = true;
+    this.startedAtMs = performance.now();
     const {status, statusText, rawHeaders} = this.head;
     const headers = answerHeaders(rawHeaders);
     this.res.sendDate = false;
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -48,7 +48,9 @@
   private sendings = 0;
   private moves = 0;
   private waitedMs = 0;
+  private startedAnswerAtMs: number | undefined;
   private lastTarget: TargetId | undefined;
+  private lastRun: RequestId | undefined;
   private service: ServiceId | undefined;
 
   constructor(
@@ -200,12 +202,13 @@
       return {kind: 'broken_off'};
     }
     this.lastTarget = answer.target;
+    this.lastRun = run;
     excluded.push(answer.target);
-    const backup = answer.backup && findHolder(parts.placer, answer.backup);
     const holder = findHolder(parts.placer, answer.target);
-    const place = holder && {...holder, run, backup};
+    const place = holder && {...holder, run};
     const {outcome, step} = await this.sendTo(place, admitted);
     finish(outcome);
+    if (outcome !== 'served') this.logFailedTry(run, outcome, step);
     return step;
   }
 
@@ -244,6 +247,7 @@
       },
     });
     const result = await follower.follow(sending, place);
+    this.startedAnswerAtMs = sending.sink()?.startedAtMs;
     this.sending = undefined;
     if (mayHaveRun(result)) this.runs += 1;
     return judge(result, admitted.route, this.runs);
@@ -261,10 +265,9 @@
       workspace: admitted.workspace,
       leftMs: Math.max(MIN_LEFT_MS, Math.floor(this.leftMs())),
       resume: goesOn?.resume,
-      backup: place.backup?.address,
       lastEventId: goesOn?.sink.events?.lastEventId,
     });
-    this.sending = send({
+    const sending = send({
       connection,
       request: writeRequest(
         this.req,
@@ -278,7 +281,8 @@
       isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
       goesOn: goesOn?.sink,
     });
-    return this.sending;
+    this.sending = sending;
+    return sending;
   }
 
   private onClose(): void {
@@ -311,12 +315,29 @@
     this.parts.placer.finish(request, service, 'abandoned');
   }
 
+  private logFailedTry(run: RequestId, outcome: RunOutcome, step: Step): void {
+    const {parts, lastTarget} = this;
+    const record = lastTarget && parts.placer.findTarget(lastTarget);
+    const answer = step.kind === 'retry' ? step.last : undefined;
+    parts.logger.info('try_failed', {
+      request: this.facts.attempt,
+      run,
+      target: lastTarget,
+      target_state: record?.announcement.state ?? 'unknown',
+      target_age_ms: record && Math.round(parts.nowMs() - record.heardAtMs),
+      outcome,
+      next: step.kind,
+      reason: answer && 'reason' in answer ? answer.reason : undefined,
+    });
+  }
+
   private log(outcome: string, status: number, reason?: string): void {
     const {parts, sendings, moves, service} = this;
     const waitedMs = Math.round(this.waitedMs);
     const tookMs = Math.round(parts.nowMs() - this.startedAtMs);
     parts.logger.info('request', {
       request: this.facts.attempt,
+      run: this.lastRun,
       outcome,
       status,
       reason,
@@ -325,6 +346,9 @@
       sendings,
       moves,
       waited_ms: waitedMs,
+      first_ms:
+        this.startedAnswerAtMs &&
+        Math.round(this.startedAnswerAtMs - this.startedAtMs),
       took_ms: tookMs,
       view: parts.inForce()?.view.index,
     });
--- a/packages/gateway/src/exchange/follow.ts
+++ b/packages/gateway/src/exchange/follow.ts
@@ -167,11 +167,9 @@
     const {attempt} = this;
     if (attempt === undefined || !sending.hasStarted()) return undefined;
     const {parts, isOver} = this.options;
-    const {backup} = place;
     const result = await recoverRun({
       attempt,
       source: place,
-      backup,
       mover: parts.mover,
       findDestination: () => this.findDestination([place.target]),
       isOver,
@@ -179,7 +177,6 @@
     parts.logger.info('recovery', {
       request: attempt,
       source: place.target,
-      backup: backup?.target,
       outcome: result === undefined ? 'lost' : 'goes_on',
       at: result?.resume.target,
     });
@@ -220,9 +217,7 @@
       return undefined;
     }
     const {target, address} = resume;
-    const keepsBackup = from.backup?.target !== target;
-    const backup = keepsBackup ? from.backup : undefined;
-    const place: Place = {target, address, run: from.run, backup};
+    const place: Place = {target, address, run: from.run};
     const sending = startSending(pooled.connection, place, {sink, resume});
     return {sending, place};
   }
--- a/packages/gateway/src/exchange/place.ts
+++ b/packages/gateway/src/exchange/place.ts
@@ -15,8 +15,6 @@
 const OUTPUT_SHARE = 0.6;
 /** Of a generation's output, what it holds on average while it runs. */
 const HELD_OUTPUT_SHARE = 0.6;
-/** Shorter generations are over before a backup would help. */
-const BACKUP_MIN_OUTPUT_TOKENS = 200;
 /** Share of the objective that a request waits for a place that fits it. */
 const PATIENCE_SHARE = 0.3;
 /** Share of the objective that a request waits while no target is there. */
@@ -53,7 +51,6 @@
 
 export interface Place extends MemoryHolder {
   readonly run: RequestId;
-  readonly backup: MemoryHolder | undefined;
 }
 
 export function findHolder(
@@ -90,7 +87,6 @@
     otherZonePenalty: OTHER_ZONE_PENALTY,
     kvTokens: expectedKvTokens(facts),
     prefillTokens: facts.promptTokens,
-    wantsBackup: facts.maxOutputTokens >= BACKUP_MIN_OUTPUT_TOKENS,
     priority: admitted.priority,
     patienceMs: objectiveMs * PATIENCE_SHARE,
     noTargetWaitMs: objectiveMs * NO_TARGET_WAIT_SHARE,
@@ -117,7 +113,6 @@
     otherZonePenalty: MOVE_ZONE_PENALTY,
     kvTokens: expectedKvTokens(facts),
     prefillTokens: 0,
-    wantsBackup: false,
     priority: admitted.priority,
     patienceMs: 0,
     noTargetWaitMs: 0,
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -44,8 +44,6 @@
   readonly leftMs: number;
   /** Set when a generation goes on from memory that was moved. */
   readonly resume: ResumePoint | undefined;
-  /** Keeps a copy of the run's memory as it grows. */
-  readonly backup: UpstreamAddress | undefined;
   /** The last event that the caller has; undefined before the first. */
   readonly lastEventId: number | undefined;
 }
--- a/packages/gateway/src/moves/recover.ts
+++ b/packages/gateway/src/moves/recover.ts
@@ -1,7 +1,7 @@
 /**
- * Where a stream goes on whose connection broke in the middle. A target that
- * lives is asked to stop the run and hand its memory over, so that no two
- * targets work on it; one that is gone leaves the backup.
+ * Where a stream goes on whose connection broke in the middle while its target
+ * lives: the target is asked to stop the run and to hand its memory over, so
+ * that no two targets work on it.
  */
 import type {TargetId} from '@samphirefield/core';
 import type {UpstreamAddress} from '../upstream/index.js';
@@ -10,61 +10,45 @@
 
 const STOP_TIMEOUT_MS = 700;
 
-interface Holder {
-  readonly target: TargetId;
-  readonly address: UpstreamAddress;
-}
-
 export interface RecoverOptions {
   readonly attempt: string;
-  readonly source: Holder;
-  readonly backup: Holder | undefined;
+  readonly source: {
+    readonly target: TargetId;
+    readonly address: UpstreamAddress;
+  };
   readonly mover: MemoryMover;
   readonly findDestination: () => Promise<Destination | undefined>;
   readonly isOver: () => boolean;
 }
 
-function fromBackup(
-  {attempt, mover}: RecoverOptions,
-  backup: Holder,
-): MoveResult {
-  const handle = mover.backupHandle(attempt);
-  const resume = {...backup, from: backup.address, handle};
-  return {resume, destination: undefined};
-}
-
-/** Undefined when neither the target nor a backup has the run's memory. */
+/** Undefined when the target has died, or has dropped the run. */
 export async function recoverRun(
   options: RecoverOptions,
 ): Promise<MoveResult | undefined> {
-  const {attempt, source, backup, mover} = options;
+  const {attempt, source, mover} = options;
   const destination = await options.findDestination();
-  const to = destination ?? backup;
-  if (to === undefined || options.isOver()) {
-    destination?.release(false);
+  if (destination === undefined) return undefined;
+  if (options.isOver()) {
+    destination.release(false);
     return undefined;
   }
   const answer = await mover.copy(
     source.address,
     attempt,
-    to.address,
+    destination.address,
     true,
     STOP_TIMEOUT_MS,
   );
+  const from = source.address;
   if (answer.kind === 'copied') {
-    const {target, address} = to;
-    const resume = {
-      target,
-      address,
-      from: source.address,
-      handle: answer.handle,
-    };
+    const {target, address} = destination;
+    const resume = {target, address, from, handle: answer.handle};
     return {resume, destination};
   }
-  destination?.release(false);
-  if (answer.kind === 'refused' && answer.handle !== undefined) {
-    const resume = {...source, from: source.address, handle: answer.handle};
-    return {resume, destination: undefined};
+  destination.release(false);
+  if (answer.kind !== 'refused' || answer.handle === undefined) {
+    return undefined;
   }
-  return backup && fromBackup(options, backup);
+  const resume = {...source, from, handle: answer.handle};
+  return {resume, destination: undefined};
 }
--- a/packages/gateway/src/moves/types.ts
+++ b/packages/gateway/src/moves/types.ts
@@ -23,8 +23,6 @@
     isLast: boolean,
     timeoutMs: number,
   ): Promise<CopyAnswer>;
-  /** The handle under which a backup of a run is kept at its holder. */
-  backupHandle(attempt: string): string;
   /** Frees a copy that nobody will use, at both ends. */
   drop(source: UpstreamAddress, handle: string): void;
 }
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -42,12 +42,11 @@
     isSigned: headers.has('signed'),
   }),
   isPassedOn: name => name !== 'internal',
-  writeSendFacts: ({target, leftMs, backup, resume, lastEventId}) => [
+  writeSendFacts: ({target, leftMs, resume, lastEventId}) => [
     'Internal',
     target,
     'Left-Ms',
     String(leftMs),
-    ...(backup ? ['Backup-At', backup.host] : []),
     ...(resume ? ['Resume', resume.handle, 'Last', String(lastEventId)] : []),
   ],
 };
@@ -76,7 +75,6 @@
 const SERVICE = serviceId('s');
 const NO_MOVES: MemoryMover = {
   copy: () => Promise.resolve({kind: 'no_run'}),
-  backupHandle: attempt => attempt,
   drop: () => undefined,
 };
 
