--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -285,13 +285,11 @@
     const known = this.leader && formatAddress(this.leader);
     const next = best?.leader && formatAddress(best.leader);
     this.leader = best?.leader;
-    const isSame = known === next && best?.term === this.leaderTerm;
-    if (isSame) return;
-    this.leaderTerm = best?.term ?? 0;
-    this.options.logger.info('leader_known', {
-      leader: next,
-      term: this.leaderTerm,
-    });
+    const term = best?.term ?? 0;
+    if (known === next && term === this.leaderTerm) return;
+    this.leaderTerm = term;
+    const event = next === undefined ? 'leader_lost' : 'leader_known';
+    this.options.logger.info(event, {leader: next, term});
     if (this.leader) this.reportRuns(this.leader);
   }
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -21,7 +21,7 @@
 } from './types.js';
 
 /** Share of an engine's memory that is planned with. */
-const KV_FILL = 0.92;
+const KV_FILL = 1;
 /** Weight of a target's recent failures against its load. */
 const FAILURE_PENALTY = 3;
 const FAILURE_HALF_LIFE_MS = 2_500;
@@ -31,8 +31,10 @@
 const PREFILL_TOKENS_PER_MS = 9;
 /** Prompts waiting to be read for this long weigh as much as a full target. */
 const PREFILL_FULL_MS = 1_200;
-/** A target that has just started is slow. */
-const COLD_PENALTY = 0.4;
+const COLD_PENALTY = 0.3;
+/** A target is slow for a while after its start, also once it is warm. */
+const YOUNG_MS = 4_500;
+const YOUNG_PENALTY = 0.5;
 const TIE_BREAK = 0.02;
 const MS_PER_S = 1_000;
 
@@ -55,6 +57,8 @@
   decayedAtMs: number;
   coldTokens: number;
   coldAtMs: number;
+  /** When this start of it was first heard of. */
+  firstHeardAtMs: number;
   /** When it will have read the prompts that were sent to it. */
   prefillUntilMs: number;
 }
@@ -111,7 +115,7 @@
       this.byService.get(known.record.announcement.service)?.delete(id);
       known.record = record;
       known.isSilent = isSilent;
-      if (isReborn) this.forgetRuns(id, known);
+      if (isReborn) this.startAnew(id, known, nowMs);
     } else {
       this.targets.set(id, {
         record,
@@ -124,6 +128,7 @@
         decayedAtMs: nowMs,
         coldTokens: 0,
         coldAtMs: nowMs,
+        firstHeardAtMs: nowMs,
         prefillUntilMs: nowMs,
       });
     }
@@ -311,12 +316,15 @@
     const isOtherZone = target.record.announcement.zone !== demand.zone;
     const failureShare = target.failures / Math.max(1, target.ended);
     const isAvoided = nowMs < target.avoidUntilMs;
+    const ageMs = nowMs - target.firstHeardAtMs;
+    const youth = Math.max(0, 1 - ageMs / YOUNG_MS);
     const backlogMs = Math.max(0, target.prefillUntilMs - nowMs);
     return (
       (isOtherZone ? demand.otherZonePenalty : 0) +
       failureShare * FAILURE_PENALTY +
       backlogMs / PREFILL_FULL_MS +
       (this.isCold(target, nowMs) ? COLD_PENALTY : 0) +
+      YOUNG_PENALTY * youth +
       (isAvoided ? FAILURE_PENALTY : 0) +
       this.options.random() * TIE_BREAK
     );
@@ -364,7 +372,9 @@
     return target.coldTokens >= 1;
   }
 
-  private forgetRuns(id: TargetId, target: TargetState): void {
+  private startAnew(id: TargetId, target: TargetState, nowMs: number): void {
+    target.firstHeardAtMs = nowMs;
+    target.prefillUntilMs = nowMs;
     target.runs = 0;
     target.kvTokens = 0;
     target.failures = 0;
--- a/packages/gateway/src/exchange/place.ts
+++ b/packages/gateway/src/exchange/place.ts
@@ -14,7 +14,7 @@
 /** Expected output as a share of the stated maximum, without a hint. */
 const OUTPUT_SHARE = 0.6;
 /** Of a generation's output, what it holds on average while it runs. */
-const HELD_OUTPUT_SHARE = 0.6;
+const HELD_OUTPUT_SHARE = 0.5;
 /** Share of the objective that a request waits for a place that fits it. */
 const PATIENCE_SHARE = 0.3;
 /** Share of the objective that a request waits while no target is there. */
