Deliver a target's own failure when no better answer comes

Change: the target's answer is kept and goes out whenever the request is not sent again with more luck. Test: 500 with the budget spent, and with a second target that breaks off; failed before (502 for 500).

--- a/packages/gateway/src/exchange/answer-sink.ts
+++ b/packages/gateway/src/exchange/answer-sink.ts
@@ -32,6 +32,10 @@
     }
   }
 
+  get status(): number {
+    return this.head.status;
+  }
+
   /** Whether the caller was sent any part of this answer. */
   get hasStarted(): boolean {
     return this.isHeadSent;
--- a/packages/gateway/src/exchange/exchange.spec.ts
+++ b/packages/gateway/src/exchange/exchange.spec.ts
@@ -364,3 +364,16 @@
   expect(answer.isComplete).toEqual(true);
   expect(targets[1]!.received.length).toEqual(0);
 });
+
+test("delivers a target's failure when it may not be repeated", async t => {
+  const failure = wholeAnswer('broken', [], '500 Failed');
+  for (const retries of [0, 1]) {
+    const {gateway} = await setUp(t, {kind: 'safe', retries}, [
+      answerWith(failure),
+      closeUnanswered,
+    ]);
+    const answer = await call(gateway.port);
+    expect(answer.status).toEqual(500);
+    expect(answer.body).toEqual('broken');
+  }
+});
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -8,6 +8,7 @@
 import type {RunOutcome} from '../dispatch/index.js';
 import {KIND_TRAITS, pickService, type Route} from '../routes/index.js';
 import type {UpstreamConnection} from '../upstream/index.js';
+import type {AnswerSink} from './answer-sink.js';
 import {readBody} from './body.js';
 import {RunFollower, type GoesOn} from './follow.js';
 import {judge, mayHaveRun, type Step, type Verdict} from './judge.js';
@@ -51,6 +52,7 @@
   private startedAnswerAtMs: number | undefined;
   private lastTarget: TargetId | undefined;
   private lastRun: RequestId | undefined;
+  private failure: AnswerSink | undefined;
   private service: ServiceId | undefined;
 
   constructor(
@@ -135,9 +137,15 @@
     return this.parts.nowMs() + runMs < stopsAtMs;
   }
 
+  /** Answers for the gateway, or with the failure that a target gave. */
   private refuse(answer: OwnAnswer): undefined {
     if (this.isOver) return undefined;
     this.isOver = true;
+    if (this.failure) {
+      this.failure.end();
+      this.log('served', this.failure.status);
+      return undefined;
+    }
     const shareMs = Math.max(0, this.leftMs()) * RETRY_AFTER_SHARE;
     if (!this.req.complete) this.res.setHeader('connection', 'close');
     writeOwnAnswer(this.res, answer, Math.min(RETRY_AFTER_MS, shareMs));
@@ -156,6 +164,7 @@
         this.finish(step);
         return;
       }
+      this.failure = step.failure ?? this.failure;
       const isSpent =
         this.sendings >= MAX_SENDINGS ||
         (step.counts && !budget.tryTake(admitted.service));
--- a/packages/gateway/src/exchange/judge.ts
+++ b/packages/gateway/src/exchange/judge.ts
@@ -1,6 +1,7 @@
 /** What the end of a sending means for its target and for the request. */
 import type {RunOutcome} from '../dispatch/index.js';
 import {KIND_TRAITS, type Route} from '../routes/index.js';
+import type {AnswerSink} from './answer-sink.js';
 import type {SendResult} from './send.js';
 import type {OwnAnswer} from './types.js';
 
@@ -12,6 +13,8 @@
       readonly kind: 'retry';
       /** The answer if it is not sent again. */
       readonly last: OwnAnswer;
+      /** A target's own failure, which goes out if no better answer comes. */
+      readonly failure?: AnswerSink;
       /** Whether sending it again draws on the retry budget. */
       readonly counts: boolean;
     }
@@ -22,7 +25,7 @@
   readonly step: Step;
 }
 
-function retry(last: OwnAnswer): Step {
+function retry(last: OwnAnswer): Extract<Step, {kind: 'retry'}> {
   return {kind: 'retry', last, counts: true};
 }
 
@@ -41,7 +44,8 @@
     case 'failed': {
       const reason = `the target answered ${result.status}`;
       if (mayRunAgain) {
-        const step = retry({kind: 'outcome_unknown', reason});
+        const last: OwnAnswer = {kind: 'outcome_unknown', reason};
+        const step: Step = {...retry(last), failure: result.sink};
         return {outcome: 'failed', step};
       }
       result.sink.end();
