--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -9,6 +9,7 @@
   type ZoneId,
 } from '@samphirefield/core';
 import type {Demand} from '@samphirefield/gateway';
+import type {EntryNode} from './entry/index.js';
 import {announcement, SERVICE, TestCluster, until} from './testing/cluster.js';
 
 async function setUp(
@@ -248,3 +249,24 @@
   await cluster.put(others[1]!, 2);
   expect(await cluster.readVersion(others[1]!)).toEqual(2);
 });
+
+test('frees what an entry held when it starts again at once', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  const first = cluster.startEntry('e1');
+  await cluster.put(0, 1);
+  for (const node of cluster.controls.values()) node.announce(announcement());
+  const isReady = (entry: EntryNode) =>
+    entry.inForce() !== undefined &&
+    entry.findTarget(targetId('i-1')) !== undefined &&
+    entry.metrics()['has_leader'] === 1;
+  await until('the entry knows all', () => isReady(first));
+  expect((await first.place(demand('r1'))).kind).toEqual('granted');
+  expect((await first.place(demand('r2'))).kind).toEqual('granted');
+  first.stop();
+  const second = cluster.startEntry('e1');
+  await until('it knows all again', () => isReady(second));
+  const impatient = (name: string) => ({...demand(name), maxWaitMs: 400});
+  expect((await second.place(impatient('r3'))).kind).toEqual('granted');
+  expect((await second.place(impatient('r4'))).kind).toEqual('granted');
+});
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -2,6 +2,7 @@
  * A control daemon: a replica of the group, the registry of targets, and,
  * while it leads, the dispatcher that gives out places on engines.
  */
+import {randomUUID} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {
   instanceId,
@@ -77,12 +78,14 @@
 export type ChangeOutcome = 'accepted' | 'unavailable';
 
 export class ControlNode {
+  private readonly incarnation = randomUUID();
   private group: Group | undefined;
   private readonly registry: Registry;
   private readonly links: LinkSet;
   private readonly dispatcher: Dispatcher;
   private readonly turns: MoveTurns;
   private readonly subscribers = new Map<Peer, Hello>();
+  private readonly incarnations = new Map<InstanceId, string>();
   private readonly placing = new Map<
     RequestId,
     (answer: DispatchAnswer) => void
@@ -92,6 +95,7 @@
   private readonly timers: NodeJS.Timeout[] = [];
   private isStateDirty = false;
   private decodedVersion = 0;
+  private dispatchTerm = 0;
   private capacities: ServiceCapacity[] = [];
   private lastStatus = '';
   private statusSentAtMs = 0;
@@ -306,11 +310,13 @@
 
   private async greet(peer: Peer): Promise<void> {
     const {instance, zone} = this.options;
-    const hello: Hello = {instance, role: 'control', zone};
+    const {incarnation} = this;
+    const hello: Hello = {instance, incarnation, role: 'control', zone};
     peer.notify('hello', hello);
   }
 
   private onHello(hello: Hello, peer: Peer): void {
+    this.dropEarlierStart(hello);
     this.subscribers.set(peer, hello);
     peer.notify('targets', {items: this.registry.news()});
     peer.notify('status', this.status());
@@ -332,6 +338,14 @@
     }, ENTRY_GRACE_MS);
   }
 
+  /** A process that starts again holds nothing of what it held before. */
+  private dropEarlierStart({instance, incarnation, role}: Hello): void {
+    const known = this.incarnations.get(instance);
+    this.incarnations.set(instance, incarnation);
+    const hasRestarted = known !== undefined && known !== incarnation;
+    if (role === 'entry' && hasRestarted) this.dropEntry(instance);
+  }
+
   private dropEntry(instance: InstanceId): void {
     this.options.logger.warn('entry_lost', {entry: instance});
     this.dispatcher.dropEntry(instanceId(instance), this.options.nowMs());
@@ -424,10 +438,20 @@
   private tick(): void {
     if (this.group === undefined) return;
     this.group.tick();
+    this.startTerm();
     this.linkTo(this.group.members);
     this.sendStatus(false);
   }
 
+  /** What was given out in an earlier term, others have taken back since. */
+  private startTerm(): void {
+    const {term, isLeader} = this.group!;
+    if (!isLeader || term === this.dispatchTerm) return;
+    this.dispatchTerm = term;
+    this.dispatcher.forgetAllRuns();
+    this.options.logger.info('leadership_taken', {term});
+  }
+
   private askToJoin(): void {
     const request = this.group?.joinRequest;
     if (request === undefined) return;
@@ -458,6 +482,7 @@
 
   private place(demand: Demand): Promise<DispatchAnswer> {
     if (!this.isLeader) return Promise.reject(new Error('not_leader'));
+    this.startTerm();
     return new Promise(resolve => {
       this.placing.set(demand.request, resolve);
       this.dispatcher.acquire(demand, this.options.nowMs());
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -12,6 +12,8 @@
 /** Opens a subscription: the other side sends what it knows and what changes. */
 export interface Hello {
   readonly instance: InstanceId;
+  /** Another one with each start of the process. */
+  readonly incarnation: string;
   readonly role: 'entry' | 'control';
   readonly zone: ZoneId;
 }
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -3,6 +3,7 @@
  * from any control daemon, and asks the leader for places on engines. Without
  * a leader it gives out places itself, from its own part of the capacity.
  */
+import {randomUUID} from 'node:crypto';
 import type {Result} from 'neverthrow';
 import {
   zoneId,
@@ -74,6 +75,7 @@
 }
 
 export class EntryNode implements Placer {
+  private readonly incarnation = randomUUID();
   private current: InForce | undefined;
   private readonly table: TargetTable = new Map();
   private readonly controls = new Map<string, ControlView>();
@@ -255,7 +257,8 @@
     peer.tag = key;
     this.controls.set(key, {status: undefined, silent: new Set()});
     const {instance, zone} = this.options;
-    const hello: Hello = {instance, role: 'entry', zone};
+    const {incarnation} = this;
+    const hello: Hello = {instance, incarnation, role: 'entry', zone};
     peer.notify('hello', hello);
     this.options.logger.info('control_link_up', {control: key});
   }
--- a/packages/gateway/src/dispatch/dispatcher.spec.ts
+++ b/packages/gateway/src/dispatch/dispatcher.spec.ts
@@ -144,6 +144,17 @@
   expect(targetOf('r2')).toEqual('t1');
 });
 
+test('forgets all runs when it starts over', () => {
+  const {dispatcher, targetOf} = setUp([record('t1', {slots: 1})]);
+  dispatcher.acquire(demand('r1'), 0);
+  dispatcher.forgetAllRuns();
+  dispatcher.acquire(demand('r2'), 1);
+  expect(targetOf('r2')).toEqual('t1');
+  dispatcher.release(requestId('r1'), 'served', 2);
+  dispatcher.acquire(demand('r3'), 3);
+  expect(targetOf('r3')).toEqual(undefined);
+});
+
 test('turns away from a target that cannot be reached', () => {
   const {dispatcher, targetOf} = setUp([record('t1'), record('t2')]);
   dispatcher.acquire(demand('r1'), 0);
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -173,6 +173,15 @@
     target.kvTokens += run.kvTokens;
   }
 
+  /** Forgets every run; those who hold one have to report it anew. */
+  forgetAllRuns(): void {
+    this.runs.clear();
+    for (const target of this.targets.values()) {
+      target.runs = 0;
+      target.kvTokens = 0;
+    }
+  }
+
   release(request: RequestId, outcome: RunOutcome, nowMs: number): void {
     this.waiting = this.waiting.filter(item => item.demand.request !== request);
     const run = this.runs.get(request);
--- a/packages/gateway/src/exchange/place.ts
+++ b/packages/gateway/src/exchange/place.ts
@@ -1,4 +1,5 @@
 /** Where a request runs, and the demands by which it gets there. */
+import {randomUUID} from 'node:crypto';
 import {
   requestId,
   type RequestId,
@@ -11,6 +12,7 @@
 import type {UpstreamAddress} from '../upstream/index.js';
 import type {GatewayParts, Placer, RequestFacts} from './types.js';
 
+const START_MARK_LENGTH = 6;
 /** Expected output as a share of the stated maximum, without a hint. */
 const OUTPUT_SHARE = 0.6;
 /** Of a generation's output, what it holds on average while it runs. */
@@ -26,12 +28,13 @@
 /** Memory takes twice as long to another zone, on a link that others need. */
 const MOVE_ZONE_PENALTY = 0.5;
 
+const START_MARK = randomUUID().slice(0, START_MARK_LENGTH);
 let runCounter = 0;
 
-/** A name for one run, or one turn, that no other daemon uses. */
+/** A name for one run, or one turn: no other process or start uses it. */
 export function newRunId(parts: GatewayParts): RequestId {
   runCounter += 1;
-  return requestId(`${parts.instance}/${runCounter}`);
+  return requestId(`${parts.instance}/${START_MARK}/${runCounter}`);
 }
 
 /** A request whose route and workspace are known, with its whole body. */
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -17,11 +17,7 @@
 import type {MemoryMover, ResumePoint} from '../moves/index.js';
 import type {TargetRecord} from '../registry/index.js';
 import type {GatewayView, RouteIndex} from '../routes/index.js';
-import type {
-  AnswerHead,
-  UpstreamAddress,
-  UpstreamPool,
-} from '../upstream/index.js';
+import type {AnswerHead, UpstreamPool} from '../upstream/index.js';
 
 /** What a request's headers say. */
 export interface RequestFacts {
