--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -126,6 +126,26 @@
   expect(await cluster.readVersion(wiped)).toEqual(4);
 });
 
+test('lets a lost disk go also where more voters are wanted', async t => {
+  const cluster = await setUp(t, 5, 7);
+  for (const i of [0, 1, 2, 3, 4]) await cluster.start(i, true);
+  await until('five voters', () =>
+    [...cluster.controls.values()].every(
+      node => node.metrics()['voters'] === 5,
+    ),
+  );
+  await cluster.put(0, 1);
+  const wiped = (cluster.leader()! + 1) % 5;
+  await cluster.stop(wiped);
+  cluster.wipe(wiped);
+  await cluster.start(wiped, false);
+  await until('it is back, and its lost replica is gone', () => {
+    const metrics = cluster.controls.get(wiped)!.metrics();
+    return metrics['is_voter'] === 1 && metrics['members'] === 5;
+  });
+  expect(cluster.controls.get(wiped)!.metrics()['voters']).toEqual(5);
+});
+
 test('an empty disk alone forms no group', async t => {
   const cluster = await setUp(t);
   await cluster.start(0, false);
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -4,23 +4,13 @@
  */
 import {randomUUID} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
-import {
-  instanceId,
-  type InstanceId,
-  type Logger,
-  type RequestId,
-  type TargetId,
-  type ZoneId,
-} from '@samphirefield/core';
-import {
-  Dispatcher,
-  MoveTurns,
-  type Demand,
-  type DispatchAnswer,
-  type RouteTable,
-  type RunOutcome,
-  type ServiceCapacity,
-  type TargetAnnouncement,
+import type {InstanceId, Logger, TargetId, ZoneId} from '@samphirefield/core';
+import type {
+  Demand,
+  DispatchAnswer,
+  RouteTable,
+  ServiceCapacity,
+  TargetAnnouncement,
 } from '@samphirefield/gateway';
 import {
   formatAddress,
@@ -45,6 +35,7 @@
   TargetNews,
   TargetsMessage,
 } from './messages.js';
+import {Placements} from './placements.js';
 import {Registry} from './registry.js';
 
 const TICK_MS = 50;
@@ -82,20 +73,14 @@
   private group: Group | undefined;
   private readonly registry: Registry;
   private readonly links: LinkSet;
-  private readonly dispatcher: Dispatcher;
-  private readonly turns: MoveTurns;
+  private readonly placements: Placements;
   private readonly subscribers = new Map<Peer, Hello>();
   private readonly incarnations = new Map<InstanceId, string>();
-  private readonly placing = new Map<
-    RequestId,
-    (answer: DispatchAnswer) => void
-  >();
   private renewals = new Map<TargetId, TargetNews>();
   private listener: LinkListener | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
   private isStateDirty = false;
   private decodedVersion = 0;
-  private dispatchTerm = 0;
   private capacities: ServiceCapacity[] = [];
   private lastStatus = '';
   private statusSentAtMs = 0;
@@ -108,7 +93,7 @@
       logger,
       nowMs,
       onChange: (record, isSilent) => {
-        this.dispatcher.setTarget(record, isSilent, nowMs());
+        this.placements.setTarget(record, isSilent);
         this.tellEntries([{...this.registry.toNews(record), isSilent}]);
       },
       onHeard: (record, isChange) => {
@@ -117,12 +102,7 @@
         else this.renewals.set(record.announcement.id, news);
       },
     });
-    this.dispatcher = new Dispatcher({
-      onAnswer: (demand, answer) => this.answerPlace(demand, answer),
-      share: () => 1,
-      random: Math.random,
-    });
-    this.turns = new MoveTurns(nowMs);
+    this.placements = new Placements({logger, nowMs});
     this.links = new LinkSet(this.handlers(), {
       onUp: (_address, peer) => void this.greet(peer),
       onDown: address => {
@@ -132,7 +112,7 @@
   }
 
   async start(): Promise<Result<void, string>> {
-    const {address, seeds, nowMs} = this.options;
+    const {address, seeds} = this.options;
     const opened = await this.openGroup();
     if (opened.isErr()) return err(opened.error);
     this.listener = await listenForLinks(address, this.handlers(), peer =>
@@ -144,8 +124,7 @@
     this.every(RENEWALS_EVERY_MS, () => this.sendRenewals());
     this.every(REGISTRY_TICK_MS, () => {
       this.registry.tick();
-      this.dispatcher.pump(nowMs());
-      this.turns.tick();
+      this.placements.tick();
     });
     return ok(undefined);
   }
@@ -203,8 +182,8 @@
       members: this.group?.members.length ?? 0,
       targets: this.registry.size,
       subscribers: this.subscribers.size,
-      places_waiting: this.dispatcher.waitingCount,
-      places_held: this.dispatcher.runCount,
+      places_waiting: this.placements.waitingCount,
+      places_held: this.placements.heldCount,
     };
   }
 
@@ -281,23 +260,11 @@
       read_newest: () => this.group?.readNewest(READ_TIMEOUT_MS),
       pull_state: () => this.group?.state,
       place: (demand: Demand) => this.place(demand),
-      finish: (message: FinishMessage) =>
-        this.dispatcher.release(
-          message.request,
-          message.outcome as RunOutcome,
-          this.options.nowMs(),
-        ),
-      take_turn: ({source, holder}: MoveTurnMessage) =>
-        new Promise(resolve => {
-          this.turns.ask(source, holder, () => resolve({}));
-        }),
-      end_turn: ({source, holder}: MoveTurnMessage) =>
-        this.turns.end(source, holder),
-      held_runs: (held: HeldRuns) => {
-        for (const run of held.runs) {
-          this.dispatcher.adopt({...run, entry: held.entry});
-        }
-      },
+      finish: (message: FinishMessage) => this.placements.finish(message),
+      take_turn: (message: MoveTurnMessage) =>
+        this.placements.takeTurn(message),
+      end_turn: (message: MoveTurnMessage) => this.placements.endTurn(message),
+      held_runs: (held: HeldRuns) => this.placements.adopt(held),
     };
   }
 
@@ -334,7 +301,7 @@
       const isBack = [...this.subscribers.values()].some(
         other => other.instance === hello.instance,
       );
-      if (!isBack) this.dropEntry(hello.instance);
+      if (!isBack) this.placements.dropEntry(hello.instance);
     }, ENTRY_GRACE_MS);
   }
 
@@ -343,12 +310,7 @@
     const known = this.incarnations.get(instance);
     this.incarnations.set(instance, incarnation);
     const hasRestarted = known !== undefined && known !== incarnation;
-    if (role === 'entry' && hasRestarted) this.dropEntry(instance);
-  }
-
-  private dropEntry(instance: InstanceId): void {
-    this.options.logger.warn('entry_lost', {entry: instance});
-    this.dispatcher.dropEntry(instanceId(instance), this.options.nowMs());
+    if (role === 'entry' && hasRestarted) this.placements.dropEntry(instance);
   }
 
   private tellEntries(items: readonly TargetNews[]): void {
@@ -396,7 +358,7 @@
       this.decodedVersion = state.version;
       this.capacities = capacitiesOf(table.value);
     }
-    this.dispatcher.configure(this.capacities, new Set(state.zonesOut));
+    this.placements.configure(this.capacities, new Set(state.zonesOut));
     this.sendStatus(true);
   }
 
@@ -438,20 +400,11 @@
   private tick(): void {
     if (this.group === undefined) return;
     this.group.tick();
-    this.startTerm();
+    if (this.isLeader) this.placements.startTerm(this.group.term);
     this.linkTo(this.group.members);
     this.sendStatus(false);
   }
 
-  /** What was given out in an earlier term, others have taken back since. */
-  private startTerm(): void {
-    const {term, isLeader} = this.group!;
-    if (!isLeader || term === this.dispatchTerm) return;
-    this.dispatchTerm = term;
-    this.dispatcher.forgetAllRuns();
-    this.options.logger.info('leadership_taken', {term});
-  }
-
   private askToJoin(): void {
     const request = this.group?.joinRequest;
     if (request === undefined) return;
@@ -482,25 +435,7 @@
 
   private place(demand: Demand): Promise<DispatchAnswer> {
     if (!this.isLeader) return Promise.reject(new Error('not_leader'));
-    this.startTerm();
-    return new Promise(resolve => {
-      this.placing.set(demand.request, resolve);
-      this.dispatcher.acquire(demand, this.options.nowMs());
-    });
-  }
-
-  private answerPlace(demand: Demand, answer: DispatchAnswer): void {
-    const resolve = this.placing.get(demand.request);
-    this.placing.delete(demand.request);
-    resolve?.(answer);
-    this.options.logger.info('placement', {
-      run: demand.request,
-      outcome: answer.kind,
-      target: answer.kind === 'granted' ? answer.target : undefined,
-      reason: answer.kind === 'refused' ? answer.reason : undefined,
-      kv_tokens: Math.round(demand.kvTokens),
-      held: this.dispatcher.runCount,
-      waiting: this.dispatcher.waitingCount,
-    });
+    this.placements.startTerm(this.group!.term);
+    return this.placements.place(demand);
   }
 }
--- a/packages/control/src/membership/planner.ts
+++ b/packages/control/src/membership/planner.ts
@@ -83,10 +83,14 @@
       member.lagEntries <= goal.maxLagEntries &&
       member.silentMs < goal.replaceAfterMs,
   );
-  const isReplaceable = ready !== undefined && goneVoters.length > 0;
-  // With its replacement at hand the dead voter only raises the quorum.
-  if (isReplaceable && voters.length >= goal.voters) {
-    return {kind: 'remove', replica: goneVoters[0]!.replica};
+  // With its replacement at hand a dead voter only raises the quorum. One whose
+  // disk is lost for good goes also where more voters are wanted.
+  const replaceable =
+    voters.length >= goal.voters
+      ? goneVoters[0]
+      : goneVoters.find(member => isSuperseded(member, candidates, members));
+  if (ready && replaceable) {
+    return {kind: 'remove', replica: replaceable.replica};
   }
   if (ready && voters.length < goal.voters) {
     return {kind: 'promote', replica: ready.replica};
