Without a leader, entries keep to their parts of an engine

Change: their part is one over the number of entries last heard of. Test: two entries without a leader, one run of 4,000 tokens each on an engine of 10,000.

--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -230,6 +230,35 @@
   expect((await third).kind).toEqual('granted');
 });
 
+test('entries without a leader keep to their parts of an engine', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  const entries = [cluster.startEntry('e1'), cluster.startEntry('e2')];
+  await cluster.put(0, 1);
+  for (const node of cluster.controls.values()) node.announce(announcement());
+  await until('both entries know all, and each other', () =>
+    entries.every(
+      entry =>
+        entry.inForce() !== undefined &&
+        entry.findTarget(targetId('i-1')) !== undefined &&
+        entry.entryCount === 2,
+    ),
+  );
+  for (const i of [0, 1, 2]) await cluster.stop(i);
+  await until('both are without a leader', () =>
+    entries.every(entry => entry.metrics()['has_leader'] === 0),
+  );
+  const kinds: string[] = [];
+  for (const [i, entry] of entries.entries()) {
+    for (const name of ['a', 'b']) {
+      const asked = {...demand(`${name}${i}`), maxWaitMs: 200};
+      kinds.push((await entry.place(asked)).kind);
+    }
+  }
+  // 4,000 tokens each: one fits into half of 10,000, two do not.
+  expect(kinds).toEqual(['granted', 'refused', 'granted', 'refused']);
+});
+
 test('a target that falls silent gets nothing until it is heard', async t => {
   const cluster = await setUp(t);
   await startAll(cluster);
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -97,7 +97,8 @@
     const {nowMs} = options;
     this.local = new Dispatcher({
       onAnswer: (demand, answer) => this.answerLocally(demand, answer),
-      share: () => 1,
+      // Engines are given out here only without a leader: by all entries.
+      share: service => (this.hasEngine(service) ? 1 / this.entryCount : 1),
       random: Math.random,
     });
     this.links = new LinkSet(
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -71,8 +71,8 @@
 
 export interface DispatcherOptions {
   readonly onAnswer: (demand: Demand, answer: DispatchAnswer) => void;
-  /** This dispatcher's part of every target's capacity, in (0, 1]. */
-  readonly share: () => number;
+  /** This dispatcher's part of what the service's targets bear, in (0, 1]. */
+  readonly share: (service: ServiceId) => number;
   /** In [0, 1); parts targets that are equally good. */
   readonly random: () => number;
 }
@@ -311,7 +311,7 @@
 
   /** How full the target would be; above 1 it bears no more. */
   private loadWith(target: TargetState, demand: Demand): number {
-    const share = this.options.share();
+    const share = this.options.share(demand.service);
     const slots = Math.max(1, target.record.announcement.slots * share);
     const slotLoad = (target.runs + 1) / slots;
     const kvTokens = this.capacities.get(demand.service)?.kvTokens;
@@ -370,7 +370,7 @@
     const {service} = target.record.announcement;
     const perS =
       (this.capacities.get(service)?.coldRequestsPerS ?? 0) *
-      this.options.share();
+      this.options.share(service);
     if (perS === 0) return true;
     const gained = ((nowMs - target.coldAtMs) / MS_PER_S) * perS;
     target.coldTokens = Math.min(
