--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -104,7 +104,7 @@
     });
     this.placements = new Placements({logger, nowMs});
     this.links = new LinkSet(this.handlers(), {
-      onUp: (_address, peer) => void this.greet(peer),
+      onUp: (_address, peer) => this.greet(peer),
       onDown: address => {
         logger.warn('control_link_down', {peer: formatAddress(address)});
       },
@@ -275,7 +275,7 @@
     }
   }
 
-  private async greet(peer: Peer): Promise<void> {
+  private greet(peer: Peer): void {
     const {instance, zone} = this.options;
     const {incarnation} = this;
     const hello: Hello = {instance, incarnation, role: 'control', zone};
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -131,10 +131,6 @@
     return this.current;
   }
 
-  get hasControl(): boolean {
-    return this.links.up().length > 0;
-  }
-
   /** Entries that share what is counted over all of them. */
   get entryCount(): number {
     const counts = [...this.controls.values()].map(
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -20,8 +20,6 @@
   ServiceCapacity,
 } from './types.js';
 
-/** Share of an engine's memory that is planned with. */
-const KV_FILL = 1;
 /** Weight of a target's recent failures against its load. */
 const FAILURE_PENALTY = 3;
 const FAILURE_HALF_LIFE_MS = 2_500;
@@ -316,7 +314,7 @@
     const slotLoad = (target.runs + 1) / slots;
     const kvTokens = this.capacities.get(demand.service)?.kvTokens;
     if (kvTokens === undefined) return slotLoad;
-    const memory = Math.max(demand.kvTokens, kvTokens * KV_FILL * share);
+    const memory = Math.max(demand.kvTokens, kvTokens * share);
     return Math.max(slotLoad, (target.kvTokens + demand.kvTokens) / memory);
   }
 
--- a/packages/gateway/src/exchange/event-relay.ts
+++ b/packages/gateway/src/exchange/event-relay.ts
@@ -16,17 +16,11 @@
 export class EventRelay {
   /** Id of the last event that was passed on; undefined before the first. */
   lastEventId: number | undefined;
-  eventCount = 0;
   private partial: Buffer | undefined;
   private mustDropRepeats = false;
 
   constructor(private readonly options: EventRelayOptions) {}
 
-  /** Whether the last source ended in the middle of an event. */
-  get hasPartial(): boolean {
-    return this.partial !== undefined;
-  }
-
   /** Another target goes on with the stream. */
   startNextSource(): void {
     this.partial = undefined;
@@ -79,7 +73,6 @@
     }
     if (last !== undefined && id > last + 1) return 'gap';
     this.lastEventId = id;
-    this.eventCount += 1;
     return 'pass';
   }
 }
--- a/packages/gateway/src/exchange/exchange.spec.ts
+++ b/packages/gateway/src/exchange/exchange.spec.ts
@@ -6,6 +6,7 @@
 import {
   call,
   startTestGateway,
+  type TestGateway,
   type TestGatewayOptions,
 } from '../testing/gateway.js';
 import {
@@ -37,6 +38,18 @@
   return {targets, gateway};
 }
 
+/** Calls, and lets the first target leave once its first bytes have come. */
+function callAndLeave(gateway: TestGateway) {
+  let hasLeft = false;
+  return call(gateway.port, {
+    onData: () => {
+      if (hasLeft) return;
+      hasLeft = true;
+      gateway.leave(0);
+    },
+  });
+}
+
 const streamHead = [
   'HTTP/1.1 200 OK',
   'Signed: yes',
@@ -259,14 +272,7 @@
     },
     answerWith(streamHead + chunk(events(4, 6)) + STREAM_END),
   ]);
-  let hasLeft = false;
-  const answer = await call(gateway.port, {
-    onData: () => {
-      if (hasLeft) return;
-      hasLeft = true;
-      gateway.leave(0);
-    },
-  });
+  const answer = await callAndLeave(gateway);
   expect(answer.isComplete).toEqual(true);
   expect(answer.body).toEqual(events(1, 6));
   expect(steps).toEqual(['a1 first', 'a1 last']);
@@ -291,14 +297,7 @@
     },
     answerWith(streamHead + chunk(events(4, 6)) + STREAM_END),
   ]);
-  let hasLeft = false;
-  const answer = await call(gateway.port, {
-    onData: () => {
-      if (hasLeft) return;
-      hasLeft = true;
-      gateway.leave(0);
-    },
-  });
+  const answer = await callAndLeave(gateway);
   expect(answer.isComplete).toEqual(false);
   expect(answer.body).toEqual(events(1, 2));
 });
@@ -323,14 +322,7 @@
     answerWith(wholeAnswer('', ['Not-Run: 1'], '421 Misdirected')),
     answerWith(streamHead + chunk(events(1, 6)) + STREAM_END),
   ]);
-  let hasLeft = false;
-  const answer = await call(gateway.port, {
-    onData: () => {
-      if (hasLeft) return;
-      hasLeft = true;
-      gateway.leave(0);
-    },
-  });
+  const answer = await callAndLeave(gateway);
   expect(answer.isComplete).toEqual(false);
   expect(answer.body).toEqual(events(1, 2));
   expect(targets[2]!.received.length).toEqual(0);
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -234,22 +234,22 @@
     }
     this.sendings += 1;
     const timeoutMs = Math.min(CONNECT_TIMEOUT_MS, this.leftMs());
-    const pooled = await this.parts.pool.acquire(place.address, timeoutMs);
-    if (pooled === undefined) {
+    const connection = await this.parts.pool.acquire(place.address, timeoutMs);
+    if (connection === undefined) {
       return notSent('not_connected', 'the target cannot be reached');
     }
     if (this.isOver) {
-      pooled.connection.destroy();
+      connection.destroy();
       return {outcome: 'abandoned', step: {kind: 'broken_off'}};
     }
-    const sending = this.startSending(pooled.connection, admitted, place);
+    const sending = this.startSending(connection, admitted, place);
     const follower = new RunFollower({
       parts: this.parts,
       admitted,
       facts: this.facts,
       isOver: () => this.isOver,
-      startSending: (connection, next, goesOn) =>
-        this.startSending(connection, admitted, next, goesOn),
+      startSending: (nextConnection, next, goesOn) =>
+        this.startSending(nextConnection, admitted, next, goesOn),
       onMoved: target => {
         this.moves += 1;
         this.lastTarget = target;
--- a/packages/gateway/src/exchange/follow.ts
+++ b/packages/gateway/src/exchange/follow.ts
@@ -209,16 +209,16 @@
     const {parts, isOver, startSending} = this.options;
     const sink = before.sink();
     const {resume} = moved;
-    const pooled =
+    const connection =
       sink && (await parts.pool.acquire(resume.address, CONNECT_TIMEOUT_MS));
-    if (sink === undefined || pooled === undefined || isOver()) {
-      pooled?.connection.destroy();
+    if (sink === undefined || connection === undefined || isOver()) {
+      connection?.destroy();
       moved.destination?.release(false);
       return undefined;
     }
     const {target, address} = resume;
     const place: Place = {target, address, run: from.run};
-    const sending = startSending(pooled.connection, place, {sink, resume});
+    const sending = startSending(connection, place, {sink, resume});
     return {sending, place};
   }
 
--- a/packages/gateway/src/exchange/request-text.ts
+++ b/packages/gateway/src/exchange/request-text.ts
@@ -14,10 +14,6 @@
   'expect',
 ]);
 
-export function isHopByHop(name: string): boolean {
-  return HOP_BY_HOP.has(name);
-}
-
 /** The headers that a message's `Connection` header binds to one connection. */
 export function connectionHeaders(value: string | undefined): Set<string> {
   const names = (value ?? '').split(',').map(name => name.trim().toLowerCase());
--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -79,10 +79,6 @@
     });
   }
 
-  get isBusy(): boolean {
-    return this.handlers !== undefined;
-  }
-
   send(data: Buffer | string, handlers: AnswerHandlers): void {
     this.handlers = handlers;
     this.head = undefined;
--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -9,12 +9,6 @@
   open: number;
 }
 
-export interface PooledConnection {
-  readonly connection: UpstreamConnection;
-  /** Whether it carried an exchange before. */
-  readonly isReused: boolean;
-}
-
 export class UpstreamPool {
   private readonly places = new Map<string, Place>();
   private readonly sweeper: NodeJS.Timeout;
@@ -28,14 +22,14 @@
   async acquire(
     address: UpstreamAddress,
     timeoutMs: number,
-  ): Promise<PooledConnection | undefined> {
+  ): Promise<UpstreamConnection | undefined> {
     const place = this.placeOf(address);
     const nowMs = performance.now();
     for (;;) {
       const connection = place.idle.pop();
       if (connection === undefined) break;
       if (!connection.isClosed && nowMs < connection.idleUntilMs) {
-        return {connection, isReused: true};
+        return connection;
       }
       connection.destroy();
     }
@@ -53,11 +47,8 @@
       timeoutMs,
       events,
     );
-    if (connection === undefined) {
-      place.open -= 1;
-      return undefined;
-    }
-    return {connection, isReused: false};
+    if (connection === undefined) place.open -= 1;
+    return connection;
   }
 
   /** Closes the idle connections to an address whose target has gone. */
