Keep standby copies of running generations, in room that is taken back when a run needs it

Cause: a target leaves on 1.5 to 2.1 s notice with 6 to 7 long runs on it; its link copies 3 to 5 of them in that time, and a target that crashes takes all of them along. Ruled out: refused destinations (none), late notice (news reaches the entries in 30 ms). Change: a run older than 0.3 s keeps a copy on a second target where links and memory are free, refreshed every 1.5 s. It moves with only the rest to copy, and goes on from the copy when its target dies. Moves go in order of worth per token, to the link that is free first.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -9,6 +9,7 @@
   Demand,
   DispatchAnswer,
   RouteTable,
+  Run,
   ServiceCapacity,
   TargetAnnouncement,
 } from '@samphirefield/gateway';
@@ -31,7 +32,10 @@
   Hello,
   JoinRequest,
   MoveTurnMessage,
+  PromoteMessage,
   RaftMessageOnLink,
+  RevokeMessage,
+  TakeTurnMessage,
   TargetNews,
   TargetsMessage,
 } from './messages.js';
@@ -102,7 +106,11 @@
         else this.renewals.set(record.announcement.id, news);
       },
     });
-    this.placements = new Placements({logger, nowMs});
+    this.placements = new Placements({
+      logger,
+      nowMs,
+      onRevoked: run => this.tellRevoked(run),
+    });
     this.links = new LinkSet(this.handlers(), {
       onUp: (_address, peer) => this.greet(peer),
       onDown: address => {
@@ -261,9 +269,10 @@
       pull_state: () => this.group?.state,
       place: (demand: Demand) => this.place(demand),
       finish: (message: FinishMessage) => this.placements.finish(message),
-      take_turn: (message: MoveTurnMessage) =>
+      take_turn: (message: TakeTurnMessage) =>
         this.placements.takeTurn(message),
       end_turn: (message: MoveTurnMessage) => this.placements.endTurn(message),
+      promote: (message: PromoteMessage) => this.placements.promote(message),
       held_runs: (held: HeldRuns) => this.placements.adopt(held),
     };
   }
@@ -327,6 +336,13 @@
     }
   }
 
+  private tellRevoked({request, entry}: Run): void {
+    const message: RevokeMessage = {request};
+    for (const [peer, hello] of this.subscribers) {
+      if (hello.instance === entry) peer.notify('revoke', message);
+    }
+  }
+
   private sendRenewals(): void {
     if (this.renewals.size === 0) return;
     const items = [...this.renewals.values()];
--- a/packages/gateway/src/exchange/exchange.spec.ts
+++ b/packages/gateway/src/exchange/exchange.spec.ts
@@ -369,3 +369,82 @@
     expect(answer.body).toEqual('broken');
   }
 });
+
+/** A mover that keeps copies, and what it was asked. */
+function keepingMover(onLast: () => void = () => undefined) {
+  const steps: string[] = [];
+  const mover: MemoryMover = {
+    copy: (_source, _attempt, destination, isLast) => {
+      steps.push(`${isLast ? 'last' : 'copy'} ${destination.port}`);
+      if (isLast) onLast();
+      return Promise.resolve({kind: 'copied', handle: 'kept'});
+    },
+    drop: (_source, handle) => steps.push(`drop ${handle}`),
+  };
+  return {mover, steps};
+}
+
+/** Resolves once the mover was asked for as many copies. */
+async function untilCopied(steps: readonly string[], copies = 1) {
+  for (let i = 0; i < 300 && steps.length < copies; i += 1) await delay(10);
+}
+
+test('goes on from the copy that was kept when its target dies', async t => {
+  const {steps, mover} = keepingMover();
+  const dying: MemoryMover = {
+    ...mover,
+    copy: (...args) =>
+      args[3]
+        ? Promise.resolve({kind: 'unreachable', reason: 'refused'})
+        : mover.copy(...args),
+  };
+  const {targets, gateway} = await setUp(t, {kind: 'stream', mover: dying}, [
+    ({socket}) => {
+      socket.write(streamHead + chunk(events(1, 2)));
+      void untilCopied(steps).then(() => socket.destroy());
+    },
+    answerWith(streamHead + chunk(events(3, 5)) + STREAM_END),
+  ]);
+  const answer = await call(gateway.port);
+  expect(answer.isComplete).toEqual(true);
+  expect(answer.body).toEqual(events(1, 5));
+  const {head} = targets[1]!.received[0]!;
+  expect(head.includes('Resume: kept\r\nLast: 2')).toEqual(true);
+  expect(gateway.held()).toEqual(0);
+});
+
+test('copies only what is left when its target leaves', async t => {
+  let source: ReceivedRequest | undefined;
+  const {steps, mover} = keepingMover(() => source!.socket.end());
+  const {targets, gateway} = await setUp(t, {kind: 'stream', mover}, [
+    request => {
+      source = request;
+      request.socket.write(streamHead + chunk(events(1, 2)));
+      void untilCopied(steps).then(() => gateway.leave(0));
+    },
+    answerWith(streamHead + chunk(events(3, 5)) + STREAM_END),
+  ]);
+  const answer = await call(gateway.port);
+  const at = targets[1]!.port;
+  expect(answer.body).toEqual(events(1, 5));
+  expect(steps).toEqual([`copy ${at}`, `last ${at}`]);
+  expect(gateway.held()).toEqual(0);
+});
+
+test('drops the copy that was kept once the run has ended', async t => {
+  const {steps, mover} = keepingMover();
+  const {gateway} = await setUp(t, {kind: 'stream', mover}, [
+    ({socket}) => {
+      socket.write(streamHead + chunk(events(1, 2)));
+      void untilCopied(steps).then(() =>
+        socket.write(chunk(events(3, 4)) + STREAM_END),
+      );
+    },
+    answerWith(streamHead + chunk(events(1, 4)) + STREAM_END),
+  ]);
+  const answer = await call(gateway.port);
+  expect(answer.body).toEqual(events(1, 4));
+  await untilCopied(steps, 2);
+  expect(steps[1]).toEqual('drop kept');
+  expect(gateway.held()).toEqual(0);
+});
--- a/packages/gateway/src/moves/move.ts
+++ b/packages/gateway/src/moves/move.ts
@@ -22,13 +22,20 @@
   release(isUsed: boolean): void;
 }
 
-export interface MoveOptions {
+/** A run and the target that it runs on. */
+export interface RunSource {
+  readonly target: TargetId;
+  readonly address: UpstreamAddress;
+}
+
+export interface FinishOptions {
   readonly attempt: string;
-  readonly source: {
-    readonly target: TargetId;
-    readonly address: UpstreamAddress;
-  };
+  readonly source: RunSource;
   readonly mover: MemoryMover;
+  readonly log: (step: string, fields: Record<string, string>) => void;
+}
+
+export interface MoveOptions extends FinishOptions {
   /** A place on another target, if there is one. */
   readonly findDestination: (
     excluded: readonly TargetId[],
@@ -40,7 +47,6 @@
   readonly endTurn: () => void;
   /** Whether the run has ended, or its caller has left. */
   readonly isOver: () => boolean;
-  readonly log: (step: string, fields: Record<string, string>) => void;
 }
 
 export interface MoveResult {
@@ -77,7 +83,7 @@
 }
 
 async function copy(
-  options: MoveOptions,
+  options: FinishOptions,
   destination: Destination,
   isLast: boolean,
 ): Promise<CopyAnswer> {
@@ -96,9 +102,12 @@
   return answer;
 }
 
-/** Stops the run and copies the rest of its memory. */
-async function finishCopy(
-  options: MoveOptions,
+/**
+ * Stops the run and copies the rest of its memory. The result names no
+ * destination when the run goes on from what its source holds.
+ */
+export async function finishCopy(
+  options: FinishOptions,
   destination: Destination,
 ): Promise<MoveResult | undefined> {
   const {source} = options;
@@ -113,7 +122,6 @@
     };
     return {resume, destination};
   }
-  destination.release(false);
   if (answer.kind !== 'refused' || answer.handle === undefined)
     return undefined;
   const resume = {...source, from: source.address, handle: answer.handle};
@@ -155,7 +163,9 @@
     }
     const outcome = await copyRunning(options, destination);
     if (outcome.kind === 'copied' && !options.isOver()) {
-      return finishCopy(options, destination);
+      const moved = await finishCopy(options, destination);
+      if (moved?.destination === undefined) destination.release(false);
+      return moved;
     }
     destination.release(false);
     if (outcome.kind === 'copied') {
