--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -9,7 +9,6 @@
   Demand,
   DispatchAnswer,
   RouteTable,
-  Run,
   ServiceCapacity,
   TargetAnnouncement,
 } from '@samphirefield/gateway';
@@ -32,10 +31,7 @@
   Hello,
   JoinRequest,
   MoveTurnMessage,
-  PromoteMessage,
   RaftMessageOnLink,
-  RevokeMessage,
-  TakeTurnMessage,
   TargetNews,
   TargetsMessage,
 } from './messages.js';
@@ -106,11 +102,7 @@
         else this.renewals.set(record.announcement.id, news);
       },
     });
-    this.placements = new Placements({
-      logger,
-      nowMs,
-      onRevoked: run => this.tellRevoked(run),
-    });
+    this.placements = new Placements({logger, nowMs});
     this.links = new LinkSet(this.handlers(), {
       onUp: (_address, peer) => this.greet(peer),
       onDown: address => {
@@ -269,10 +261,9 @@
       pull_state: () => this.group?.state,
       place: (demand: Demand) => this.place(demand),
       finish: (message: FinishMessage) => this.placements.finish(message),
-      take_turn: (message: TakeTurnMessage) =>
+      take_turn: (message: MoveTurnMessage) =>
         this.placements.takeTurn(message),
       end_turn: (message: MoveTurnMessage) => this.placements.endTurn(message),
-      promote: (message: PromoteMessage) => this.placements.promote(message),
       held_runs: (held: HeldRuns) => this.placements.adopt(held),
     };
   }
@@ -336,13 +327,6 @@
     }
   }
 
-  private tellRevoked({request, entry}: Run): void {
-    const message: RevokeMessage = {request};
-    for (const [peer, hello] of this.subscribers) {
-      if (hello.instance === entry) peer.notify('revoke', message);
-    }
-  }
-
   private sendRenewals(): void {
     if (this.renewals.size === 0) return;
     const items = [...this.renewals.values()];
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -56,7 +56,6 @@
   readonly request: RequestId;
   readonly target: TargetId;
   readonly kvTokens: number;
-  readonly isStandby: boolean;
 }
 
 /** All runs of an entry, for a leader that does not know them. */
@@ -65,29 +64,13 @@
   readonly runs: readonly HeldRun[];
 }
 
-/** The room for a copy is a run's place from now on. */
-export interface PromoteMessage {
-  readonly request: RequestId;
-}
-
-/** The leader takes the room for a copy back. */
-export interface RevokeMessage {
-  readonly request: RequestId;
-}
-
 export interface FinishMessage {
   readonly request: RequestId;
   readonly outcome: string;
 }
 
-/** Gives back the turn to move a run off a target. */
+/** Asks for, or gives back, the turn to move a run off a target. */
 export interface MoveTurnMessage {
   readonly source: TargetId;
   readonly holder: RequestId;
 }
-
-/** Asks for the turn to move a run off a target. */
-export interface TakeTurnMessage extends MoveTurnMessage {
-  /** What the run is worth for each token of memory to be copied. */
-  readonly worthPerToken: number;
-}
--- a/packages/cluster/src/control/placements.ts
+++ b/packages/cluster/src/control/placements.ts
@@ -8,24 +8,15 @@
   MoveTurns,
   type Demand,
   type DispatchAnswer,
-  type Run,
   type RunOutcome,
   type ServiceCapacity,
   type TargetRecord,
 } from '@samphirefield/gateway';
-import type {
-  FinishMessage,
-  HeldRuns,
-  MoveTurnMessage,
-  PromoteMessage,
-  TakeTurnMessage,
-} from './messages.js';
+import type {FinishMessage, HeldRuns, MoveTurnMessage} from './messages.js';
 
 export interface PlacementsOptions {
   readonly logger: Logger;
   readonly nowMs: () => number;
-  /** Room for a copy is taken back from the entry that holds it. */
-  readonly onRevoked: (run: Run) => void;
 }
 
 export class Placements {
@@ -40,7 +31,6 @@
   constructor(private readonly options: PlacementsOptions) {
     this.dispatcher = new Dispatcher({
       onAnswer: (demand, answer) => this.onAnswer(demand, answer),
-      onRevoked: options.onRevoked,
       share: () => 1,
       random: Math.random,
     });
@@ -86,10 +76,6 @@
     this.dispatcher.release(request, outcome as RunOutcome, nowMs);
   }
 
-  promote({request}: PromoteMessage): void {
-    this.dispatcher.promote(request);
-  }
-
   adopt({entry, runs}: HeldRuns): void {
     for (const run of runs) this.dispatcher.adopt({...run, entry});
   }
@@ -99,9 +85,9 @@
     this.dispatcher.dropEntry(entry, this.options.nowMs());
   }
 
-  takeTurn({source, holder, worthPerToken}: TakeTurnMessage): Promise<object> {
+  takeTurn({source, holder}: MoveTurnMessage): Promise<object> {
     return new Promise(resolve => {
-      this.turns.ask(source, holder, worthPerToken, () => resolve({}));
+      this.turns.ask(source, holder, () => resolve({}));
     });
   }
 
@@ -121,7 +107,6 @@
     this.options.logger.info('placement', {
       run: demand.request,
       outcome: answer.kind,
-      purpose: demand.purpose,
       target: answer.kind === 'granted' ? answer.target : undefined,
       reason: answer.kind === 'refused' ? answer.reason : undefined,
       kv_tokens: Math.round(demand.kvTokens),
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -34,9 +34,6 @@
   GroupStatus,
   HeldRun,
   Hello,
-  PromoteMessage,
-  RevokeMessage,
-  TakeTurnMessage,
   TargetNews,
   TargetsMessage,
 } from '../control/index.js';
@@ -90,7 +87,6 @@
   >();
   private readonly granted = new Map<RequestId, GrantedByLeader>();
   private readonly leaving = new Map<TargetId, Set<() => void>>();
-  private readonly revocations = new Map<RequestId, () => void>();
   private readonly timers: NodeJS.Timeout[] = [];
   private knownEntryCount = FIRST_ENTRY_COUNT;
   private isPulling = false;
@@ -102,7 +98,6 @@
     this.local = new Dispatcher({
       onAnswer: (demand, answer) => this.answerLocally(demand, answer),
       // Engines are given out here only without a leader: by all entries.
-      onRevoked: ({request}) => this.onRevocation({request}),
       share: service => (this.hasEngine(service) ? 1 / this.entryCount : 1),
       random: Math.random,
     });
@@ -110,7 +105,6 @@
       {
         status: (status: GroupStatus, peer: Peer) =>
           this.onStatus(status, peer),
-        revoke: (message: RevokeMessage) => this.onRevocation(message),
         targets: (message: TargetsMessage, peer: Peer) => {
           for (const item of message.items) this.onTarget(item, peer);
         },
@@ -155,25 +149,6 @@
     return this.table.get(id);
   }
 
-  isInService(id: TargetId): boolean {
-    const record = this.table.get(id);
-    if (record?.announcement.state !== 'ready') return false;
-    return !this.current?.view.zonesOut.has(record.announcement.zone);
-  }
-
-  promote(request: RequestId): void {
-    const held = this.granted.get(request);
-    if (held === undefined) return;
-    this.granted.set(request, {...held, isStandby: false});
-    const message: PromoteMessage = {request};
-    this.leaderPeer()?.notify('promote', message);
-  }
-
-  onRevoked(request: RequestId, listener: () => void): () => void {
-    this.revocations.set(request, listener);
-    return () => this.revocations.delete(request);
-  }
-
   onLeaving(id: TargetId, listener: () => void): () => void {
     const state = this.table.get(id)?.announcement.state;
     if (state !== undefined && state !== 'ready') {
@@ -189,28 +164,24 @@
     };
   }
 
-  async takeMoveTurn(
-    source: TargetId,
-    holder: RequestId,
-    worthPerToken: number,
-  ): Promise<void> {
-    const peer = this.leaderPeer();
+  async takeMoveTurn(source: TargetId, holder: RequestId): Promise<void> {
+    const peer = this.leader && this.links.peerAt(this.leader);
     if (!peer) return;
     try {
-      const message: TakeTurnMessage = {source, holder, worthPerToken};
-      await peer.request('take_turn', message, TURN_TIMEOUT_MS);
+      await peer.request('take_turn', {source, holder}, TURN_TIMEOUT_MS);
     } catch (error) {
       this.options.logger.warn('no_move_turn', {reason: String(error)});
     }
   }
 
   endMoveTurn(source: TargetId, holder: RequestId): void {
-    this.leaderPeer()?.notify('end_turn', {source, holder});
+    const peer = this.leader && this.links.peerAt(this.leader);
+    peer?.notify('end_turn', {source, holder});
   }
 
   async place(demand: Demand): Promise<DispatchAnswer> {
     const isEngine = this.hasEngine(demand.service);
-    const peer = isEngine && this.leaderPeer();
+    const peer = isEngine && this.leader && this.links.peerAt(this.leader);
     if (!peer) return this.placeLocally(demand);
     try {
       const answer = await peer.request<DispatchAnswer>(
@@ -224,7 +195,6 @@
           service: demand.service,
           target: answer.target,
           kvTokens: demand.kvTokens,
-          isStandby: demand.purpose === 'standby',
         });
       }
       return answer;
@@ -241,8 +211,8 @@
     this.local.release(request, outcome, this.options.nowMs());
     this.waitingLocally.delete(request);
     this.granted.delete(request);
-    if (!this.hasEngine(service)) return;
-    this.leaderPeer()?.notify('finish', {request, outcome});
+    if (!this.hasEngine(service) || !this.leader) return;
+    this.links.peerAt(this.leader)?.notify('finish', {request, outcome});
   }
 
   metrics(): Record<string, number> {
@@ -266,21 +236,7 @@
     return this.current?.index.findService(service)?.engine !== undefined;
   }
 
-  private leaderPeer(): Peer | undefined {
-    return this.leader && this.links.peerAt(this.leader);
-  }
-
-  private onRevocation({request}: RevokeMessage): void {
-    const listener = this.revocations.get(request);
-    this.revocations.delete(request);
-    this.granted.delete(request);
-    listener?.();
-  }
-
   private placeLocally(demand: Demand): Promise<DispatchAnswer> {
-    if (demand.purpose === 'standby') {
-      return Promise.resolve({kind: 'refused', reason: 'crowded'});
-    }
     return new Promise(resolve => {
       this.waitingLocally.set(demand.request, resolve);
       this.local.acquire(demand, this.options.nowMs());
@@ -335,14 +291,6 @@
     const event = next === undefined ? 'leader_lost' : 'leader_known';
     this.options.logger.info(event, {leader: next, term});
     if (this.leader) this.reportRuns(this.leader);
-    else this.giveStandbysBack();
-  }
-
-  /** Without a leader nobody knows whether a run needs the room of a copy. */
-  private giveStandbysBack(): void {
-    for (const request of [...this.revocations.keys()]) {
-      this.onRevocation({request});
-    }
   }
 
   private reportRuns(leader: Address): void {
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -16,7 +16,6 @@
 import type {
   Demand,
   DispatchAnswer,
-  Run,
   RunOutcome,
   ServiceCapacity,
 } from './types.js';
@@ -35,30 +34,20 @@
 const YOUNG_MS = 4_500;
 const YOUNG_PENALTY = 0.5;
 const TIE_BREAK = 0.02;
-const COPY_OTHER_ZONE_FACTOR = 2;
-/** A copy that takes this long weighs as much as a full target. */
-const COPY_FULL_MS = 500;
-/** Targets for each first copy of a standby that may be under way at once. */
-const TARGETS_PER_STANDBY_COPY = 6;
-/** What is left to copy when a run was stopped must not queue behind others. */
-const MOVE_MARGIN_MS = 150;
-/** Weight of copies against a target that a run could push them off from. */
-const STANDBY_LOAD_WEIGHT = 0.15;
 const MS_PER_S = 1_000;
 
-/** What places take of a target. */
-interface Usage {
-  runs: number;
-  kvTokens: number;
+interface Run {
+  readonly request: RequestId;
+  readonly entry: InstanceId;
+  readonly target: TargetId;
+  readonly kvTokens: number;
 }
 
 interface TargetState {
   record: TargetRecord;
   isSilent: boolean;
-  readonly used: Usage;
-  readonly standbyUse: Usage;
-  /** The copies that are kept on it, the newest last. */
-  readonly standbys: Set<RequestId>;
+  runs: number;
+  kvTokens: number;
   avoidUntilMs: number;
   /** Decaying count of failures and of all ended runs. */
   failures: number;
@@ -70,10 +59,6 @@
   firstHeardAtMs: number;
   /** When it will have read the prompts that were sent to it. */
   prefillUntilMs: number;
-  /** When the copies from and to it will be complete. */
-  linkBusyUntilMs: number;
-  /** When the first copy of the newest standby on it will be complete. */
-  standbyCopyUntilMs: number;
 }
 
 interface Waiting {
@@ -84,29 +69,12 @@
 
 export interface DispatcherOptions {
   readonly onAnswer: (demand: Demand, answer: DispatchAnswer) => void;
-  /** Room for a copy is taken back. */
-  readonly onRevoked: (run: Run) => void;
   /** This dispatcher's part of what the service's targets bear, in (0, 1]. */
   readonly share: (service: ServiceId) => number;
   /** In [0, 1); parts targets that are equally good. */
   readonly random: () => number;
 }
 
-function totalOf({used, standbyUse}: TargetState): Usage {
-  return {
-    runs: used.runs + standbyUse.runs,
-    kvTokens: used.kvTokens + standbyUse.kvTokens,
-  };
-}
-
-function clearUsage(target: TargetState): void {
-  target.used.runs = 0;
-  target.used.kvTokens = 0;
-  target.standbyUse.runs = 0;
-  target.standbyUse.kvTokens = 0;
-  target.standbys.clear();
-}
-
 export class Dispatcher {
   private readonly targets = new Map<TargetId, TargetState>();
   private readonly byService = new Map<ServiceId, Set<TargetId>>();
@@ -135,9 +103,6 @@
       this.capacities.set(capacity.service, capacity);
     }
     this.zonesOut = zonesOut;
-    for (const target of this.targets.values()) {
-      if (!this.isInService(target)) this.revokeAll(target);
-    }
   }
 
   setTarget(record: TargetRecord, isSilent: boolean, nowMs: number): void {
@@ -149,14 +114,12 @@
       known.record = record;
       known.isSilent = isSilent;
       if (isReborn) this.startAnew(id, known, nowMs);
-      if (!this.isInService(known)) this.revokeAll(known);
     } else {
       this.targets.set(id, {
         record,
         isSilent,
-        used: {runs: 0, kvTokens: 0},
-        standbyUse: {runs: 0, kvTokens: 0},
-        standbys: new Set(),
+        runs: 0,
+        kvTokens: 0,
         avoidUntilMs: 0,
         failures: 0,
         ended: 0,
@@ -165,8 +128,6 @@
         coldAtMs: nowMs,
         firstHeardAtMs: nowMs,
         prefillUntilMs: nowMs,
-        linkBusyUntilMs: nowMs,
-        standbyCopyUntilMs: nowMs,
       });
     }
     const members = this.byService.get(service) ?? new Set();
@@ -182,7 +143,7 @@
   }
 
   acquire(demand: Demand, nowMs: number): void {
-    const target = this.mayStartNow(demand, nowMs)
+    const target = this.mayOvertake(demand)
       ? this.choose(demand, nowMs, false)
       : undefined;
     if (target) {
@@ -193,10 +154,6 @@
       this.options.onAnswer(demand, {kind: 'refused', reason: 'all_tried'});
       return;
     }
-    if (demand.purpose === 'standby') {
-      this.refuse(demand);
-      return;
-    }
     this.waiting.push({demand, sinceMs: nowMs, order: this.nextOrder++});
     this.waiting.sort(
       (a, b) => a.demand.priority - b.demand.priority || a.order - b.order,
@@ -209,25 +166,18 @@
     if (this.runs.has(run.request)) return;
     const target = this.targets.get(run.target);
     this.runs.set(run.request, run);
-    if (target) this.count(target, run, 1);
-  }
-
-  /** A run goes on from its copy: the copy's room is now the run's place. */
-  promote(request: RequestId): void {
-    const run = this.runs.get(request);
-    const target = run && this.targets.get(run.target);
-    if (!run?.isStandby || !target) return;
-    const promoted = {...run, isStandby: false};
-    this.count(target, run, -1);
-    this.runs.set(request, promoted);
-    this.count(target, promoted, 1);
-    this.revokeExcess(target);
+    if (target === undefined) return;
+    target.runs += 1;
+    target.kvTokens += run.kvTokens;
   }
 
   /** Forgets every run; those who hold one have to report it anew. */
   forgetAllRuns(): void {
     this.runs.clear();
-    for (const target of this.targets.values()) clearUsage(target);
+    for (const target of this.targets.values()) {
+      target.runs = 0;
+      target.kvTokens = 0;
+    }
   }
 
   release(request: RequestId, outcome: RunOutcome, nowMs: number): void {
@@ -237,8 +187,8 @@
     this.runs.delete(request);
     const target = this.targets.get(run.target);
     if (target === undefined) return;
-    this.count(target, run, -1);
-    if (run.isStandby) return;
+    target.runs = Math.max(0, target.runs - 1);
+    target.kvTokens = Math.max(0, target.kvTokens - run.kvTokens);
     this.noteOutcome(target, outcome, nowMs);
     this.pump(nowMs);
   }
@@ -272,11 +222,6 @@
     this.waiting = left;
   }
 
-  private mayStartNow(demand: Demand, nowMs: number): boolean {
-    if (demand.purpose === 'standby') return this.mayCopyStandby(demand, nowMs);
-    return this.mayOvertake(demand);
-  }
-
   private mayOvertake(demand: Demand): boolean {
     return !this.waiting.some(
       item =>
@@ -288,74 +233,14 @@
   private grant(demand: Demand, target: TargetState, nowMs: number): void {
     const {id} = target.record.announcement;
     const {request, entry, kvTokens} = demand;
-    const isStandby = demand.purpose === 'standby';
-    const run: Run = {request, entry, target: id, kvTokens, isStandby};
-    this.runs.set(request, run);
-    this.count(target, run, 1);
-    if (demand.purpose === 'start') this.noteStart(target, demand, nowMs);
-    else this.noteCopy(target, demand, nowMs);
-    this.options.onAnswer(demand, {kind: 'granted', target: id});
-    if (!isStandby) this.revokeExcess(target);
-  }
-
-  private noteStart(target: TargetState, demand: Demand, nowMs: number): void {
+    target.runs += 1;
+    target.kvTokens += kvTokens;
+    this.runs.set(request, {request, entry, target: id, kvTokens});
     if (this.isCold(target, nowMs)) target.coldTokens -= 1;
     target.prefillUntilMs =
       Math.max(nowMs, target.prefillUntilMs) +
       demand.prefillTokens / PREFILL_TOKENS_PER_MS;
-  }
-
-  /** Copies queue on the links at both ends. */
-  private noteCopy(target: TargetState, demand: Demand, nowMs: number): void {
-    const isMove = demand.purpose === 'move';
-    const copyMs = this.copyMs(target, demand) + (isMove ? MOVE_MARGIN_MS : 0);
-    const source = demand.source && this.targets.get(demand.source);
-    for (const end of [target, source]) {
-      if (end === undefined) continue;
-      end.linkBusyUntilMs = Math.max(nowMs, end.linkBusyUntilMs) + copyMs;
-    }
-    if (!isMove) target.standbyCopyUntilMs = target.linkBusyUntilMs;
-  }
-
-  private copyMs(target: TargetState, demand: Demand): number {
-    const {service, kvTokens, zone} = demand;
-    const perTokenMs = this.capacities.get(service)?.copyMsPerToken ?? 0;
-    const isOtherZone = target.record.announcement.zone !== zone;
-    return kvTokens * perTokenMs * (isOtherZone ? COPY_OTHER_ZONE_FACTOR : 1);
-  }
-
-  private isLinkIdle(id: TargetId | undefined, nowMs: number): boolean {
-    const target = id && this.targets.get(id);
-    return target === undefined || nowMs >= target.linkBusyUntilMs;
-  }
-
-  private count(target: TargetState, run: Run, sign: 1 | -1): void {
-    const usage = run.isStandby ? target.standbyUse : target.used;
-    usage.runs = Math.max(0, usage.runs + sign);
-    usage.kvTokens = Math.max(0, usage.kvTokens + sign * run.kvTokens);
-    if (sign === 1 && run.isStandby) target.standbys.add(run.request);
-    else target.standbys.delete(run.request);
-  }
-
-  /** Takes room back from the newest copies until runs and copies fit. */
-  private revokeExcess(target: TargetState): void {
-    const {service} = target.record.announcement;
-    for (const request of [...target.standbys].reverse()) {
-      if (this.loadOf(target, service, totalOf(target)) <= 1) return;
-      this.revoke(target, request);
-    }
-  }
-
-  private revokeAll(target: TargetState): void {
-    for (const request of target.standbys) this.revoke(target, request);
-  }
-
-  private revoke(target: TargetState, request: RequestId): void {
-    const run = this.runs.get(request);
-    if (run === undefined) return;
-    this.runs.delete(request);
-    this.count(target, run, -1);
-    this.options.onRevoked(run);
+    this.options.onAnswer(demand, {kind: 'granted', target: id});
   }
 
   private membersOf(demand: Demand): TargetState[] {
@@ -401,7 +286,9 @@
       if (this.isCold(target, nowMs) && !this.mayTakeCold(target, nowMs)) {
         continue;
       }
-      const cost = this.costOf(target, demand, nowMs, isImpatient);
+      const load = this.loadWith(target, demand);
+      if (load > 1 && !isImpatient) continue;
+      const cost = load + this.penalty(target, demand, nowMs);
       if (cost < bestCost) {
         best = target;
         bestCost = cost;
@@ -411,122 +298,45 @@
   }
 
   private isUsable(target: TargetState, demand: Demand): boolean {
-    const {id} = target.record.announcement;
-    return this.isInService(target) && !demand.excluded.includes(id);
-  }
-
-  private isInService({record, isSilent}: TargetState): boolean {
-    const {state, zone} = record.announcement;
-    return state === 'ready' && !isSilent && !this.zonesOut.has(zone);
-  }
-
-  /** Infinite where the target bears no more. */
-  private costOf(
-    target: TargetState,
-    demand: Demand,
-    nowMs: number,
-    isImpatient: boolean,
-  ): number {
-    if (demand.purpose === 'standby') {
-      return this.standbyCost(target, demand, nowMs);
-    }
-    const load = this.loadWith(target, demand, target.used);
-    if (load > 1 && !isImpatient) return Number.POSITIVE_INFINITY;
-    const standbyLoad = this.loadOf(target, demand.service, target.standbyUse);
-    const penalty =
-      demand.purpose === 'move'
-        ? this.movePenalty(target, demand, nowMs)
-        : this.penalty(target, demand, nowMs);
-    return load + STANDBY_LOAD_WEIGHT * standbyLoad + penalty;
-  }
-
-  private standbyCost(
-    target: TargetState,
-    demand: Demand,
-    nowMs: number,
-  ): number {
-    const load = this.loadWith(target, demand, totalOf(target));
-    const mayHold =
-      load <= 1 &&
-      !this.isCold(target, nowMs) &&
-      nowMs >= target.linkBusyUntilMs;
-    if (!mayHold) return Number.POSITIVE_INFINITY;
-    return load + this.copyMs(target, demand) / COPY_FULL_MS;
-  }
-
-  /** Leaves most links to moves, which cannot wait. */
-  private mayCopyStandby(demand: Demand, nowMs: number): boolean {
-    if (!this.isLinkIdle(demand.source, nowMs)) return false;
-    const members = this.membersOf(demand);
-    const copying = members.filter(item => nowMs < item.standbyCopyUntilMs);
-    const most = Math.max(1, members.length / TARGETS_PER_STANDBY_COPY);
-    return copying.length + 1 <= most;
-  }
-
-  /** What was read already needs no reading: the time of the copy counts. */
-  private movePenalty(
-    target: TargetState,
-    demand: Demand,
-    nowMs: number,
-  ): number {
-    const waitMs = Math.max(0, target.linkBusyUntilMs - nowMs);
-    const copyMs = waitMs + this.copyMs(target, demand);
+    const {id, state, zone} = target.record.announcement;
     return (
-      copyMs / COPY_FULL_MS +
-      this.troublePenalty(target, nowMs) +
-      this.options.random() * TIE_BREAK
+      state === 'ready' &&
+      !target.isSilent &&
+      !this.zonesOut.has(zone) &&
+      !demand.excluded.includes(id)
     );
   }
 
   /** How full the target would be; above 1 it bears no more. */
-  private loadWith(target: TargetState, demand: Demand, usage: Usage): number {
-    const runs = usage.runs + 1;
-    const kvTokens = usage.kvTokens + demand.kvTokens;
-    // A request that is larger than this part of the memory may run alone.
-    const {service, kvTokens: leastKvTokens} = demand;
-    return this.loadOf(target, service, {runs, kvTokens}, leastKvTokens);
-  }
-
-  private loadOf(
-    target: TargetState,
-    service: ServiceId,
-    {runs, kvTokens}: Usage,
-    leastKvTokens = 0,
-  ): number {
-    const share = this.options.share(service);
+  private loadWith(target: TargetState, demand: Demand): number {
+    const share = this.options.share(demand.service);
     const slots = Math.max(1, target.record.announcement.slots * share);
-    const slotLoad = runs / slots;
-    const capacity = this.capacities.get(service)?.kvTokens;
-    if (capacity === undefined) return slotLoad;
-    const memory = Math.max(leastKvTokens, capacity * share);
-    return Math.max(slotLoad, kvTokens / memory);
+    const slotLoad = (target.runs + 1) / slots;
+    const kvTokens = this.capacities.get(demand.service)?.kvTokens;
+    if (kvTokens === undefined) return slotLoad;
+    const memory = Math.max(demand.kvTokens, kvTokens * share);
+    return Math.max(slotLoad, (target.kvTokens + demand.kvTokens) / memory);
   }
 
   private penalty(target: TargetState, demand: Demand, nowMs: number): number {
+    this.decay(target, nowMs);
     const isOtherZone = target.record.announcement.zone !== demand.zone;
+    const failureShare = target.failures / Math.max(1, target.ended);
+    const isAvoided = nowMs < target.avoidUntilMs;
     const ageMs = nowMs - target.firstHeardAtMs;
     const youth = Math.max(0, 1 - ageMs / YOUNG_MS);
     const backlogMs = Math.max(0, target.prefillUntilMs - nowMs);
     return (
       (isOtherZone ? demand.otherZonePenalty : 0) +
+      failureShare * FAILURE_PENALTY +
       backlogMs / PREFILL_FULL_MS +
+      (this.isCold(target, nowMs) ? COLD_PENALTY : 0) +
       YOUNG_PENALTY * youth +
-      this.troublePenalty(target, nowMs) +
+      (isAvoided ? FAILURE_PENALTY : 0) +
       this.options.random() * TIE_BREAK
     );
   }
 
-  private troublePenalty(target: TargetState, nowMs: number): number {
-    this.decay(target, nowMs);
-    const failureShare = target.failures / Math.max(1, target.ended);
-    const isAvoided = nowMs < target.avoidUntilMs;
-    return (
-      failureShare * FAILURE_PENALTY +
-      (this.isCold(target, nowMs) ? COLD_PENALTY : 0) +
-      (isAvoided ? FAILURE_PENALTY : 0)
-    );
-  }
-
   private decay(target: TargetState, nowMs: number): void {
     const factor = 0.5 ** ((nowMs - target.decayedAtMs) / FAILURE_HALF_LIFE_MS);
     target.failures *= factor;
@@ -572,9 +382,8 @@
   private startAnew(id: TargetId, target: TargetState, nowMs: number): void {
     target.firstHeardAtMs = nowMs;
     target.prefillUntilMs = nowMs;
-    target.linkBusyUntilMs = nowMs;
-    this.revokeAll(target);
-    clearUsage(target);
+    target.runs = 0;
+    target.kvTokens = 0;
     target.failures = 0;
     target.ended = 0;
     for (const run of this.runs.values()) {
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -29,29 +29,6 @@
   /** How long it may wait for any place at all. */
   readonly maxWaitMs: number;
   readonly excluded: readonly TargetId[];
-  readonly purpose: DemandPurpose;
-  /** The target that the memory is copied from; undefined to start anew. */
-  readonly source: TargetId | undefined;
-}
-
-export type DemandPurpose =
-  /** A request that starts. */
-  | 'start'
-  /** A running generation that goes on at another target. */
-  | 'move'
-  /**
-   * A copy of a running generation's memory. It never keeps a run waiting: its
-   * room is taken back when a run needs it.
-   */
-  | 'standby';
-
-/** A place that was given out. */
-export interface Run {
-  readonly request: RequestId;
-  readonly entry: InstanceId;
-  readonly target: TargetId;
-  readonly kvTokens: number;
-  readonly isStandby: boolean;
 }
 
 /** How a service's targets may be loaded. */
@@ -61,8 +38,6 @@
   readonly kvTokens: number | undefined;
   /** New requests per second that a cold target bears; 0: it is never cold. */
   readonly coldRequestsPerS: number;
-  /** Time to copy the memory of one token to a target in the same zone. */
-  readonly copyMsPerToken: number;
 }
 
 export type DispatchRefusal =
--- a/packages/gateway/src/exchange/follow.ts
+++ b/packages/gateway/src/exchange/follow.ts
@@ -4,17 +4,13 @@
  * after its connection broke.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import type {RequestId, TargetId} from '@samphirefield/core';
+import type {TargetId} from '@samphirefield/core';
 import {
-  finishCopy,
   moveRun,
   recoverRun,
-  Standby,
   type Destination,
   type MoveResult,
   type ResumePoint,
-  type StandbyCopy,
-  type StandbyDestination,
 } from '../moves/index.js';
 import {KIND_TRAITS} from '../routes/index.js';
 import type {UpstreamConnection} from '../upstream/index.js';
@@ -23,7 +19,6 @@
   findHolder,
   moveDemand,
   newRunId,
-  worthPerToken,
   type Admitted,
   type Place,
 } from './place.js';
@@ -61,7 +56,6 @@
 interface PlaceWatch {
   /** The run has ended here; returns the move that was begun. */
   end(): Promise<MoveResult | undefined> | undefined;
-  readonly standby: Standby | undefined;
 }
 
 interface Continuation {
@@ -69,7 +63,7 @@
   readonly place: Place;
 }
 
-const NO_WATCH: PlaceWatch = {end: () => undefined, standby: undefined};
+const NO_WATCH: PlaceWatch = {end: () => undefined};
 
 export class RunFollower {
   /** Undefined when this request's run cannot be moved. */
@@ -93,16 +87,12 @@
       const watch = this.watch(place, sending);
       const result = await sending.result;
       const moving = watch.end();
-      const {standby} = watch;
       if (result.kind !== 'lost' || isOver()) {
-        void moving?.then(moved => this.drop(moved, standby));
-        standby?.close();
+        void moving?.then(moved => this.drop(moved));
         held?.release(result.kind === 'passed_on');
         return result;
       }
-      const moved =
-        (await moving) ?? (await this.recover(place, sending, standby));
-      standby?.close();
+      const moved = (await moving) ?? (await this.recover(place, sending));
       const next = moved && (await this.goOn(moved, sending, place));
       held?.release(true);
       if (next === undefined) return result;
@@ -122,9 +112,8 @@
     let hasEnded = false;
     const begin = () => {
       if (moving || hasEnded) return;
-      moving = this.move(attempt, place, sending, standby, () => hasEnded);
+      moving = this.move(attempt, place, sending, () => hasEnded);
     };
-    const standby = this.keepStandby(attempt, place, sending);
     const stopWatching = placer.onLeaving(place.target, begin);
     const {eventGapMs} = this.options.admitted.route;
     const silenceMs = Math.max(SILENCE_MIN_MS, eventGapMs * SILENCE_GAPS);
@@ -139,103 +128,43 @@
         stopWatching();
         return moving;
       },
-      standby,
     };
   }
 
-  private keepStandby(
-    attempt: string,
-    source: Place,
-    sending: Sending,
-  ): Standby {
-    const {placer, mover, logger} = this.options.parts;
-    return new Standby({
-      attempt,
-      source,
-      mover,
-      findRoom: excluded => this.findRoom(excluded),
-      hasStarted: () => sending.hasStarted(),
-      isInService: target => placer.isInService(target),
-      log: (step, fields) =>
-        logger.info('standby', {
-          request: attempt,
-          step,
-          source: source.target,
-          ...fields,
-        }),
-    });
-  }
-
   private async move(
-    attempt: string,
-    source: Place,
-    sending: Sending,
-    standby: Standby,
-    hasEnded: () => boolean,
-  ): Promise<MoveResult | undefined> {
-    const copy = await standby.take();
-    if (hasEnded()) return undefined;
-    const moved =
-      (copy && (await this.moveToCopy(attempt, source, copy, standby))) ??
-      (await this.moveInTurn(attempt, source, sending, hasEnded));
-    if (moved) {
-      void delay(LAST_EVENTS_MS).then(() => sending.breakOff('moved'));
-    }
-    return moved;
-  }
-
-  /** Little is left to copy, so this needs no turn on the source's link. */
-  private async moveToCopy(
-    attempt: string,
-    source: Place,
-    copy: StandbyCopy,
-    standby: Standby,
-  ): Promise<MoveResult | undefined> {
-    const {mover} = this.options.parts;
-    const log = this.moveLog(attempt, source);
-    const options = {attempt, source, mover, log};
-    const moved = await finishCopy(options, copy.destination);
-    if (moved?.destination) standby.markUsed();
-    return moved;
-  }
-
-  private moveInTurn(
     attempt: string,
     place: Place,
     sending: Sending,
     hasEnded: () => boolean,
   ): Promise<MoveResult | undefined> {
-    const {parts, facts, isOver} = this.options;
-    const {placer} = parts;
+    const {parts, isOver} = this.options;
+    const {placer, logger} = parts;
     const source = place.target;
     const holder = newRunId(parts);
-    return moveRun({
+    const moved = await moveRun({
       attempt,
       source: place,
       mover: parts.mover,
       hasStarted: () => sending.hasStarted(),
-      takeTurn: () => placer.takeMoveTurn(source, holder, worthPerToken(facts)),
+      takeTurn: () => placer.takeMoveTurn(source, holder),
       endTurn: () => placer.endMoveTurn(source, holder),
       findDestination: excluded => this.findDestination(excluded),
       isOver: () => isOver() || hasEnded(),
-      log: this.moveLog(attempt, place),
+      log: (step, fields) =>
+        logger.info('move', {request: attempt, step, source, ...fields}),
     });
-  }
-
-  private moveLog(attempt: string, {target: source}: Place) {
-    const {logger} = this.options.parts;
-    return (step: string, fields: Record<string, string>) =>
-      logger.info('move', {request: attempt, step, source, ...fields});
+    if (moved) {
+      void delay(LAST_EVENTS_MS).then(() => sending.breakOff('moved'));
+    }
+    return moved;
   }
 
   /** Finds the memory from which a stream that broke off goes on. */
   private async recover(
     place: Place,
     sending: Sending,
-    standby: Standby | undefined,
   ): Promise<MoveResult | undefined> {
     const {attempt} = this;
-    const copy = await standby?.take();
     if (attempt === undefined || !sending.hasStarted()) return undefined;
     const {parts, isOver} = this.options;
     const result = await recoverRun({
@@ -243,16 +172,13 @@
       source: place,
       mover: parts.mover,
       findDestination: () => this.findDestination([place.target]),
-      copy,
       isOver,
     });
-    if (copy && result?.destination === copy.destination) standby?.markUsed();
     parts.logger.info('recovery', {
       request: attempt,
       source: place.target,
       outcome: result === undefined ? 'lost' : 'goes_on',
       at: result?.resume.target,
-      had_copy: copy !== undefined,
     });
     return result;
   }
@@ -260,38 +186,17 @@
   private async findDestination(
     excluded: readonly TargetId[],
   ): Promise<Destination | undefined> {
-    return (await this.findPlace(excluded, 'move'))?.destination;
-  }
-
-  private async findRoom(
-    excluded: readonly TargetId[],
-  ): Promise<StandbyDestination | undefined> {
-    const {placer} = this.options.parts;
-    const found = await this.findPlace(excluded, 'standby');
-    if (found === undefined) return undefined;
-    const {destination, run} = found;
-    return {
-      ...destination,
-      promote: () => placer.promote(run),
-      onRevoked: listener => placer.onRevoked(run, listener),
-    };
-  }
-
-  private async findPlace(
-    excluded: readonly TargetId[],
-    purpose: 'move' | 'standby',
-  ): Promise<{destination: Destination; run: RequestId} | undefined> {
     const {parts, admitted, facts} = this.options;
     const {placer} = parts;
     const run = newRunId(parts);
     const answer = await placer.place(
-      moveDemand(parts, admitted, facts, run, excluded, purpose),
+      moveDemand(parts, admitted, facts, run, excluded),
     );
     if (answer.kind === 'refused') return undefined;
     const release = (isUsed: boolean) =>
       placer.finish(run, admitted.service, isUsed ? 'served' : 'abandoned');
     const holder = findHolder(placer, answer.target);
-    if (holder) return {destination: {...holder, release}, run};
+    if (holder) return {...holder, release};
     release(false);
     return undefined;
   }
@@ -318,11 +223,7 @@
   }
 
   /** Frees what a move prepared when it turned out not to be needed. */
-  private drop(
-    moved: MoveResult | undefined,
-    standby: Standby | undefined,
-  ): void {
-    standby?.close();
+  private drop(moved: MoveResult | undefined): void {
     if (moved === undefined) return;
     moved.destination?.release(false);
     this.options.parts.mover.drop(moved.resume.from, moved.resume.handle);
--- a/packages/gateway/src/exchange/place.ts
+++ b/packages/gateway/src/exchange/place.ts
@@ -17,8 +17,6 @@
 const OUTPUT_SHARE = 0.6;
 /** Of a generation's output, what it holds on average while it runs. */
 const HELD_OUTPUT_SHARE = 0.5;
-/** What a token of output is worth, in tokens of prompt. */
-const OUTPUT_TOKEN_WORTH = 10;
 /** Share of the objective that a request waits for a place that fits it. */
 const PATIENCE_SHARE = 0.3;
 /** Share of the objective that a request waits while no target is there. */
@@ -27,6 +25,8 @@
 const MAX_WAIT_SHARE = 0.6;
 /** How much emptier a target in another availability zone has to be. */
 const OTHER_ZONE_PENALTY = 0.06;
+/** Memory takes twice as long to another zone, on a link that others need. */
+const MOVE_ZONE_PENALTY = 0.5;
 
 const START_MARK = randomUUID().slice(0, START_MARK_LENGTH);
 let runCounter = 0;
@@ -72,13 +72,6 @@
   return promptTokens + outputTokens * HELD_OUTPUT_SHARE;
 }
 
-/** What a generation is worth for each token of its memory. */
-export function worthPerToken(facts: RequestFacts): number {
-  const {promptTokens, maxOutputTokens} = facts;
-  const worth = promptTokens + OUTPUT_TOKEN_WORTH * maxOutputTokens;
-  return worth / Math.max(1, expectedKvTokens(facts));
-}
-
 /** Asks for a place to start a request. */
 export function startDemand(
   parts: GatewayParts,
@@ -102,22 +95,16 @@
     noTargetWaitMs: objectiveMs * NO_TARGET_WAIT_SHARE,
     maxWaitMs: Math.max(0, leftMs) * MAX_WAIT_SHARE,
     excluded,
-    purpose: 'start',
-    source: undefined,
   };
 }
 
-/**
- * Asks for room on another target for a running generation's memory, at once
- * or not at all: a place to move it to, or one for a copy that is kept.
- */
+/** Asks for a place to move a running generation to, at once or not at all. */
 export function moveDemand(
   parts: GatewayParts,
   admitted: Admitted,
   facts: RequestFacts,
   run: RequestId,
   excluded: readonly TargetId[],
-  purpose: 'move' | 'standby',
 ): Demand {
   const [source] = excluded;
   const record = source && parts.placer.findTarget(source);
@@ -126,7 +113,7 @@
     service: admitted.service,
     entry: parts.instance,
     zone: record ? record.announcement.zone : parts.zone,
-    otherZonePenalty: 0,
+    otherZonePenalty: MOVE_ZONE_PENALTY,
     kvTokens: expectedKvTokens(facts),
     prefillTokens: 0,
     priority: admitted.priority,
@@ -134,7 +121,5 @@
     noTargetWaitMs: 0,
     maxWaitMs: 0,
     excluded,
-    purpose,
-    source,
   };
 }
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -70,20 +70,10 @@
   place(demand: Demand): Promise<DispatchAnswer>;
   finish(request: RequestId, service: ServiceId, outcome: RunOutcome): void;
   findTarget(id: TargetId): TargetRecord | undefined;
-  /** Whether the target may be sent work now. */
-  isInService(id: TargetId): boolean;
-  /** A run goes on from a copy: the copy's room is its place from now on. */
-  promote(request: RequestId): void;
-  /** Calls back when room for a copy is taken back; returns the way out. */
-  onRevoked(request: RequestId, listener: () => void): () => void;
   /** Calls back once when the target begins to leave; returns the way out. */
   onLeaving(id: TargetId, listener: () => void): () => void;
   /** Resolves when a run may be moved off the target, one after the other. */
-  takeMoveTurn(
-    source: TargetId,
-    holder: RequestId,
-    worthPerToken: number,
-  ): Promise<void>;
+  takeMoveTurn(source: TargetId, holder: RequestId): Promise<void>;
   endMoveTurn(source: TargetId, holder: RequestId): void;
 }
 
--- a/packages/gateway/src/moves/index.ts
+++ b/packages/gateway/src/moves/index.ts
@@ -2,4 +2,3 @@
 export * from './types.js';
 export * from './turns.js';
 export * from './recover.js';
-export * from './standby.js';
--- a/packages/gateway/src/moves/move.ts
+++ b/packages/gateway/src/moves/move.ts
@@ -22,20 +22,13 @@
   release(isUsed: boolean): void;
 }
 
-/** A run and the target that it runs on. */
-export interface RunSource {
-  readonly target: TargetId;
-  readonly address: UpstreamAddress;
-}
-
-export interface FinishOptions {
+export interface MoveOptions {
   readonly attempt: string;
-  readonly source: RunSource;
+  readonly source: {
+    readonly target: TargetId;
+    readonly address: UpstreamAddress;
+  };
   readonly mover: MemoryMover;
-  readonly log: (step: string, fields: Record<string, string>) => void;
-}
-
-export interface MoveOptions extends FinishOptions {
   /** A place on another target, if there is one. */
   readonly findDestination: (
     excluded: readonly TargetId[],
@@ -47,6 +40,7 @@
   readonly endTurn: () => void;
   /** Whether the run has ended, or its caller has left. */
   readonly isOver: () => boolean;
+  readonly log: (step: string, fields: Record<string, string>) => void;
 }
 
 export interface MoveResult {
@@ -83,7 +77,7 @@
 }
 
 async function copy(
-  options: FinishOptions,
+  options: MoveOptions,
   destination: Destination,
   isLast: boolean,
 ): Promise<CopyAnswer> {
@@ -102,12 +96,9 @@
   return answer;
 }
 
-/**
- * Stops the run and copies the rest of its memory. The result names no
- * destination when the run goes on from what its source holds.
- */
-export async function finishCopy(
-  options: FinishOptions,
+/** Stops the run and copies the rest of its memory. */
+async function finishCopy(
+  options: MoveOptions,
   destination: Destination,
 ): Promise<MoveResult | undefined> {
   const {source} = options;
@@ -122,6 +113,7 @@
     };
     return {resume, destination};
   }
+  destination.release(false);
   if (answer.kind !== 'refused' || answer.handle === undefined)
     return undefined;
   const resume = {...source, from: source.address, handle: answer.handle};
@@ -163,9 +155,7 @@
     }
     const outcome = await copyRunning(options, destination);
     if (outcome.kind === 'copied' && !options.isOver()) {
-      const moved = await finishCopy(options, destination);
-      if (moved?.destination === undefined) destination.release(false);
-      return moved;
+      return finishCopy(options, destination);
     }
     destination.release(false);
     if (outcome.kind === 'copied') {
--- a/packages/gateway/src/moves/recover.ts
+++ b/packages/gateway/src/moves/recover.ts
@@ -1,31 +1,32 @@
 /**
- * Where a stream goes on whose connection broke in the middle. A target that
- * lives is asked to stop the run and to hand its memory over, so that no two
- * targets work on it. If it cannot be asked, or has lost the run, the stream
- * goes on from the copy that was kept elsewhere.
+ * Where a stream goes on whose connection broke in the middle while its target
+ * lives: the target is asked to stop the run and to hand its memory over, so
+ * that no two targets work on it.
  */
-import type {Destination, MoveResult, RunSource} from './move.js';
-import type {StandbyCopy} from './standby.js';
-import type {CopyAnswer, MemoryMover} from './types.js';
+import type {TargetId} from '@samphirefield/core';
+import type {UpstreamAddress} from '../upstream/index.js';
+import type {Destination, MoveResult} from './move.js';
+import type {MemoryMover} from './types.js';
 
 const STOP_TIMEOUT_MS = 700;
 
 export interface RecoverOptions {
   readonly attempt: string;
-  readonly source: RunSource;
+  readonly source: {
+    readonly target: TargetId;
+    readonly address: UpstreamAddress;
+  };
   readonly mover: MemoryMover;
   readonly findDestination: () => Promise<Destination | undefined>;
-  /** The copy that was kept, if there is one. */
-  readonly copy: StandbyCopy | undefined;
   readonly isOver: () => boolean;
 }
 
-/** Undefined when the run is lost. */
+/** Undefined when the target has died, or has dropped the run. */
 export async function recoverRun(
   options: RecoverOptions,
 ): Promise<MoveResult | undefined> {
-  const {attempt, source, mover, copy} = options;
-  const destination = copy?.destination ?? (await options.findDestination());
+  const {attempt, source, mover} = options;
+  const destination = await options.findDestination();
   if (destination === undefined) return undefined;
   if (options.isOver()) {
     destination.release(false);
@@ -38,18 +39,16 @@
     true,
     STOP_TIMEOUT_MS,
   );
-  const handle = handleAt(answer) ?? copy?.handle;
   const from = source.address;
-  if (answer.kind !== 'refused' && handle !== undefined) {
+  if (answer.kind === 'copied') {
     const {target, address} = destination;
-    return {resume: {target, address, from, handle}, destination};
+    const resume = {target, address, from, handle: answer.handle};
+    return {resume, destination};
   }
   destination.release(false);
-  if (handle === undefined) return undefined;
-  return {resume: {...source, from, handle}, destination: undefined};
-}
-
-function handleAt(answer: CopyAnswer): string | undefined {
-  const hasHandle = answer.kind === 'copied' || answer.kind === 'refused';
-  return hasHandle ? answer.handle : undefined;
+  if (answer.kind !== 'refused' || answer.handle === undefined) {
+    return undefined;
+  }
+  const resume = {...source, from, handle: answer.handle};
+  return {resume, destination: undefined};
 }
--- a/packages/gateway/src/moves/turns.ts
+++ b/packages/gateway/src/moves/turns.ts
@@ -1,7 +1,6 @@
 /**
  * Turns for moves off one target. Copies queue on a target's link, so runs
- * that move at once would all be late; in turn, each is moved whole. The run
- * that is worth most for the time of its copy goes first.
+ * that move at once would all be late; in turn, each is moved whole.
  */
 import type {RequestId, TargetId} from '@samphirefield/core';
 
@@ -10,34 +9,20 @@
 
 interface Turn {
   readonly holder: RequestId;
-  readonly worthPerToken: number;
   readonly start: () => void;
   startedAtMs: number | undefined;
 }
 
-/** The turn that was taken stays first. */
-function compareTurns(a: Turn, b: Turn): number {
-  const aStarted = a.startedAtMs === undefined ? 1 : 0;
-  const bStarted = b.startedAtMs === undefined ? 1 : 0;
-  return aStarted - bStarted || b.worthPerToken - a.worthPerToken;
-}
-
 export class MoveTurns {
   private readonly queues = new Map<TargetId, Turn[]>();
 
   constructor(private readonly nowMs: () => number) {}
 
   /** Calls `start` once it is the holder's turn. */
-  ask(
-    source: TargetId,
-    holder: RequestId,
-    worthPerToken: number,
-    start: () => void,
-  ): void {
+  ask(source: TargetId, holder: RequestId, start: () => void): void {
     const queue = this.queues.get(source) ?? [];
     this.queues.set(source, queue);
-    queue.push({holder, worthPerToken, start, startedAtMs: undefined});
-    queue.sort(compareTurns);
+    queue.push({holder, start, startedAtMs: undefined});
     this.advance(source, queue);
   }
 
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -6,7 +6,6 @@
   silentLogger,
   targetId,
   zoneId,
-  type RequestId,
   type TargetId,
 } from '@samphirefield/core';
 import type {
@@ -101,14 +100,12 @@
 class TestPlacer implements Placer {
   readonly records = new Map<TargetId, TargetRecord>();
   readonly leaving = new Map<TargetId, () => void>();
-  private readonly revocations = new Map<string, () => void>();
   private readonly waiting = new Map<
     string,
     (answer: DispatchAnswer) => void
   >();
   readonly dispatcher = new Dispatcher({
     onAnswer: ({request}, answer) => this.waiting.get(request)?.(answer),
-    onRevoked: ({request}) => this.revocations.get(request)?.(),
     share: () => 1,
     // Targets that are equally good are taken in order.
     random: () => 0,
@@ -121,14 +118,7 @@
       this.dispatcher.setTarget(record, false, nowMs);
     });
     this.dispatcher.configure(
-      [
-        {
-          service: SERVICE,
-          kvTokens: undefined,
-          coldRequestsPerS: 0,
-          copyMsPerToken: 0,
-        },
-      ],
+      [{service: SERVICE, kvTokens: undefined, coldRequestsPerS: 0}],
       new Set(),
     );
   }
@@ -148,19 +138,6 @@
     return this.records.get(id);
   }
 
-  isInService(id: TargetId): boolean {
-    return this.records.get(id)?.announcement.state === 'ready';
-  }
-
-  promote(run: RequestId): void {
-    this.dispatcher.promote(run);
-  }
-
-  onRevoked(run: RequestId, listener: () => void): () => void {
-    this.revocations.set(run, listener);
-    return () => this.revocations.delete(run);
-  }
-
   onLeaving(id: TargetId, listener: () => void): () => void {
     this.leaving.set(id, listener);
     return () => this.leaving.delete(id);
