--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -319,3 +319,19 @@
   expect((await second.place(impatient('r3'))).kind).toEqual('granted');
   expect((await second.place(impatient('r4'))).kind).toEqual('granted');
 });
+
+test('lets every daemon vote, so that any majority of them goes on', async t => {
+  const cluster = await setUp(t, 5, 3);
+  for (const i of [0, 1, 2, 3, 4]) await cluster.start(i, true);
+  await until('five voters', () =>
+    [...cluster.controls.values()].every(
+      node => node.metrics()['voters'] === 5,
+    ),
+  );
+  await cluster.put(0, 1);
+  // Two of the three seeds.
+  await cluster.stop(0);
+  await cluster.stop(1);
+  await cluster.put(4, 2);
+  expect(await cluster.readVersion(2)).toEqual(2);
+});
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -57,7 +57,7 @@
   readonly seeds: readonly Address[];
   readonly isFirstStart: boolean;
   readonly timing: GroupTiming;
-  /** Voters that the group is to have; an odd number. */
+  /** The fewest voters that bear the losses; an odd number. */
   readonly voters: number;
   /** A target that was not heard for this long gets no new work. */
   readonly targetSilentAfterMs: number;
--- a/packages/control/src/membership/index.ts
+++ b/packages/control/src/membership/index.ts
@@ -1,5 +1,6 @@
 export {
   planMembership,
+  wantedVoters,
   type CandidateView,
   type MemberView,
   type MembershipGoal,
