A control daemon that is cut off acknowledges no heartbeats

Change: heartbeats and farewells are acknowledged only by a daemon that hears most of the group, so the target tells another. Test: cluster.spec 'acknowledges no heartbeat that the others cannot learn of'.

--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -335,3 +335,15 @@
   await cluster.put(4, 2);
   expect(await cluster.readVersion(2)).toEqual(2);
 });
+
+test('acknowledges no heartbeat that the others cannot learn of', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  const node = cluster.controls.get(0)!;
+  await until('it hears the others', () => node.announce(announcement()));
+  await cluster.stop(1);
+  expect(node.announce(announcement())).toEqual(true);
+  await cluster.stop(2);
+  await until('it is alone', () => !node.announce(announcement()));
+  expect(node.leave(targetId('i-1'))).toEqual(false);
+});
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -46,6 +46,8 @@
 const REOPEN_AFTER_MS = 1_000;
 const FORWARD_TIMEOUT_MS = 3_000;
 const READ_TIMEOUT_MS = 800;
+/** A control daemon that was not heard for this long may be cut off. */
+const OUT_OF_TOUCH_MS = 1_100;
 /** A daemon whose link broke keeps its places this long. */
 const ENTRY_GRACE_MS = 2_500;
 
@@ -133,12 +135,19 @@
     return this.group?.isLeader ?? false;
   }
 
-  announce(announcement: TargetAnnouncement): void {
+  /**
+   * Takes what a target says of itself. Returns whether the others can learn
+   * of it: if not, the target has to tell another daemon.
+   */
+  announce(announcement: TargetAnnouncement): boolean {
     this.registry.announce(announcement);
+    return this.isInTouch();
   }
 
-  leave(id: TargetId): void {
+  /** Takes a target's farewell; returns as {@link announce} does. */
+  leave(id: TargetId): boolean {
     this.registry.leave(id);
+    return this.isInTouch();
   }
 
   /** Resolves once the change is durable on a quorum, or cannot be said to be. */
@@ -411,6 +420,20 @@
     for (const peer of this.links.up()) peer.notify('join', request);
   }
 
+  /** Whether it hears most of the control daemons; a newcomer: any of them. */
+  private isInTouch(): boolean {
+    const members = this.group?.members ?? [];
+    const self = formatAddress(this.options.address);
+    const heard = (peer: Peer | undefined) =>
+      peer !== undefined && peer.silentMs <= OUT_OF_TOUCH_MS;
+    if (members.length === 0) return this.links.up().some(heard);
+    const inTouch = members.filter(
+      member =>
+        formatAddress(member) === self || heard(this.links.peerAt(member)),
+    );
+    return inTouch.length > members.length / 2;
+  }
+
   private leaderPeer(): Peer | undefined {
     const leader = this.group?.leader;
     return leader && this.links.peerAt(leader);
--- a/packages/cluster/src/link/peer.ts
+++ b/packages/cluster/src/link/peer.ts
@@ -62,6 +62,11 @@
     return (await this.rpc.timeout(timeoutMs).request(method, params)) as T;
   }
 
+  /** How long ago anything came. */
+  get silentMs(): number {
+    return performance.now() - this.heardAtMs;
+  }
+
   notify(method: string, params: object): void {
     if (!this.isClosed) this.rpc.notify(method, params);
   }
