--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -59,7 +59,7 @@
   readonly seeds: readonly Address[];
   readonly isFirstStart: boolean;
   readonly timing: GroupTiming;
-  /** The fewest voters that bear the losses; an odd number. */
+  /** Voters that the group is to have; an odd number. */
   readonly voters: number;
   /** A target that was not heard for this long gets no new work. */
   readonly targetSilentAfterMs: number;
@@ -84,6 +84,8 @@
   private isStateDirty = false;
   private decodedVersion = 0;
   private capacities: ServiceCapacity[] = [];
+  /** The group as others tell of it, for a daemon that is not in it. */
+  private toldMembers: readonly Address[] = [];
   private lastStatus = '';
   private statusSentAtMs = 0;
   private isStopping = false;
@@ -263,7 +265,7 @@
       targets: (message: TargetsMessage) => {
         for (const item of message.items) this.registry.learn(item);
       },
-      status: (status: GroupStatus) => this.linkTo(status.members),
+      status: (status: GroupStatus) => this.onStatus(status),
       submit: (command: ClusterCommand) =>
         this.group?.submit(command) ?? {kind: 'not_leader'},
       read_newest: () => this.group?.readNewest(READ_TIMEOUT_MS),
@@ -284,6 +286,11 @@
     }
   }
 
+  private onStatus({members}: GroupStatus): void {
+    this.linkTo(members);
+    if (members.length > 0) this.toldMembers = members;
+  }
+
   private greet(peer: Peer): void {
     const {instance, zone} = this.options;
     const {incarnation} = this;
@@ -420,13 +427,13 @@
     for (const peer of this.links.up()) peer.notify('join', request);
   }
 
-  /** Whether it hears most of the control daemons; a newcomer: any of them. */
+  /** Whether it hears most of the group. */
   private isInTouch(): boolean {
-    const members = this.group?.members ?? [];
+    const own = this.group?.members ?? [];
+    const members = own.length > 0 ? own : this.toldMembers;
     const self = formatAddress(this.options.address);
     const heard = (peer: Peer | undefined) =>
       peer !== undefined && peer.silentMs <= OUT_OF_TOUCH_MS;
-    if (members.length === 0) return this.links.up().some(heard);
     const inTouch = members.filter(
       member =>
         formatAddress(member) === self || heard(this.links.peerAt(member)),
--- a/packages/cluster/src/control/group.ts
+++ b/packages/cluster/src/control/group.ts
@@ -6,11 +6,7 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import {mkdirSync} from 'node:fs';
 import {err, ok, type Result} from 'neverthrow';
-import {
-  planMembership,
-  wantedVoters,
-  type MemberView,
-} from '@samphirefield/control';
+import {planMembership, type MemberView} from '@samphirefield/control';
 import type {Logger, ZoneId} from '@samphirefield/core';
 import {
   formatStorageError,
@@ -60,7 +56,7 @@
   /** Whether the whole deployment starts for the first time. */
   readonly isFirstStart: boolean;
   readonly timing: GroupTiming;
-  /** The fewest voters that bear the losses; an odd number. */
+  /** Voters that the leader keeps; an odd number. */
   readonly voters: number;
   readonly logger: Logger;
   readonly nowMs: () => number;
@@ -283,10 +279,7 @@
       }))
       .filter(candidate => !known.has(candidate.replica));
     const step = planMembership(members, candidates, {
-      voters: wantedVoters(
-        this.options.voters,
-        [...members, ...candidates].map(({instance}) => instance),
-      ),
+      voters: this.options.voters,
       preferredInstances: [],
       replaceAfterMs: REPLACE_AFTER_MS,
       maxLagEntries: MAX_LAG_ENTRIES,
--- a/packages/control/src/membership/index.ts
+++ b/packages/control/src/membership/index.ts
@@ -1,6 +1,5 @@
 export {
   planMembership,
-  wantedVoters,
   type CandidateView,
   type MemberView,
   type MembershipGoal,
--- a/packages/control/src/membership/planner.ts
+++ b/packages/control/src/membership/planner.ts
@@ -35,22 +35,6 @@
   | {readonly kind: 'promote'; readonly replica: string}
   | {readonly kind: 'remove'; readonly replica: string};
 
-/** Beyond this, more voters cost more messages than they bear losses. */
-const MAX_VOTERS = 9;
-
-/**
- * Voters that a group is to have: all of its daemons, so that any majority of
- * them can go on, but an odd number, and no fewer than the losses need.
- */
-export function wantedVoters(
-  least: number,
-  instances: readonly string[],
-): number {
-  const daemons = Math.min(MAX_VOTERS, new Set(instances).size);
-  const odd = daemons % 2 === 0 ? daemons - 1 : daemons;
-  return Math.max(least, odd);
-}
-
 function isLost(member: MemberView, goal: MembershipGoal): boolean {
   return member.silentMs >= goal.replaceAfterMs;
 }
