Forget targets and entries that are gone for good; find the group sooner after a restart

Cause: a dispatcher kept every target it had heard of, a control daemon the ids of silent targets and of entries' starts. Change: forgotten targets leave all tables; entries forget only what is gone or silent everywhere; links are tried every 0.3 s at worst; a request waits up to 0.6 of its time for the first configuration. Tests: 'forgets what was not heard for long, but nothing that may live', 'gives nothing on a target that was forgotten'.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -100,6 +100,7 @@
         this.placements.setTarget(record, isSilent);
         this.tellEntries([{...this.registry.toNews(record), isSilent}]);
       },
+      onForgotten: id => this.placements.removeTarget(id),
       onHeard: (record, isChange) => {
         const news = this.registry.toNews(record);
         if (isChange) this.tellControls([news]);
@@ -317,7 +318,9 @@
       const isBack = [...this.subscribers.values()].some(
         other => other.instance === hello.instance,
       );
-      if (!isBack) this.placements.dropEntry(hello.instance);
+      if (isBack) return;
+      this.placements.dropEntry(hello.instance);
+      this.incarnations.delete(hello.instance);
     }, ENTRY_GRACE_MS);
   }
 
--- a/packages/cluster/src/control/placements.ts
+++ b/packages/cluster/src/control/placements.ts
@@ -2,7 +2,13 @@
  * What the leader gives out: places on engines, and turns for moves off a
  * target. Its books hold every run of every entry.
  */
-import type {InstanceId, Logger, RequestId, ZoneId} from '@samphirefield/core';
+import type {
+  InstanceId,
+  Logger,
+  RequestId,
+  TargetId,
+  ZoneId,
+} from '@samphirefield/core';
 import {
   Dispatcher,
   MoveTurns,
@@ -56,6 +62,10 @@
     this.dispatcher.setTarget(record, isSilent, this.options.nowMs());
   }
 
+  removeTarget(id: TargetId): void {
+    this.dispatcher.removeTarget(id);
+  }
+
   /** What was given out in an earlier term, others have taken back since. */
   startTerm(term: number): void {
     if (term === this.term) return;
--- a/packages/cluster/src/control/registry.ts
+++ b/packages/cluster/src/control/registry.ts
@@ -18,6 +18,8 @@
   readonly nowMs: () => number;
   /** Something that every daemon has to know. */
   readonly onChange: (record: TargetRecord, isSilent: boolean) => void;
+  /** A target that was gone or silent for long. */
+  readonly onForgotten: (id: TargetId) => void;
   /** A target's own word, heard here first; for the other control daemons. */
   readonly onHeard: (record: TargetRecord, isChange: boolean) => void;
 }
@@ -60,7 +62,10 @@
   /** Finds targets that fell silent. */
   tick(): void {
     const nowMs = this.options.nowMs();
-    forgetOld(this.table, nowMs, FORGET_MS);
+    for (const id of forgetOld(this.table, nowMs, FORGET_MS)) {
+      this.silent.delete(id);
+      this.options.onForgotten(id);
+    }
     for (const [id, record] of this.table) {
       const isSilent = nowMs - record.heardAtMs > this.options.silentAfterMs;
       if (!isSilent || this.silent.has(id)) continue;
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -116,10 +116,7 @@
     );
     this.timers.push(
       setInterval(() => this.local.pump(nowMs()), PUMP_EVERY_MS),
-      setInterval(
-        () => forgetOld(this.table, nowMs(), FORGET_TARGET_MS),
-        FORGET_EVERY_MS,
-      ),
+      setInterval(() => this.forgetTargets(), FORGET_EVERY_MS),
     );
   }
 
@@ -232,6 +229,18 @@
     this.links.close();
   }
 
+  /** Entries hear of changes only, so a target that lives may be long unheard. */
+  private forgetTargets(): void {
+    const mayForget = ({announcement: {id, state}}: TargetRecord) =>
+      state === 'gone' || this.isSilent(id);
+    const nowMs = this.options.nowMs();
+    const old = forgetOld(this.table, nowMs, FORGET_TARGET_MS, mayForget);
+    for (const id of old) {
+      this.local.removeTarget(id);
+      for (const view of this.controls.values()) view.silent.delete(id);
+    }
+  }
+
   private hasEngine(service: ServiceId): boolean {
     return this.current?.index.findService(service)?.engine !== undefined;
   }
@@ -387,11 +396,13 @@
   }
 
   private updateTarget(record: TargetRecord): void {
-    const {id} = record.announcement;
-    const views = [...this.controls.values()];
-    // One control daemon that hears a target outweighs those that do not.
-    const isSilent =
-      views.length > 0 && views.every(view => view.silent.has(id));
+    const isSilent = this.isSilent(record.announcement.id);
     this.local.setTarget(record, isSilent, this.options.nowMs());
   }
+
+  /** One control daemon that hears a target outweighs those that do not. */
+  private isSilent(id: TargetId): boolean {
+    const views = [...this.controls.values()];
+    return views.length > 0 && views.every(view => view.silent.has(id));
+  }
 }
--- a/packages/cluster/src/link/links.ts
+++ b/packages/cluster/src/link/links.ts
@@ -3,8 +3,8 @@
 import {Peer, type RpcHandlers} from './peer.js';
 
 const CONNECT_TIMEOUT_MS = 800;
-const RECONNECT_MIN_MS = 100;
-const RECONNECT_MAX_MS = 800;
+const RECONNECT_MIN_MS = 50;
+const RECONNECT_MAX_MS = 300;
 
 export interface Address {
   readonly host: string;
--- a/packages/gateway/src/dispatch/dispatcher.spec.ts
+++ b/packages/gateway/src/dispatch/dispatcher.spec.ts
@@ -229,3 +229,13 @@
     }),
   );
 });
+
+test('gives nothing on a target that was forgotten', () => {
+  const {dispatcher, answers} = setUp([record('t1')]);
+  dispatcher.acquire(demand('r1'), 0);
+  dispatcher.removeTarget(targetId('t1'));
+  dispatcher.release(requestId('r1'), 'served', 1);
+  dispatcher.acquire(demand('r2', {maxWaitMs: 0}), 2);
+  expect(answers.get('r2')).toEqual({kind: 'refused', reason: 'no_target'});
+  expect(dispatcher.runCount).toEqual(0);
+});
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -30,7 +30,7 @@
 const RETRY_AFTER_MS = 400;
 const RETRY_AFTER_SHARE = 0.3;
 const CONFIG_WAIT_MAX_MS = 1_500;
-const CONFIG_WAIT_SHARE = 0.3;
+const CONFIG_WAIT_SHARE = 0.6;
 const CONFIG_POLL_MS = 25;
 /** A pace of generation that is seldom undercut. */
 const SLOW_TOKEN_MS = 14;
--- a/packages/gateway/src/registry/logic.ts
+++ b/packages/gateway/src/registry/logic.ts
@@ -91,13 +91,16 @@
   return gone;
 }
 
-/** Forgets targets that have been gone or silent for long. */
+/** Forgets targets that were not heard for long; returns them. */
 export function forgetOld(
   table: TargetTable,
   nowMs: number,
   forgetMs: number,
-): void {
-  for (const [id, record] of table) {
-    if (nowMs - record.heardAtMs > forgetMs) table.delete(id);
-  }
+  mayForget: (record: TargetRecord) => boolean = () => true,
+): TargetId[] {
+  const old = [...table.values()]
+    .filter(record => nowMs - record.heardAtMs > forgetMs && mayForget(record))
+    .map(record => record.announcement.id);
+  for (const id of old) table.delete(id);
+  return old;
 }
--- a/packages/gateway/src/registry/registry.spec.ts
+++ b/packages/gateway/src/registry/registry.spec.ts
@@ -3,8 +3,8 @@
 import fc from 'fast-check';
 import {test} from 'node:test';
 import {serviceId, targetId, zoneId} from '@samphirefield/core';
-import {markGone, mergeAnnouncement} from './logic.js';
-import type {TargetAnnouncement, TargetTable} from './types.js';
+import {forgetOld, markGone, mergeAnnouncement} from './logic.js';
+import type {TargetAnnouncement, TargetRecord, TargetTable} from './types.js';
 
 const base: TargetAnnouncement = {
   id: targetId('i-1'),
@@ -103,3 +103,13 @@
     }),
   );
 });
+
+test('forgets what was not heard for long, but nothing that may live', () => {
+  const gone = {...base, id: targetId('i-2'), port: 81, state: 'gone'} as const;
+  const table = apply([base, gone]);
+  const isGone = (record: TargetRecord) => record.announcement.state === 'gone';
+  expect(forgetOld(table, 500, 600, isGone)).toEqual([]);
+  expect(forgetOld(table, 700, 600, isGone)).toEqual([gone.id]);
+  expect([...table.keys()]).toEqual([base.id]);
+  expect(forgetOld(table, 700, 600)).toEqual([base.id]);
+});
