--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -37,6 +37,8 @@
 } from './messages.js';
 import {Placements} from './placements.js';
 import {Registry} from './registry.js';
+import {Subscribers} from './subscribers.js';
+import {Touch} from './touch.js';
 
 const TICK_MS = 50;
 const STATUS_EVERY_MS = 1_000;
@@ -46,8 +48,6 @@
 const REOPEN_AFTER_MS = 1_000;
 const FORWARD_TIMEOUT_MS = 3_000;
 const READ_TIMEOUT_MS = 800;
-/** A control daemon that was not heard for this long may be cut off. */
-const OUT_OF_TOUCH_MS = 1_100;
 /** A daemon whose link broke keeps its places this long. */
 const ENTRY_GRACE_MS = 2_500;
 
@@ -76,7 +76,8 @@
   private readonly registry: Registry;
   private readonly links: LinkSet;
   private readonly placements: Placements;
-  private readonly subscribers = new Map<Peer, Hello>();
+  private readonly subscribers = new Subscribers();
+  private readonly touch: Touch;
   private readonly incarnations = new Map<InstanceId, string>();
   private renewals = new Map<TargetId, TargetNews>();
   private listener: LinkListener | undefined;
@@ -84,8 +85,6 @@
   private isStateDirty = false;
   private decodedVersion = 0;
   private capacities: ServiceCapacity[] = [];
-  /** The group as others tell of it, for a daemon that is not in it. */
-  private toldMembers: readonly Address[] = [];
   private lastStatus = '';
   private statusSentAtMs = 0;
   private isStopping = false;
@@ -98,12 +97,13 @@
       nowMs,
       onChange: (record, isSilent) => {
         this.placements.setTarget(record, isSilent);
-        this.tellEntries([{...this.registry.toNews(record), isSilent}]);
+        const news = {...this.registry.toNews(record), isSilent};
+        this.subscribers.tellTargets('entry', [news]);
       },
       onForgotten: id => this.placements.removeTarget(id),
       onHeard: (record, isChange) => {
         const news = this.registry.toNews(record);
-        if (isChange) this.tellControls([news]);
+        if (isChange) this.subscribers.tellTargets('control', [news]);
         else this.renewals.set(record.announcement.id, news);
       },
     });
@@ -114,6 +114,7 @@
         logger.warn('control_link_down', {peer: formatAddress(address)});
       },
     });
+    this.touch = new Touch({self: options.address, links: this.links, logger});
   }
 
   async start(): Promise<Result<void, string>> {
@@ -189,11 +190,12 @@
       leader: this.isLeader ? 1 : 0,
       term: this.group?.term ?? 0,
       state_index: this.group?.state.index ?? 0,
+      in_touch: this.touch.isInTouch ? 1 : 0,
       is_voter: this.group?.isVoter ? 1 : 0,
       voters: this.group?.voterCount ?? 0,
       members: this.group?.members.length ?? 0,
       targets: this.registry.size,
-      subscribers: this.subscribers.size,
+      subscribers: this.subscribers.count,
       places_waiting: this.placements.waitingCount,
       places_held: this.placements.heldCount,
     };
@@ -289,7 +291,7 @@
 
   private onStatus({members}: GroupStatus): void {
     this.linkTo(members);
-    if (members.length > 0) this.toldMembers = members;
+    this.touch.noteTold(members);
   }
 
   private greet(peer: Peer): void {
@@ -301,7 +303,7 @@
 
   private onHello(hello: Hello, peer: Peer): void {
     this.dropEarlierStart(hello);
-    this.subscribers.set(peer, hello);
+    this.subscribers.add(peer, hello);
     peer.notify('targets', {items: this.registry.news()});
     peer.notify('status', this.status());
     this.options.logger.info('subscriber', {
@@ -311,14 +313,10 @@
   }
 
   private onPeerClosed(peer: Peer): void {
-    const hello = this.subscribers.get(peer);
-    this.subscribers.delete(peer);
+    const hello = this.subscribers.remove(peer);
     if (hello?.role !== 'entry') return;
     setTimeout(() => {
-      const isBack = [...this.subscribers.values()].some(
-        other => other.instance === hello.instance,
-      );
-      if (isBack) return;
+      if (this.subscribers.has(hello.instance)) return;
       this.placements.dropEntry(hello.instance);
       this.incarnations.delete(hello.instance);
     }, ENTRY_GRACE_MS);
@@ -332,25 +330,11 @@
     if (role === 'entry' && hasRestarted) this.placements.dropEntry(instance);
   }
 
-  private tellEntries(items: readonly TargetNews[]): void {
-    this.tell('entry', items);
-  }
-
-  private tellControls(items: readonly TargetNews[]): void {
-    this.tell('control', items);
-  }
-
-  private tell(role: Hello['role'], items: readonly TargetNews[]): void {
-    for (const [peer, hello] of this.subscribers) {
-      if (hello.role === role) peer.notify('targets', {items});
-    }
-  }
-
   private sendRenewals(): void {
     if (this.renewals.size === 0) return;
     const items = [...this.renewals.values()];
     this.renewals = new Map();
-    this.tellControls(items);
+    this.subscribers.tellTargets('control', items);
   }
 
   /** Acts on the newest state once all that is ready was applied. */
@@ -382,17 +366,12 @@
   }
 
   private status(): GroupStatus {
-    const entries = new Set(
-      [...this.subscribers.values()]
-        .filter(hello => hello.role === 'entry')
-        .map(hello => hello.instance),
-    );
     return {
       term: this.group?.term ?? 0,
       leader: this.group?.leader,
       members: this.group?.members ?? [],
       index: this.group?.state.index ?? 0,
-      entryCount: entries.size,
+      entryCount: this.subscribers.entryCount,
     };
   }
 
@@ -413,7 +392,7 @@
     }
     this.lastStatus = text;
     this.statusSentAtMs = nowMs;
-    for (const peer of this.subscribers.keys()) peer.notify('status', status);
+    this.subscribers.tellStatus(status);
   }
 
   private tick(): void {
@@ -430,18 +409,8 @@
     for (const peer of this.links.up()) peer.notify('join', request);
   }
 
-  /** Whether it hears most of the group. */
   private isInTouch(): boolean {
-    const own = this.group?.members ?? [];
-    const members = own.length > 0 ? own : this.toldMembers;
-    const self = formatAddress(this.options.address);
-    const heard = (peer: Peer | undefined) =>
-      peer !== undefined && peer.silentMs <= OUT_OF_TOUCH_MS;
-    const inTouch = members.filter(
-      member =>
-        formatAddress(member) === self || heard(this.links.peerAt(member)),
-    );
-    return inTouch.length > members.length / 2;
+    return this.touch.check(this.group?.members ?? []);
   }
 
   private leaderPeer(): Peer | undefined {
--- /dev/null
+++ b/packages/cluster/src/control/subscribers.ts
@@ -0,0 +1,44 @@
+/** The daemons that listen to a control daemon's news. */
+import type {InstanceId} from '@samphirefield/core';
+import type {Peer} from '../link/index.js';
+import type {GroupStatus, Hello, TargetNews} from './messages.js';
+
+export class Subscribers {
+  private readonly hellos = new Map<Peer, Hello>();
+
+  get count(): number {
+    return this.hellos.size;
+  }
+
+  get entryCount(): number {
+    const entries = [...this.hellos.values()].filter(
+      hello => hello.role === 'entry',
+    );
+    return new Set(entries.map(hello => hello.instance)).size;
+  }
+
+  add(peer: Peer, hello: Hello): void {
+    this.hellos.set(peer, hello);
+  }
+
+  /** Returns who the peer was. */
+  remove(peer: Peer): Hello | undefined {
+    const hello = this.hellos.get(peer);
+    this.hellos.delete(peer);
+    return hello;
+  }
+
+  has(instance: InstanceId): boolean {
+    return [...this.hellos.values()].some(hello => hello.instance === instance);
+  }
+
+  tellStatus(status: GroupStatus): void {
+    for (const peer of this.hellos.keys()) peer.notify('status', status);
+  }
+
+  tellTargets(role: Hello['role'], items: readonly TargetNews[]): void {
+    for (const [peer, hello] of this.hellos) {
+      if (hello.role === role) peer.notify('targets', {items});
+    }
+  }
+}
