--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -35,10 +35,10 @@
   TargetNews,
   TargetsMessage,
 } from './messages.js';
+import {QuorumContact} from './contact.js';
 import {Placements} from './placements.js';
 import {Registry} from './registry.js';
 import {Subscribers} from './subscribers.js';
-import {Touch} from './touch.js';
 
 const TICK_MS = 50;
 const STATUS_EVERY_MS = 1_000;
@@ -77,7 +77,7 @@
   private readonly links: LinkSet;
   private readonly placements: Placements;
   private readonly subscribers = new Subscribers();
-  private readonly touch: Touch;
+  private readonly contact: QuorumContact;
   private readonly incarnations = new Map<InstanceId, string>();
   private renewals = new Map<TargetId, TargetNews>();
   private listener: LinkListener | undefined;
@@ -114,7 +114,11 @@
         logger.warn('control_link_down', {peer: formatAddress(address)});
       },
     });
-    this.touch = new Touch({self: options.address, links: this.links, logger});
+    this.contact = new QuorumContact({
+      self: options.address,
+      links: this.links,
+      logger,
+    });
   }
 
   async start(): Promise<Result<void, string>> {
@@ -145,13 +149,13 @@
    */
   announce(announcement: TargetAnnouncement): boolean {
     this.registry.announce(announcement);
-    return this.isInTouch();
+    return this.hasContact();
   }
 
   /** Takes a target's farewell; returns as {@link announce} does. */
   leave(id: TargetId): boolean {
     this.registry.leave(id);
-    return this.isInTouch();
+    return this.hasContact();
   }
 
   /** Resolves once the change is durable on a quorum, or cannot be said to be. */
@@ -190,7 +194,7 @@
       leader: this.isLeader ? 1 : 0,
       term: this.group?.term ?? 0,
       state_index: this.group?.state.index ?? 0,
-      in_touch: this.touch.isInTouch ? 1 : 0,
+      has_quorum_contact: this.contact.hasContact ? 1 : 0,
       is_voter: this.group?.isVoter ? 1 : 0,
       voters: this.group?.voterCount ?? 0,
       members: this.group?.members.length ?? 0,
@@ -291,7 +295,7 @@
 
   private onStatus({members}: GroupStatus): void {
     this.linkTo(members);
-    this.touch.noteTold(members);
+    this.contact.noteTold(members);
   }
 
   private greet(peer: Peer): void {
@@ -409,8 +413,8 @@
     for (const peer of this.links.up()) peer.notify('join', request);
   }
 
-  private isInTouch(): boolean {
-    return this.touch.check(this.group?.members ?? []);
+  private hasContact(): boolean {
+    return this.contact.check(this.group?.members ?? []);
   }
 
   private leaderPeer(): Peer | undefined {
