One function decides where a stopped run goes on; one type for a holder of memory

Cause: moveRun and recoverRun read the answer to the last copy with the same ten lines each, and the pair of target and address stood as a type of its own in place.ts, move.ts, recover.ts and types.ts. Ruled out: the other pairs that share a shape are lists of imports and constants. Change: resumeAfterStop and MemoryHolder in moves, used by all; behaviour as before, tests untouched.

--- a/packages/gateway/src/exchange/place.ts
+++ b/packages/gateway/src/exchange/place.ts
@@ -8,8 +8,8 @@
   type WorkspaceId,
 } from '@samphirefield/core';
 import type {Demand} from '../dispatch/index.js';
+import type {MemoryHolder} from '../moves/index.js';
 import type {Route} from '../routes/index.js';
-import type {UpstreamAddress} from '../upstream/index.js';
 import type {GatewayParts, Placer, RequestFacts} from './types.js';
 
 const START_MARK_LENGTH = 6;
@@ -46,12 +46,6 @@
   readonly body: Buffer;
 }
 
-/** A target that has, or may get, a run's memory. */
-export interface MemoryHolder {
-  readonly target: TargetId;
-  readonly address: UpstreamAddress;
-}
-
 export interface Place extends MemoryHolder {
   readonly run: RequestId;
 }
--- a/packages/gateway/src/moves/move.ts
+++ b/packages/gateway/src/moves/move.ts
@@ -5,8 +5,12 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import type {TargetId} from '@samphirefield/core';
-import type {UpstreamAddress} from '../upstream/index.js';
-import type {CopyAnswer, MemoryMover, ResumePoint} from './types.js';
+import type {
+  CopyAnswer,
+  MemoryHolder,
+  MemoryMover,
+  ResumePoint,
+} from './types.js';
 
 const COPY_TIMEOUT_MS = 2_500;
 const START_POLL_MS = 40;
@@ -15,19 +19,14 @@
 const MAX_ASKS = 14;
 const MAX_DESTINATIONS = 3;
 
-export interface Destination {
-  readonly target: TargetId;
-  readonly address: UpstreamAddress;
+export interface Destination extends MemoryHolder {
   /** Gives the place back. */
   release(isUsed: boolean): void;
 }
 
 export interface MoveOptions {
   readonly attempt: string;
-  readonly source: {
-    readonly target: TargetId;
-    readonly address: UpstreamAddress;
-  };
+  readonly source: MemoryHolder;
   readonly mover: MemoryMover;
   /** A place on another target, if there is one. */
   readonly findDestination: (
@@ -96,30 +95,39 @@
   return answer;
 }
 
-/** Stops the run and copies the rest of its memory. */
-async function finishCopy(
-  options: MoveOptions,
+/**
+ * Where a run goes on that was stopped for its last copy: at the destination, or
+ * at its source when the copy failed. Undefined when its memory is lost.
+ */
+export function resumeAfterStop(
+  answer: CopyAnswer,
+  source: MemoryHolder,
   destination: Destination,
-): Promise<MoveResult | undefined> {
-  const {source} = options;
-  const answer = await copy(options, destination, true);
+): MoveResult | undefined {
+  const from = source.address;
   if (answer.kind === 'copied') {
     const {target, address} = destination;
-    const resume = {
-      target,
-      address,
-      from: source.address,
-      handle: answer.handle,
-    };
+    const resume = {target, address, from, handle: answer.handle};
     return {resume, destination};
   }
   destination.release(false);
-  if (answer.kind !== 'refused' || answer.handle === undefined)
+  if (answer.kind !== 'refused' || answer.handle === undefined) {
     return undefined;
-  const resume = {...source, from: source.address, handle: answer.handle};
+  }
+  const {target, address} = source;
+  const resume = {target, address, from, handle: answer.handle};
   return {resume, destination: undefined};
 }
 
+/** Stops the run and copies the rest of its memory. */
+async function finishCopy(
+  options: MoveOptions,
+  destination: Destination,
+): Promise<MoveResult | undefined> {
+  const answer = await copy(options, destination, true);
+  return resumeAfterStop(answer, options.source, destination);
+}
+
 async function waitForStart(options: MoveOptions): Promise<void> {
   let polls = 0;
   while (!options.hasStarted() && !options.isOver()) {
--- a/packages/gateway/src/moves/recover.ts
+++ b/packages/gateway/src/moves/recover.ts
@@ -3,19 +3,14 @@
  * lives: the target is asked to stop the run and to hand its memory over, so
  * that no two targets work on it.
  */
-import type {TargetId} from '@samphirefield/core';
-import type {UpstreamAddress} from '../upstream/index.js';
-import type {Destination, MoveResult} from './move.js';
-import type {MemoryMover} from './types.js';
+import {resumeAfterStop, type Destination, type MoveResult} from './move.js';
+import type {MemoryHolder, MemoryMover} from './types.js';
 
 const STOP_TIMEOUT_MS = 700;
 
 export interface RecoverOptions {
   readonly attempt: string;
-  readonly source: {
-    readonly target: TargetId;
-    readonly address: UpstreamAddress;
-  };
+  readonly source: MemoryHolder;
   readonly mover: MemoryMover;
   readonly findDestination: () => Promise<Destination | undefined>;
   readonly isOver: () => boolean;
@@ -39,16 +34,5 @@
     true,
     STOP_TIMEOUT_MS,
   );
-  const from = source.address;
-  if (answer.kind === 'copied') {
-    const {target, address} = destination;
-    const resume = {target, address, from, handle: answer.handle};
-    return {resume, destination};
-  }
-  destination.release(false);
-  if (answer.kind !== 'refused' || answer.handle === undefined) {
-    return undefined;
-  }
-  const resume = {...source, from, handle: answer.handle};
-  return {resume, destination: undefined};
+  return resumeAfterStop(answer, source, destination);
 }
--- a/packages/gateway/src/moves/types.ts
+++ b/packages/gateway/src/moves/types.ts
@@ -13,6 +13,12 @@
   | {readonly kind: 'refused'; readonly handle: string | undefined}
   | {readonly kind: 'unreachable'; readonly reason: string};
 
+/** A target that has, or may get, a run's memory. */
+export interface MemoryHolder {
+  readonly target: TargetId;
+  readonly address: UpstreamAddress;
+}
+
 /** The calls on targets that move memory between them. */
 export interface MemoryMover {
   /** With `isLast` the run stops first and its stream closes without its end. */
@@ -28,9 +34,7 @@
 }
 
 /** Where a generation goes on, and from which memory. */
-export interface ResumePoint {
-  readonly target: TargetId;
-  readonly address: UpstreamAddress;
+export interface ResumePoint extends MemoryHolder {
   /** The holder of the handle: the source of the copy. */
   readonly from: UpstreamAddress;
   readonly handle: string;
