--- a/packages/gateway/src/exchange/body.ts
+++ b/packages/gateway/src/exchange/body.ts
@@ -16,8 +16,12 @@
     let bytes = 0;
     req.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes > maxBytes) resolve(err('too_large'));
-      else chunks.push(chunk);
+      if (bytes <= maxBytes) chunks.push(chunk);
+      else {
+        chunks.length = 0;
+        req.pause();
+        resolve(err('too_large'));
+      }
     });
     req.on('end', () => resolve(ok(Buffer.concat(chunks))));
     req.on('error', () => resolve(err('caller_left')));
--- a/packages/gateway/src/exchange/event-relay.ts
+++ b/packages/gateway/src/exchange/event-relay.ts
@@ -7,8 +7,13 @@
 const EVENT_END = Buffer.from('\n\n');
 const ID_FIELD = /(?:^|\n)id: ?(\d+)(?=\r?\n|$)/;
 
-/** `gap`: an event is missing, or a source sent an event twice. */
-export type RelayFault = 'gap' | undefined;
+/**
+ * `gap`: an event is missing, or a source sent an event twice. `endless event`:
+ * the bytes since the last event are too many for an event.
+ */
+export type RelayFault = 'gap' | 'endless event' | undefined;
+
+const MAX_EVENT_BYTES = 65_536;
 
 export interface EventRelayOptions {
   readonly write: (data: Buffer) => void;
@@ -17,6 +22,8 @@
 export class EventRelay {
   /** Id of the last event that was forwarded; undefined before the first. */
   lastEventId: number | undefined;
+  /** Number of events received, also those that were not forwarded. */
+  eventCount = 0;
   private partial: Buffer | undefined;
   private isDroppingRepeats = false;
 
@@ -32,17 +39,20 @@
   }
 
   /**
-   * Forwards the complete events of the data. Returns `gap` when an event is
-   * missing before one of them.
+   * Forwards the complete events of the data, up to the first fault.
    */
   push(data: Buffer): RelayFault {
     const pending = this.partial ? Buffer.concat([this.partial, data]) : data;
+    const searchedBytes = this.partial?.length ?? 0;
     let start = 0;
     let forwardFrom = 0;
     for (;;) {
-      const end = pending.indexOf(EVENT_END, start);
+      // The end of an event may lie across the parts, but not before.
+      const searchFrom = Math.max(start, searchedBytes - EVENT_END.length + 1);
+      const end = pending.indexOf(EVENT_END, searchFrom);
       if (end < 0) break;
       const next = end + EVENT_END.length;
+      this.eventCount += 1;
       const kind = this.classify(pending.subarray(start, end));
       if (kind === 'gap') {
         this.forward(pending.subarray(forwardFrom, start));
@@ -56,7 +66,8 @@
     }
     this.forward(pending.subarray(forwardFrom, start));
     this.partial = start < pending.length ? pending.subarray(start) : undefined;
-    return undefined;
+    const partialBytes = pending.length - start;
+    return partialBytes > MAX_EVENT_BYTES ? 'endless event' : undefined;
   }
 
   /** Returns the bytes after the last complete event of a stream that ended. */
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -131,7 +131,8 @@
     if (needsKey && workspace === undefined) {
       return this.refuse({kind: 'unknown_key'});
     }
-    const body = await readBody(this.req, view.table.limits.maxBodyBytes);
+    const body = await this.readBodyInTime(view.table.limits.maxBodyBytes);
+    if (this.isOver) return undefined;
     if (body.isErr()) {
       if (body.error === 'too_large') this.refuse({kind: 'body_too_large'});
       return undefined;
@@ -151,6 +152,16 @@
     };
   }
 
+  private async readBodyInTime(maxBytes: number) {
+    const timer = setTimeout(
+      () => this.refuse({kind: 'request_timeout'}),
+      this.remainingMs(),
+    );
+    const body = await readBody(this.req, maxBytes);
+    clearTimeout(timer);
+    return body;
+  }
+
   private canFinishBeforeStop(route: Route): boolean {
     const stopsAtMs = this.deps.stopsAtMs();
     if (stopsAtMs === undefined) return true;
--- a/packages/gateway/src/exchange/local-response.ts
+++ b/packages/gateway/src/exchange/local-response.ts
@@ -9,6 +9,7 @@
   no_route: 404,
   unknown_key: 401,
   body_too_large: 413,
+  request_timeout: 408,
   not_run: 503,
   outcome_unknown: 502,
   timed_out: 504,
--- a/packages/gateway/src/exchange/response-sink.ts
+++ b/packages/gateway/src/exchange/response-sink.ts
@@ -10,10 +10,14 @@
 
 /** A longer response is forwarded before it is complete. */
 const BUFFER_MAX_BYTES = 1_048_576;
+/** A longer response without a stated length is taken for endless. */
+const MAX_UNSTATED_BODY_BYTES = 8_388_608;
+
+export type SinkFault = RelayFault | 'endless body';
 
 export class ResponseSink {
   private buffered: Buffer[] = [];
-  private bufferedBytes = 0;
+  private bodyBytes = 0;
   private isHeadSent = false;
   /**
    * When the head was sent to the caller, on the clock of `performance.now`.
@@ -43,9 +47,14 @@
     return this.isHeadSent;
   }
 
-  /** Adds a part of the body; returns a fault if the stream misses an event. */
-  push(data: Buffer): RelayFault {
+  /** Adds a part of the body; returns the reason if it cannot be valid. */
+  push(data: Buffer): SinkFault {
     if (this.events) return this.events.push(data);
+    this.bodyBytes += data.length;
+    const hasLength = this.head.headers.has('content-length');
+    if (!hasLength && this.bodyBytes > MAX_UNSTATED_BODY_BYTES) {
+      return 'endless body';
+    }
     this.buffer(data);
     return undefined;
   }
@@ -65,8 +74,7 @@
       return;
     }
     this.buffered.push(data);
-    this.bufferedBytes += data.length;
-    if (this.bufferedBytes <= BUFFER_MAX_BYTES) return;
+    if (this.bodyBytes <= BUFFER_MAX_BYTES) return;
     this.flush(Buffer.concat(this.buffered));
     this.buffered = [];
   }
--- a/packages/gateway/src/exchange/run-supervisor.ts
+++ b/packages/gateway/src/exchange/run-supervisor.ts
@@ -132,7 +132,7 @@
     const {eventGapMs} = this.options.admitted.route;
     const silenceMs = Math.max(SILENCE_MIN_MS, eventGapMs * SILENCE_EVENT_GAPS);
     const timer = setInterval(() => {
-      const silentMs = performance.now() - attempt.lastReceivedAtMs();
+      const silentMs = performance.now() - attempt.lastProgressAtMs();
       if (attempt.hasStarted() && silentMs > silenceMs) startMove();
     }, SILENCE_CHECK_MS);
     return {
@@ -231,7 +231,7 @@
       sink && (await deps.pool.acquire(resume.address, CONNECT_TIMEOUT_MS));
     if (sink === undefined || connection === undefined || isOver()) {
       connection?.destroy();
-      moved.destination?.release(false);
+      this.discardMove(moved);
       return undefined;
     }
     const {target, address} = resume;
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -44,10 +44,11 @@
   /** Ends the attempt as if its connection had broken. */
   breakOff(reason: string): void;
   /**
-   * When body data was last received (at first, when the attempt started), on
-   * the clock of `performance.now`.
+   * When the body last made progress: an event, or data of a response that is
+   * no stream (at first, when the attempt started). On the clock of
+   * `performance.now`.
    */
-  lastReceivedAtMs(): number;
+  lastProgressAtMs(): number;
   /** The response; undefined until its head was received. */
   sink(): ResponseSink | undefined;
 }
@@ -80,7 +81,7 @@
   if (sink) sink.onBackpressure = () => connection.pause();
   let metadata: ResponseMetadata | undefined;
   let head: ResponseHead | undefined;
-  let lastReceivedAtMs = performance.now();
+  let lastProgressAtMs = performance.now();
   let settle: (result: AttemptResult) => void = () => undefined;
   const result = new Promise<AttemptResult>(resolve => (settle = resolve));
   const onDrain = () => connection.resume();
@@ -116,12 +117,15 @@
       );
     },
     onData: data => {
-      lastReceivedAtMs = performance.now();
+      const eventsBefore = sink?.events?.eventCount;
       // The body of a failure response is not part of the continued stream.
       if (options.continuedSink && !isSuccess(head!.status)) return;
       const fault = sink?.push(data);
-      if (fault)
-        breakOff({kind: 'malformed', reason: `a ${fault} in the event stream`});
+      // Bytes of a stream that complete no event are no progress.
+      const isProgress =
+        sink?.events === undefined || sink.events.eventCount !== eventsBefore;
+      if (isProgress) lastProgressAtMs = performance.now();
+      if (fault) breakOff({kind: 'malformed', reason: `${fault} in the body`});
     },
     onEnd: () => {
       // The run started on an earlier target, so it counts as run even if this
@@ -151,7 +155,7 @@
   return {
     result,
     breakOff: reason => breakOff({kind: 'broken', reason}),
-    lastReceivedAtMs: () => lastReceivedAtMs,
+    lastProgressAtMs: () => lastProgressAtMs,
     hasStarted: () => sink?.hasStarted ?? false,
     sink: () => sink,
     cancel: () => {
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -133,6 +133,8 @@
   | {readonly kind: 'no_route'}
   | {readonly kind: 'unknown_key'}
   | {readonly kind: 'body_too_large'}
+  /** The caller did not send its whole request in time; it has not run. */
+  | {readonly kind: 'request_timeout'}
   /** The request did not run and will not run later. */
   | {readonly kind: 'not_run'; readonly reason: string}
   /** The request ran or may have run, and its response is lost. */
--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -17,6 +17,14 @@
 const DEFAULT_IDLE_MS = 4_000;
 const MS_PER_S = 1_000;
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
+/**
+ * Bytes that are no body of the expected response: heads, interim responses,
+ * chunk framing, responses to other requests. A target in trouble may send them
+ * without end.
+ */
+const MAX_OVERHEAD_BYTES = 131_072;
+/** Time in which a head that has begun must be complete. */
+const MAX_HEAD_MS = 2_000;
 
 export interface ConnectionEvents {
   onIdle(connection: UpstreamConnection): void;
@@ -34,6 +42,9 @@
   private isMatchingResponse = false;
   private isKeptAlive = true;
   private hasData = false;
+  /** Bytes received since the last byte of the expected body. */
+  private overheadBytes = 0;
+  private headTimer: NodeJS.Timeout | undefined;
   private readonly parser: ResponseParser;
 
   private constructor(
@@ -42,9 +53,7 @@
   ) {
     this.parser = createResponseParser({
       onHead: (head, isKeptAlive) => this.onHead(head, isKeptAlive),
-      onData: data => {
-        if (this.isMatchingResponse) this.handlers?.onData(data);
-      },
+      onData: data => this.onBody(data),
       onEnd: () => this.onResponseEnd(),
     });
     socket.setNoDelay(true);
@@ -86,6 +95,7 @@
     this.handlers = handlers;
     this.head = undefined;
     this.hasData = false;
+    this.overheadBytes = 0;
     this.socket.write(data);
   }
 
@@ -103,6 +113,12 @@
     this.close();
   }
 
+  private onBody(data: Buffer): void {
+    if (!this.isMatchingResponse) return;
+    this.overheadBytes = 0;
+    this.handlers?.onData(data);
+  }
+
   private onHead(head: ResponseHead, isKeptAlive: boolean): void {
     this.head = head;
     this.isKeptAlive = isKeptAlive;
@@ -140,8 +156,27 @@
       return;
     }
     this.hasData = true;
+    this.overheadBytes += data.length;
     const reason = this.parser.execute(data);
     if (reason !== undefined) this.fail({kind: 'malformed', reason});
+    else this.limitOverhead();
+  }
+
+  /** Fails on endless bytes that are no body, and on a head without an end. */
+  private limitOverhead(): void {
+    if (this.handlers === undefined) return;
+    if (this.overheadBytes > MAX_OVERHEAD_BYTES) {
+      this.fail({kind: 'malformed', reason: 'endless bytes without a body'});
+      return;
+    }
+    if (!this.parser.isInHead()) {
+      clearTimeout(this.headTimer);
+      this.headTimer = undefined;
+      return;
+    }
+    this.headTimer ??= setTimeout(() => {
+      this.fail({kind: 'malformed', reason: 'the head did not end in time'});
+    }, MAX_HEAD_MS);
   }
 
   private onSocketEnd(): void {
@@ -168,6 +203,7 @@
   private close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    clearTimeout(this.headTimer);
     this.socket.destroy();
     this.events.onClosed(this);
   }
--- a/packages/gateway/src/upstream/parser.ts
+++ b/packages/gateway/src/upstream/parser.ts
@@ -12,6 +12,8 @@
   finish(): void;
   /** Whether bytes follow the response that has just ended. */
   hasTrailingBytes(): boolean;
+  /** Whether a part of a head was received and the remainder is missing. */
+  isInHead(): boolean;
 }
 
 export interface ParserEvents {
@@ -21,7 +23,8 @@
 }
 
 /** Members of the parser that the library's types lack. */
-interface ChunkStates {
+interface ParserState {
+  state: string;
   BODY_CHUNKHEAD(): void;
   line: string;
   chunk: Buffer;
@@ -29,6 +32,8 @@
   end: number;
 }
 
+const BEFORE_HEAD = 'RESPONSE_LINE';
+const IN_HEADERS = 'HEADER';
 const CHUNK_HEAD = /^[0-9a-f]{1,8}[ \t]*(;|\r?$)/i;
 const FIRST_FINAL_STATUS = 200;
 const BODILESS = new Set([204, 304]);
@@ -66,9 +71,9 @@
 }
 
 function checkChunkHeads(parser: InstanceType<typeof HTTPParser>): void {
-  const states = parser as unknown as ChunkStates;
+  const states = parser as unknown as ParserState;
   const readChunkHead = states.BODY_CHUNKHEAD;
-  states.BODY_CHUNKHEAD = function (this: ChunkStates) {
+  states.BODY_CHUNKHEAD = function (this: ParserState) {
     const newline = this.chunk.indexOf(0x0a, this.offset);
     if (newline >= 0 && newline < this.end) {
       const line =
@@ -110,8 +115,12 @@
       if (!fault) parser.finish();
     },
     hasTrailingBytes: () => {
-      const {offset, end} = parser as unknown as ChunkStates;
+      const {offset, end} = parser as unknown as ParserState;
       return offset < end;
     },
+    isInHead: () => {
+      const {state, line} = parser as unknown as ParserState;
+      return state === IN_HEADERS || (state === BEFORE_HEAD && line !== '');
+    },
   };
 }
