Link entries to a few control daemons; reconcile runs after broken links

Ruled out: slower detection for fewer messages: the link to the leader keeps its timing; of three informants the two others go on. Change: selectControls (pure) chooses three informants by hashing and the leader; keepalives go one way and are returned; one timer for all links; status only when it changed, written once for all; an entry reports all its engine runs on each new link to the leader, which replaces what it recorded; the configuration document is not pulled again for a change of zones; daemons outside the group forward to the leader that the members report; targets are silent when most informants with a leader say so.

--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -15,6 +15,7 @@
 import type {EntryNode} from './entry/index.js';
 import {
   createAnnouncement,
+  resetLinks,
   SERVICE,
   TestCluster,
   until,
@@ -375,3 +376,85 @@
     () => !node.announce(createAnnouncement()),
   );
 });
+
+/** Starts three control daemons, entries, and one engine with four slots. */
+async function setUpEngine(t: TestContext, names: readonly string[]) {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  const entries = names.map(name => cluster.startEntry(name));
+  await cluster.putConfig(0, 1);
+  for (const node of cluster.controls.values())
+    node.announce(createAnnouncement());
+  await until('the entries have configuration, target and leader', () =>
+    entries.every(
+      entry =>
+        entry.activeConfig() !== undefined &&
+        entry.findTarget(targetId('i-1')) !== undefined &&
+        entry.metrics()['has_leader'] === 1,
+    ),
+  );
+  return {cluster, entries};
+}
+
+test('an entry links to a few of many control daemons, and to the leader', async t => {
+  const cluster = await setUp(t, 7, 7);
+  for (const i of [0, 1, 2, 3, 4, 5, 6]) await cluster.start(i, true);
+  await until('seven voters', () =>
+    [...cluster.controls.values()].every(
+      node => node.metrics()['voters'] === 7,
+    ),
+  );
+  const entry = cluster.startEntry();
+  await until('the entry has the leader and its informants', () => {
+    const {has_leader: leaders, controls_up: links} = entry.metrics();
+    return leaders === 1 && (links === 3 || links === 4);
+  });
+  await cluster.stop(cluster.leaderIndex()!);
+  await until('the entry has the next leader', () => {
+    const {has_leader: leaders, controls_up: links} = entry.metrics();
+    return (
+      leaders === 1 &&
+      (links === 3 || links === 4) &&
+      cluster.leaderIndex() !== undefined
+    );
+  });
+  const i = cluster.leaderIndex()!;
+  await cluster.putConfig(i, 9);
+  await until('the entry has version 9', () => {
+    return entry.activeConfig()?.view.table.version === 9;
+  });
+});
+
+test('a leader learns of runs that ended while its connection was broken', async t => {
+  const {cluster, entries} = await setUpEngine(t, ['e1', 'e2']);
+  const [first, second] = entries;
+  for (const name of ['r1', 'r2']) {
+    expect((await first!.reserve(demand(name))).kind).toEqual('granted');
+  }
+  const leader = cluster.controls.get(cluster.leaderIndex()!)!;
+  resetLinks(first!);
+  for (const name of ['r1', 'r2'])
+    first!.release(requestId(name), SERVICE, 'served');
+  await until('the leader holds no run', () => {
+    return leader.metrics()['places_held'] === 0;
+  });
+  expect((await second!.reserve(demand('r3'))).kind).toEqual('granted');
+});
+
+test('runs granted without a leader are known to the next leader', async t => {
+  const {cluster, entries} = await setUpEngine(t, ['e1']);
+  const [entry] = entries;
+  const [stopped] = [0, 1, 2].filter(i => i !== cluster.leaderIndex());
+  await cluster.stop(stopped!);
+  await cluster.stop(cluster.leaderIndex()!);
+  await until('the entry has no leader', () => {
+    return entry!.metrics()['has_leader'] === 0;
+  });
+  expect((await entry!.reserve(demand('r1'))).kind).toEqual('granted');
+  await cluster.start(stopped!, false);
+  await until('the next leader holds the run', () =>
+    [...cluster.controls.values()].some(
+      node => node.isLeader && node.metrics()['places_held'] === 1,
+    ),
+  );
+});
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -35,7 +35,9 @@
   Hello,
   JoinRequest,
   MovePermitMessage,
+  PullRequest,
   RaftLinkMessage,
+  StateUpdate,
   TargetUpdate,
   TargetsMessage,
 } from './messages.js';
@@ -45,7 +47,7 @@
 import {Subscribers} from './subscribers.js';
 
 const TICK_MS = 50;
-const STATUS_EVERY_MS = 1_000;
+const ENTRY_COUNT_EVERY_MS = 1_000;
 const JOIN_EVERY_MS = 500;
 const SEND_RENEWALS_EVERY_MS = 300;
 const REGISTRY_TICK_MS = 250;
@@ -53,7 +55,7 @@
 const FORWARD_TIMEOUT_MS = 3_000;
 const READ_TIMEOUT_MS = 800;
 /** An entry whose link broke keeps its reservations this long. */
-const ENTRY_RECONNECT_GRACE_MS = 2_500;
+const ENTRY_RECONNECT_GRACE_MS = 1_500;
 
 export interface ControlNodeOptions {
   readonly instance: InstanceId;
@@ -89,8 +91,11 @@
   private isUpdateScheduled = false;
   private decodedVersion = 0;
   private capacities: ServiceCapacity[] = [];
-  private lastStatusText = '';
+  private sentStatusText = '';
+  private sentEntryCount = 0;
   private statusSentAtMs = 0;
+  /** The newest status with a leader that another control daemon reported. */
+  private reported: GroupStatus | undefined;
   private isStopping = false;
 
   constructor(private readonly options: ControlNodeOptions) {
@@ -289,17 +294,23 @@
       submit: (command: ClusterCommand) =>
         this.group?.submit(command) ?? {kind: 'not_leader'},
       read_newest: () => this.group?.readNewest(READ_TIMEOUT_MS),
-      pull_state: () => this.group?.state,
+      pull_state: (request: PullRequest) => this.stateFor(request),
       place: (demand: Demand) => this.reserve(demand),
       finish: (message: FinishMessage) => this.reservations.release(message),
       take_turn: (message: MovePermitMessage) =>
         this.reservations.acquireMovePermit(message),
       end_turn: (message: MovePermitMessage) =>
         this.reservations.releaseMovePermit(message),
-      held_runs: (held: HeldRuns) => this.reservations.recordRuns(held),
+      held_runs: (held: HeldRuns) => this.reservations.replaceRuns(held),
     };
   }
 
+  private stateFor({knownVersion}: PullRequest): StateUpdate | undefined {
+    const state = this.group?.state;
+    if (state === undefined || state.version !== knownVersion) return state;
+    return {...state, document: undefined};
+  }
+
   private linkTo(addresses: readonly Address[]): void {
     const self = formatAddress(this.options.address);
     for (const address of addresses) {
@@ -307,22 +318,32 @@
     }
   }
 
-  private onStatus({members}: GroupStatus): void {
+  private onStatus(status: GroupStatus): void {
+    const {members, term, leader} = status;
     this.linkTo(members);
     this.contact.noteReportedMembers(members);
+    if (leader && term >= (this.reported?.term ?? 0)) this.reported = status;
   }
 
   private sendHello(peer: Peer): void {
     const {instance, zone} = this.options;
     const {incarnation} = this;
-    const hello: Hello = {instance, incarnation, role: 'control', zone};
+    const hello: Hello = {
+      instance,
+      incarnation,
+      role: 'control',
+      zone,
+      receivesTargets: true,
+    };
     peer.notify('hello', hello);
   }
 
   private onHello(hello: Hello, peer: Peer): void {
     this.releaseEarlierIncarnation(hello);
     this.subscribers.add(peer, hello);
-    peer.notify('targets', {items: this.registry.updates()});
+    if (hello.receivesTargets) {
+      peer.notify('targets', {items: this.registry.updates()});
+    }
     peer.notify('status', this.status());
     this.options.logger.info('subscriber', {
       peer: hello.instance,
@@ -388,7 +409,7 @@
       this.capacities = capacitiesOf(table.value);
     }
     this.reservations.configure(this.capacities, new Set(state.zonesOut));
-    this.sendStatus(true);
+    this.sendStatus();
   }
 
   private status(): GroupStatus {
@@ -397,26 +418,31 @@
       leader: this.group?.leader,
       members: this.group?.members ?? [],
       index: this.group?.state.index ?? 0,
-      entryCount: this.subscribers.entryCount,
+      entryCount: this.isLeader
+        ? this.subscribers.entryCount
+        : (this.reported?.entryCount ?? this.subscribers.entryCount),
     };
   }
 
-  private sendStatus(isForced: boolean): void {
+  /** Sends the status if it changed; a change of the entry count may wait. */
+  private sendStatus(): void {
     const status = this.status();
-    const text = JSON.stringify(status);
+    const {entryCount, ...urgent} = status;
+    const urgentText = JSON.stringify(urgent);
     const nowMs = this.options.nowMs();
-    const isDue = nowMs - this.statusSentAtMs >= STATUS_EVERY_MS;
-    if (!isForced && !isDue && text === this.lastStatusText) return;
-    if (text !== this.lastStatusText) {
-      this.options.logger.info('group_status', {
-        term: status.term,
-        leader: status.leader && formatAddress(status.leader),
-        members: status.members.map(formatAddress).join(','),
-        index: status.index,
-        entries: status.entryCount,
-      });
-    }
-    this.lastStatusText = text;
+    const isCountDue =
+      entryCount !== this.sentEntryCount &&
+      nowMs - this.statusSentAtMs >= ENTRY_COUNT_EVERY_MS;
+    if (urgentText === this.sentStatusText && !isCountDue) return;
+    this.options.logger.info('group_status', {
+      term: status.term,
+      leader: status.leader && formatAddress(status.leader),
+      members: status.members.map(formatAddress).join(','),
+      index: status.index,
+      entries: entryCount,
+    });
+    this.sentStatusText = urgentText;
+    this.sentEntryCount = entryCount;
     this.statusSentAtMs = nowMs;
     this.subscribers.sendStatus(status);
   }
@@ -425,8 +451,9 @@
     if (this.group === undefined) return;
     this.group.tick();
     if (this.isLeader) this.reservations.startTerm(this.group.term);
+    else this.reservations.endTerm();
     this.linkTo(this.group.members);
-    this.sendStatus(false);
+    this.sendStatus();
   }
 
   private sendJoinRequests(): void {
@@ -441,7 +468,9 @@
   }
 
   private leaderPeer(): Peer | undefined {
-    const leader = this.group?.leader;
+    // A daemon that is no member of the group knows only what others report.
+    const isMember = this.group !== undefined && this.group.members.length > 0;
+    const leader = isMember ? this.group?.leader : this.reported?.leader;
     return leader && this.links.peerAt(leader);
   }
 
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -8,10 +8,11 @@
 import type {TargetAnnouncement} from '@samphirefield/gateway';
 import type {Envelope, ReplicaId} from '@samphirefield/replication';
 import type {Address} from '../link/index.js';
+import type {ClusterState} from './state-machine.js';
 
 /**
- * Subscribes the sender: the receiver sends its targets and status, then every
- * change.
+ * Subscribes the sender: the receiver sends its status and every change of it,
+ * and the same for targets if the sender wants them.
  */
 export interface Hello {
   readonly instance: InstanceId;
@@ -19,6 +20,7 @@
   readonly incarnation: string;
   readonly role: 'entry' | 'control';
   readonly zone: ZoneId;
+  readonly receivesTargets: boolean;
 }
 
 /** Status of the control group, as known to the sender. */
@@ -30,10 +32,20 @@
    * Index of the last log entry applied by the sender that changed the state.
    */
   readonly index: number;
-  /** Entries that are connected to the sender. */
+  /** Entries that are connected to the leader, as known to the sender. */
   readonly entryCount: number;
 }
 
+export interface PullRequest {
+  /** Version of the configuration that the requester has; 0 if none. */
+  readonly knownVersion: number;
+}
+
+/** The state; without the document if the requester has this version. */
+export interface StateUpdate extends Omit<ClusterState, 'document'> {
+  readonly document: string | undefined;
+}
+
 export interface TargetUpdate {
   readonly announcement: TargetAnnouncement;
   readonly ageMs: number;
@@ -65,7 +77,10 @@
   readonly kvTokens: number;
 }
 
-/** All runs of an entry, for a new leader that has no record of them. */
+/**
+ * All runs of an entry, for a leader that is new or whose connection broke: it
+ * has no record of some of them, and of some it does not know that they ended.
+ */
 export interface HeldRuns {
   readonly entry: InstanceId;
   readonly runs: readonly HeldRun[];
--- a/packages/cluster/src/control/reservations.ts
+++ b/packages/cluster/src/control/reservations.ts
@@ -25,13 +25,15 @@
   readonly nowMs: () => number;
 }
 
+interface WaitingDemand {
+  readonly resolve: (result: DispatchResult) => void;
+  readonly reject: (error: Error) => void;
+}
+
 export class ReservationManager {
   private readonly dispatcher: Dispatcher;
   private readonly permits: MovePermits;
-  private readonly resolvers = new Map<
-    RequestId,
-    (result: DispatchResult) => void
-  >();
+  private readonly waiting = new Map<RequestId, WaitingDemand>();
   private term = 0;
 
   constructor(private readonly options: ReservationManagerOptions) {
@@ -77,9 +79,14 @@
     this.options.logger.info('leadership_taken', {term});
   }
 
+  /** Fails the pending demands: this daemon is no longer the leader. */
+  endTerm(): void {
+    this.rejectPending(undefined, 'not_leader');
+  }
+
   reserve(demand: Demand): Promise<DispatchResult> {
-    return new Promise(resolve => {
-      this.resolvers.set(demand.request, resolve);
+    return new Promise((resolve, reject) => {
+      this.waiting.set(demand.request, {resolve, reject});
       this.dispatcher.acquire(demand, this.options.nowMs());
     });
   }
@@ -87,10 +94,18 @@
   release({request, outcome}: FinishMessage): void {
     const nowMs = this.options.nowMs();
     this.dispatcher.release(request, outcome as RunOutcome, nowMs);
+    this.waiting.get(request)?.reject(new Error('released'));
+    this.waiting.delete(request);
   }
 
-  recordRuns({entry, runs}: HeldRuns): void {
-    for (const run of runs) this.dispatcher.recordRun({...run, entry});
+  /**
+   * Replaces what is recorded of an entry with what it reports. The entry no
+   * longer waits for demands that it sent before.
+   */
+  replaceRuns({entry, runs}: HeldRuns): void {
+    this.rejectPending(entry, 'superseded');
+    const reported = runs.map(run => ({...run, entry}));
+    this.dispatcher.replaceRunsOf(entry, reported, this.options.nowMs());
   }
 
   releaseEntry(entry: InstanceId): void {
@@ -113,10 +128,17 @@
     this.permits.expireOverdue();
   }
 
+  private rejectPending(entry: InstanceId | undefined, reason: string): void {
+    for (const {request} of this.dispatcher.withdrawPending(entry)) {
+      this.waiting.get(request)?.reject(new Error(reason));
+      this.waiting.delete(request);
+    }
+  }
+
   private onResult(demand: Demand, result: DispatchResult): void {
-    const resolve = this.resolvers.get(demand.request);
-    this.resolvers.delete(demand.request);
-    resolve?.(result);
+    const waiting = this.waiting.get(demand.request);
+    this.waiting.delete(demand.request);
+    waiting?.resolve(result);
     this.options.logger.info('placement', {
       run: demand.request,
       outcome: result.kind,
--- a/packages/cluster/src/control/subscribers.ts
+++ b/packages/cluster/src/control/subscribers.ts
@@ -1,6 +1,6 @@
 /** The daemons that are subscribed to a control daemon's updates. */
 import type {InstanceId} from '@samphirefield/core';
-import type {Peer} from '../link/index.js';
+import {serializeNotification, type Peer} from '../link/index.js';
 import type {GroupStatus, Hello, TargetUpdate} from './messages.js';
 
 export class Subscribers {
@@ -33,12 +33,15 @@
   }
 
   sendStatus(status: GroupStatus): void {
-    for (const peer of this.hellos.keys()) peer.notify('status', status);
+    const line = serializeNotification('status', status);
+    for (const peer of this.hellos.keys()) peer.notifyLine(line);
   }
 
   sendTargets(role: Hello['role'], items: readonly TargetUpdate[]): void {
+    const line = serializeNotification('targets', {items});
     for (const [peer, hello] of this.hellos) {
-      if (hello.role === role) peer.notify('targets', {items});
+      const isReceiver = hello.role === role && hello.receivesTargets;
+      if (isReceiver) peer.notifyLine(line);
     }
   }
 }
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -31,26 +31,18 @@
 } from '@samphirefield/gateway';
 import {capacitiesOf} from '../capacities.js';
 import type {
-  ClusterState,
-  GroupStatus,
   HeldRun,
-  Hello,
+  PullRequest,
+  StateUpdate,
   TargetUpdate,
-  TargetsMessage,
 } from '../control/index.js';
-import {
-  formatAddress,
-  LinkSet,
-  type Address,
-  type Peer,
-} from '../link/index.js';
+import type {Address, Peer} from '../link/index.js';
+import {ControlLinks} from './control-links.js';
 
 const PULL_TIMEOUT_MS = 2_000;
 const DISPATCH_EVERY_MS = 100;
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
-/** Number of entries assumed until a control daemon has reported it. */
-const INITIAL_ENTRY_COUNT = 16;
 const MOVE_PERMIT_TIMEOUT_MS = 2_500;
 /** Added to a request's maximum wait, for the round trip to the leader. */
 const RESERVATION_MARGIN_MS = 1_000;
@@ -66,33 +58,21 @@
   readonly onTargetChange: (record: TargetRecord) => void;
 }
 
-interface ControlView {
-  status: GroupStatus | undefined;
-  readonly silentTargets: Set<TargetId>;
-}
-
-interface LeaderGrant extends HeldRun {
-  readonly service: ServiceId;
-}
-
 export class EntryNode implements ReservationClient {
-  private readonly incarnation = randomUUID();
   private current: ActiveConfig | undefined;
   private readonly table: TargetTable = new Map();
-  private readonly controls = new Map<string, ControlView>();
-  private readonly links: LinkSet;
+  private readonly controls: ControlLinks;
   private readonly localDispatcher: Dispatcher;
   private readonly localResolvers = new Map<
     RequestId,
     (result: DispatchResult) => void
   >();
-  private readonly leaderGrants = new Map<RequestId, LeaderGrant>();
+  /** The runs on engines, which a leader has to know. */
+  private readonly engineRuns = new Map<RequestId, HeldRun>();
   private readonly drainListeners = new Map<TargetId, Set<() => void>>();
   private readonly timers: NodeJS.Timeout[] = [];
-  private lastEntryCount = INITIAL_ENTRY_COUNT;
+  private dispatchTimer: NodeJS.Timeout | undefined;
   private isPulling = false;
-  private leader: Address | undefined;
-  private leaderTerm = 0;
 
   constructor(private readonly options: EntryNodeOptions) {
     const {nowMs} = options;
@@ -103,30 +83,25 @@
       share: service => (this.hasEngine(service) ? 1 / this.entryCount : 1),
       random: Math.random,
     });
-    this.links = new LinkSet(
-      {
-        status: (status: GroupStatus, peer: Peer) =>
-          this.onStatus(status, peer),
-        targets: (message: TargetsMessage, peer: Peer) => {
-          for (const item of message.items) this.onTargetUpdate(item, peer);
-        },
+    this.controls = new ControlLinks({
+      ...options,
+      incarnation: randomUUID(),
+      onTarget: update => this.onTargetUpdate(update),
+      onLeader: leader => this.sendHeldRuns(leader),
+      onStatus: (status, peer) => {
+        if (status.index > this.stateIndex) void this.pullState(peer);
       },
-      {
-        onUp: (address, peer) => this.onUp(address, peer),
-        onDown: address => this.onDown(address),
+      onInformantsChanged: () => {
+        for (const record of this.table.values()) this.updateTarget(record);
       },
-    );
+    });
     this.timers.push(
-      setInterval(
-        () => this.localDispatcher.dispatchPending(nowMs()),
-        DISPATCH_EVERY_MS,
-      ),
       setInterval(() => this.removeExpiredTargets(), REMOVE_EXPIRED_EVERY_MS),
     );
   }
 
   start(): void {
-    this.links.setAddresses(this.options.seeds);
+    this.controls.add(this.options.seeds);
   }
 
   activeConfig(): ActiveConfig | undefined {
@@ -135,16 +110,12 @@
 
   /** Number of entries among which shared limits are divided. */
   get entryCount(): number {
-    const counts = [...this.controls.values()].map(
-      view => view.status?.entryCount ?? 0,
-    );
-    this.lastEntryCount = Math.max(...counts, 0) || this.lastEntryCount;
-    return this.lastEntryCount;
+    return this.controls.entryCount;
   }
 
-  /** Opens links to the seeds of reloaded settings. */
+  /** Adds the seeds of reloaded settings. */
   addSeeds(seeds: readonly Address[]): void {
-    for (const seed of seeds) this.links.add(seed);
+    this.controls.add(seeds);
   }
 
   findTarget(id: TargetId): TargetRecord | undefined {
@@ -167,8 +138,8 @@
   }
 
   async acquireMovePermit(source: TargetId, holder: RequestId): Promise<void> {
-    const peer = this.leader && this.links.peerAt(this.leader);
-    if (!peer) return;
+    const peer = this.controls.leaderPeer;
+    if (peer === undefined) return;
     try {
       await peer.request('take_turn', {source, holder}, MOVE_PERMIT_TIMEOUT_MS);
     } catch (error) {
@@ -177,29 +148,32 @@
   }
 
   releaseMovePermit(source: TargetId, holder: RequestId): void {
-    const peer = this.leader && this.links.peerAt(this.leader);
-    peer?.notify('end_turn', {source, holder});
+    this.controls.leaderPeer?.notify('end_turn', {source, holder});
   }
 
   async reserve(demand: Demand): Promise<DispatchResult> {
     const isEngine = this.hasEngine(demand.service);
-    const peer = isEngine && this.leader && this.links.peerAt(this.leader);
-    if (!peer) return this.reserveLocally(demand);
+    const leader = isEngine ? this.controls.leaderPeer : undefined;
+    const result = leader
+      ? await this.reserveAtLeader(leader, demand)
+      : await this.reserveLocally(demand);
+    if (isEngine && result.kind === 'granted') {
+      const {request, kvTokens} = demand;
+      this.engineRuns.set(request, {request, target: result.target, kvTokens});
+    }
+    return result;
+  }
+
+  private async reserveAtLeader(
+    leader: Peer,
+    demand: Demand,
+  ): Promise<DispatchResult> {
     try {
-      const result = await peer.request<DispatchResult>(
+      return await leader.request<DispatchResult>(
         'place',
         demand,
         demand.maxWaitMs + RESERVATION_MARGIN_MS,
       );
-      if (result.kind === 'granted') {
-        this.leaderGrants.set(demand.request, {
-          request: demand.request,
-          service: demand.service,
-          target: result.target,
-          kvTokens: demand.kvTokens,
-        });
-      }
-      return result;
     } catch (error) {
       this.options.logger.warn('leader_gave_no_place', {
         run: demand.request,
@@ -212,26 +186,27 @@
   release(request: RequestId, service: ServiceId, outcome: RunOutcome): void {
     this.localDispatcher.release(request, outcome, this.options.nowMs());
     this.localResolvers.delete(request);
-    this.leaderGrants.delete(request);
-    if (!this.hasEngine(service) || !this.leader) return;
-    this.links.peerAt(this.leader)?.notify('finish', {request, outcome});
+    this.engineRuns.delete(request);
+    if (!this.hasEngine(service)) return;
+    this.controls.leaderPeer?.notify('finish', {request, outcome});
   }
 
   metrics(): Record<string, number> {
     return {
-      has_leader: this.leader === undefined ? 0 : 1,
-      controls_up: this.links.connectedPeers().length,
-      state_index: this.current?.view.index ?? 0,
+      has_leader: this.controls.leaderPeer === undefined ? 0 : 1,
+      controls_up: this.controls.connectedCount,
+      state_index: this.stateIndex,
       targets: this.table.size,
       places_held_locally: this.localDispatcher.runCount,
       places_waiting_locally: this.localDispatcher.pendingCount,
-      places_from_leader: this.leaderGrants.size,
+      places_on_engines: this.engineRuns.size,
     };
   }
 
   stop(): void {
     for (const timer of this.timers) clearInterval(timer);
-    this.links.close();
+    clearTimeout(this.dispatchTimer);
+    this.controls.close();
   }
 
   /**
@@ -240,7 +215,7 @@
    */
   private removeExpiredTargets(): void {
     const canExpire = ({announcement: {id, state}}: TargetRecord) =>
-      state === 'gone' || this.isSilent(id);
+      state === 'gone' || this.controls.isSilent(id);
     const nowMs = this.options.nowMs();
     const expired = removeExpired(
       this.table,
@@ -250,7 +225,7 @@
     );
     for (const id of expired) {
       this.localDispatcher.removeTarget(id);
-      for (const view of this.controls.values()) view.silentTargets.delete(id);
+      this.controls.forgetTarget(id);
     }
   }
 
@@ -262,74 +237,44 @@
     return new Promise(resolve => {
       this.localResolvers.set(demand.request, resolve);
       this.localDispatcher.acquire(demand, this.options.nowMs());
+      this.dispatchLater();
     });
   }
 
+  /** Dispatches again and again while demands wait here. */
+  private dispatchLater(): void {
+    if (this.dispatchTimer || this.localDispatcher.pendingCount === 0) return;
+    this.dispatchTimer = setTimeout(() => {
+      this.dispatchTimer = undefined;
+      this.localDispatcher.dispatchPending(this.options.nowMs());
+      this.dispatchLater();
+    }, DISPATCH_EVERY_MS);
+  }
+
   private resolveLocally(demand: Demand, result: DispatchResult): void {
     const resolve = this.localResolvers.get(demand.request);
     this.localResolvers.delete(demand.request);
     resolve?.(result);
   }
 
-  private onUp(address: Address, peer: Peer): void {
-    const key = formatAddress(address);
-    peer.tag = key;
-    this.controls.set(key, {status: undefined, silentTargets: new Set()});
-    const {instance, zone} = this.options;
-    const {incarnation} = this;
-    const hello: Hello = {instance, incarnation, role: 'entry', zone};
-    peer.notify('hello', hello);
-    this.options.logger.info('control_link_up', {control: key});
+  private get stateIndex(): number {
+    return this.current?.view.index ?? 0;
   }
 
-  private onDown(address: Address): void {
-    const key = formatAddress(address);
-    this.controls.delete(key);
-    this.options.logger.warn('control_link_down', {control: key});
-    this.chooseLeader();
-    for (const record of this.table.values()) this.updateTarget(record);
-  }
-
-  private onStatus(status: GroupStatus, peer: Peer): void {
-    const view = this.controls.get(peer.tag ?? '');
-    if (view === undefined) return;
-    view.status = status;
-    for (const member of status.members) this.links.add(member);
-    this.chooseLeader();
-    if (status.index > (this.current?.view.index ?? 0))
-      void this.pullState(peer);
-  }
-
-  private chooseLeader(): void {
-    let best: GroupStatus | undefined;
-    for (const {status} of this.controls.values()) {
-      if (status?.leader && status.term >= (best?.term ?? 0)) best = status;
-    }
-    const previous = this.leader && formatAddress(this.leader);
-    const next = best?.leader && formatAddress(best.leader);
-    this.leader = best?.leader;
-    const term = best?.term ?? 0;
-    if (previous === next && term === this.leaderTerm) return;
-    this.leaderTerm = term;
-    const event = next === undefined ? 'leader_lost' : 'leader_known';
-    this.options.logger.info(event, {leader: next, term});
-    if (this.leader) this.sendHeldRuns(this.leader);
-  }
-
-  private sendHeldRuns(leader: Address): void {
-    const runs = [...this.leaderGrants.values()];
-    if (runs.length === 0) return;
-    const {instance} = this.options;
-    this.links.peerAt(leader)?.notify('held_runs', {entry: instance, runs});
+  /** Reports all runs to a leader whose record of them may be wrong. */
+  private sendHeldRuns(leader: Peer | undefined): void {
+    const runs = [...this.engineRuns.values()];
+    leader?.notify('held_runs', {entry: this.options.instance, runs});
   }
 
   private async pullState(peer: Peer): Promise<void> {
     if (this.isPulling) return;
     this.isPulling = true;
     try {
-      const state = await peer.request<ClusterState>(
+      const knownVersion = this.current?.view.table.version ?? 0;
+      const state = await peer.request<StateUpdate>(
         'pull_state',
-        {},
+        {knownVersion} satisfies PullRequest,
         PULL_TIMEOUT_MS,
       );
       this.applyState(state);
@@ -343,17 +288,12 @@
 
   /** Pulls again if another change was reported meanwhile. */
   private pullIfBehind(): void {
-    const index = this.current?.view.index ?? 0;
-    for (const [key, {status}] of this.controls) {
-      if (!status || status.index <= index) continue;
-      const peer = this.links.connectedPeers().find(item => item.tag === key);
-      if (peer) void this.pullState(peer);
-      return;
-    }
+    const peer = this.controls.peerWithStateAfter(this.stateIndex);
+    if (peer) void this.pullState(peer);
   }
 
-  private applyState(state: ClusterState): void {
-    if (state.index <= (this.current?.view.index ?? 0)) return;
+  private applyState(state: StateUpdate): void {
+    if (state.index <= this.stateIndex) return;
     const {logger, nowMs} = this.options;
     const currentView = this.current?.view;
     const isSameTable =
@@ -362,7 +302,7 @@
     let table: RouteTable;
     if (isSameTable) ({table} = currentView);
     else {
-      if (state.version === 0) return;
+      if (state.version === 0 || state.document === undefined) return;
       const decoded = this.options.decodeConfig(state.document);
       if (decoded.isErr()) {
         logger.error('config_unreadable', {version: state.version});
@@ -388,19 +328,11 @@
     });
   }
 
-  private onTargetUpdate(update: TargetUpdate, peer: Peer): void {
-    const {id} = update.announcement;
-    const view = this.controls.get(peer.tag ?? '');
+  private onTargetUpdate(update: TargetUpdate): void {
+    const {announcement, ageMs} = update;
     const nowMs = this.options.nowMs();
-    const outcome = mergeAnnouncement(
-      this.table,
-      update.announcement,
-      nowMs,
-      update.ageMs,
-    );
-    if (update.isSilent) view?.silentTargets.add(id);
-    else view?.silentTargets.delete(id);
-    const record = this.table.get(id);
+    const outcome = mergeAnnouncement(this.table, announcement, nowMs, ageMs);
+    const record = this.table.get(announcement.id);
     if (record === undefined) return;
     if (outcome === 'changed') this.onTargetChanged(record);
     this.updateTarget(record);
@@ -416,15 +348,7 @@
   }
 
   private updateTarget(record: TargetRecord): void {
-    const isSilent = this.isSilent(record.announcement.id);
+    const isSilent = this.controls.isSilent(record.announcement.id);
     this.localDispatcher.setTarget(record, isSilent, this.options.nowMs());
   }
-
-  /**
-   * A target is silent only if every connected control daemon reports it so.
-   */
-  private isSilent(id: TargetId): boolean {
-    const views = [...this.controls.values()];
-    return views.length > 0 && views.every(view => view.silentTargets.has(id));
-  }
 }
--- a/packages/cluster/src/link/links.ts
+++ b/packages/cluster/src/link/links.ts
@@ -2,7 +2,7 @@
  * Outgoing links, reopened when they fail, and the listener for incoming ones.
  */
 import {connect, createServer} from 'node:net';
-import {Peer, type RpcHandlers} from './peer.js';
+import {Peer, PROMPT_KEEPALIVE, type RpcHandlers} from './peer.js';
 
 const CONNECT_TIMEOUT_MS = 800;
 const RECONNECT_MIN_MS = 50;
@@ -38,14 +38,6 @@
     private readonly events: LinkEvents,
   ) {}
 
-  setAddresses(addresses: readonly Address[]): void {
-    const keptKeys = new Set(addresses.map(formatAddress));
-    for (const [key, link] of this.links) {
-      if (!keptKeys.has(key)) this.drop(key, link);
-    }
-    for (const address of addresses) this.add(address);
-  }
-
   add(address: Address): void {
     const key = formatAddress(address);
     if (this.links.has(key)) return;
@@ -60,6 +52,17 @@
     this.open(link);
   }
 
+  has(address: Address): boolean {
+    return this.links.has(formatAddress(address));
+  }
+
+  /** Closes the link to an address and no longer reopens it. */
+  remove(address: Address): void {
+    const key = formatAddress(address);
+    const link = this.links.get(key);
+    if (link) this.drop(key, link);
+  }
+
   peerAt(address: Address): Peer | undefined {
     return this.links.get(formatAddress(address))?.peer;
   }
@@ -95,11 +98,16 @@
         return;
       }
       link.retryDelayMs = RECONNECT_MIN_MS;
-      const peer = new Peer(socket, this.handlers, () => {
-        link.peer = undefined;
-        this.events.onDown(link.address);
-        this.retry(link);
-      });
+      const peer = new Peer(
+        socket,
+        this.handlers,
+        () => {
+          link.peer = undefined;
+          this.events.onDown(link.address);
+          this.retry(link);
+        },
+        PROMPT_KEEPALIVE,
+      );
       link.peer = peer;
       this.events.onUp(link.address, peer);
     };
--- /dev/null
+++ b/packages/cluster/src/link/peer.spec.ts
@@ -0,0 +1,105 @@
+/** Links between daemons: endless bytes, silence and keepalives. */
+import {expect} from 'earl';
+import {connect, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {createServer, type AddressInfo} from 'node:net';
+import {Peer, PROMPT_KEEPALIVE, serializeNotification} from './peer.js';
+
+const MAX_FLOOD_BYTES = 4_000_000;
+
+/** Accepts one connection with a peer that counts notifications. */
+async function startAcceptor(t: TestContext) {
+  const seen = {notes: 0, closed: 0};
+  const peers: Peer[] = [];
+  const server = createServer(socket => {
+    const handlers = {note: () => (seen.notes += 1)};
+    peers.push(new Peer(socket, handlers, () => (seen.closed += 1)));
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.after(() => {
+    for (const peer of peers) peer.close();
+    server.close();
+  });
+  const {port} = server.address() as AddressInfo;
+  return {port, seen, peers};
+}
+
+function open(port: number): Promise<Socket> {
+  return new Promise(resolve => {
+    const socket = connect({host: '127.0.0.1', port}, () => resolve(socket));
+    socket.on('error', () => undefined);
+  });
+}
+
+test('closes a connection that sends endless bytes without a message', async t => {
+  const {port, seen} = await startAcceptor(t);
+  const socket = await open(port);
+  const block = Buffer.alloc(16_384, 'x');
+  const pump = () => {
+    while (!socket.destroyed && socket.bytesWritten < MAX_FLOOD_BYTES) {
+      if (!socket.write(block)) return;
+    }
+  };
+  socket.on('drain', pump);
+  const closed = new Promise(resolve => socket.on('close', resolve));
+  pump();
+  await closed;
+  expect(socket.bytesWritten).toBeLessThan(MAX_FLOOD_BYTES);
+  expect(seen.closed).toEqual(1);
+});
+
+test('stops at the first line that is no message', async t => {
+  const {port, seen} = await startAcceptor(t);
+  const socket = await open(port);
+  const closed = new Promise(resolve => socket.on('close', resolve));
+  socket.write('no message\n' + serializeNotification('note', {}));
+  await closed;
+  expect(seen.notes).toEqual(0);
+});
+
+test('receives notifications of one line, whole or in parts', async t => {
+  const {port, seen} = await startAcceptor(t);
+  const socket = await open(port);
+  const line = serializeNotification('note', {});
+  socket.write(line);
+  for (const part of line) {
+    socket.write(part);
+    await delay(1);
+  }
+  while (seen.notes < 2) await delay(5);
+  expect(seen.closed).toEqual(0);
+  socket.destroy();
+});
+
+test('a quiet link stays open by keepalives', async t => {
+  const {port, seen, peers} = await startAcceptor(t);
+  const socket = await open(port);
+  let isClosed = false;
+  const opener = new Peer(
+    socket,
+    {},
+    () => (isClosed = true),
+    PROMPT_KEEPALIVE,
+  );
+  t.after(() => opener.close());
+  await delay(2 * PROMPT_KEEPALIVE.maxSilenceMs);
+  expect(isClosed).toEqual(false);
+  expect(seen.closed).toEqual(0);
+  expect(peers.length).toEqual(1);
+});
+
+test('a link whose other end fell silent is closed', async t => {
+  const server = createServer(socket => socket.on('error', () => undefined));
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const socket = await open((server.address() as AddressInfo).port);
+  await new Promise<void>(resolve => {
+    new Peer(socket, {}, () => resolve(), PROMPT_KEEPALIVE);
+  });
+  t.after(() => server.close());
+  expect(socket.destroyed).toEqual(true);
+});
--- a/packages/cluster/src/link/peer.ts
+++ b/packages/cluster/src/link/peer.ts
@@ -2,8 +2,10 @@
  * One connection between two daemons: JSON-RPC in both directions, one message
  * per line.
  *
- * Each side sends keepalives and closes the connection after receiving nothing
- * for a while, so a connection that went silent is replaced by a new one.
+ * The side that opened the connection sends keepalives, which the other side
+ * returns. Each side closes the connection after receiving nothing for a while,
+ * so a connection that went silent is replaced by a new one. One timer serves
+ * all connections of the process.
  */
 import type {Socket} from 'node:net';
 import {
@@ -12,24 +14,73 @@
   JSONRPCServerAndClient,
 } from 'json-rpc-2.0';
 
-const KEEPALIVE_MS = 500;
-const MAX_SILENCE_MS = 1_500;
+const CHECK_EVERY_MS = 500;
+/** Silence after which the side that accepted a connection closes it. */
+const ACCEPTED_MAX_SILENCE_MS = 2_500;
+/** A keepalive is not returned when other data was sent this recently. */
+const RECENTLY_SENT_MS = 100;
 /** A peer that reads too slowly is disconnected instead of buffering more. */
 const MAX_UNSENT_BYTES = 8_388_608;
 const MAX_LINE_BYTES = 33_554_432;
+/** Longest line of a sender that has sent no valid message yet. */
+const MAX_FIRST_LINE_BYTES = 65_536;
 const KEEPALIVE_LINE = '\n';
 
+/** How the side that opened a connection finds out that it went silent. */
+export interface KeepaliveTiming {
+  /** Pause in either direction after which a keepalive is sent. */
+  readonly everyMs: number;
+  readonly maxSilenceMs: number;
+}
+
+export const PROMPT_KEEPALIVE: KeepaliveTiming = {
+  everyMs: 500,
+  maxSilenceMs: 1_500,
+};
+/** For connections of which there are several for the same purpose. */
+export const RELAXED_KEEPALIVE: KeepaliveTiming = {
+  everyMs: 1_000,
+  maxSilenceMs: 2_500,
+};
+
+const openPeers = new Set<Peer>();
+let checkTimer: NodeJS.Timeout | undefined;
+
+function watchPeer(peer: Peer): void {
+  openPeers.add(peer);
+  checkTimer ??= setInterval(() => {
+    const nowMs = performance.now();
+    for (const open of [...openPeers]) open.checkLiveness(nowMs);
+  }, CHECK_EVERY_MS);
+}
+
+function unwatchPeer(peer: Peer): void {
+  openPeers.delete(peer);
+  if (openPeers.size > 0) return;
+  clearInterval(checkTimer);
+  checkTimer = undefined;
+}
+
+/** A notification as one line, to be sent to many peers. */
+export function serializeNotification(method: string, params: object): string {
+  return JSON.stringify({jsonrpc: '2.0', method, params}) + '\n';
+}
+
 export type RpcHandlers = Readonly<
   Record<string, (params: never, peer: Peer) => unknown>
 >;
 
 export class Peer {
   private readonly rpc: JSONRPCServerAndClient;
-  private readonly timer: NodeJS.Timeout;
   private lastReceivedAtMs = performance.now();
+  private lastSentAtMs = Number.NEGATIVE_INFINITY;
+  private openRequests = 0;
   private partial: Buffer[] = [];
   private partialBytes = 0;
+  private hasValidMessage = false;
   isClosed = false;
+  /** Undefined on the side that accepted the connection. */
+  keepalive: KeepaliveTiming | undefined;
   /** Label for the remote side; set and read by the owner only. */
   tag: string | undefined;
 
@@ -37,7 +88,9 @@
     private readonly socket: Socket,
     handlers: RpcHandlers,
     private readonly onClosed: (peer: Peer) => void,
+    keepalive?: KeepaliveTiming,
   ) {
+    this.keepalive = keepalive;
     const server = new JSONRPCServer({errorListener: () => undefined});
     for (const [name, handle] of Object.entries(handlers)) {
       server.addMethod(name, params => handle(params as never, this));
@@ -51,7 +104,7 @@
     socket.on('data', data => this.onData(data));
     socket.on('error', () => this.close());
     socket.on('close', () => this.close());
-    this.timer = setInterval(() => this.checkSilence(), KEEPALIVE_MS);
+    watchPeer(this);
   }
 
   /**
@@ -63,7 +116,17 @@
     params: object,
     timeoutMs: number,
   ): Promise<T> {
-    return (await this.rpc.timeout(timeoutMs).request(method, params)) as T;
+    this.openRequests += 1;
+    try {
+      return (await this.rpc.timeout(timeoutMs).request(method, params)) as T;
+    } finally {
+      this.openRequests -= 1;
+    }
+  }
+
+  /** Number of requests that wait for their response. */
+  get openRequestCount(): number {
+    return this.openRequests;
   }
 
   /** Time since any data was received. */
@@ -75,10 +138,15 @@
     if (!this.isClosed) this.rpc.notify(method, params);
   }
 
+  /** Sends a line made by {@link serializeNotification}. */
+  notifyLine(line: string): void {
+    if (!this.isClosed) this.write(line);
+  }
+
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    clearInterval(this.timer);
+    unwatchPeer(this);
     this.socket.destroy();
     this.rpc.rejectAllPendingRequests('the connection closed');
     this.onClosed(this);
@@ -87,19 +155,39 @@
   private write(text: string): void {
     if (this.isClosed) throw new Error('the connection closed');
     this.socket.write(text);
+    this.lastSentAtMs = performance.now();
     if (this.socket.writableLength > MAX_UNSENT_BYTES) this.close();
   }
 
-  private checkSilence(): void {
-    const nowMs = performance.now();
-    if (nowMs - this.lastReceivedAtMs > MAX_SILENCE_MS) this.close();
-    else this.socket.write(KEEPALIVE_LINE);
+  /** Closes a silent connection; sends a keepalive on a quiet one. */
+  checkLiveness(nowMs: number): void {
+    const {keepalive} = this;
+    const maxSilenceMs = keepalive?.maxSilenceMs ?? ACCEPTED_MAX_SILENCE_MS;
+    if (nowMs - this.lastReceivedAtMs > maxSilenceMs) {
+      this.close();
+      return;
+    }
+    if (keepalive === undefined) return;
+    const quietSinceMs = Math.min(this.lastReceivedAtMs, this.lastSentAtMs);
+    const isDue = nowMs - quietSinceMs > keepalive.everyMs - CHECK_EVERY_MS / 2;
+    if (isDue) this.sendKeepalive();
+  }
+
+  private sendKeepalive(): void {
+    this.socket.write(KEEPALIVE_LINE);
+    this.lastSentAtMs = performance.now();
+  }
+
+  private returnKeepalive(): void {
+    if (this.keepalive !== undefined || this.isClosed) return;
+    const quietMs = performance.now() - this.lastSentAtMs;
+    if (quietMs > RECENTLY_SENT_MS) this.sendKeepalive();
   }
 
   private onData(data: Buffer): void {
     this.lastReceivedAtMs = performance.now();
     let remaining = data;
-    for (;;) {
+    while (!this.isClosed) {
       const end = remaining.indexOf(0x0a);
       if (end < 0) break;
       const line = Buffer.concat([...this.partial, remaining.subarray(0, end)]);
@@ -107,11 +195,15 @@
       this.partialBytes = 0;
       remaining = remaining.subarray(end + 1);
       if (line.length > 0) this.onLine(line.toString('utf8'));
+      else this.returnKeepalive();
     }
     if (remaining.length === 0) return;
     this.partial.push(remaining);
     this.partialBytes += remaining.length;
-    if (this.partialBytes > MAX_LINE_BYTES) this.close();
+    const maxBytes = this.hasValidMessage
+      ? MAX_LINE_BYTES
+      : MAX_FIRST_LINE_BYTES;
+    if (this.partialBytes > maxBytes) this.close();
   }
 
   private onLine(line: string): void {
@@ -122,6 +214,7 @@
       this.close();
       return;
     }
+    this.hasValidMessage = true;
     // A handler's response may come after its connection closed, when the other
     // side no longer waits for it.
     this.rpc.receiveAndSend(message).catch(() => this.close());
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -186,6 +186,11 @@
   }
 }
 
+/** Closes all connections of an entry to control daemons, as a reset does. */
+export function resetLinks(entry: EntryNode): void {
+  for (const peer of entry['controls']['links'].connectedPeers()) peer.close();
+}
+
 export function createAnnouncement(
   changed: Partial<TargetAnnouncement> = {},
 ): TargetAnnouncement {
--- a/packages/gateway/src/dispatch/dispatcher.spec.ts
+++ b/packages/gateway/src/dispatch/dispatcher.spec.ts
@@ -239,3 +239,58 @@
   expect(results.get('r2')).toEqual({kind: 'refused', reason: 'no_target'});
   expect(dispatcher.runCount).toEqual(0);
 });
+
+test('counts a run whose target becomes known later', () => {
+  const {dispatcher, targetOf} = setUp([]);
+  const run = {
+    request: requestId('r1'),
+    entry: instanceId('e1'),
+    target: targetId('t1'),
+    kvTokens: 1_000,
+  };
+  dispatcher.recordRun(run);
+  dispatcher.setTarget(record('t1', {slots: 1}), false, 1);
+  dispatcher.acquire(demand('r2'), 2);
+  expect(targetOf('r2')).toEqual(undefined);
+  dispatcher.release(run.request, 'served', 3);
+  expect(targetOf('r2')).toEqual('t1');
+});
+
+test('releases the runs that their entry no longer reports', () => {
+  const {dispatcher, targetOf} = setUp([record('t1', {slots: 2})]);
+  const entry = instanceId('e1');
+  dispatcher.acquire(demand('r1'), 0);
+  dispatcher.acquire(demand('r2', {entry: instanceId('e2')}), 0);
+  dispatcher.acquire(demand('r3', {entry: instanceId('e3')}), 1);
+  expect(targetOf('r3')).toEqual(undefined);
+  dispatcher.replaceRunsOf(entry, [], 2);
+  expect(targetOf('r3')).toEqual('t1');
+  const target = targetId('t1');
+  const unknown = {request: requestId('r4'), entry, target, kvTokens: 1};
+  dispatcher.replaceRunsOf(entry, [unknown], 3);
+  expect(dispatcher.runCount).toEqual(3);
+});
+
+test('a new incarnation of a target starts without cold tokens and avoidance', () => {
+  const PER_S = 10;
+  const {dispatcher, targetOf} = setUp([record('t1', {}, 60_000)], PER_S);
+  const hurried = {patienceMs: 0, maxWaitMs: 0, kvTokens: 0};
+  dispatcher.acquire(demand('r1', hurried), 5_000);
+  expect(targetOf('r1')).toEqual('t1');
+  dispatcher.setTarget(record('t1', {bornMs: 2}, 60_000), false, 5_001);
+  dispatcher.acquire(demand('r2', hurried), 5_001);
+  expect(targetOf('r2')).toEqual(undefined);
+  dispatcher.acquire(demand('r3', hurried), 5_102);
+  expect(targetOf('r3')).toEqual('t1');
+});
+
+test('withdraws the pending demands of one entry', () => {
+  const {dispatcher, targetOf} = setUp([record('t1', {slots: 1})]);
+  dispatcher.acquire(demand('r1'), 0);
+  dispatcher.acquire(demand('r2'), 0);
+  dispatcher.acquire(demand('r3', {entry: instanceId('e2')}), 0);
+  const withdrawn = dispatcher.withdrawPending(instanceId('e1'));
+  expect(withdrawn.map(({request}) => request)).toEqual([requestId('r2')]);
+  dispatcher.release(requestId('r1'), 'served', 1);
+  expect(targetOf('r3')).toEqual('t1');
+});
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -42,7 +42,7 @@
 const TIE_BREAK_RANGE = 0.02;
 const MS_PER_S = 1_000;
 
-interface Run {
+export interface Run {
   readonly request: RequestId;
   readonly entry: InstanceId;
   readonly target: TargetId;
@@ -124,11 +124,14 @@
       state.isSilent = isSilent;
       if (isRestarted) this.resetForIncarnation(id, state, nowMs);
     } else {
+      const earlierRuns = [...this.runs.values()].filter(
+        run => run.target === id,
+      );
       this.targets.set(id, {
         record,
         isSilent,
-        runs: 0,
-        kvTokens: 0,
+        runs: earlierRuns.length,
+        kvTokens: earlierRuns.reduce((sum, run) => sum + run.kvTokens, 0),
         avoidUntilMs: 0,
         failures: 0,
         ended: 0,
@@ -170,7 +173,10 @@
     this.dispatchPending(nowMs);
   }
 
-  /** Records a run granted by another dispatcher or before a restart. */
+  /**
+   * Records a run granted by another dispatcher or before a restart. Its target
+   * may become known later.
+   */
   recordRun(run: Run): void {
     if (this.runs.has(run.request)) return;
     const target = this.targets.get(run.target);
@@ -180,6 +186,32 @@
     target.kvTokens += run.kvTokens;
   }
 
+  /**
+   * Makes the runs of an entry exactly those that it reports: releases the
+   * others, whose release was lost, and records those that are unknown.
+   */
+  replaceRunsOf(
+    entry: InstanceId,
+    reported: readonly Run[],
+    nowMs: number,
+  ): void {
+    const kept = new Set(reported.map(run => run.request));
+    const lost = [...this.runs.values()].filter(
+      run => run.entry === entry && !kept.has(run.request),
+    );
+    for (const {request} of lost) this.release(request, 'abandoned', nowMs);
+    for (const run of reported) this.recordRun(run);
+  }
+
+  /** Drops pending demands without a result: all, or those of an entry. */
+  withdrawPending(entry?: InstanceId): Demand[] {
+    const isWithdrawn = ({demand}: PendingDemand) =>
+      entry === undefined || demand.entry === entry;
+    const withdrawn = this.pending.filter(isWithdrawn);
+    this.pending = this.pending.filter(item => !isWithdrawn(item));
+    return withdrawn.map(item => item.demand);
+  }
+
   /** Removes every run; the holders of runs have to report them again. */
   clearRuns(): void {
     this.runs.clear();
@@ -410,6 +442,9 @@
     target.kvTokens = 0;
     target.failures = 0;
     target.ended = 0;
+    target.avoidUntilMs = 0;
+    target.coldTokens = 0;
+    target.coldTokensAtMs = nowMs;
     for (const run of this.runs.values()) {
       if (run.target === id) this.runs.delete(run.request);
     }
