--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -75,7 +75,6 @@
   private isPulling = false;
 
   constructor(private readonly options: EntryNodeOptions) {
-    const {nowMs} = options;
     this.localDispatcher = new Dispatcher({
       onResult: (demand, result) => this.resolveLocally(demand, result),
       // Reservations on engines are granted here only without a leader, when
--- a/packages/daemon/src/entry/heartbeat-loop.ts
+++ b/packages/daemon/src/entry/heartbeat-loop.ts
@@ -33,6 +33,8 @@
   private timer: NodeJS.Timeout | undefined;
   private dueAtMs = 0;
   private isSending = false;
+  /** Whether something is to be reported that no heartbeat has carried yet. */
+  private isNeededSoon = false;
   private isStopped = false;
   private hadLease = false;
   private loggedRevision = 0;
@@ -50,6 +52,7 @@
 
   /** Brings the next heartbeat forward, without flooding the leader. */
   sendSoon(): void {
+    this.isNeededSoon = true;
     if (this.isSending) return;
     const nowMs = this.options.clock.nowMs();
     if (this.dueAtMs - nowMs > EARLY_HEARTBEAT_GAP_MS)
@@ -66,12 +69,15 @@
   private async sendHeartbeat(): Promise<void> {
     const {heartbeatMs} = this.options;
     this.isSending = true;
+    this.isNeededSoon = false;
     const needsEarly = await this.reportToLeader();
     this.isSending = false;
     this.logLeaseChange();
     const hasDemand = this.options.demand().length > 0;
     this.schedule(
-      needsEarly || hasDemand ? EARLY_HEARTBEAT_GAP_MS : heartbeatMs,
+      needsEarly || hasDemand || this.isNeededSoon
+        ? EARLY_HEARTBEAT_GAP_MS
+        : heartbeatMs,
     );
   }
 
--- a/packages/daemon/src/operators/api.ts
+++ b/packages/daemon/src/operators/api.ts
@@ -78,11 +78,11 @@
   deadlineMs: number,
 ) {
   const body = await readBody(context.env.incoming, MAX_COMMAND_BYTES);
-  if (body.isErr())
-    return context.json(
-      {kind: 'invalid', message: 'the body is too large'},
-      413,
-    );
+  if (body.isErr()) {
+    return body.error.kind === 'too_large'
+      ? context.json({kind: 'invalid', message: 'the body is too large'}, 413)
+      : context.json({kind: 'invalid', message: 'the body was cut off'}, 400);
+  }
   let value: unknown;
   try {
     value = JSON.parse(body.value.toString('utf8'));
--- a/packages/daemon/src/rpc/rpc.spec.ts
+++ b/packages/daemon/src/rpc/rpc.spec.ts
@@ -44,7 +44,7 @@
   return {status: response.statusCode, text: await response.body.text()};
 }
 
-const signed = (body: string, deploymentName = 'tests') => ({
+const signed = (body: string, deploymentName = deployment.name) => ({
   'x-samphirefield-deployment': deploymentName,
   'x-samphirefield-protocol': '1',
   'x-samphirefield-code': requestMac(INTERNAL_KEY, deploymentName, body),
@@ -67,7 +67,7 @@
 });
 
 test('wrong parameters, unknown methods and malformed JSON return an error', async () => {
-  const rpc = new RpcClient(INTERNAL_KEY, 'tests', undefined);
+  const rpc = new RpcClient(INTERNAL_KEY, deployment.name, undefined);
   const wrongParameters = await rpc.call(
     peer(),
     'ledger.peek',
@@ -91,7 +91,7 @@
     'operator.command',
     'operator.status',
   ];
-  const rpc = new RpcClient(INTERNAL_KEY, 'tests', undefined);
+  const rpc = new RpcClient(INTERNAL_KEY, deployment.name, undefined);
   const before = await deployment.status();
   await fc.assert(
     fc.asyncProperty(
--- a/packages/daemon/src/targets/announce-api.ts
+++ b/packages/daemon/src/targets/announce-api.ts
@@ -33,8 +33,11 @@
       );
     }
     const body = await readBody(context.env.incoming, MAX_ANNOUNCEMENT_BYTES);
-    if (body.isErr())
-      return context.json({error: 'the body is too large'}, 413);
+    if (body.isErr()) {
+      return body.error.kind === 'too_large'
+        ? context.json({error: 'the body is too large'}, 413)
+        : context.json({error: 'the body was cut off'}, 400);
+    }
     const value = parseJson(body.value.toString('utf8'));
     const parsed = announcementSchema.safeParse(value);
     if (!parsed.success) {
--- a/packages/daemon/src/testing/deployment.ts
+++ b/packages/daemon/src/testing/deployment.ts
@@ -11,6 +11,7 @@
   rmSync,
   writeFileSync,
 } from 'node:fs';
+import {randomUUID} from 'node:crypto';
 import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -102,6 +103,11 @@
 
 export class TestDeployment {
   readonly daemons: TestDaemon[] = [];
+  /**
+   * Differs for each test, so that daemons that another test left behind at
+   * the same addresses cannot join.
+   */
+  readonly name = `tests-${randomUUID()}`;
   private nextCommand = 1;
 
   private constructor(
@@ -403,7 +409,7 @@
         '[instance]',
         `id = "${plan.id}"`,
         `zone = "${plan.zone}"`,
-        'deployment = "tests"',
+        `deployment = "${this.name}"`,
         '[callers]',
         `address = "${plan.address}"`,
         `port = ${plan.callersPort}`,
--- a/packages/daemon/src/voter/leadership.ts
+++ b/packages/daemon/src/voter/leadership.ts
@@ -7,6 +7,7 @@
   type ControlResult,
   type ControlStateMachine,
   type MembershipGoal,
+  type MembershipStep,
   type MemberView,
 } from '@samphirefield/control';
 import {
@@ -200,21 +201,27 @@
     );
     if (step === undefined) return;
     this.isChangingMembership = true;
+    try {
+      await this.changeMembership(step);
+    } finally {
+      this.isChangingMembership = false;
+    }
+  }
+
+  private async changeMembership(step: MembershipStep): Promise<void> {
     const id = step.replica as ReplicaId;
     const replica = this.toReplica(step.replica);
     const change =
       step.kind === 'add_learner'
         ? replica && {kind: 'add_learner' as const, replica}
         : {kind: step.kind, id};
-    if (change) {
-      const result = await this.node.changeMembership(change);
-      const outcome = result.isOk() ? 'proposed' : result.error.kind;
-      this.logger.info('membership_change', {
-        change: step.kind,
-        replica: step.replica,
-        outcome,
-      });
-    }
-    this.isChangingMembership = false;
+    if (change === undefined) return;
+    const result = await this.node.changeMembership(change);
+    const outcome = result.isOk() ? 'proposed' : result.error.kind;
+    this.logger.info('membership_change', {
+      change: step.kind,
+      replica: step.replica,
+      outcome,
+    });
   }
 }
--- a/packages/policy/src/model-placement/logic.ts
+++ b/packages/policy/src/model-placement/logic.ts
@@ -95,9 +95,12 @@
   const loaded = serviceTargets.filter(
     target => target.isUsable && hasModel(target, desired),
   ).length;
+  const serviceIds = new Set(serviceTargets.map(target => target.target));
   const loading = [...table.issued.values()].filter(
     ({order}) =>
-      order.model === desired.model && order.version === desired.version,
+      serviceIds.has(order.target) &&
+      order.model === desired.model &&
+      order.version === desired.version,
   ).length;
   return desiredCount - loaded - loading;
 }
--- a/packages/policy/src/model-placement/model-placement.spec.ts
+++ b/packages/policy/src/model-placement/model-placement.spec.ts
@@ -126,3 +126,17 @@
   ];
   expect(nextLoadOrder(table, [DESIRED], others, TIMING, 0)).toEqual(undefined);
 });
+
+test('an order for the same model of another service does not count', () => {
+  const table = createPlacementTable();
+  const service = serviceId('other');
+  const targets = [target('a'), target('b', {service})];
+  const desired = [
+    {...DESIRED, targets: 1},
+    {...DESIRED, targets: 1, service},
+  ];
+  const nextTarget = (nowMs: number) =>
+    nextLoadOrder(table, desired, targets, TIMING, nowMs)?.target;
+  expect(nextTarget(0)).toEqual(targetId('a'));
+  expect(nextTarget(2_000)).toEqual(targetId('b'));
+});
--- a/packages/replication/src/node/replica-node.spec.ts
+++ b/packages/replication/src/node/replica-node.spec.ts
@@ -113,3 +113,20 @@
   expect(storage.snapshots).toEqual(2);
   await node.stop('test');
 });
+
+test('calls settle when the node stops before it processes them', async () => {
+  const {node, storage} = await startSingleVoter();
+  storage.failsWrites = true;
+  const lost = node.submit('lost');
+  await Promise.resolve();
+  await delay(0);
+  const change = node.changeMembership({kind: 'remove', id: CONFIG.id});
+  const transfer = node.transferLeadership();
+  const formed = node.bootstrap({replicas: []});
+  expect((await lost).isErr()).toEqual(true);
+  expect((await change)._unsafeUnwrapErr().kind).toEqual('stopped');
+  expect(await transfer).toEqual(undefined);
+  expect((await formed)._unsafeUnwrapErr().kind).toEqual('stopped');
+  const later = await node.changeMembership({kind: 'remove', id: CONFIG.id});
+  expect(later._unsafeUnwrapErr().kind).toEqual('stopped');
+});
--- a/packages/replication/src/node/replica-node.ts
+++ b/packages/replication/src/node/replica-node.ts
@@ -46,7 +46,12 @@
   | ProposeError
   /** Leadership was lost before the commit; the command may still be applied. */
   | {readonly kind: 'outcome_unknown'}
-  | {readonly kind: 'stopped'; readonly reason: string};
+  | StoppedError;
+
+export interface StoppedError {
+  readonly kind: 'stopped';
+  readonly reason: string;
+}
 
 export interface ReplicaNodeOptions<CommandResult> {
   readonly config: RaftConfig;
@@ -79,6 +84,8 @@
     number,
     PendingCommand<CommandResult>
   >();
+  /** Settle the calls whose input is not processed when the node stops. */
+  private readonly abortCalls = new Set<(error: StoppedError) => void>();
   private isRunning = false;
   private stopReason: string | undefined;
   private idle: Promise<void> = Promise.resolve();
@@ -134,22 +141,19 @@
 
   changeMembership(
     change: MembershipChange,
-  ): Promise<Result<void, ProposeError>> {
-    return new Promise(resolve => {
-      this.enqueue(nowMs => {
-        resolve(
-          proposeMembershipChange(this.raft, nowMs, change).map(
-            () => undefined,
-          ),
-        );
-      });
-    });
+  ): Promise<Result<void, ProposeError | StoppedError>> {
+    return this.call<Result<void, ProposeError | StoppedError>>(
+      nowMs =>
+        proposeMembershipChange(this.raft, nowMs, change).map(() => undefined),
+      error => err(error),
+    );
   }
 
   transferLeadership(): Promise<ReplicaId | undefined> {
-    return new Promise(resolve => {
-      this.enqueue(nowMs => resolve(transferLeadership(this.raft, nowMs)));
-    });
+    return this.call(
+      nowMs => transferLeadership(this.raft, nowMs),
+      () => undefined,
+    );
   }
 
   /**
@@ -177,10 +181,13 @@
   }
 
   /** Creates a new group. Each of its initial members does this on its own. */
-  bootstrap(membership: Membership): Promise<Result<void, ProposeError>> {
-    return new Promise(resolve => {
-      this.enqueue(() => resolve(bootstrap(this.raft, membership)));
-    });
+  bootstrap(
+    membership: Membership,
+  ): Promise<Result<void, ProposeError | StoppedError>> {
+    return this.call<Result<void, ProposeError | StoppedError>>(
+      () => bootstrap(this.raft, membership),
+      error => err(error),
+    );
   }
 
   /** Fails pending commands, waits for the last write, closes the storage. */
@@ -190,6 +197,25 @@
     await this.options.storage.close();
   }
 
+  /** Runs an input; resolves with `onStopped` if the node stops before. */
+  private call<T>(
+    input: (nowMs: number) => T,
+    onStopped: (error: StoppedError) => T,
+  ): Promise<T> {
+    return new Promise(resolve => {
+      const abort = (error: StoppedError) => resolve(onStopped(error));
+      if (this.stopReason !== undefined) {
+        abort({kind: 'stopped', reason: this.stopReason});
+        return;
+      }
+      this.abortCalls.add(abort);
+      this.enqueue(nowMs => {
+        this.abortCalls.delete(abort);
+        resolve(input(nowMs));
+      });
+    });
+  }
+
   private enqueue(input: (nowMs: number) => void): void {
     if (this.stopReason !== undefined) return;
     this.inputs.push(input);
@@ -309,6 +335,8 @@
     this.stopReason = reason;
     const error = {kind: 'stopped' as const, reason};
     for (const {resolve} of this.submissions.splice(0)) resolve(err(error));
+    for (const abort of this.abortCalls) abort(error);
+    this.abortCalls.clear();
     this.failPendingCommands({kind: 'outcome_unknown'});
   }
 
--- a/packages/replication/src/raft/log.ts
+++ b/packages/replication/src/raft/log.ts
@@ -65,6 +65,6 @@
 export function estimateEntryBytes(entry: LogEntry): number {
   const OVERHEAD_BYTES = 32;
   return entry.kind === 'command'
-    ? entry.data.length + OVERHEAD_BYTES
+    ? Buffer.byteLength(entry.data) + OVERHEAD_BYTES
     : OVERHEAD_BYTES;
 }
--- a/packages/replication/src/storage/storage.spec.ts
+++ b/packages/replication/src/storage/storage.spec.ts
@@ -2,8 +2,10 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
 import {after, test} from 'node:test';
+import {spawn, type ChildProcess} from 'node:child_process';
 import {
   appendFileSync,
+  existsSync,
   mkdirSync,
   mkdtempSync,
   readFileSync,
@@ -179,6 +181,56 @@
   expect(lockFolder(folder).isOk()).toEqual(true);
 });
 
+/** Starts a process that tries to lock the folder once `go` exists. */
+function startLocker(folder: string, go: string): Promise<string> {
+  const module = new URL('./index.js', import.meta.url).href;
+  const script = `
+    import {existsSync} from 'node:fs';
+    const {lockFolder} = await import(${JSON.stringify(module)});
+    while (!existsSync(${JSON.stringify(go)}));
+    const lock = lockFolder(${JSON.stringify(folder)});
+    process.stdout.write(lock.isOk() ? 'held' : lock.error.kind);
+    process.stdin.resume();
+    process.stdin.on('end', () => process.exit(0));
+  `;
+  const child = spawn(process.execPath, ['--input-type=module', '-e', script], {
+    stdio: ['pipe', 'pipe', 'inherit'],
+  });
+  children.push(child);
+  return new Promise(resolve => {
+    child.stdout!.once('data', (data: Buffer) => resolve(String(data)));
+  });
+}
+
+const children: ChildProcess[] = [];
+
+test('one of many processes that find a stale lock holds the folder', async () => {
+  const LOCKERS = 6;
+  const ROUNDS = 5;
+  for (let round = 0; round < ROUNDS; round += 1) {
+    const folder = newFolder();
+    const go = join(newFolder(), 'go');
+    writeFileSync(join(folder, 'lock'), '999999 1 another-boot');
+    const lockers = Array.from({length: LOCKERS}, () =>
+      startLocker(folder, go),
+    );
+    setTimeout(() => writeFileSync(go, ''), 600);
+    const outcomes = await Promise.all(lockers);
+    expect(outcomes.filter(outcome => outcome === 'held').length).toEqual(1);
+    for (const child of children.splice(0)) child.stdin!.end();
+  }
+});
+
+test('a released lock is not taken by a process that read an older one', () => {
+  const folder = newFolder();
+  writeFileSync(join(folder, 'lock'), '999999 1 another-boot');
+  lockFolder(folder)._unsafeUnwrap().release();
+  const second = lockFolder(folder)._unsafeUnwrap();
+  expect(existsSync(join(folder, 'lock.2'))).toEqual(true);
+  expect(lockFolder(folder).isErr()).toEqual(true);
+  second.release();
+});
+
 test('an empty folder gets a new identity, and a foreign identity is refused', () => {
   const folder = newFolder();
   const created = openIdentity(folder, 'a', 'tembusu')._unsafeUnwrap();
