--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -46,6 +46,8 @@
   kvTokens: 4_000,
   prefillTokens: 0,
   priority: 0,
+  workspace: undefined,
+  inTimeMs: 5_000,
   patienceMs: 5_000,
   noTargetWaitMs: 5_000,
   maxWaitMs: 5_000,
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -48,6 +48,8 @@
 
 const TICK_MS = 50;
 const ENTRY_COUNT_EVERY_MS = 1_000;
+/** Time in which entries have found a new leader. */
+const ENTRIES_FIND_LEADER_MS = 5_000;
 const JOIN_EVERY_MS = 500;
 const SEND_RENEWALS_EVERY_MS = 300;
 const REGISTRY_TICK_MS = 250;
@@ -96,6 +98,7 @@
   private statusSentAtMs = 0;
   /** The newest status with a leader that another control daemon reported. */
   private reported: GroupStatus | undefined;
+  private leadsSinceMs = 0;
   private isStopping = false;
 
   constructor(private readonly options: ControlNodeOptions) {
@@ -301,7 +304,11 @@
         this.reservations.acquireMovePermit(message),
       end_turn: (message: MovePermitMessage) =>
         this.reservations.releaseMovePermit(message),
-      held_runs: (held: HeldRuns) => this.reservations.replaceRuns(held),
+      held_runs: (held: HeldRuns) => {
+        // Runs that arrive before this daemon knows its term would be cleared.
+        this.startTermIfLeader();
+        this.reservations.replaceRuns(held);
+      },
     };
   }
 
@@ -418,12 +425,30 @@
       leader: this.group?.leader,
       members: this.group?.members ?? [],
       index: this.group?.state.index ?? 0,
-      entryCount: this.isLeader
-        ? this.subscribers.entryCount
-        : (this.reported?.entryCount ?? this.subscribers.entryCount),
+      entryCount: this.entryCount(),
     };
   }
 
+  /**
+   * The entries that the leader knows; 0 if unknown. A new leader reports at
+   * least what the earlier one did until the entries have found it.
+   */
+  private entryCount(): number {
+    const reportedCount = this.reported?.entryCount ?? 0;
+    if (!this.isLeader) return reportedCount;
+    const leadsSinceMs = this.options.nowMs() - this.leadsSinceMs;
+    const {entryCount} = this.subscribers;
+    return leadsSinceMs < ENTRIES_FIND_LEADER_MS
+      ? Math.max(entryCount, reportedCount)
+      : entryCount;
+  }
+
+  private startTermIfLeader(): void {
+    if (!this.isLeader) return;
+    const isNew = this.reservations.startTerm(this.group!.term);
+    if (isNew) this.leadsSinceMs = this.options.nowMs();
+  }
+
   /** Sends the status if it changed; a change of the entry count may wait. */
   private sendStatus(): void {
     const status = this.status();
@@ -450,7 +475,7 @@
   private tick(): void {
     if (this.group === undefined) return;
     this.group.tick();
-    if (this.isLeader) this.reservations.startTerm(this.group.term);
+    if (this.isLeader) this.startTermIfLeader();
     else this.reservations.endTerm();
     this.linkTo(this.group.members);
     this.sendStatus();
@@ -493,7 +518,7 @@
 
   private reserve(demand: Demand): Promise<DispatchResult> {
     if (!this.isLeader) return Promise.reject(new Error('not_leader'));
-    this.reservations.startTerm(this.group!.term);
+    this.startTermIfLeader();
     return this.reservations.reserve(demand);
   }
 }
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -32,7 +32,10 @@
    * Index of the last log entry applied by the sender that changed the state.
    */
   readonly index: number;
-  /** Entries that are connected to the leader, as known to the sender. */
+  /**
+   * Entries that are connected to the leader, as known to the sender; 0 if it
+   * does not know.
+   */
   readonly entryCount: number;
 }
 
--- a/packages/cluster/src/control/reservations.ts
+++ b/packages/cluster/src/control/reservations.ts
@@ -70,13 +70,14 @@
 
   /**
    * Drops the runs granted in an earlier term: other leaders have released them
-   * since.
+   * since. Returns whether the term is new.
    */
-  startTerm(term: number): void {
-    if (term === this.term) return;
+  startTerm(term: number): boolean {
+    if (term === this.term) return false;
     this.term = term;
     this.dispatcher.clearRuns();
     this.options.logger.info('leadership_taken', {term});
+    return true;
   }
 
   /** Fails the pending demands: this daemon is no longer the leader. */
--- a/packages/cluster/src/entry/control-links.ts
+++ b/packages/cluster/src/entry/control-links.ts
@@ -105,8 +105,8 @@
 
   /** Number of entries among which shared limits are divided. */
   get entryCount(): number {
-    const counts = this.connectedControls().map(
-      control => control.status?.entryCount ?? 0,
+    const counts = this.connectedControls().map(({status}) =>
+      status?.leader ? status.entryCount : 0,
     );
     this.lastEntryCount = Math.max(...counts, 0) || this.lastEntryCount;
     return this.lastEntryCount;
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -41,6 +41,11 @@
 
 const PULL_TIMEOUT_MS = 2_000;
 const DISPATCH_EVERY_MS = 100;
+/**
+ * Wait after which this entry exceeds its share of an engine: without a leader
+ * it does not know what the others leave free.
+ */
+const LOCAL_PATIENCE_MS = 500;
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
 const MOVE_PERMIT_TIMEOUT_MS = 2_500;
@@ -174,6 +179,9 @@
         demand.maxWaitMs + RESERVATION_MARGIN_MS,
       );
     } catch (error) {
+      // The leader may still grant the demand, which nobody would release.
+      const {request} = demand;
+      leader.notify('finish', {request, outcome: 'abandoned'});
       this.options.logger.warn('leader_gave_no_place', {
         run: demand.request,
         reason: String(error),
@@ -235,7 +243,9 @@
   private reserveLocally(demand: Demand): Promise<DispatchResult> {
     return new Promise(resolve => {
       this.localResolvers.set(demand.request, resolve);
-      this.localDispatcher.acquire(demand, this.options.nowMs());
+      const patienceMs = Math.min(demand.patienceMs, LOCAL_PATIENCE_MS);
+      const localDemand = {...demand, patienceMs};
+      this.localDispatcher.acquire(localDemand, this.options.nowMs());
       this.dispatchLater();
     });
   }
--- a/packages/gateway/src/dispatch/dispatcher.spec.ts
+++ b/packages/gateway/src/dispatch/dispatcher.spec.ts
@@ -7,6 +7,7 @@
   requestId,
   serviceId,
   targetId,
+  workspaceId,
   zoneId,
 } from '@samphirefield/core';
 import type {TargetRecord} from '../registry/index.js';
@@ -50,6 +51,8 @@
     kvTokens: 1_000,
     prefillTokens: 0,
     priority: 0,
+    workspace: undefined,
+    inTimeMs: 10_000,
     patienceMs: 1_000,
     noTargetWaitMs: 2_000,
     maxWaitMs: 2_000,
@@ -104,7 +107,11 @@
     new Set([zoneId('a')]),
   );
   dispatcher.acquire(demand('r1', {maxWaitMs: 0}), 0);
-  expect(results.get('r1')).toEqual({kind: 'refused', reason: 'no_target'});
+  expect(results.get('r1')).toEqual({
+    kind: 'refused',
+    reason: 'no_target',
+    retryAfterMs: undefined,
+  });
 });
 
 test('waits for free capacity and grants more urgent demands first', () => {
@@ -118,8 +125,10 @@
   expect(targetOf('r2')).toEqual(undefined);
 });
 
-test('grants a run on a full target after the wait for free capacity', () => {
+test('grants a run on a full plain target after the wait for free capacity', () => {
   const {dispatcher, targetOf} = setUp([record('t1', {slots: 1})]);
+  const plain = {service: SERVICE, kvTokens: undefined, coldRequestsPerS: 0};
+  dispatcher.configure([plain], new Set());
   dispatcher.acquire(demand('r1'), 0);
   dispatcher.acquire(demand('r2'), 0);
   dispatcher.dispatchPending(999);
@@ -128,6 +137,81 @@
   expect(targetOf('r2')).toEqual('t1');
 });
 
+test('exceeds an engine by a tenth at most, and only without patience', () => {
+  const {dispatcher, targetOf, results} = setUp([record('t1', {slots: 10})]);
+  const small = {kvTokens: 1, maxWaitMs: 0};
+  for (let i = 0; i < 10; i += 1) dispatcher.acquire(demand(`r${i}`, small), 0);
+  expect(targetOf('r9')).toEqual('t1');
+  dispatcher.acquire(demand('patient', small), 0);
+  expect(results.get('patient')?.kind).toEqual('refused');
+  dispatcher.acquire(demand('move1', {...small, patienceMs: 0}), 0);
+  expect(targetOf('move1')).toEqual('t1');
+  dispatcher.acquire(demand('move2', {...small, patienceMs: 0}), 0);
+  expect(results.get('move2')?.kind).toEqual('refused');
+});
+
+test('demands that have missed their time go behind those in time', () => {
+  const {dispatcher, targetOf} = setUp([record('t1', {slots: 1})]);
+  const inTimeMs = 500;
+  dispatcher.acquire(demand('r1'), 0);
+  dispatcher.acquire(demand('old', {inTimeMs}), 0);
+  dispatcher.acquire(demand('new', {inTimeMs, priority: 1}), 400);
+  dispatcher.release(requestId('r1'), 'served', 600);
+  expect(targetOf('new')).toEqual('t1');
+  expect(targetOf('old')).toEqual(undefined);
+  dispatcher.release(requestId('new'), 'served', 700);
+  expect(targetOf('old')).toEqual('t1');
+});
+
+test('a large demand does not hold up the small ones of another priority', () => {
+  const {dispatcher, targetOf} = setUp([record('t1')]);
+  dispatcher.acquire(demand('r1', {kvTokens: 8_000}), 0);
+  dispatcher.acquire(demand('large', {kvTokens: 5_000}), 1);
+  dispatcher.acquire(demand('small', {kvTokens: 1_000, priority: 1}), 2);
+  dispatcher.dispatchPending(3);
+  expect(targetOf('small')).toEqual('t1');
+  expect(targetOf('large')).toEqual(undefined);
+});
+
+test('the workspaces of a priority take turns', () => {
+  const {dispatcher, targetOf} = setUp([record('t1', {slots: 1})]);
+  const [busy, quiet] = [workspaceId('busy'), workspaceId('quiet')];
+  dispatcher.acquire(demand('r1'), 0);
+  for (const name of ['b1', 'b2', 'b3']) {
+    dispatcher.acquire(demand(name, {workspace: busy}), 1);
+  }
+  dispatcher.acquire(demand('q1', {workspace: quiet}), 2);
+  dispatcher.release(requestId('r1'), 'served', 3);
+  expect(targetOf('b1')).toEqual('t1');
+  dispatcher.release(requestId('b1'), 'served', 4);
+  expect(targetOf('q1')).toEqual('t1');
+});
+
+test('refuses at once what cannot be served, with the time to return', () => {
+  const {dispatcher, results} = setUp([record('t1', {slots: 1})]);
+  const SERVICE_MS = 100;
+  let nowMs = 0;
+  dispatcher.acquire(demand('r0'), nowMs);
+  const queued = {inTimeMs: 60_000, maxWaitMs: 60_000};
+  for (let i = 1; i <= 40; i += 1) {
+    dispatcher.acquire(demand(`r${i}`, queued), nowMs);
+  }
+  // One run ends every 100 ms, so the 20 that then wait take two seconds.
+  for (let i = 0; i < 20; i += 1) {
+    nowMs += SERVICE_MS;
+    dispatcher.release(requestId(`r${i}`), 'served', nowMs);
+  }
+  dispatcher.acquire(demand('hasty', {maxWaitMs: 1_000}), nowMs);
+  const result = results.get('hasty');
+  if (result?.kind !== 'refused') throw new Error('the demand is not refused');
+  expect(result.reason).toEqual('crowded');
+  expect(
+    result.retryAfterMs! >= 1_500 && result.retryAfterMs! <= 2_500,
+  ).toEqual(true);
+  dispatcher.acquire(demand('patient', {maxWaitMs: 5_000}), nowMs);
+  expect(results.has('patient')).toEqual(false);
+});
+
 test('releases the runs of a lost daemon', () => {
   const {dispatcher, targetOf} = setUp([record('t1', {slots: 1})]);
   dispatcher.acquire(demand('r1'), 0);
@@ -236,7 +320,11 @@
   dispatcher.removeTarget(targetId('t1'));
   dispatcher.release(requestId('r1'), 'served', 1);
   dispatcher.acquire(demand('r2', {maxWaitMs: 0}), 2);
-  expect(results.get('r2')).toEqual({kind: 'refused', reason: 'no_target'});
+  expect(results.get('r2')).toEqual({
+    kind: 'refused',
+    reason: 'no_target',
+    retryAfterMs: undefined,
+  });
   expect(dispatcher.runCount).toEqual(0);
 });
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -1,8 +1,9 @@
 /**
  * Reserves capacity on targets for requests. The dispatcher records every run
  * that it granted, so the sum over all daemons that use it stays within the
- * capacity of a target. Only a demand that has waited too long for free
- * capacity may exceed it.
+ * capacity of a target. Only a demand whose patience is over may exceed it:
+ * moves of running generations, which would be lost, and requests to plain
+ * targets, which queue them.
  *
  * The dispatcher gets the time as a parameter and does no input or output. It
  * calls `onResult` once for each demand that is granted or refused.
@@ -15,12 +16,15 @@
   ZoneId,
 } from '@samphirefield/core';
 import type {TargetRecord} from '../registry/index.js';
+import {DemandQueue} from './demand-queue.js';
 import type {
   Demand,
+  DispatchRefusal,
   DispatchResult,
   RunOutcome,
   ServiceCapacity,
 } from './types.js';
+import {WaitEstimate} from './wait-estimate.js';
 
 /** Weight of a target's recent failures relative to its load. */
 const FAILURE_PENALTY = 3;
@@ -33,6 +37,11 @@
  * A prefill backlog of this length counts as much as the load of a full target.
  */
 const PREFILL_FULL_LOAD_MS = 1_200;
+/**
+ * Load up to which a demand that may exceed the capacity does so on an engine;
+ * beyond it, other requests there would be preempted.
+ */
+const MAX_EXCEEDED_LOAD = 1.1;
 const COLD_PENALTY = 0.3;
 /**
  * A target is slow for a while after its start, even when it is warm already.
@@ -67,12 +76,6 @@
   prefillDoneAtMs: number;
 }
 
-interface PendingDemand {
-  readonly demand: Demand;
-  readonly sinceMs: number;
-  readonly order: number;
-}
-
 export interface DispatcherOptions {
   readonly onResult: (demand: Demand, result: DispatchResult) => void;
   /**
@@ -90,13 +93,13 @@
   private readonly runs = new Map<RequestId, Run>();
   private readonly capacities = new Map<ServiceId, ServiceCapacity>();
   private zonesOut: ReadonlySet<ZoneId> = new Set();
-  private pending: PendingDemand[] = [];
-  private nextOrder = 0;
+  private readonly queue = new DemandQueue();
+  private readonly estimate = new WaitEstimate();
 
   constructor(private readonly options: DispatcherOptions) {}
 
   get pendingCount(): number {
-    return this.pending.length;
+    return this.queue.size;
   }
 
   get runCount(): number {
@@ -163,14 +166,17 @@
       return;
     }
     if (this.isEveryUsableExcluded(demand)) {
-      this.options.onResult(demand, {kind: 'refused', reason: 'all_tried'});
+      this.refuse(demand, 'all_tried', undefined);
       return;
     }
-    this.pending.push({demand, sinceMs: nowMs, order: this.nextOrder++});
-    this.pending.sort(
-      (a, b) => a.demand.priority - b.demand.priority || a.order - b.order,
-    );
-    this.dispatchPending(nowMs);
+    if (this.isHopeless(demand, nowMs)) {
+      this.refuse(demand, 'crowded', this.expectedWaitMs(demand, nowMs));
+      return;
+    }
+    this.queue.add(demand, nowMs);
+    this.grantPending(nowMs);
+    const isPending = this.queue.has(demand.request);
+    if (isPending && this.isWaitOver(demand, 0)) this.end(demand, nowMs);
   }
 
   /**
@@ -205,11 +211,7 @@
 
   /** Drops pending demands without a result: all, or those of an entry. */
   withdrawPending(entry?: InstanceId): Demand[] {
-    const isWithdrawn = ({demand}: PendingDemand) =>
-      entry === undefined || demand.entry === entry;
-    const withdrawn = this.pending.filter(isWithdrawn);
-    this.pending = this.pending.filter(item => !isWithdrawn(item));
-    return withdrawn.map(item => item.demand);
+    return this.queue.withdraw(entry);
   }
 
   /** Removes every run; the holders of runs have to report them again. */
@@ -223,7 +225,7 @@
 
   /** Ends a run, or withdraws a pending demand. */
   release(request: RequestId, outcome: RunOutcome, nowMs: number): void {
-    this.pending = this.pending.filter(item => item.demand.request !== request);
+    this.queue.remove(request);
     const run = this.runs.get(request);
     if (run === undefined) return;
     this.runs.delete(request);
@@ -232,12 +234,12 @@
     target.runs = Math.max(0, target.runs - 1);
     target.kvTokens = Math.max(0, target.kvTokens - run.kvTokens);
     this.recordOutcome(target, outcome, nowMs);
-    this.dispatchPending(nowMs);
+    this.grantPending(nowMs);
   }
 
   /** Releases the runs and drops the demands of a daemon that is gone. */
   releaseEntry(entry: InstanceId, nowMs: number): void {
-    this.pending = this.pending.filter(item => item.demand.entry !== entry);
+    this.queue.withdraw(entry);
     const orphaned = [...this.runs.values()].filter(run => run.entry === entry);
     for (const run of orphaned) this.release(run.request, 'abandoned', nowMs);
   }
@@ -246,34 +248,54 @@
    * Grants pending demands for which there is capacity; refuses overdue ones.
    */
   dispatchPending(nowMs: number): void {
-    const stillPending: PendingDemand[] = [];
-    const blocked = new Set<ServiceId>();
-    for (const item of this.pending) {
-      const {demand, sinceMs} = item;
-      const waitedMs = nowMs - sinceMs;
-      const isOverSoftWait = waitedMs >= demand.patienceMs;
-      const isBlocked = blocked.has(demand.service) && !isOverSoftWait;
-      const target = isBlocked
-        ? undefined
-        : this.choose(demand, nowMs, isOverSoftWait);
+    this.grantPending(nowMs);
+    const ended = this.queue.overWait(
+      (demand, waitedMs) => this.isWaitOver(demand, waitedMs),
+      nowMs,
+    );
+    for (const demand of ended) this.end(demand, nowMs);
+  }
+
+  private grantPending(nowMs: number): void {
+    if (this.queue.size === 0) return;
+    this.queue.offer(({demand, sinceMs}) => {
+      const isPatient = nowMs - sinceMs < demand.patienceMs;
+      const target = this.choose(demand, nowMs, !isPatient);
       if (target) this.grant(demand, target, nowMs);
-      else if (this.isWaitOver(demand, waitedMs)) this.refuse(demand);
-      else {
-        stillPending.push(item);
-        blocked.add(demand.service);
-      }
-    }
-    this.pending = stillPending;
+      return target !== undefined;
+    }, nowMs);
   }
 
-  private isNextInLine(demand: Demand): boolean {
-    return !this.pending.some(
-      item =>
-        item.demand.service === demand.service &&
-        item.demand.priority <= demand.priority,
+  /** Refuses a pending demand. */
+  private end(demand: Demand, nowMs: number): void {
+    this.queue.remove(demand.request);
+    const isCrowded = this.hasUsable(demand);
+    this.refuse(
+      demand,
+      isCrowded ? 'crowded' : 'no_target',
+      isCrowded ? this.expectedWaitMs(demand, nowMs) : undefined,
     );
   }
 
+  private isNextInLine({service, priority}: Demand): boolean {
+    return !this.queue.hasInTime(service, priority);
+  }
+
+  /** Undefined while there is no basis for an estimate. */
+  private expectedWaitMs(
+    {service, priority}: Demand,
+    nowMs: number,
+  ): number | undefined {
+    const ahead = this.queue.countAhead(service, priority);
+    return this.estimate.waitMs(service, ahead, nowMs);
+  }
+
+  /** Whether the demands ahead need more time than this one may wait. */
+  private isHopeless(demand: Demand, nowMs: number): boolean {
+    const waitMs = this.expectedWaitMs(demand, nowMs) ?? 0;
+    return waitMs > demand.maxWaitMs && this.hasUsable(demand);
+  }
+
   private grant(demand: Demand, target: TargetState, nowMs: number): void {
     const {id} = target.record.announcement;
     const {request, entry, kvTokens} = demand;
@@ -284,6 +306,7 @@
     target.prefillDoneAtMs =
       Math.max(nowMs, target.prefillDoneAtMs) +
       demand.prefillTokens / PREFILL_TOKENS_PER_MS;
+    this.estimate.recordGrant(demand.service, nowMs);
     this.options.onResult(demand, {kind: 'granted', target: id});
   }
 
@@ -312,16 +335,20 @@
     return waitedMs >= demand.noTargetWaitMs && !this.hasUsable(demand);
   }
 
-  private refuse(demand: Demand): void {
-    const reason = this.hasUsable(demand) ? 'crowded' : 'no_target';
-    this.options.onResult(demand, {kind: 'refused', reason});
+  private refuse(
+    demand: Demand,
+    reason: DispatchRefusal,
+    retryAfterMs: number | undefined,
+  ): void {
+    this.options.onResult(demand, {kind: 'refused', reason, retryAfterMs});
   }
 
   private choose(
     demand: Demand,
     nowMs: number,
-    isOverSoftWait: boolean,
+    mayExceed: boolean,
   ): TargetState | undefined {
+    const maxExceededLoad = this.maxExceededLoad(demand.service);
     let best: TargetState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const id of this.byService.get(demand.service) ?? []) {
@@ -331,7 +358,7 @@
         continue;
       }
       const load = this.loadAfter(target, demand);
-      if (load > 1 && !isOverSoftWait) continue;
+      if (load > (mayExceed ? maxExceededLoad : 1)) continue;
       const cost = load + this.penalty(target, demand, nowMs);
       if (cost < bestCost) {
         best = target;
@@ -367,6 +394,17 @@
     );
   }
 
+  /**
+   * Plain targets queue what exceeds their capacity. Of a share of a target
+   * nobody knows how much the others take.
+   */
+  private maxExceededLoad(service: ServiceId): number {
+    const isEngine = this.capacities.get(service)?.kvTokens !== undefined;
+    return isEngine && this.options.share(service) === 1
+      ? MAX_EXCEEDED_LOAD
+      : Number.POSITIVE_INFINITY;
+  }
+
   private penalty(target: TargetState, demand: Demand, nowMs: number): number {
     this.decay(target, nowMs);
     const isOtherZone = target.record.announcement.zone !== demand.zone;
--- a/packages/gateway/src/dispatch/index.ts
+++ b/packages/gateway/src/dispatch/index.ts
@@ -1,2 +1,3 @@
+export * from './demands.js';
 export * from './dispatcher.js';
 export * from './types.js';
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -4,6 +4,7 @@
   RequestId,
   ServiceId,
   TargetId,
+  WorkspaceId,
   ZoneId,
 } from '@samphirefield/core';
 
@@ -25,6 +26,10 @@
   readonly prefillTokens: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** The workspace that shares the queue with others; undefined: none. */
+  readonly workspace: WorkspaceId | undefined;
+  /** After this wait the request can no longer be served in time. */
+  readonly inTimeMs: number;
   /**
    * How long the demand waits for free capacity before it uses a full target.
    */
@@ -57,7 +62,12 @@
 
 export type DispatchResult =
   | {readonly kind: 'granted'; readonly target: TargetId}
-  | {readonly kind: 'refused'; readonly reason: DispatchRefusal};
+  | {
+      readonly kind: 'refused';
+      readonly reason: DispatchRefusal;
+      /** When a place is expected; undefined if that cannot be estimated. */
+      readonly retryAfterMs: number | undefined;
+    };
 
 /** How a granted run ended, as far as it concerns its target. */
 export type RunOutcome =
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -38,7 +38,7 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Attempts of one request, including those that a target rejected. */
 const MAX_ATTEMPTS = 4;
-const RETRY_AFTER_MAX_MS = 400;
+const RETRY_AFTER_DEFAULT_MS = 400;
 /** `Retry-After` is at most this share of the request's remaining time. */
 const RETRY_AFTER_SHARE = 0.3;
 const CONFIG_WAIT_MAX_MS = 1_500;
@@ -182,19 +182,21 @@
       this.log('served', this.failureResponse.status);
       return undefined;
     }
-    const retryAfterShareMs =
-      Math.max(0, this.remainingMs()) * RETRY_AFTER_SHARE;
     if (!this.req.complete) this.res.setHeader('connection', 'close');
-    writeLocalResponse(
-      this.res,
-      response,
-      Math.min(RETRY_AFTER_MAX_MS, retryAfterShareMs),
-    );
+    writeLocalResponse(this.res, response, this.retryAfterMs(response));
     const reason = 'reason' in response ? response.reason : undefined;
     this.log(response.kind, statusOfLocalResponse(response), reason);
     return undefined;
   }
 
+  /** When the caller should return: with an estimate, not before that. */
+  private retryAfterMs(response: LocalResponse): number {
+    const estimateMs =
+      response.kind === 'not_run' ? response.retryAfterMs : undefined;
+    const shareMs = Math.max(0, this.remainingMs()) * RETRY_AFTER_SHARE;
+    return Math.min(estimateMs ?? RETRY_AFTER_DEFAULT_MS, shareMs);
+  }
+
   private async serve(admitted: AdmittedRequest): Promise<void> {
     const {budget} = this.deps;
     budget.recordRequest(admitted.service);
@@ -254,7 +256,11 @@
     if (result.kind === 'refused') {
       return {
         kind: 'own',
-        response: {kind: 'not_run', reason: result.reason},
+        response: {
+          kind: 'not_run',
+          reason: result.reason,
+          retryAfterMs: result.retryAfterMs,
+        },
       };
     }
     if (this.isOver) {
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -136,7 +136,12 @@
   /** The caller did not send its whole request in time; it has not run. */
   | {readonly kind: 'request_timeout'}
   /** The request did not run and will not run later. */
-  | {readonly kind: 'not_run'; readonly reason: string}
+  | {
+      readonly kind: 'not_run';
+      readonly reason: string;
+      /** When the caller may expect to be served; undefined if unknown. */
+      readonly retryAfterMs?: number | undefined;
+    }
   /** The request ran or may have run, and its response is lost. */
   | {readonly kind: 'outcome_unknown'; readonly reason: string}
   | {readonly kind: 'timed_out'};
--- /dev/null
+++ b/packages/replay/src/reservations/index.ts
@@ -0,0 +1,4 @@
+/** Heavy loads on the gateway's dispatcher in virtual time. */
+export * from './figures.js';
+export * from './play.js';
+export * from './scenario.js';
--- /dev/null
+++ b/packages/replay/src/reservations/play.ts
@@ -0,0 +1,494 @@
+/**
+ * Plays a scenario in virtual time: the gateway's dispatcher grants engines of
+ * the emulator's model, and the callers' view of each request is recorded.
+ */
+import {
+  instanceId,
+  requestId,
+  serviceId,
+  targetId,
+  zoneId,
+  type TargetId,
+} from '@samphirefield/core';
+import {
+  createEngine,
+  step,
+  submit,
+  type EngineConfig,
+  type EngineState,
+} from '@samphirefield/fakes';
+import {
+  Dispatcher,
+  moveDemand,
+  startDemand,
+  type Demand,
+  type DispatchResult,
+  type TargetRecord,
+  type TokenCounts,
+} from '@samphirefield/gateway';
+import {createRandom} from '@samphirefield/replication/fuzz';
+import {EventQueue} from '../simulate/event-queue.js';
+import type {RequestClass, Scenario} from './scenario.js';
+
+const SERVICE = serviceId('engines');
+const ENTRY_COUNT = 20;
+const DISPATCH_EVERY_MS = 250;
+/** From the grant to the engine, and from an event to the caller. */
+const HOP_MS = 4;
+const TOKENS_PER_EVENT = 4;
+const MAX_GAP_MS = 180;
+/** Time for a copy of a KV cache and the change to the next engine. */
+const MOVE_MS = 90;
+const RETRY_AFTER_DEFAULT_MS = 400;
+const RETRY_AFTER_SHARE = 0.3;
+/** Attempts of one caller's request, including the first. */
+const MAX_CLIENT_ATTEMPTS = 2;
+const DRAIN_MS = 45_000;
+const COLD_MS = 1_000;
+
+/** What became of a caller's request. */
+export type Outcome = 'in_time' | 'late' | 'refused' | 'lost';
+
+export interface PlayedRequest {
+  readonly requestClass: RequestClass;
+  readonly askedAtMs: number;
+  outcome: Outcome;
+  firstAtMs: number | undefined;
+  /** Attempts of the caller, including the first. */
+  attempts: number;
+  /** How long the first attempt waited for its refusal; undefined: none. */
+  refusedAfterMs: number | undefined;
+}
+
+interface Running {
+  readonly played: PlayedRequest;
+  readonly tokens: TokenCounts;
+  readonly outputTokens: number;
+  readonly run: string;
+  engine: Engine | undefined;
+  generated: number;
+  lastEventAtMs: number | undefined;
+  worstGapMs: number;
+  isMoving: boolean;
+}
+
+interface Engine {
+  readonly id: TargetId;
+  readonly record: TargetRecord;
+  readonly state: EngineState;
+  readonly runs: Map<string, Running>;
+  isBusy: boolean;
+  isGone: boolean;
+  isDraining: boolean;
+}
+
+export interface PlayFigures {
+  readonly requests: readonly PlayedRequest[];
+  readonly preemptions: number;
+}
+
+/** A normally distributed number by the sum of uniform ones. */
+function normal(below: (bound: number) => number): number {
+  let sum = 0;
+  for (let i = 0; i < 12; i += 1) sum += below(1_000_000) / 1_000_000;
+  return sum - 6;
+}
+
+class Play {
+  private readonly events = new EventQueue();
+  private readonly random;
+  private readonly engines = new Map<TargetId, Engine>();
+  private readonly requests: PlayedRequest[] = [];
+  private readonly waiting = new Map<
+    string,
+    (result: DispatchResult) => void
+  >();
+  private readonly dispatcher: Dispatcher;
+  private engineCount = 0;
+  private runCount = 0;
+  private preemptions = 0;
+
+  constructor(
+    private readonly scenario: Scenario,
+    seed: number,
+  ) {
+    this.random = createRandom(seed);
+    this.dispatcher = new Dispatcher({
+      onResult: (demand, result) => {
+        const resolve = this.waiting.get(demand.request);
+        this.waiting.delete(demand.request);
+        resolve?.(result);
+      },
+      share: () => 1,
+      random: () => this.random.below(1_000) / 1_000,
+    });
+    this.dispatcher.configure(
+      [
+        {
+          service: SERVICE,
+          kvTokens: scenario.kvTokens,
+          coldRequestsPerS: 26,
+        },
+      ],
+      new Set(),
+    );
+  }
+
+  run(): PlayFigures {
+    const {scenario, events} = this;
+    for (let i = 0; i < scenario.engines; i += 1) this.addEngine(0, i);
+    for (const requestClass of scenario.classes) this.arriveLater(requestClass);
+    for (let t = 1_500; t < scenario.durationMs; t += scenario.leaveEveryMs) {
+      events.schedule(t, () => this.startLeaving());
+    }
+    const endMs = scenario.durationMs + DRAIN_MS;
+    for (let t = 0; t < endMs; t += DISPATCH_EVERY_MS) {
+      events.schedule(t, () => this.dispatcher.dispatchPending(t));
+    }
+    while (events.step(endMs));
+    return {requests: this.requests, preemptions: this.preemptions};
+  }
+
+  private spread(mean: number, sigma: number): number {
+    const value = Math.exp(normal(this.random.below) * sigma - sigma ** 2 / 2);
+    return mean * value;
+  }
+
+  private addEngine(coldMs: number, zone: number): void {
+    const {scenario, events} = this;
+    const config: EngineConfig = {
+      slots: scenario.slots,
+      coldSlots: scenario.slots,
+      kvTokens: scenario.kvTokens,
+      stepBaseMs: 7,
+      stepPerSequenceMs: 0.12,
+      prefillMsPerToken: 1 / 14,
+      prefillChunkTokens: 112,
+      warmUpSteps: 1,
+      coldSlowdown: 1,
+      maxCachedPrefixes: 64,
+    };
+    this.engineCount += 1;
+    const id = targetId(`t${this.engineCount}`);
+    const record: TargetRecord = {
+      announcement: {
+        id,
+        bornMs: 1,
+        sequence: 1,
+        service: SERVICE,
+        host: id,
+        port: 1,
+        zone: zoneId(`z${zone % scenario.zones}`),
+        slots: scenario.slots,
+        state: 'ready',
+        coldLeftMs: coldMs,
+      },
+      lastSeenAtMs: events.nowMs,
+      coldUntilMs: events.nowMs + coldMs,
+    };
+    this.engines.set(id, {
+      id,
+      record,
+      state: createEngine(config, true),
+      runs: new Map(),
+      isBusy: false,
+      isGone: false,
+      isDraining: false,
+    });
+    this.dispatcher.setTarget(record, false, events.nowMs);
+  }
+
+  private startLeaving(): void {
+    const {scenario, events} = this;
+    const ready = [...this.engines.values()].filter(
+      engine => !engine.isDraining && !engine.isGone,
+    );
+    const count = Math.max(1, Math.round(ready.length * scenario.leaveShare));
+    for (let i = 0; i < count && ready.length > 1; i += 1) {
+      const position = this.random.below(ready.length);
+      const [engine] = ready.splice(position, 1);
+      this.drain(engine!);
+      events.schedule(events.nowMs + scenario.replacedAfterMs, () =>
+        this.addEngine(COLD_MS, i + position),
+      );
+    }
+  }
+
+  private drain(engine: Engine): void {
+    const {scenario, events} = this;
+    engine.isDraining = true;
+    const announcement = {
+      ...engine.record.announcement,
+      state: 'draining' as const,
+      sequence: 2,
+    };
+    this.dispatcher.setTarget(
+      {...engine.record, announcement},
+      false,
+      events.nowMs,
+    );
+    events.schedule(events.nowMs + scenario.noticeMs, () => this.end(engine));
+    this.moveNext(engine);
+  }
+
+  /** Moves the runs of a leaving engine off it, one after the other. */
+  private moveNext(engine: Engine): void {
+    if (engine.isGone) return;
+    const {events} = this;
+    const next = [...engine.runs.values()].find(
+      running => running.generated > 0 && !running.isMoving,
+    );
+    if (next === undefined) {
+      events.schedule(events.nowMs + 40, () => this.moveNext(engine));
+      return;
+    }
+    next.isMoving = true;
+    const run = this.newRun();
+    const demand = moveDemand(
+      this.requester(run, next.played.requestClass, [engine.id]),
+      next.tokens,
+    );
+    this.acquire(demand, result => {
+      if (result.kind === 'refused') {
+        next.isMoving = false;
+        events.schedule(events.nowMs + 120, () => this.moveNext(engine));
+        return;
+      }
+      events.schedule(events.nowMs + MOVE_MS, () => {
+        this.finishMove(engine, next, run, this.engines.get(result.target)!);
+        this.moveNext(engine);
+      });
+    });
+  }
+
+  private finishMove(
+    from: Engine,
+    running: Running,
+    run: string,
+    to: Engine,
+  ): void {
+    const {nowMs} = this.events;
+    const sequence = from.state.running.get(running.run);
+    const isStillThere = from.runs.has(running.run) && sequence !== undefined;
+    if (!isStillThere || from.isGone || to.isGone) {
+      this.dispatcher.release(requestId(run), 'abandoned', nowMs);
+      running.isMoving = false;
+      return;
+    }
+    from.state.running.delete(running.run);
+    from.runs.delete(running.run);
+    this.dispatcher.release(requestId(running.run), 'served', nowMs);
+    const moved: Running = {...running, run, engine: to, isMoving: false};
+    to.runs.set(run, moved);
+    to.state.running.set(run, {...sequence, id: run});
+    this.wake(to);
+  }
+
+  private end(engine: Engine): void {
+    engine.isGone = true;
+    for (const running of engine.runs.values()) {
+      running.played.outcome = 'lost';
+      this.dispatcher.release(
+        requestId(running.run),
+        'failed',
+        this.events.nowMs,
+      );
+    }
+    engine.runs.clear();
+    this.engines.delete(engine.id);
+    this.dispatcher.removeTarget(engine.id);
+  }
+
+  private arriveLater(requestClass: RequestClass): void {
+    const {scenario, events} = this;
+    const isBurst =
+      events.nowMs >= scenario.burstFromMs && events.nowMs < scenario.burstToMs;
+    const perS = requestClass.perS * (isBurst ? scenario.burst : 1);
+    const uniform = (1 + this.random.below(1_000_000)) / 1_000_001;
+    const atMs = events.nowMs + (-Math.log(uniform) / perS) * 1_000;
+    if (atMs > scenario.durationMs) return;
+    events.schedule(atMs, () => {
+      this.arrive(requestClass);
+      this.arriveLater(requestClass);
+    });
+  }
+
+  private arrive(requestClass: RequestClass): void {
+    const played: PlayedRequest = {
+      requestClass,
+      askedAtMs: this.events.nowMs,
+      outcome: 'refused',
+      firstAtMs: undefined,
+      attempts: 1,
+      refusedAfterMs: undefined,
+    };
+    this.requests.push(played);
+    const {outputTokens, maxOutputTokens, promptTokens} = requestClass;
+    const output = Math.min(
+      maxOutputTokens,
+      Math.max(4, this.spread(outputTokens * 1.25, requestClass.outputSpread)),
+    );
+    const tokens: TokenCounts = {
+      promptTokens: Math.min(
+        2 * promptTokens,
+        Math.round(this.spread(promptTokens, requestClass.promptSpread)),
+      ),
+      maxOutputTokens,
+      hintedOutputTokens: Math.round(
+        output * Math.exp(normal(this.random.below) * requestClass.hintSpread),
+      ),
+    };
+    this.ask(played, tokens, Math.round(output));
+  }
+
+  private ask(
+    played: PlayedRequest,
+    tokens: TokenCounts,
+    outputTokens: number,
+  ): void {
+    const {events} = this;
+    const {requestClass, askedAtMs} = played;
+    const run = this.newRun();
+    const remainingMs = askedAtMs + requestClass.deadlineMs - events.nowMs;
+    const demand = startDemand(
+      this.requester(run, requestClass, []),
+      tokens,
+      requestClass.objectiveMs,
+      remainingMs,
+    );
+    this.acquire(demand, result => {
+      if (result.kind === 'granted') {
+        events.schedule(events.nowMs + HOP_MS, () =>
+          this.start(played, tokens, outputTokens, run, result.target),
+        );
+        return;
+      }
+      played.refusedAfterMs ??= events.nowMs - askedAtMs;
+      if (played.attempts >= MAX_CLIENT_ATTEMPTS) return;
+      played.attempts += 1;
+      const leftMs = askedAtMs + requestClass.deadlineMs - events.nowMs;
+      const retryAfterMs = Math.min(
+        result.retryAfterMs ?? RETRY_AFTER_DEFAULT_MS,
+        leftMs * RETRY_AFTER_SHARE,
+      );
+      events.schedule(events.nowMs + retryAfterMs, () =>
+        this.ask(played, tokens, outputTokens),
+      );
+    });
+  }
+
+  private start(
+    played: PlayedRequest,
+    tokens: TokenCounts,
+    outputTokens: number,
+    run: string,
+    target: TargetId,
+  ): void {
+    const engine = this.engines.get(target);
+    if (engine === undefined) {
+      played.outcome = 'lost';
+      this.dispatcher.release(requestId(run), 'failed', this.events.nowMs);
+      return;
+    }
+    const running: Running = {
+      played,
+      tokens,
+      outputTokens,
+      run,
+      engine,
+      generated: 0,
+      lastEventAtMs: undefined,
+      worstGapMs: 0,
+      isMoving: false,
+    };
+    engine.runs.set(run, running);
+    submit(engine.state, {
+      id: run,
+      promptTokens: tokens.promptTokens,
+      outputTokens,
+      priority: 5,
+      prefix: '',
+    });
+    this.wake(engine);
+  }
+
+  private wake(engine: Engine): void {
+    if (engine.isBusy || engine.isGone) return;
+    if (engine.state.running.size + engine.state.waiting.size === 0) return;
+    engine.isBusy = true;
+    const result = step(engine.state);
+    this.preemptions += result.preempted.length;
+    const doneAtMs = this.events.nowMs + Math.max(1, result.durationMs);
+    this.events.schedule(doneAtMs, () => {
+      engine.isBusy = false;
+      for (const {id} of result.emitted) this.onToken(engine.runs.get(id));
+      for (const {id} of result.finished) this.onFinished(engine, id);
+      this.wake(engine);
+    });
+  }
+
+  private onToken(running: Running | undefined): void {
+    if (running === undefined) return;
+    running.generated += 1;
+    const isEvent =
+      running.generated % TOKENS_PER_EVENT === 0 ||
+      running.generated >= running.outputTokens;
+    if (!isEvent) return;
+    const atMs = this.events.nowMs + HOP_MS;
+    if (running.lastEventAtMs === undefined) running.played.firstAtMs = atMs;
+    else {
+      const gapMs = atMs - running.lastEventAtMs;
+      running.worstGapMs = Math.max(running.worstGapMs, gapMs);
+    }
+    running.lastEventAtMs = atMs;
+  }
+
+  private onFinished(engine: Engine, run: string): void {
+    const running = engine.runs.get(run);
+    if (running === undefined) return;
+    engine.runs.delete(run);
+    this.dispatcher.release(requestId(run), 'served', this.events.nowMs);
+    const {played, worstGapMs} = running;
+    const {requestClass, askedAtMs} = played;
+    const firstMs = (played.firstAtMs ?? Infinity) - askedAtMs;
+    const isInTime =
+      firstMs <= requestClass.objectiveMs && worstGapMs <= MAX_GAP_MS;
+    const isOverdue = this.events.nowMs - askedAtMs > requestClass.deadlineMs;
+    if (isOverdue) played.outcome = 'lost';
+    else played.outcome = isInTime ? 'in_time' : 'late';
+  }
+
+  private newRun(): string {
+    this.runCount += 1;
+    return `r${this.runCount}`;
+  }
+
+  private requester(
+    run: string,
+    requestClass: RequestClass,
+    excluded: readonly TargetId[],
+  ) {
+    const {scenario, runCount} = this;
+    return {
+      request: requestId(run),
+      service: SERVICE,
+      entry: instanceId(`e${runCount % ENTRY_COUNT}`),
+      zone: zoneId(`z${runCount % scenario.zones}`),
+      priority: requestClass.priority,
+      workspace: undefined,
+      excluded,
+    };
+  }
+
+  private acquire(
+    demand: Demand,
+    onResult: (result: DispatchResult) => void,
+  ): void {
+    this.waiting.set(demand.request, onResult);
+    this.dispatcher.acquire(demand, this.events.nowMs);
+  }
+}
+
+export function playScenario(scenario: Scenario, seed: number): PlayFigures {
+  return new Play(scenario, seed).run();
+}
--- /dev/null
+++ b/packages/replay/src/reservations/scenario.ts
@@ -0,0 +1,150 @@
+/**
+ * Loads on a fleet of engines that is short of KV cache: long and short
+ * generations, engines that leave at short notice and are replaced, bursts. The
+ * figures of engines and requests are those of a deployment; random choices come
+ * from a seed.
+ */
+
+export interface RequestClass {
+  readonly name: string;
+  readonly perS: number;
+  readonly promptTokens: number;
+  readonly promptSpread: number;
+  readonly outputTokens: number;
+  readonly outputSpread: number;
+  readonly maxOutputTokens: number;
+  /** Spread of the callers' estimates of the output. */
+  readonly hintSpread: number;
+  readonly objectiveMs: number;
+  readonly deadlineMs: number;
+  readonly priority: number;
+  readonly worth: number;
+  readonly lateWorth: number;
+}
+
+export interface Scenario {
+  readonly name: string;
+  readonly durationMs: number;
+  readonly engines: number;
+  readonly slots: number;
+  readonly kvTokens: number;
+  readonly zones: number;
+  readonly classes: readonly RequestClass[];
+  /** Share of the engines that leave, how often, and the notice they give. */
+  readonly leaveShare: number;
+  readonly leaveEveryMs: number;
+  readonly noticeMs: number;
+  readonly replacedAfterMs: number;
+  /** Factor of all arrivals between the two times. */
+  readonly burst: number;
+  readonly burstFromMs: number;
+  readonly burstToMs: number;
+}
+
+const LISTING_DRAFT: RequestClass = {
+  name: 'listing-draft',
+  perS: 17.1,
+  promptTokens: 3_079,
+  promptSpread: 0.35,
+  outputTokens: 744,
+  outputSpread: 1.09,
+  maxOutputTokens: 1_756,
+  hintSpread: 1.2,
+  objectiveMs: 1_806,
+  deadlineMs: 39_000,
+  priority: 0,
+  worth: 180,
+  lateWorth: 27,
+};
+
+const MODERATION_VERDICT: RequestClass = {
+  name: 'moderation-verdict',
+  perS: 19.1,
+  promptTokens: 2_550,
+  promptSpread: 0.35,
+  outputTokens: 8,
+  outputSpread: 0.5,
+  maxOutputTokens: 32,
+  hintSpread: 0.5,
+  objectiveMs: 1_504,
+  deadlineMs: 6_000,
+  priority: 1,
+  worth: 24,
+  lateWorth: 3.6,
+};
+
+const BOTENBEURS: Scenario = {
+  name: 'botenbeurs',
+  durationMs: 40_000,
+  engines: 31,
+  slots: 24,
+  kvTokens: 26_950,
+  zones: 4,
+  classes: [LISTING_DRAFT, MODERATION_VERDICT],
+  leaveShare: 0.17,
+  leaveEveryMs: 3_300,
+  noticeMs: 1_800,
+  replacedAfterMs: 4_000,
+  burst: 1,
+  burstFromMs: 0,
+  burstToMs: 0,
+};
+
+/** Tembusu's grafting desk: fewer requests for longer answers. */
+const TEMBUSU: Scenario = {
+  ...BOTENBEURS,
+  name: 'tembusu',
+  engines: 10,
+  kvTokens: 34_244,
+  zones: 3,
+  classes: [
+    {
+      ...LISTING_DRAFT,
+      name: 'budding-advice',
+      perS: 3.75,
+      outputTokens: 940,
+      maxOutputTokens: 2_200,
+    },
+    {
+      ...MODERATION_VERDICT,
+      name: 'stock-match',
+      perS: 5.28,
+      outputTokens: 12,
+      worth: 19,
+      lateWorth: 2.9,
+    },
+  ],
+};
+
+export const SCENARIOS: readonly Scenario[] = [
+  BOTENBEURS,
+  {
+    ...BOTENBEURS,
+    name: 'botenbeurs-burst',
+    burst: 1.5,
+    burstFromMs: 10_000,
+    burstToMs: 18_000,
+  },
+  {
+    ...BOTENBEURS,
+    name: 'botenbeurs-flood',
+    burst: 2.5,
+    burstFromMs: 8_000,
+    burstToMs: 30_000,
+  },
+  TEMBUSU,
+  {
+    ...TEMBUSU,
+    name: 'tembusu-burst',
+    burst: 1.8,
+    burstFromMs: 10_000,
+    burstToMs: 18_000,
+  },
+  {
+    ...TEMBUSU,
+    name: 'tembusu-flood',
+    burst: 3,
+    burstFromMs: 8_000,
+    burstToMs: 30_000,
+  },
+];
