--- a/packages/gateway/src/moves/move.ts
+++ b/packages/gateway/src/moves/move.ts
@@ -20,6 +20,10 @@
 const COPY_RETRY_MS = 120;
 const MAX_COPY_ATTEMPTS = 14;
 const MAX_DESTINATIONS = 3;
+/** Pause before a run for which no target has room asks again. */
+const ROOM_RETRY_MS = 100;
+/** The longest notice that targets give, in such pauses. */
+const MAX_ROOM_ATTEMPTS = 60;
 
 /** A reserved target that a generation may move to. */
 export interface Destination extends TargetEndpoint {
@@ -152,13 +156,26 @@
 }
 
 /**
- * Moves a run. Returns undefined when the run stays on its source or is lost
- * with it.
+ * Moves a run; asks again while no target has room, without holding up other
+ * runs of the source. Returns undefined when the run stays on its source or is
+ * lost with it.
  */
 export async function moveRun(
   options: MoveOptions,
 ): Promise<MoveResult | undefined> {
   await waitForStart(options);
+  for (let attempts = 0; attempts < MAX_ROOM_ATTEMPTS; attempts += 1) {
+    const outcome = await moveOnce(options);
+    if (outcome !== 'no_room') return outcome;
+    await delay(ROOM_RETRY_MS);
+    if (options.isOver()) return undefined;
+  }
+  return undefined;
+}
+
+async function moveOnce(
+  options: MoveOptions,
+): Promise<MoveResult | 'no_room' | undefined> {
   await options.acquirePermit();
   try {
     return await moveWithPermit(options);
@@ -169,14 +186,14 @@
 
 async function moveWithPermit(
   options: MoveOptions,
-): Promise<MoveResult | undefined> {
+): Promise<MoveResult | 'no_room' | undefined> {
   const excluded: TargetId[] = [options.source.target];
   for (let attempts = 0; attempts < MAX_DESTINATIONS; attempts += 1) {
     if (options.isOver()) return undefined;
     const destination = await options.findDestination(excluded);
     if (destination === undefined) {
       options.log('no_destination', {});
-      return undefined;
+      return 'no_room';
     }
     const outcome = await copyWhileRunning(options, destination);
     if (outcome.kind === 'copied' && !options.isOver()) {
