Split the state of a target from the dispatcher

Change: target-state.ts holds runs, failures, cold start and prefill backlog of one target and what they cost; the dispatcher decides.

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -17,6 +17,17 @@
 } from '@samphirefield/core';
 import type {TargetRecord} from '../registry/index.js';
 import {DemandQueue} from './demand-queue.js';
+import {
+  addRun,
+  createTargetState,
+  hasColdToken,
+  isCold,
+  penaltyOf,
+  recordGrant,
+  recordOutcome,
+  removeRun,
+  type TargetState,
+} from './target-state.js';
 import type {
   Demand,
   DispatchRefusal,
@@ -26,30 +37,12 @@
 } from './types.js';
 import {WaitEstimate} from './wait-estimate.js';
 
-/** Weight of a target's recent failures relative to its load. */
-const FAILURE_PENALTY = 3;
-const FAILURE_HALF_LIFE_MS = 2_500;
-const AVOID_UNREACHABLE_MS = 1_000;
-const AVOID_REJECTING_MS = 250;
-/** Rate at which an engine prefills prompts beside its running requests. */
-const PREFILL_TOKENS_PER_MS = 9;
-/**
- * A prefill backlog of this length counts as much as the load of a full target.
- */
-const PREFILL_FULL_LOAD_MS = 1_200;
 /**
  * Load up to which a demand that may exceed the capacity does so on an engine;
  * beyond it, other requests there would be preempted.
  */
 const MAX_EXCEEDED_LOAD = 1.1;
-const COLD_PENALTY = 0.3;
-/**
- * A target is slow for a while after its start, even when it is warm already.
- */
-const RECENT_START_MS = 4_500;
-const RECENT_START_PENALTY = 0.5;
 const TIE_BREAK_RANGE = 0.02;
-const MS_PER_S = 1_000;
 
 export interface Run {
   readonly request: RequestId;
@@ -58,24 +51,6 @@
   readonly kvTokens: number;
 }
 
-interface TargetState {
-  record: TargetRecord;
-  isSilent: boolean;
-  runs: number;
-  kvTokens: number;
-  avoidUntilMs: number;
-  /** Decaying counts of failed runs and of all ended runs. */
-  failures: number;
-  ended: number;
-  decayedAtMs: number;
-  coldTokens: number;
-  coldTokensAtMs: number;
-  /** When this incarnation of the target was first seen. */
-  firstSeenAtMs: number;
-  /** When the target is expected to have prefilled the prompts sent to it. */
-  prefillDoneAtMs: number;
-}
-
 export interface DispatcherOptions {
   readonly onResult: (demand: Demand, result: DispatchResult) => void;
   /**
@@ -119,37 +94,35 @@
 
   setTarget(record: TargetRecord, isSilent: boolean, nowMs: number): void {
     const {id, service, bornMs} = record.announcement;
-    const state = this.targets.get(id);
-    if (state) {
-      const isRestarted = state.record.announcement.bornMs !== bornMs;
-      this.byService.get(state.record.announcement.service)?.delete(id);
-      state.record = record;
-      state.isSilent = isSilent;
-      if (isRestarted) this.resetForIncarnation(id, state, nowMs);
+    const known = this.targets.get(id);
+    const earlier = known?.record.announcement;
+    if (earlier) this.byService.get(earlier.service)?.delete(id);
+    if (known && earlier?.bornMs === bornMs) {
+      known.record = record;
+      known.isSilent = isSilent;
     } else {
-      const earlierRuns = [...this.runs.values()].filter(
-        run => run.target === id,
-      );
-      this.targets.set(id, {
-        record,
-        isSilent,
-        runs: earlierRuns.length,
-        kvTokens: earlierRuns.reduce((sum, run) => sum + run.kvTokens, 0),
-        avoidUntilMs: 0,
-        failures: 0,
-        ended: 0,
-        decayedAtMs: nowMs,
-        coldTokens: 0,
-        coldTokensAtMs: nowMs,
-        firstSeenAtMs: nowMs,
-        prefillDoneAtMs: nowMs,
-      });
+      if (known) this.dropRunsOf(id);
+      this.addTarget(record, isSilent, nowMs);
     }
     const targets = this.byService.get(service) ?? new Set();
     targets.add(id);
     this.byService.set(service, targets);
   }
 
+  /** Adds a target; runs on it may have been recorded before. */
+  private addTarget(
+    record: TargetRecord,
+    isSilent: boolean,
+    nowMs: number,
+  ): void {
+    const {id} = record.announcement;
+    const state = createTargetState(record, isSilent, nowMs);
+    for (const run of this.runs.values()) {
+      if (run.target === id) addRun(state, run.kvTokens);
+    }
+    this.targets.set(id, state);
+  }
+
   removeTarget(id: TargetId): void {
     const state = this.targets.get(id);
     if (state === undefined) return;
@@ -187,9 +160,7 @@
     if (this.runs.has(run.request)) return;
     const target = this.targets.get(run.target);
     this.runs.set(run.request, run);
-    if (target === undefined) return;
-    target.runs += 1;
-    target.kvTokens += run.kvTokens;
+    if (target) addRun(target, run.kvTokens);
   }
 
   /**
@@ -231,9 +202,8 @@
     this.runs.delete(request);
     const target = this.targets.get(run.target);
     if (target === undefined) return;
-    target.runs = Math.max(0, target.runs - 1);
-    target.kvTokens = Math.max(0, target.kvTokens - run.kvTokens);
-    this.recordOutcome(target, outcome, nowMs);
+    removeRun(target, run.kvTokens);
+    recordOutcome(target, outcome, nowMs);
     this.grantPending(nowMs);
   }
 
@@ -299,13 +269,9 @@
   private grant(demand: Demand, target: TargetState, nowMs: number): void {
     const {id} = target.record.announcement;
     const {request, entry, kvTokens} = demand;
-    target.runs += 1;
-    target.kvTokens += kvTokens;
+    addRun(target, kvTokens);
+    recordGrant(target, demand.prefillTokens, nowMs);
     this.runs.set(request, {request, entry, target: id, kvTokens});
-    if (this.isCold(target, nowMs)) target.coldTokens -= 1;
-    target.prefillDoneAtMs =
-      Math.max(nowMs, target.prefillDoneAtMs) +
-      demand.prefillTokens / PREFILL_TOKENS_PER_MS;
     this.estimate.recordGrant(demand.service, nowMs);
     this.options.onResult(demand, {kind: 'granted', target: id});
   }
@@ -354,12 +320,12 @@
     for (const id of this.byService.get(demand.service) ?? []) {
       const target = this.targets.get(id)!;
       if (!this.isUsable(target, demand)) continue;
-      if (this.isCold(target, nowMs) && !this.hasColdToken(target, nowMs)) {
+      if (isCold(target, nowMs) && !this.hasColdToken(target, nowMs)) {
         continue;
       }
       const load = this.loadAfter(target, demand);
       if (load > (mayExceed ? maxExceededLoad : 1)) continue;
-      const cost = load + this.penalty(target, demand, nowMs);
+      const cost = this.costOf(target, load, demand, nowMs);
       if (cost < bestCost) {
         best = target;
         bestCost = cost;
@@ -405,84 +371,29 @@
       : Number.POSITIVE_INFINITY;
   }
 
-  private penalty(target: TargetState, demand: Demand, nowMs: number): number {
-    this.decay(target, nowMs);
-    const isOtherZone = target.record.announcement.zone !== demand.zone;
-    const failureShare = target.failures / Math.max(1, target.ended);
-    const isAvoided = nowMs < target.avoidUntilMs;
-    const ageMs = nowMs - target.firstSeenAtMs;
-    const recency = Math.max(0, 1 - ageMs / RECENT_START_MS);
-    const backlogMs = Math.max(0, target.prefillDoneAtMs - nowMs);
-    return (
-      (isOtherZone ? demand.otherZonePenalty : 0) +
-      failureShare * FAILURE_PENALTY +
-      backlogMs / PREFILL_FULL_LOAD_MS +
-      (this.isCold(target, nowMs) ? COLD_PENALTY : 0) +
-      RECENT_START_PENALTY * recency +
-      (isAvoided ? FAILURE_PENALTY : 0) +
-      this.options.random() * TIE_BREAK_RANGE
-    );
-  }
-
-  private decay(target: TargetState, nowMs: number): void {
-    const factor = 0.5 ** ((nowMs - target.decayedAtMs) / FAILURE_HALF_LIFE_MS);
-    target.failures *= factor;
-    target.ended *= factor;
-    target.decayedAtMs = nowMs;
+  private hasColdToken(target: TargetState, nowMs: number): boolean {
+    const {service} = target.record.announcement;
+    const perS = this.capacities.get(service)?.coldRequestsPerS ?? 0;
+    return hasColdToken(target, perS * this.options.share(service), nowMs);
   }
 
-  private recordOutcome(
+  /** Lower is better; above the load by what speaks against the target. */
+  private costOf(
     target: TargetState,
-    outcome: RunOutcome,
+    load: number,
+    demand: Demand,
     nowMs: number,
-  ): void {
-    if (outcome === 'abandoned') return;
-    this.decay(target, nowMs);
-    target.ended += 1;
-    if (outcome === 'served') return;
-    if (outcome !== 'rejected') target.failures += 1;
-    const avoidMs =
-      outcome === 'not_connected' ? AVOID_UNREACHABLE_MS : AVOID_REJECTING_MS;
-    if (outcome !== 'failed') target.avoidUntilMs = nowMs + avoidMs;
-  }
-
-  private isCold(target: TargetState, nowMs: number): boolean {
-    return nowMs < target.record.coldUntilMs;
-  }
-
-  /**
-   * Whether a cold target has a token left; each new request takes one. At most
-   * the tokens of half a second (but at least one) are saved up.
-   */
-  private hasColdToken(target: TargetState, nowMs: number): boolean {
-    const {service} = target.record.announcement;
-    const perS =
-      (this.capacities.get(service)?.coldRequestsPerS ?? 0) *
-      this.options.share(service);
-    if (perS === 0) return true;
-    const addedTokens = ((nowMs - target.coldTokensAtMs) / MS_PER_S) * perS;
-    target.coldTokens = Math.min(
-      Math.max(1, perS / 2),
-      target.coldTokens + addedTokens,
+  ): number {
+    const isOtherZone = target.record.announcement.zone !== demand.zone;
+    return (
+      load +
+      penaltyOf(target, nowMs) +
+      (isOtherZone ? demand.otherZonePenalty : 0) +
+      this.options.random() * TIE_BREAK_RANGE
     );
-    target.coldTokensAtMs = nowMs;
-    return target.coldTokens >= 1;
   }
 
-  private resetForIncarnation(
-    id: TargetId,
-    target: TargetState,
-    nowMs: number,
-  ): void {
-    target.firstSeenAtMs = nowMs;
-    target.prefillDoneAtMs = nowMs;
-    target.runs = 0;
-    target.kvTokens = 0;
-    target.failures = 0;
-    target.ended = 0;
-    target.avoidUntilMs = 0;
-    target.coldTokens = 0;
-    target.coldTokensAtMs = nowMs;
+  private dropRunsOf(id: TargetId): void {
     for (const run of this.runs.values()) {
       if (run.target === id) this.runs.delete(run.request);
     }
--- /dev/null
+++ b/packages/gateway/src/dispatch/target-state.ts
@@ -0,0 +1,151 @@
+/**
+ * What the dispatcher knows of one target: its runs, its recent failures, its
+ * cold start and its prefill backlog, and what these add to the cost of placing
+ * a demand there.
+ */
+import type {TargetRecord} from '../registry/index.js';
+import type {RunOutcome} from './types.js';
+
+/** Weight of a target's recent failures relative to its load. */
+const FAILURE_PENALTY = 3;
+const FAILURE_HALF_LIFE_MS = 2_500;
+const AVOID_UNREACHABLE_MS = 1_000;
+const AVOID_REJECTING_MS = 250;
+/** Rate at which an engine prefills prompts beside its running requests. */
+const PREFILL_TOKENS_PER_MS = 9;
+/**
+ * A prefill backlog of this length counts as much as the load of a full target.
+ */
+const PREFILL_FULL_LOAD_MS = 1_200;
+const COLD_PENALTY = 0.3;
+/**
+ * A target is slow for a while after its start, even when it is warm already.
+ */
+const RECENT_START_MS = 4_500;
+const RECENT_START_PENALTY = 0.5;
+const MS_PER_S = 1_000;
+
+export interface TargetState {
+  record: TargetRecord;
+  isSilent: boolean;
+  runs: number;
+  kvTokens: number;
+  avoidUntilMs: number;
+  /** Decaying counts of failed runs and of all ended runs. */
+  failures: number;
+  ended: number;
+  decayedAtMs: number;
+  coldTokens: number;
+  coldTokensAtMs: number;
+  /** When this incarnation of the target was first seen. */
+  firstSeenAtMs: number;
+  /** When the target is expected to have prefilled the prompts sent to it. */
+  prefillDoneAtMs: number;
+}
+
+/** The state of a target whose incarnation is new, without runs. */
+export function createTargetState(
+  record: TargetRecord,
+  isSilent: boolean,
+  nowMs: number,
+): TargetState {
+  return {
+    record,
+    isSilent,
+    runs: 0,
+    kvTokens: 0,
+    avoidUntilMs: 0,
+    failures: 0,
+    ended: 0,
+    decayedAtMs: nowMs,
+    coldTokens: 0,
+    coldTokensAtMs: nowMs,
+    firstSeenAtMs: nowMs,
+    prefillDoneAtMs: nowMs,
+  };
+}
+
+export function addRun(target: TargetState, kvTokens: number): void {
+  target.runs += 1;
+  target.kvTokens += kvTokens;
+}
+
+export function removeRun(target: TargetState, kvTokens: number): void {
+  target.runs = Math.max(0, target.runs - 1);
+  target.kvTokens = Math.max(0, target.kvTokens - kvTokens);
+}
+
+/** Counts a granted demand against the prefill backlog and the cold start. */
+export function recordGrant(
+  target: TargetState,
+  prefillTokens: number,
+  nowMs: number,
+): void {
+  if (isCold(target, nowMs)) target.coldTokens -= 1;
+  target.prefillDoneAtMs =
+    Math.max(nowMs, target.prefillDoneAtMs) +
+    prefillTokens / PREFILL_TOKENS_PER_MS;
+}
+
+export function recordOutcome(
+  target: TargetState,
+  outcome: RunOutcome,
+  nowMs: number,
+): void {
+  if (outcome === 'abandoned') return;
+  decay(target, nowMs);
+  target.ended += 1;
+  if (outcome === 'served') return;
+  if (outcome !== 'rejected') target.failures += 1;
+  const avoidMs =
+    outcome === 'not_connected' ? AVOID_UNREACHABLE_MS : AVOID_REJECTING_MS;
+  if (outcome !== 'failed') target.avoidUntilMs = nowMs + avoidMs;
+}
+
+function decay(target: TargetState, nowMs: number): void {
+  const factor = 0.5 ** ((nowMs - target.decayedAtMs) / FAILURE_HALF_LIFE_MS);
+  target.failures *= factor;
+  target.ended *= factor;
+  target.decayedAtMs = nowMs;
+}
+
+export function isCold(target: TargetState, nowMs: number): boolean {
+  return nowMs < target.record.coldUntilMs;
+}
+
+/**
+ * Whether a cold target that accepts `perS` new requests a second has a token
+ * left; each takes one. At most the tokens of half a second (but at least one)
+ * are saved up. A target that accepts 0 is never cold.
+ */
+export function hasColdToken(
+  target: TargetState,
+  perS: number,
+  nowMs: number,
+): boolean {
+  if (perS === 0) return true;
+  const addedTokens = ((nowMs - target.coldTokensAtMs) / MS_PER_S) * perS;
+  target.coldTokens = Math.min(
+    Math.max(1, perS / 2),
+    target.coldTokens + addedTokens,
+  );
+  target.coldTokensAtMs = nowMs;
+  return target.coldTokens >= 1;
+}
+
+/** What speaks against the target beside its load, on the scale of a load. */
+export function penaltyOf(target: TargetState, nowMs: number): number {
+  decay(target, nowMs);
+  const failureShare = target.failures / Math.max(1, target.ended);
+  const isAvoided = nowMs < target.avoidUntilMs;
+  const ageMs = nowMs - target.firstSeenAtMs;
+  const recency = Math.max(0, 1 - ageMs / RECENT_START_MS);
+  const backlogMs = Math.max(0, target.prefillDoneAtMs - nowMs);
+  return (
+    failureShare * FAILURE_PENALTY +
+    backlogMs / PREFILL_FULL_LOAD_MS +
+    (isCold(target, nowMs) ? COLD_PENALTY : 0) +
+    RECENT_START_PENALTY * recency +
+    (isAvoided ? FAILURE_PENALTY : 0)
+  );
+}
