--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -44,12 +44,10 @@
 import {QuorumContact} from './quorum-contact.js';
 import {ReservationManager} from './reservations.js';
 import {TargetRegistry} from './target-registry.js';
+import {StatusReporter} from './status-reporter.js';
 import {Subscribers} from './subscribers.js';
 
 const TICK_MS = 50;
-const ENTRY_COUNT_EVERY_MS = 1_000;
-/** Time in which entries have found a new leader. */
-const ENTRIES_FIND_LEADER_MS = 5_000;
 const JOIN_EVERY_MS = 500;
 const SEND_RENEWALS_EVERY_MS = 300;
 const REGISTRY_TICK_MS = 250;
@@ -86,6 +84,7 @@
   private readonly reservations: ReservationManager;
   private readonly subscribers = new Subscribers();
   private readonly contact: QuorumContact;
+  private readonly status: StatusReporter;
   private readonly entryIncarnations = new Map<InstanceId, string>();
   private pendingRenewals = new Map<TargetId, TargetUpdate>();
   private listener: LinkListener | undefined;
@@ -93,12 +92,6 @@
   private isUpdateScheduled = false;
   private decodedVersion = 0;
   private capacities: ServiceCapacity[] = [];
-  private sentStatusText = '';
-  private sentEntryCount = 0;
-  private statusSentAtMs = 0;
-  /** The newest status with a leader that another control daemon reported. */
-  private reported: GroupStatus | undefined;
-  private leadsSinceMs = 0;
   private isStopping = false;
 
   constructor(private readonly options: ControlNodeOptions) {
@@ -126,6 +119,12 @@
         logger.warn('control_link_down', {peer: formatAddress(address)});
       },
     });
+    this.status = new StatusReporter({
+      group: () => this.group,
+      subscribers: this.subscribers,
+      logger,
+      nowMs,
+    });
     this.contact = new QuorumContact({
       self: options.address,
       links: this.links,
@@ -326,10 +325,9 @@
   }
 
   private onStatus(status: GroupStatus): void {
-    const {members, term, leader} = status;
-    this.linkTo(members);
-    this.contact.noteReportedMembers(members);
-    if (leader && term >= (this.reported?.term ?? 0)) this.reported = status;
+    this.linkTo(status.members);
+    this.contact.noteReportedMembers(status.members);
+    this.status.noteReported(status);
   }
 
   private sendHello(peer: Peer): void {
@@ -351,7 +349,7 @@
     if (hello.receivesTargets) {
       peer.notify('targets', {items: this.registry.updates()});
     }
-    peer.notify('status', this.status());
+    peer.notify('status', this.status.current());
     this.options.logger.info('subscriber', {
       peer: hello.instance,
       role: hello.role,
@@ -416,60 +414,13 @@
       this.capacities = capacitiesOf(table.value);
     }
     this.reservations.configure(this.capacities, new Set(state.zonesOut));
-    this.sendStatus();
-  }
-
-  private status(): GroupStatus {
-    return {
-      term: this.group?.term ?? 0,
-      leader: this.group?.leader,
-      members: this.group?.members ?? [],
-      index: this.group?.state.index ?? 0,
-      entryCount: this.entryCount(),
-    };
-  }
-
-  /**
-   * The entries that the leader knows; 0 if unknown. A new leader reports at
-   * least what the earlier one did until the entries have found it.
-   */
-  private entryCount(): number {
-    const reportedCount = this.reported?.entryCount ?? 0;
-    if (!this.isLeader) return reportedCount;
-    const leadsSinceMs = this.options.nowMs() - this.leadsSinceMs;
-    const {entryCount} = this.subscribers;
-    return leadsSinceMs < ENTRIES_FIND_LEADER_MS
-      ? Math.max(entryCount, reportedCount)
-      : entryCount;
+    this.status.sendIfChanged();
   }
 
   private startTermIfLeader(): void {
     if (!this.isLeader) return;
     const isNew = this.reservations.startTerm(this.group!.term);
-    if (isNew) this.leadsSinceMs = this.options.nowMs();
-  }
-
-  /** Sends the status if it changed; a change of the entry count may wait. */
-  private sendStatus(): void {
-    const status = this.status();
-    const {entryCount, ...urgent} = status;
-    const urgentText = JSON.stringify(urgent);
-    const nowMs = this.options.nowMs();
-    const isCountDue =
-      entryCount !== this.sentEntryCount &&
-      nowMs - this.statusSentAtMs >= ENTRY_COUNT_EVERY_MS;
-    if (urgentText === this.sentStatusText && !isCountDue) return;
-    this.options.logger.info('group_status', {
-      term: status.term,
-      leader: status.leader && formatAddress(status.leader),
-      members: status.members.map(formatAddress).join(','),
-      index: status.index,
-      entries: entryCount,
-    });
-    this.sentStatusText = urgentText;
-    this.sentEntryCount = entryCount;
-    this.statusSentAtMs = nowMs;
-    this.subscribers.sendStatus(status);
+    if (isNew) this.status.noteLeadership();
   }
 
   private tick(): void {
@@ -478,7 +429,7 @@
     if (this.isLeader) this.startTermIfLeader();
     else this.reservations.endTerm();
     this.linkTo(this.group.members);
-    this.sendStatus();
+    this.status.sendIfChanged();
   }
 
   private sendJoinRequests(): void {
@@ -493,9 +444,7 @@
   }
 
   private leaderPeer(): Peer | undefined {
-    // A daemon that is no member of the group knows only what others report.
-    const isMember = this.group !== undefined && this.group.members.length > 0;
-    const leader = isMember ? this.group?.leader : this.reported?.leader;
+    const {leader} = this.status;
     return leader && this.links.peerAt(leader);
   }
 
