--- a/packages/replay/src/reservations/play.ts
+++ b/packages/replay/src/reservations/play.ts
@@ -5,32 +5,29 @@
 import {
   instanceId,
   requestId,
-  serviceId,
-  targetId,
   zoneId,
   type TargetId,
 } from '@samphirefield/core';
-import {
-  createEngine,
-  step,
-  submit,
-  type EngineConfig,
-  type EngineState,
-} from '@samphirefield/fakes';
+import {step, submit} from '@samphirefield/fakes';
 import {
   Dispatcher,
   moveDemand,
   startDemand,
   type Demand,
   type DispatchResult,
-  type TargetRecord,
   type TokenCounts,
 } from '@samphirefield/gateway';
 import {createRandom} from '@samphirefield/replication/fuzz';
 import {EventQueue} from '../simulate/event-queue.js';
+import {drawRequest, uniform} from './draw.js';
+import {
+  COLD_REQUESTS_PER_S,
+  createPlayedEngine,
+  SERVICE,
+  type Engine,
+} from './fleet.js';
 import type {RequestClass, Scenario} from './scenario.js';
 
-const SERVICE = serviceId('engines');
 const ENTRY_COUNT = 20;
 const DISPATCH_EVERY_MS = 250;
 /** From the grant to the engine, and from an event to the caller. */
@@ -45,6 +42,7 @@
 const MAX_CLIENT_ATTEMPTS = 2;
 const DRAIN_MS = 45_000;
 const COLD_MS = 1_000;
+const MS_PER_S = 1_000;
 
 /** What became of a caller's request. */
 export type Outcome = 'in_time' | 'late' | 'refused' | 'lost';
@@ -65,39 +63,24 @@
   readonly tokens: TokenCounts;
   readonly outputTokens: number;
   readonly run: string;
-  engine: Engine | undefined;
+  engine: PlayedEngine | undefined;
   generated: number;
   lastEventAtMs: number | undefined;
   worstGapMs: number;
   isMoving: boolean;
 }
 
-interface Engine {
-  readonly id: TargetId;
-  readonly record: TargetRecord;
-  readonly state: EngineState;
-  readonly runs: Map<string, Running>;
-  isBusy: boolean;
-  isGone: boolean;
-  isDraining: boolean;
-}
+type PlayedEngine = Engine<Running>;
 
 export interface PlayFigures {
   readonly requests: readonly PlayedRequest[];
   readonly preemptions: number;
 }
 
-/** A normally distributed number by the sum of uniform ones. */
-function normal(below: (bound: number) => number): number {
-  let sum = 0;
-  for (let i = 0; i < 12; i += 1) sum += below(1_000_000) / 1_000_000;
-  return sum - 6;
-}
-
 class Play {
   private readonly events = new EventQueue();
   private readonly random;
-  private readonly engines = new Map<TargetId, Engine>();
+  private readonly engines = new Map<TargetId, PlayedEngine>();
   private readonly requests: PlayedRequest[] = [];
   private readonly waiting = new Map<
     string,
@@ -127,7 +110,7 @@
         {
           service: SERVICE,
           kvTokens: scenario.kvTokens,
-          coldRequestsPerS: 26,
+          coldRequestsPerS: COLD_REQUESTS_PER_S,
         },
       ],
       new Set(),
@@ -149,53 +132,18 @@
     return {requests: this.requests, preemptions: this.preemptions};
   }
 
-  private spread(mean: number, sigma: number): number {
-    const value = Math.exp(normal(this.random.below) * sigma - sigma ** 2 / 2);
-    return mean * value;
-  }
-
   private addEngine(coldMs: number, zone: number): void {
     const {scenario, events} = this;
-    const config: EngineConfig = {
-      slots: scenario.slots,
-      coldSlots: scenario.slots,
-      kvTokens: scenario.kvTokens,
-      stepBaseMs: 7,
-      stepPerSequenceMs: 0.12,
-      prefillMsPerToken: 1 / 14,
-      prefillChunkTokens: 112,
-      warmUpSteps: 1,
-      coldSlowdown: 1,
-      maxCachedPrefixes: 64,
-    };
     this.engineCount += 1;
-    const id = targetId(`t${this.engineCount}`);
-    const record: TargetRecord = {
-      announcement: {
-        id,
-        bornMs: 1,
-        sequence: 1,
-        service: SERVICE,
-        host: id,
-        port: 1,
-        zone: zoneId(`z${zone % scenario.zones}`),
-        slots: scenario.slots,
-        state: 'ready',
-        coldLeftMs: coldMs,
-      },
-      lastSeenAtMs: events.nowMs,
-      coldUntilMs: events.nowMs + coldMs,
-    };
-    this.engines.set(id, {
-      id,
-      record,
-      state: createEngine(config, true),
-      runs: new Map(),
-      isBusy: false,
-      isGone: false,
-      isDraining: false,
-    });
-    this.dispatcher.setTarget(record, false, events.nowMs);
+    const engine = createPlayedEngine<Running>(
+      scenario,
+      this.engineCount,
+      zone,
+      coldMs,
+      events.nowMs,
+    );
+    this.engines.set(engine.id, engine);
+    this.dispatcher.setTarget(engine.record, false, events.nowMs);
   }
 
   private startLeaving(): void {
@@ -214,7 +162,7 @@
     }
   }
 
-  private drain(engine: Engine): void {
+  private drain(engine: PlayedEngine): void {
     const {scenario, events} = this;
     engine.isDraining = true;
     const announcement = {
@@ -232,7 +180,7 @@
   }
 
   /** Moves the runs of a leaving engine off it, one after the other. */
-  private moveNext(engine: Engine): void {
+  private moveNext(engine: PlayedEngine): void {
     if (engine.isGone) return;
     const {events} = this;
     const next = [...engine.runs.values()].find(
@@ -262,10 +210,10 @@
   }
 
   private finishMove(
-    from: Engine,
+    from: PlayedEngine,
     running: Running,
     run: string,
-    to: Engine,
+    to: PlayedEngine,
   ): void {
     const {nowMs} = this.events;
     const sequence = from.state.running.get(running.run);
@@ -284,7 +232,7 @@
     this.wake(to);
   }
 
-  private end(engine: Engine): void {
+  private end(engine: PlayedEngine): void {
     engine.isGone = true;
     for (const running of engine.runs.values()) {
       running.played.outcome = 'lost';
@@ -304,8 +252,8 @@
     const isBurst =
       events.nowMs >= scenario.burstFromMs && events.nowMs < scenario.burstToMs;
     const perS = requestClass.perS * (isBurst ? scenario.burst : 1);
-    const uniform = (1 + this.random.below(1_000_000)) / 1_000_001;
-    const atMs = events.nowMs + (-Math.log(uniform) / perS) * 1_000;
+    const gapS = -Math.log(uniform(this.random.below)) / perS;
+    const atMs = events.nowMs + gapS * MS_PER_S;
     if (atMs > scenario.durationMs) return;
     events.schedule(atMs, () => {
       this.arrive(requestClass);
@@ -323,22 +271,8 @@
       refusedAfterMs: undefined,
     };
     this.requests.push(played);
-    const {outputTokens, maxOutputTokens, promptTokens} = requestClass;
-    const output = Math.min(
-      maxOutputTokens,
-      Math.max(4, this.spread(outputTokens * 1.25, requestClass.outputSpread)),
-    );
-    const tokens: TokenCounts = {
-      promptTokens: Math.min(
-        2 * promptTokens,
-        Math.round(this.spread(promptTokens, requestClass.promptSpread)),
-      ),
-      maxOutputTokens,
-      hintedOutputTokens: Math.round(
-        output * Math.exp(normal(this.random.below) * requestClass.hintSpread),
-      ),
-    };
-    this.ask(played, tokens, Math.round(output));
+    const {tokens, outputTokens} = drawRequest(requestClass, this.random.below);
+    this.ask(played, tokens, outputTokens);
   }
 
   private ask(
@@ -412,7 +346,7 @@
     this.wake(engine);
   }
 
-  private wake(engine: Engine): void {
+  private wake(engine: PlayedEngine): void {
     if (engine.isBusy || engine.isGone) return;
     if (engine.state.running.size + engine.state.waiting.size === 0) return;
     engine.isBusy = true;
@@ -443,7 +377,7 @@
     running.lastEventAtMs = atMs;
   }
 
-  private onFinished(engine: Engine, run: string): void {
+  private onFinished(engine: PlayedEngine, run: string): void {
     const running = engine.runs.get(run);
     if (running === undefined) return;
     engine.runs.delete(run);
