Offer room to running generations first, and never exceed an engine

Cause: a move met no room in overload, because requests that waited in time were offered room before it; where it met some, it filled the engine by a tenth and others there were preempted. Change: Demand.isRunning; a run that has begun goes before all that have not; engines are filled to their capacity only. The test that allowed a tenth is replaced by one that allows nothing.

--- a/packages/bench/src/dispatcher.ts
+++ b/packages/bench/src/dispatcher.ts
@@ -37,6 +37,7 @@
     otherZonePenalty: 0.06,
     kvTokens: RUN_KV_TOKENS,
     prefillTokens: 3_000,
+    isRunning: false,
     priority: number % PRIORITIES,
     workspace: workspaceId(`w${number % WORKSPACES}`),
     inTimeMs: 1e9,
--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -45,6 +45,7 @@
   otherZonePenalty: 0.1,
   kvTokens: 4_000,
   prefillTokens: 0,
+  isRunning: false,
   priority: 0,
   workspace: undefined,
   inTimeMs: 5_000,
--- a/packages/gateway/src/dispatch/demands.ts
+++ b/packages/gateway/src/dispatch/demands.ts
@@ -85,6 +85,7 @@
   const isForEngine = tokens.promptTokens > 0;
   return {
     ...requester,
+    isRunning: false,
     otherZonePenalty: OTHER_ZONE_PENALTY,
     kvTokens: expectedKvTokens(tokens),
     prefillTokens: tokens.promptTokens,
@@ -105,6 +106,7 @@
 export function moveDemand(requester: Requester, tokens: TokenCounts): Demand {
   return {
     ...requester,
+    isRunning: true,
     otherZonePenalty: MOVE_ZONE_PENALTY,
     kvTokens: expectedKvTokens(tokens),
     prefillTokens: 0,
--- a/packages/gateway/src/dispatch/dispatcher.spec.ts
+++ b/packages/gateway/src/dispatch/dispatcher.spec.ts
@@ -50,6 +50,7 @@
     otherZonePenalty: 0.1,
     kvTokens: 1_000,
     prefillTokens: 0,
+    isRunning: false,
     priority: 0,
     workspace: undefined,
     inTimeMs: 10_000,
@@ -137,17 +138,27 @@
   expect(targetOf('r2')).toEqual('t1');
 });
 
-test('exceeds an engine by a tenth at most, and only without patience', () => {
-  const {dispatcher, targetOf, results} = setUp([record('t1', {slots: 10})]);
+test('never exceeds an engine, also not by running generations', () => {
+  const {dispatcher, targetOf, results} = setUp([record('t1', {slots: 2})]);
   const small = {kvTokens: 1, maxWaitMs: 0};
-  for (let i = 0; i < 10; i += 1) dispatcher.acquire(demand(`r${i}`, small), 0);
-  expect(targetOf('r9')).toEqual('t1');
+  dispatcher.acquire(demand('r1', small), 0);
+  dispatcher.acquire(demand('r2', small), 0);
+  expect(targetOf('r2')).toEqual('t1');
   dispatcher.acquire(demand('patient', small), 0);
   expect(results.get('patient')?.kind).toEqual('refused');
-  dispatcher.acquire(demand('move1', {...small, patienceMs: 0}), 0);
-  expect(targetOf('move1')).toEqual('t1');
-  dispatcher.acquire(demand('move2', {...small, patienceMs: 0}), 0);
-  expect(results.get('move2')?.kind).toEqual('refused');
+  const move = {...small, patienceMs: 0, isRunning: true};
+  dispatcher.acquire(demand('move', move), 0);
+  expect(results.get('move')?.kind).toEqual('refused');
+});
+
+test('a running generation goes before the requests that wait', () => {
+  const {dispatcher, targetOf} = setUp([record('t1')]);
+  dispatcher.acquire(demand('r1', {kvTokens: 7_000}), 0);
+  dispatcher.acquire(demand('waits', {kvTokens: 8_000}), 1);
+  const move = {maxWaitMs: 0, patienceMs: 0, isRunning: true, priority: 1};
+  dispatcher.acquire(demand('move', {...move, kvTokens: 2_000}), 2);
+  expect(targetOf('move')).toEqual('t1');
+  expect(targetOf('waits')).toEqual(undefined);
 });
 
 test('demands that have missed their time go behind those in time', () => {
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -1,9 +1,9 @@
 /**
  * Reserves capacity on targets for requests. The dispatcher records every run
  * that it granted, so the sum over all daemons that use it stays within the
- * capacity of a target. Only a demand whose patience is over may exceed it:
- * moves of running generations, which would be lost, and requests to plain
- * targets, which queue them.
+ * capacity of a target. Only a demand whose patience is over may exceed it, and
+ * only on a plain target, which queues it, or where this dispatcher grants from
+ * a share and cannot know what is free.
  *
  * The dispatcher gets the time as a parameter and does no input or output. It
  * calls `onResult` once for each demand that is granted or refused.
@@ -37,11 +37,7 @@
 } from './types.js';
 import {WaitEstimate} from './wait-estimate.js';
 
-/**
- * Load up to which a demand that may exceed the capacity does so on an engine;
- * beyond it, other requests there would be preempted.
- */
-const MAX_EXCEEDED_LOAD = 1.1;
+const FULL_LOAD = 1;
 const TIE_BREAK_RANGE = 0.02;
 
 export interface Run {
@@ -131,9 +127,10 @@
   }
 
   acquire(demand: Demand, nowMs: number): void {
-    const target = this.isNextInLine(demand)
-      ? this.choose(demand, nowMs, false)
-      : undefined;
+    const target =
+      demand.isRunning || this.isNextInLine(demand)
+        ? this.choose(demand, nowMs, demand.patienceMs === 0)
+        : undefined;
     if (target) {
       this.grant(demand, target, nowMs);
       return;
@@ -314,7 +311,9 @@
     nowMs: number,
     mayExceed: boolean,
   ): TargetState | undefined {
-    const maxExceededLoad = this.maxExceededLoad(demand.service);
+    const maxLoad = mayExceed
+      ? this.maxExceededLoad(demand.service)
+      : FULL_LOAD;
     let best: TargetState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const id of this.byService.get(demand.service) ?? []) {
@@ -324,7 +323,7 @@
         continue;
       }
       const load = this.loadAfter(target, demand);
-      if (load > (mayExceed ? maxExceededLoad : 1)) continue;
+      if (load > maxLoad) continue;
       const cost = this.costOf(target, load, demand, nowMs);
       if (cost < bestCost) {
         best = target;
@@ -361,13 +360,13 @@
   }
 
   /**
-   * Plain targets queue what exceeds their capacity. Of a share of a target
-   * nobody knows how much the others take.
+   * Plain targets queue what exceeds their capacity; engines preempt others. Of
+   * a share of a target nobody knows how much the others take.
    */
   private maxExceededLoad(service: ServiceId): number {
     const isEngine = this.capacities.get(service)?.kvTokens !== undefined;
     return isEngine && this.options.share(service) === 1
-      ? MAX_EXCEEDED_LOAD
+      ? FULL_LOAD
       : Number.POSITIVE_INFINITY;
   }
 
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -24,6 +24,11 @@
   readonly kvTokens: number;
   /** Prompt tokens that an engine has to prefill; 0 on plain services. */
   readonly prefillTokens: number;
+  /**
+   * Whether the run has begun on a target that it has to leave; it goes before
+   * all demands that have not, since it would be lost with its work.
+   */
+  readonly isRunning: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** The workspace that shares the queue with others; undefined: none. */
@@ -31,7 +36,8 @@
   /** After this wait the request can no longer be served in time. */
   readonly inTimeMs: number;
   /**
-   * How long the demand waits for free capacity before it uses a full target.
+   * How long the demand waits for free capacity before it uses a full plain
+   * target. Engines are never filled beyond their capacity.
    */
   readonly patienceMs: number;
   /** How long the demand may wait while no target is usable. */
