--- a/packages/cluster/src/entry/control-links.ts
+++ b/packages/cluster/src/entry/control-links.ts
@@ -121,11 +121,11 @@
       control => control.isInformant,
     );
     const informed = informants.filter(control => control.status?.leader);
-    const judges = informed.length > 0 ? informed : informants;
-    const silentCount = judges.filter(control =>
+    const counted = informed.length > 0 ? informed : informants;
+    const silentCount = counted.filter(control =>
       control.silentTargets.has(id),
     ).length;
-    return silentCount > judges.length / 2;
+    return silentCount > counted.length / 2;
   }
 
   forgetTarget(id: TargetId): void {
--- a/packages/gateway/src/dispatch/demand-queue.ts
+++ b/packages/gateway/src/dispatch/demand-queue.ts
@@ -146,7 +146,7 @@
     return false;
   }
 
-  /** The demands whose wait is over by a function of their wait. */
+  /** The demands whose wait is over, as `isOver` decides. */
   overWait(
     isOver: (demand: Demand, waitedMs: number) => boolean,
     nowMs: number,
--- a/packages/gateway/src/dispatch/demands.ts
+++ b/packages/gateway/src/dispatch/demands.ts
@@ -100,8 +100,8 @@
 
 /**
  * Builds the demand for a target to which a running generation moves. The
- * demand is granted at once or refused. The first excluded target is the
- * source, in whose zone the requester's is.
+ * demand is granted at once or refused. The requester's zone is that of the
+ * target that the generation leaves.
  */
 export function moveDemand(requester: Requester, tokens: TokenCounts): Demand {
   return {
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -212,7 +212,8 @@
   }
 
   /**
-   * Grants pending demands for which there is capacity; refuses overdue ones.
+   * Grants pending demands for which there is capacity; refuses those whose wait
+   * is over.
    */
   dispatchPending(nowMs: number): void {
     this.grantPending(nowMs);
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -18,7 +18,11 @@
   type NextStep,
   type Classification,
 } from './classify-result.js';
-import {statusOfLocalResponse, writeLocalResponse} from './local-response.js';
+import {
+  retryAfterMs,
+  statusOfLocalResponse,
+  writeLocalResponse,
+} from './local-response.js';
 import {
   findEndpoint,
   newRunId,
@@ -38,9 +42,6 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Attempts of one request, including those that a target rejected. */
 const MAX_ATTEMPTS = 4;
-const RETRY_AFTER_DEFAULT_MS = 400;
-/** `Retry-After` is at most this share of the request's remaining time. */
-const RETRY_AFTER_SHARE = 0.3;
 const CONFIG_WAIT_MAX_MS = 1_500;
 /** Share of its remaining time that a request waits for a configuration. */
 const CONFIG_WAIT_SHARE = 0.6;
@@ -183,20 +184,16 @@
       return undefined;
     }
     if (!this.req.complete) this.res.setHeader('connection', 'close');
-    writeLocalResponse(this.res, response, this.retryAfterMs(response));
+    writeLocalResponse(
+      this.res,
+      response,
+      retryAfterMs(response, this.remainingMs()),
+    );
     const reason = 'reason' in response ? response.reason : undefined;
     this.log(response.kind, statusOfLocalResponse(response), reason);
     return undefined;
   }
 
-  /** When the caller should return: with an estimate, not before that. */
-  private retryAfterMs(response: LocalResponse): number {
-    const estimateMs =
-      response.kind === 'not_run' ? response.retryAfterMs : undefined;
-    const shareMs = Math.max(0, this.remainingMs()) * RETRY_AFTER_SHARE;
-    return Math.min(estimateMs ?? RETRY_AFTER_DEFAULT_MS, shareMs);
-  }
-
   private async serve(admitted: AdmittedRequest): Promise<void> {
     const {budget} = this.deps;
     budget.recordRequest(admitted.service);
--- a/packages/gateway/src/exchange/local-response.ts
+++ b/packages/gateway/src/exchange/local-response.ts
@@ -15,6 +15,22 @@
   timed_out: 504,
 };
 
+/** When a caller should return if no place can be estimated. */
+const RETRY_AFTER_DEFAULT_MS = 400;
+/** `Retry-After` is at most this share of the request's remaining time. */
+const RETRY_AFTER_SHARE = 0.3;
+
+/** When the caller should return; with an estimate, not before that. */
+export function retryAfterMs(
+  response: LocalResponse,
+  remainingMs: number,
+): number {
+  const estimateMs =
+    response.kind === 'not_run' ? response.retryAfterMs : undefined;
+  const shareMs = Math.max(0, remainingMs) * RETRY_AFTER_SHARE;
+  return Math.min(estimateMs ?? RETRY_AFTER_DEFAULT_MS, shareMs);
+}
+
 export function statusOfLocalResponse(response: LocalResponse): number {
   return STATUS[response.kind];
 }
--- a/packages/replay/src/reservations/figures.ts
+++ b/packages/replay/src/reservations/figures.ts
@@ -1,5 +1,5 @@
 /** Figures of a played scenario, as callers see it. */
-import type {Outcome, PlayFigures, PlayedRequest} from './play.js';
+import type {Outcome, PlayFigures, PlayedRequest} from './types.js';
 
 const WINDOW_MS = 2_000;
 
--- a/packages/replay/src/reservations/index.ts
+++ b/packages/replay/src/reservations/index.ts
@@ -2,3 +2,4 @@
 export * from './figures.js';
 export * from './play.js';
 export * from './scenario.js';
+export * from './types.js';
--- a/packages/replay/src/reservations/play.ts
+++ b/packages/replay/src/reservations/play.ts
@@ -27,6 +27,7 @@
   type Engine,
 } from './fleet.js';
 import type {RequestClass, Scenario} from './scenario.js';
+import type {PlayedRequest, PlayFigures} from './types.js';
 
 const ENTRY_COUNT = 20;
 const DISPATCH_EVERY_MS = 250;
@@ -44,26 +45,11 @@
 const COLD_MS = 1_000;
 const MS_PER_S = 1_000;
 
-/** What became of a caller's request. */
-export type Outcome = 'in_time' | 'late' | 'refused' | 'lost';
-
-export interface PlayedRequest {
-  readonly requestClass: RequestClass;
-  readonly askedAtMs: number;
-  outcome: Outcome;
-  firstAtMs: number | undefined;
-  /** Attempts of the caller, including the first. */
-  attempts: number;
-  /** How long the first attempt waited for its refusal; undefined: none. */
-  refusedAfterMs: number | undefined;
-}
-
 interface Running {
   readonly played: PlayedRequest;
   readonly tokens: TokenCounts;
   readonly outputTokens: number;
   readonly run: string;
-  engine: PlayedEngine | undefined;
   generated: number;
   lastEventAtMs: number | undefined;
   worstGapMs: number;
@@ -72,11 +58,6 @@
 
 type PlayedEngine = Engine<Running>;
 
-export interface PlayFigures {
-  readonly requests: readonly PlayedRequest[];
-  readonly preemptions: number;
-}
-
 class Play {
   private readonly events = new EventQueue();
   private readonly random;
@@ -226,7 +207,7 @@
     from.state.running.delete(running.run);
     from.runs.delete(running.run);
     this.dispatcher.release(requestId(running.run), 'served', nowMs);
-    const moved: Running = {...running, run, engine: to, isMoving: false};
+    const moved: Running = {...running, run, isMoving: false};
     to.runs.set(run, moved);
     to.state.running.set(run, {...sequence, id: run});
     this.wake(to);
@@ -329,7 +310,6 @@
       tokens,
       outputTokens,
       run,
-      engine,
       generated: 0,
       lastEventAtMs: undefined,
       worstGapMs: 0,
--- a/packages/replay/src/reservations/reservations.spec.ts
+++ b/packages/replay/src/reservations/reservations.spec.ts
@@ -5,8 +5,9 @@
 import {expect} from 'earl';
 import {test} from 'node:test';
 import {figuresOf, type ClassFigures} from './figures.js';
-import {playScenario, type PlayedRequest} from './play.js';
+import {playScenario} from './play.js';
 import {SCENARIOS} from './scenario.js';
+import type {PlayedRequest} from './types.js';
 
 const SEED = 1;
 /** The stated share of requests with their first token in time. */
--- /dev/null
+++ b/packages/replay/src/reservations/types.ts
@@ -0,0 +1,21 @@
+/** What a played scenario records of each request. */
+import type {RequestClass} from './scenario.js';
+
+/** What became of a caller's request. */
+export type Outcome = 'in_time' | 'late' | 'refused' | 'lost';
+
+export interface PlayedRequest {
+  readonly requestClass: RequestClass;
+  readonly askedAtMs: number;
+  outcome: Outcome;
+  firstAtMs: number | undefined;
+  /** Attempts of the caller, including the first. */
+  attempts: number;
+  /** How long the first attempt waited for its refusal; undefined: none. */
+  refusedAfterMs: number | undefined;
+}
+
+export interface PlayFigures {
+  readonly requests: readonly PlayedRequest[];
+  readonly preemptions: number;
+}
