Log lost runs with what tells hypotheses of the incident apart

Cause: a lost attempt was logged with its target only, so the hypotheses of the incident could not be told apart. Change: one line run_lost with whether the target refuses connections since, for how long it had been answering, and the shared parts of the prompt (platform translates them). No decision depends on it.

--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -11,6 +11,7 @@
 import type {UpstreamConnection} from '../upstream/index.js';
 import type {ResponseSink} from './response-sink.js';
 import {readBody} from './body.js';
+import {observeLostRun} from './lost-run.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
 import {
   classifyResult,
@@ -329,11 +330,19 @@
     });
     const result = await supervisor.supervise(attempt, reservation);
     this.responseStartedAtMs = attempt.sink()?.headSentAtMs;
+    if (result.kind === 'lost') this.observeLostRun(reservation);
     this.attempt = undefined;
     if (mayHaveRun(result)) this.runCount += 1;
     return classifyResult(result, admitted.route, this.runCount);
   }
 
+  private observeLostRun({run, address}: Reservation): void {
+    const answeringForMs = this.attempt?.answeringForMs();
+    const {deps, metadata} = this;
+    const target = this.lastTarget!;
+    void observeLostRun(deps, {run, target, address, metadata, answeringForMs});
+  }
+
   private startAttempt(
     connection: UpstreamConnection,
     admitted: AdmittedRequest,
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -49,6 +49,11 @@
    * `performance.now`.
    */
   lastProgressAtMs(): number;
+  /**
+   * How long ago the first part of the body (of a stream: its first event)
+   * came; undefined before it.
+   */
+  answeringForMs(): number | undefined;
   /** The response; undefined until its head was received. */
   sink(): ResponseSink | undefined;
 }
@@ -82,6 +87,8 @@
   let metadata: ResponseMetadata | undefined;
   let head: ResponseHead | undefined;
   let lastProgressAtMs = performance.now();
+  // A continued stream began on an earlier target.
+  let firstProgressAtMs = options.continuedSink && lastProgressAtMs;
   let settle: (result: AttemptResult) => void = () => undefined;
   const result = new Promise<AttemptResult>(resolve => (settle = resolve));
   const onDrain = () => connection.resume();
@@ -124,7 +131,10 @@
       // Bytes of a stream that complete no event are no progress.
       const isProgress =
         sink?.events === undefined || sink.events.eventCount !== eventsBefore;
-      if (isProgress) lastProgressAtMs = performance.now();
+      if (isProgress) {
+        lastProgressAtMs = performance.now();
+        firstProgressAtMs ??= lastProgressAtMs;
+      }
       if (fault) breakOff({kind: 'malformed', reason: `${fault} in the body`});
     },
     onEnd: () => {
@@ -156,6 +166,8 @@
     result,
     breakOff: reason => breakOff({kind: 'broken', reason}),
     lastProgressAtMs: () => lastProgressAtMs,
+    answeringForMs: () =>
+      firstProgressAtMs && performance.now() - firstProgressAtMs,
     hasStarted: () => sink?.hasStarted ?? false,
     sink: () => sink,
     cancel: () => {
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -33,6 +33,11 @@
    * The caller's estimate of the output tokens; accurate only at the median.
    */
   readonly hintedOutputTokens: number | undefined;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order; the
+   * part of the request's own is left out.
+   */
+  readonly sharedPromptParts: readonly string[];
 }
 
 /** What the gateway adds to a request that it forwards to a target. */
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -34,6 +34,9 @@
     promptTokens: 100,
     maxOutputTokens: Number(headers['output'] ?? 100),
     hintedOutputTokens: undefined,
+    sharedPromptParts: String(headers['parts'] ?? '')
+      .split(' ')
+      .filter(part => part !== ''),
   }),
   readResponse: ({status, headers}) => ({
     attemptId: headers.get('attempt'),
--- a/packages/gateway/src/upstream/index.ts
+++ b/packages/gateway/src/upstream/index.ts
@@ -1,4 +1,5 @@
 export * from './connection.js';
 export * from './parser.js';
 export * from './pool.js';
+export * from './refusal.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/upstream/refusal.ts
@@ -0,0 +1,27 @@
+/**
+ * Tells whether an address refuses connections, as it does while its process is
+ * gone. An address that doesn't respond, or accepts, doesn't refuse.
+ */
+import {connect} from 'node:net';
+import type {UpstreamAddress} from './types.js';
+
+export function refusesConnections(
+  address: UpstreamAddress,
+  timeoutMs: number,
+): Promise<boolean> {
+  return new Promise(resolve => {
+    const socket = connect({host: address.host, port: address.port});
+    const finish = (isRefused: boolean) => {
+      clearTimeout(timer);
+      socket.removeAllListeners();
+      socket.on('error', () => undefined);
+      socket.destroy();
+      resolve(isRefused);
+    };
+    const timer = setTimeout(() => finish(false), timeoutMs);
+    socket.once('connect', () => finish(false));
+    socket.once('error', (error: NodeJS.ErrnoException) =>
+      finish(error.code === 'ECONNREFUSED' || error.code === 'ECONNRESET'),
+    );
+  });
+}
