Quarantine what crashes engines: parts of prompts and requests, over leader and entries

Cause: the gateway had no memory of what a target was working on when it crashed, so each new request with the deadly part was sent to the next engine. The quarantine in policy knew whole requests only, its table died with the leader, and gateway and cluster did not use it. Change: policy/quarantine finds the suspects that explain the crashes, among requests and shared parts of prompts; runs that had been answering are no suspects, an answer clears, a rack counts once, a trial of one request ends a quarantine by itself, later after each failure. A refusal is a true 'not run', with the time of the next trial as Retry-After. policy has a subpath for the quarantine: its routing waits for WebAssembly at load, which the bundle cannot.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -12,6 +12,7 @@
   ServiceCapacity,
   TargetAnnouncement,
 } from '@samphirefield/gateway';
+import {viewOf, type QuarantineTable} from '@samphirefield/policy/quarantine';
 import {
   formatAddress,
   LinkSet,
@@ -27,8 +28,10 @@
   type GroupTiming,
   type SubmitOutcome,
 } from './group-replica.js';
+import {QuarantineKeeper} from './quarantine-keeper.js';
 import type {ClusterCommand, ClusterState} from './state-machine.js';
 import type {
+  CrashMessage,
   FinishMessage,
   GroupStatus,
   HeldRuns,
@@ -38,8 +41,10 @@
   PullRequest,
   RaftLinkMessage,
   StateUpdate,
+  SuspectsMessage,
   TargetUpdate,
   TargetsMessage,
+  TrialAnswer,
 } from './messages.js';
 import {QuorumContact} from './quorum-contact.js';
 import {ReservationManager} from './reservations.js';
@@ -85,6 +90,7 @@
   private readonly subscribers = new Subscribers();
   private readonly contact: QuorumContact;
   private readonly status: StatusReporter;
+  private readonly quarantine: QuarantineKeeper;
   private readonly entryIncarnations = new Map<InstanceId, string>();
   private pendingRenewals = new Map<TargetId, TargetUpdate>();
   private listener: LinkListener | undefined;
@@ -125,6 +131,16 @@
       logger,
       nowMs,
     });
+    this.quarantine = new QuarantineKeeper({
+      logger,
+      nowMs,
+      isLeader: () => this.isLeader,
+      table: () => this.group?.quarantine,
+      submit: async command => {
+        const outcome = await this.group?.submit(command);
+        return outcome?.kind === 'applied';
+      },
+    });
     this.contact = new QuorumContact({
       self: options.address,
       links: this.links,
@@ -146,6 +162,7 @@
     this.every(REGISTRY_TICK_MS, () => {
       this.registry.tick();
       this.reservations.tick();
+      this.quarantine.tick();
     });
     return ok(undefined);
   }
@@ -252,6 +269,7 @@
         this.links.peerAt(to)?.notify('raft', message);
       },
       onChange: () => this.scheduleStateUpdate(),
+      onQuarantineChange: table => this.sendQuarantine(table),
       onDiskFailure: error => this.onDiskFailure(error),
     });
     if (group.isErr()) return err(group.error);
@@ -303,6 +321,12 @@
         this.reservations.acquireMovePermit(message),
       end_turn: (message: MovePermitMessage) =>
         this.reservations.releaseMovePermit(message),
+      crash: ({crash}: CrashMessage) => this.quarantine.recordCrash(crash),
+      suspects_answered: ({fingerprints}: SuspectsMessage) =>
+        this.quarantine.clear(fingerprints),
+      try_suspects: ({fingerprints}: SuspectsMessage): TrialAnswer => ({
+        mayTry: this.quarantine.mayTry(fingerprints),
+      }),
       held_runs: (held: HeldRuns) => {
         // Runs that arrive before this daemon knows its term would be cleared.
         this.startTermIfLeader();
@@ -350,6 +374,10 @@
       peer.notify('targets', {items: this.registry.updates()});
     }
     peer.notify('status', this.status.current());
+    const {group} = this;
+    if (group && hello.role === 'entry') {
+      peer.notify('quarantine', viewOf(group.quarantine));
+    }
     this.options.logger.info('subscriber', {
       peer: hello.instance,
       role: hello.role,
@@ -386,6 +414,12 @@
     this.subscribers.sendTargets('control', items);
   }
 
+  private sendQuarantine(table: QuarantineTable): void {
+    const view = viewOf(table);
+    this.quarantine.follow(view);
+    this.subscribers.sendQuarantine(view);
+  }
+
   /**
    * Schedules one update to the newest state, after all log entries that are
    * ready were applied.
--- a/packages/cluster/src/control/group-replica.ts
+++ b/packages/cluster/src/control/group-replica.ts
@@ -8,6 +8,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {planMembership, type MemberView} from '@samphirefield/control';
 import type {Logger, ZoneId} from '@samphirefield/core';
+import type {QuarantineTable} from '@samphirefield/policy/quarantine';
 import {
   formatStorageError,
   isVoter,
@@ -64,6 +65,7 @@
   readonly nowMs: () => number;
   readonly send: (envelope: Envelope, to: Address) => void;
   readonly onChange: (state: ClusterState) => void;
+  readonly onQuarantineChange: (table: QuarantineTable) => void;
   readonly onDiskFailure: (error: Error) => void;
 }
 
@@ -139,7 +141,7 @@
       cut_bytes: stored.truncatedBytes,
       term: stored.hardState.term,
     });
-    const stateMachine = new ClusterStateMachine(options.onChange);
+    const stateMachine = new ClusterStateMachine(options);
     const node = new ReplicaNode<ClusterResult>({
       config: raftConfig(identity.value.replica, timing),
       storage,
@@ -165,6 +167,10 @@
     return this.stateMachine.state;
   }
 
+  get quarantine(): QuarantineTable {
+    return this.stateMachine.quarantine;
+  }
+
   get isLeader(): boolean {
     return this.node.isLeader;
   }
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -1,11 +1,13 @@
 /** Messages between daemons; sent as JSON, so the field names are fixed. */
 import type {
+  Fingerprint,
   InstanceId,
   RequestId,
   TargetId,
   ZoneId,
 } from '@samphirefield/core';
 import type {TargetAnnouncement} from '@samphirefield/gateway';
+import type {CrashEvidence} from '@samphirefield/policy/quarantine';
 import type {Envelope, ReplicaId} from '@samphirefield/replication';
 import type {Address} from '../link/index.js';
 import type {ClusterState} from './state-machine.js';
@@ -99,3 +101,17 @@
   readonly source: TargetId;
   readonly holder: RequestId;
 }
+
+/** Asks the leader to record a crash of a target. */
+export interface CrashMessage {
+  readonly crash: CrashEvidence;
+}
+
+/** Suspects that a target answered, or that the sender wants to try. */
+export interface SuspectsMessage {
+  readonly fingerprints: readonly Fingerprint[];
+}
+
+export interface TrialAnswer {
+  readonly mayTry: boolean;
+}
--- a/packages/cluster/src/control/state-machine.ts
+++ b/packages/cluster/src/control/state-machine.ts
@@ -1,12 +1,25 @@
 /**
  * The replicated state of the control group: the configuration document with
- * the highest version, stored as received, and the availability zones that are
- * out of service.
+ * the highest version, stored as received, the availability zones that are out
+ * of service, and the quarantine of what crashes targets.
  */
-import {zoneId, type ZoneId} from '@samphirefield/core';
+import {zoneId, type Fingerprint, type ZoneId} from '@samphirefield/core';
+import {
+  createQuarantine,
+  recordCrashes,
+  recordSuccess,
+  removeSuspects,
+  restoreQuarantine,
+  SHARED_TARGET_THRESHOLDS,
+  toQuarantineSnapshot,
+  type CrashEvidence,
+  type QuarantineSnapshot,
+  type QuarantineTable,
+  type StaleSuspects,
+} from '@samphirefield/policy/quarantine';
 import type {StateMachine} from '@samphirefield/replication';
 
-export type ClusterCommand =
+export type ConfigCommand =
   | {
       readonly kind: 'put_config';
       readonly version: number;
@@ -14,6 +27,21 @@
     }
   | {readonly kind: 'set_zone'; readonly zone: ZoneId; readonly isOut: boolean};
 
+export type QuarantineCommand =
+  /** Crashes that happened together. */
+  | {
+      readonly kind: 'record_crashes';
+      readonly crashes: readonly CrashEvidence[];
+    }
+  /** A target answered requests with these suspects. */
+  | {
+      readonly kind: 'clear_suspects';
+      readonly fingerprints: readonly Fingerprint[];
+    }
+  | ({readonly kind: 'drop_suspects'} & StaleSuspects);
+
+export type ClusterCommand = ConfigCommand | QuarantineCommand;
+
 export type ClusterResult =
   | {readonly kind: 'changed'}
   /**
@@ -39,7 +67,7 @@
 
 function applyCommand(
   state: ClusterState,
-  command: ClusterCommand,
+  command: ConfigCommand,
   index: number,
 ): ClusterState {
   switch (command.kind) {
@@ -58,26 +86,83 @@
   }
 }
 
+function applyToQuarantine(
+  table: QuarantineTable,
+  command: QuarantineCommand,
+  nowMs: number,
+): void {
+  switch (command.kind) {
+    case 'record_crashes':
+      recordCrashes(table, command.crashes, nowMs);
+      break;
+    case 'clear_suspects':
+      for (const item of command.fingerprints) recordSuccess(table, item);
+      break;
+    case 'drop_suspects':
+      removeSuspects(table, command.crashes, command.fingerprints);
+      break;
+  }
+}
+
+interface StateSnapshot extends ClusterState {
+  /** Missing in snapshots of earlier versions. */
+  readonly quarantine?: QuarantineSnapshot;
+}
+
+export interface StateMachineOptions {
+  readonly onChange: (state: ClusterState) => void;
+  readonly onQuarantineChange: (table: QuarantineTable) => void;
+  readonly nowMs: () => number;
+}
+
 export class ClusterStateMachine implements StateMachine<ClusterResult> {
   state: ClusterState = INITIAL_STATE;
+  quarantine: QuarantineTable = createQuarantine();
 
-  constructor(private readonly onChange: (state: ClusterState) => void) {}
+  constructor(private readonly options: StateMachineOptions) {}
 
   apply(data: string, index: number): ClusterResult {
     const command = JSON.parse(data) as ClusterCommand;
-    const next = applyCommand(this.state, command, index);
-    if (next === this.state) return {kind: 'unchanged'};
-    this.state = next;
-    this.onChange(next);
-    return {kind: 'changed'};
+    const isConfig =
+      command.kind === 'put_config' || command.kind === 'set_zone';
+    const isChanged = isConfig
+      ? this.applyConfig(command, index)
+      : this.applyQuarantine(command);
+    return {kind: isChanged ? 'changed' : 'unchanged'};
   }
 
   snapshot(): Uint8Array {
-    return Buffer.from(JSON.stringify(this.state));
+    const quarantine = toQuarantineSnapshot(this.quarantine);
+    const snapshot: StateSnapshot = {...this.state, quarantine};
+    return Buffer.from(JSON.stringify(snapshot));
   }
 
   restore(data: Uint8Array): void {
-    this.state = JSON.parse(Buffer.from(data).toString()) as ClusterState;
-    this.onChange(this.state);
+    const snapshot = JSON.parse(Buffer.from(data).toString()) as StateSnapshot;
+    const {quarantine, ...state} = snapshot;
+    const {onChange, onQuarantineChange, nowMs} = this.options;
+    this.state = state;
+    this.quarantine = quarantine
+      ? restoreQuarantine(quarantine, SHARED_TARGET_THRESHOLDS, nowMs())
+      : createQuarantine();
+    onChange(this.state);
+    onQuarantineChange(this.quarantine);
+  }
+
+  private applyConfig(command: ConfigCommand, index: number): boolean {
+    const next = applyCommand(this.state, command, index);
+    if (next === this.state) return false;
+    this.state = next;
+    this.options.onChange(next);
+    return true;
+  }
+
+  private applyQuarantine(command: QuarantineCommand): boolean {
+    const {quarantine} = this;
+    const {version} = quarantine;
+    applyToQuarantine(quarantine, command, this.options.nowMs());
+    if (quarantine.version === version) return false;
+    this.options.onQuarantineChange(quarantine);
+    return true;
   }
 }
--- a/packages/cluster/src/control/subscribers.ts
+++ b/packages/cluster/src/control/subscribers.ts
@@ -1,5 +1,6 @@
 /** The daemons that are subscribed to a control daemon's updates. */
 import type {InstanceId} from '@samphirefield/core';
+import type {QuarantineView} from '@samphirefield/policy/quarantine';
 import {serializeNotification, type Peer} from '../link/index.js';
 import type {GroupStatus, Hello, TargetUpdate} from './messages.js';
 
@@ -37,6 +38,14 @@
     for (const peer of this.hellos.keys()) peer.notifyLine(line);
   }
 
+  /** Sends to the entries, whether or not they want targets. */
+  sendQuarantine(view: QuarantineView): void {
+    const line = serializeNotification('quarantine', view);
+    for (const [peer, hello] of this.hellos) {
+      if (hello.role === 'entry') peer.notifyLine(line);
+    }
+  }
+
   sendTargets(role: Hello['role'], items: readonly TargetUpdate[]): void {
     const line = serializeNotification('targets', {items});
     for (const [peer, hello] of this.hellos) {
--- a/packages/cluster/src/entry/control-links.ts
+++ b/packages/cluster/src/entry/control-links.ts
@@ -5,6 +5,7 @@
  */
 import {createHash} from 'node:crypto';
 import type {InstanceId, Logger, TargetId, ZoneId} from '@samphirefield/core';
+import type {QuarantineView} from '@samphirefield/policy/quarantine';
 import type {
   GroupStatus,
   Hello,
@@ -42,6 +43,7 @@
   /** Called when the leader or its term changed, or its link is connected. */
   readonly onLeader: (leader: Peer | undefined) => void;
   readonly onStatus: (status: GroupStatus, peer: Peer) => void;
+  readonly onQuarantine: (view: QuarantineView) => void;
   /** Called when other daemons than before decide which targets are silent. */
   readonly onInformantsChanged: () => void;
 }
@@ -80,6 +82,7 @@
           this.onStatus(status, peer),
         targets: (message: TargetsMessage, peer: Peer) =>
           this.onTargets(message, peer),
+        quarantine: (view: QuarantineView) => options.onQuarantine(view),
       },
       {
         onUp: (address, peer) => this.onUp(address, peer),
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -38,6 +38,7 @@
 } from '../control/index.js';
 import type {Address, Peer} from '../link/index.js';
 import {ControlLinks} from './control-links.js';
+import {EntryQuarantine} from './entry-quarantine.js';
 
 const PULL_TIMEOUT_MS = 2_000;
 const DISPATCH_EVERY_MS = 100;
@@ -66,6 +67,7 @@
 export class EntryNode implements ReservationClient {
   private current: ActiveConfig | undefined;
   private readonly table: TargetTable = new Map();
+  readonly quarantine: EntryQuarantine;
   private readonly controls: ControlLinks;
   private readonly localDispatcher: Dispatcher;
   private readonly localResolvers = new Map<
@@ -87,6 +89,11 @@
       share: service => (this.hasEngine(service) ? 1 / this.entryCount : 1),
       random: Math.random,
     });
+    this.quarantine = new EntryQuarantine({
+      leader: () => this.controls.leaderPeer,
+      logger: options.logger,
+      nowMs: options.nowMs,
+    });
     this.controls = new ControlLinks({
       ...options,
       incarnation: randomUUID(),
@@ -95,6 +102,7 @@
       onStatus: (status, peer) => {
         if (status.index > this.stateIndex) void this.pullState(peer);
       },
+      onQuarantine: view => this.quarantine.follow(view),
       onInformantsChanged: () => {
         for (const record of this.table.values()) this.updateTarget(record);
       },
@@ -207,12 +215,14 @@
       places_held_locally: this.localDispatcher.runCount,
       places_waiting_locally: this.localDispatcher.pendingCount,
       places_on_engines: this.engineRuns.size,
+      quarantined: this.quarantine.quarantinedCount,
     };
   }
 
   stop(): void {
     for (const timer of this.timers) clearInterval(timer);
     clearTimeout(this.dispatchTimer);
+    this.quarantine.stop();
     this.controls.close();
   }
 
--- a/packages/daemon/src/entry/suspects.ts
+++ b/packages/daemon/src/entry/suspects.ts
@@ -4,8 +4,9 @@
  */
 import type {Fingerprint, TargetId} from '@samphirefield/core';
 import {
-  recordCrash,
+  recordCrashes,
   recordSuccess,
+  requestSuspect,
   suspicionOf,
   type Suspicion,
 } from '@samphirefield/policy';
@@ -34,7 +35,9 @@
     .map(run => run.fingerprint);
   const crashId = `${target}/${incarnation}`;
   const previousVersion = tables.quarantine.version;
-  recordCrash(tables.quarantine, crashId, fingerprints, nowMs);
+  const suspects = fingerprints.map(requestSuspect);
+  const evidence = {crash: crashId, suspects, failedTrials: []};
+  recordCrashes(tables.quarantine, [evidence], nowMs);
   if (tables.quarantine.version !== previousVersion) {
     tables.unreportedCrashes.push({death: crashId, fingerprints});
   }
--- a/packages/daemon/src/entry/tables.ts
+++ b/packages/daemon/src/entry/tables.ts
@@ -22,6 +22,7 @@
 import {
   createCacheTable,
   createQuarantine,
+  ISOLATED_SUSPECT_THRESHOLDS,
   type CacheTable,
   type Candidate,
   type CandidateList,
@@ -133,7 +134,7 @@
     candidateLists: new Map(),
     histograms: new Map(),
     prefixCache: createCacheTable(),
-    quarantine: createQuarantine(),
+    quarantine: createQuarantine(ISOLATED_SUSPECT_THRESHOLDS),
     sharedSuspects: new Map(),
     permittedSuspects: new Set(),
     waitingSuspects: new Set(),
--- a/packages/daemon/src/voter/status.ts
+++ b/packages/daemon/src/voter/status.ts
@@ -66,7 +66,6 @@
   const {config, configHash, ledger} = stateMachine.tables;
   const entries = entryStatuses(leadership, nowMs);
   const isPastGrace = nowMs >= leadership.tables.graceEndMs;
-  const suspects = [...leadership.tables.quarantine.suspects.values()];
   return {
     leader,
     term: leadership.term,
@@ -93,8 +92,6 @@
         lagEntries,
       })),
     ledgerRecords: ledger.records.size,
-    quarantined: suspects
-      .filter(row => row.isQuarantined)
-      .map(row => row.fingerprint),
+    quarantined: [...leadership.tables.quarantine.quarantined.keys()],
   };
 }
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -7,11 +7,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {RequestId, ServiceId, TargetId} from '@samphirefield/core';
 import type {RunOutcome} from '../dispatch/index.js';
+import {traitsOf} from '../quarantine/index.js';
 import {KIND_TRAITS, pickService, type Route} from '../routes/index.js';
 import type {UpstreamConnection} from '../upstream/index.js';
 import type {ResponseSink} from './response-sink.js';
 import {readBody} from './body.js';
-import {observeLostRun} from './lost-run.js';
+import {QuarantineGuard} from './quarantine-guard.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
 import {
   classifyResult,
@@ -145,15 +146,36 @@
         reason: 'would not finish before this process stops',
       });
     }
+    const service = pickService(route, this.deps.random());
+    const quarantine = this.createQuarantineGuard(service, body.value);
+    const refusal = quarantine.refuse();
+    if (refusal) return this.refuse(refusal);
     return {
       route,
-      service: pickService(route, this.deps.random()),
+      service,
       workspace: workspace?.name,
       priority: workspace?.priority ?? route.priority,
       body: body.value,
+      quarantine,
     };
   }
 
+  private createQuarantineGuard(
+    service: ServiceId,
+    body: Buffer,
+  ): QuarantineGuard {
+    const {deps, metadata, req} = this;
+    const traits = traitsOf({
+      service,
+      method: req.method ?? '',
+      url: req.url ?? '',
+      caller: metadata.apiKey ?? '',
+      body,
+      sharedPromptParts: metadata.sharedPromptParts,
+    });
+    return new QuarantineGuard(deps, metadata, traits);
+  }
+
   private async readBodyInTime(maxBytes: number) {
     const timer = setTimeout(
       () => this.refuse({kind: 'request_timeout'}),
@@ -261,9 +283,10 @@
         },
       };
     }
-    if (this.isOver) {
+    const refusal = await admitted.quarantine.refuseRun();
+    if (refusal || this.isOver) {
       release('abandoned');
-      return {kind: 'broken_off'};
+      return refusal ? {kind: 'own', response: refusal} : {kind: 'broken_off'};
     }
     this.lastTarget = result.target;
     this.lastRun = run;
@@ -330,17 +353,19 @@
     });
     const result = await supervisor.supervise(attempt, reservation);
     this.responseStartedAtMs = attempt.sink()?.headSentAtMs;
-    if (result.kind === 'lost') this.observeLostRun(reservation);
+    if (result.kind === 'lost') this.observeLostRun(admitted, reservation);
     this.attempt = undefined;
     if (mayHaveRun(result)) this.runCount += 1;
     return classifyResult(result, admitted.route, this.runCount);
   }
 
-  private observeLostRun({run, address}: Reservation): void {
+  private observeLostRun(
+    {quarantine}: AdmittedRequest,
+    {run, address}: Reservation,
+  ): void {
     const answeringForMs = this.attempt?.answeringForMs();
-    const {deps, metadata} = this;
     const target = this.lastTarget!;
-    void observeLostRun(deps, {run, target, address, metadata, answeringForMs});
+    void quarantine.observeLostRun({run, target, address, answeringForMs});
   }
 
   private startAttempt(
@@ -370,6 +395,7 @@
       protocol,
       isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
       continuedSink: continuation?.sink,
+      onProven: () => admitted.quarantine.recordAnswer(),
     });
     this.attempt = attempt;
     return attempt;
--- a/packages/gateway/src/exchange/reservation.ts
+++ b/packages/gateway/src/exchange/reservation.ts
@@ -10,6 +10,7 @@
 import {moveDemand, startDemand, type Demand} from '../dispatch/index.js';
 import type {TargetEndpoint} from '../moves/index.js';
 import type {Route} from '../routes/index.js';
+import type {QuarantineGuard} from './quarantine-guard.js';
 import type {
   GatewayDependencies,
   ReservationClient,
@@ -36,6 +37,7 @@
   readonly workspace: WorkspaceId | undefined;
   readonly priority: number;
   readonly body: Buffer;
+  readonly quarantine: QuarantineGuard;
 }
 
 /** A reserved target and the run that holds the reservation. */
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -5,6 +5,7 @@
   UpstreamConnection,
   UpstreamError,
 } from '../upstream/index.js';
+import {PROVEN_AFTER_MS} from './quarantine-guard.js';
 import {ResponseSink} from './response-sink.js';
 import type {ResponseMetadata, GatewayProtocol} from './types.js';
 
@@ -67,6 +68,8 @@
   readonly isStreamed: boolean;
   /** The stream that the response continues; undefined for a new response. */
   readonly continuedSink: ResponseSink | undefined;
+  /** Called once when the target has answered, or goes on answering. */
+  readonly onProven: () => void;
 }
 
 const FIRST_FAILURE_STATUS = 500;
@@ -91,6 +94,12 @@
   let firstProgressAtMs = options.continuedSink && lastProgressAtMs;
   let settle: (result: AttemptResult) => void = () => undefined;
   const result = new Promise<AttemptResult>(resolve => (settle = resolve));
+  let isProven = false;
+  const prove = () => {
+    if (isProven) return;
+    isProven = true;
+    options.onProven();
+  };
   const onDrain = () => connection.resume();
   const finish = (value: AttemptResult) => {
     res.off('drain', onDrain);
@@ -134,6 +143,9 @@
       if (isProgress) {
         lastProgressAtMs = performance.now();
         firstProgressAtMs ??= lastProgressAtMs;
+        const isSound = isSuccess(head!.status);
+        if (isSound && lastProgressAtMs - firstProgressAtMs > PROVEN_AFTER_MS)
+          prove();
       }
       if (fault) breakOff({kind: 'malformed', reason: `${fault} in the body`});
     },
@@ -155,6 +167,7 @@
         return;
       }
       sink!.end();
+      if (isSuccess(head!.status)) prove();
       finish({kind: 'passed_on', status: head!.status});
     },
     onError: error => {
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -16,6 +16,7 @@
 import type {Demand, DispatchResult, RunOutcome} from '../dispatch/index.js';
 import type {RequestObserver} from '../metrics/index.js';
 import type {KvCacheMover, ResumePoint} from '../moves/index.js';
+import type {Quarantine} from '../quarantine/index.js';
 import type {TargetRecord} from '../registry/index.js';
 import type {GatewayView, RouteIndex} from '../routes/index.js';
 import type {ResponseHead, UpstreamPool} from '../upstream/index.js';
@@ -117,6 +118,7 @@
   readonly protocol: GatewayProtocol;
   readonly reservations: ReservationClient;
   readonly budget: RetryBudget;
+  readonly quarantine: Quarantine;
   readonly pool: UpstreamPool;
   readonly mover: KvCacheMover;
   readonly logger: Logger;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,6 +7,7 @@
 export * from './exchange/index.js';
 export * from './metrics/index.js';
 export * from './moves/index.js';
+export * from './quarantine/index.js';
 export * from './registry/index.js';
 export * from './routes/index.js';
 export * from './server/index.js';
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -19,6 +19,7 @@
   TargetRecord,
 } from '../index.js';
 import {Dispatcher} from '../dispatch/index.js';
+import {LocalQuarantine} from '../quarantine/index.js';
 import {buildRouteIndex} from '../routes/index.js';
 import {startGatewayServer, type GatewayServer} from '../server/index.js';
 import {UpstreamPool} from '../upstream/index.js';
@@ -226,6 +227,7 @@
       recordRequest: () => undefined,
       tryConsume: () => (remainingRetries -= 1) >= 0,
     },
+    quarantine: new LocalQuarantine(() => performance.now()),
     pool,
     mover: options.mover ?? NO_MOVES,
     logger: silentLogger,
--- a/packages/policy/src/allocations/leader.ts
+++ b/packages/policy/src/allocations/leader.ts
@@ -11,8 +11,12 @@
 import {
   createQuarantine,
   expireSuspects,
-  recordCrash,
+  ISOLATED_SUSPECT_THRESHOLDS,
+  recordCrashes,
   recordSuccess,
+  requestSuspect,
+  viewOf,
+  type QuarantineTable,
 } from '../quarantine/index.js';
 import {rendezvousScore} from '../routing/index.js';
 import {
@@ -42,6 +46,7 @@
   HolderId,
   LeaderTables,
   ServiceState,
+  SuspectView,
   TargetPlan,
   TargetRow,
 } from './types.js';
@@ -59,7 +64,7 @@
     entries: new Map(),
     grants: new Map(),
     plans: new Map(),
-    quarantine: createQuarantine(),
+    quarantine: createQuarantine(ISOLATED_SUSPECT_THRESHOLDS),
     hasUnaccountedLoad: false,
     graceEndMs: nowMs + timing.leaseMs + timing.clockDriftMs,
     targetsVersion: 1,
@@ -121,7 +126,9 @@
     recordHeldAllocation(tables, report.holder, held, nowMs);
   }
   for (const {death, fingerprints} of report.deaths) {
-    recordCrash(tables.quarantine, death, fingerprints, nowMs);
+    const suspects = fingerprints.map(requestSuspect);
+    const evidence = {crash: death, suspects, failedTrials: []};
+    recordCrashes(tables.quarantine, [evidence], nowMs);
   }
   for (const fingerprint of report.clearedSuspects) {
     recordSuccess(tables.quarantine, fingerprint);
@@ -379,6 +386,15 @@
   };
 }
 
+function suspectViewsOf(quarantine: QuarantineTable): SuspectView[] {
+  const {suspects, quarantined} = viewOf(quarantine);
+  const refused = quarantined.map(({fingerprint}) => fingerprint);
+  return [...new Set([...suspects, ...refused])].map(fingerprint => ({
+    fingerprint,
+    isQuarantined: quarantine.quarantined.has(fingerprint),
+  }));
+}
+
 /** Returns the suspects, or undefined when the entry has this version. */
 function changedSuspects(
   tables: LeaderTables,
@@ -386,10 +402,7 @@
 ): ReportResponse['suspects'] {
   const {quarantine} = tables;
   if (quarantine.version === report.knownQuarantineVersion) return undefined;
-  return [...quarantine.suspects.values()].map(row => ({
-    fingerprint: row.fingerprint,
-    isQuarantined: row.isQuarantined,
-  }));
+  return suspectViewsOf(quarantine);
 }
 
 /**
--- a/packages/policy/src/decisions.spec.ts
+++ b/packages/policy/src/decisions.spec.ts
@@ -7,6 +7,7 @@
 import {test} from 'node:test';
 import {
   fingerprint,
+  type Fingerprint,
   generationId,
   requestId,
   targetId,
@@ -29,7 +30,10 @@
   expireSuspects,
   headsInOrder,
   recordCacheEvents,
-  recordCrash,
+  ISOLATED_SUSPECT_THRESHOLDS,
+  recordCrashes,
+  requestSuspect,
+  type QuarantineTable,
   recordLength,
   recordSuccess,
   removeRequest,
@@ -153,11 +157,21 @@
   expect(queue.size).toEqual(0);
 });
 
+function recordCrash(
+  table: QuarantineTable,
+  crash: string,
+  fingerprints: readonly Fingerprint[],
+  nowMs: number,
+) {
+  const suspects = fingerprints.map(requestSuspect);
+  recordCrashes(table, [{crash, suspects, failedTrials: []}], nowMs);
+}
+
 const POISON = fingerprint('poison');
 const INNOCENT = fingerprint('innocent');
 
 test('a request that crashes two targets is quarantined, concurrent requests are not', () => {
-  const table = createQuarantine();
+  const table = createQuarantine(ISOLATED_SUSPECT_THRESHOLDS);
   recordCrash(table, 't1/i', [POISON, INNOCENT], 0);
   expect(suspicionOf(table, INNOCENT)).toEqual('suspect');
   recordSuccess(table, INNOCENT);
@@ -170,7 +184,7 @@
 });
 
 test('two suspects running in the same two crashes are distinguished by a third crash', () => {
-  const table = createQuarantine();
+  const table = createQuarantine(ISOLATED_SUSPECT_THRESHOLDS);
   recordCrash(table, 't1/i', [POISON, INNOCENT], 0);
   recordCrash(table, 't2/i', [POISON, INNOCENT], 0);
   expect(suspicionOf(table, POISON)).toEqual('suspect');
@@ -180,7 +194,7 @@
 });
 
 test('a crash that is reported twice counts once', () => {
-  const table = createQuarantine();
+  const table = createQuarantine(ISOLATED_SUSPECT_THRESHOLDS);
   recordCrash(table, 't1/i', [POISON], 0);
   recordCrash(table, 't1/i', [POISON], 0);
   expect(suspicionOf(table, POISON)).toEqual('suspect');
--- a/packages/policy/src/quarantine/index.ts
+++ b/packages/policy/src/quarantine/index.ts
@@ -1,8 +1,18 @@
+export * from './health.js';
 export {
   createQuarantine,
   expireSuspects,
-  recordCrash,
+  findStale,
+  ISOLATED_SUSPECT_THRESHOLDS,
+  recordCrashes,
   recordSuccess,
+  removeSuspects,
+  requestSuspect,
+  SHARED_TARGET_THRESHOLDS,
   suspicionOf,
+  viewOf,
+  type StaleSuspects,
 } from './logic.js';
-export type {CrashId, QuarantineTable, SuspectRow, Suspicion} from './types.js';
+export * from './snapshot.js';
+export * from './trials.js';
+export type * from './types.js';
--- a/packages/policy/src/quarantine/logic.ts
+++ b/packages/policy/src/quarantine/logic.ts
@@ -1,124 +1,231 @@
 /**
- * Finds poison requests: requests that crash the targets that run them.
+ * Finds what crashes the targets that run it: single requests, and parts of
+ * prompts that many requests share.
  *
- * Every request that ran on a target when the target crashed is a suspect.
- * Suspects run one at a time. A second crash quarantines the suspect, unless
- * another suspect was running in both crashes too; then only a third crash
- * distinguishes them.
+ * Every run that a target had not begun to answer when it crashed makes its
+ * request and the parts of its prompt suspects. An answer of any target clears
+ * the suspects of its request. A suspect that was involved in several incidents
+ * without an answer in between is quarantined.
  */
 import type {Fingerprint} from '@samphirefield/core';
-import type {CrashId, QuarantineTable, SuspectRow, Suspicion} from './types.js';
+import {findCauses, mergeSuspects} from './causes.js';
+import type {
+  CrashId,
+  CrashEvidence,
+  CrashThresholds,
+  QuarantineTable,
+  QuarantineView,
+  Suspect,
+  Suspicion,
+} from './types.js';
 
-const CRASHES_TO_QUARANTINE = 2;
-const CRASHES_WHEN_AMBIGUOUS = 3;
-const MAX_SUSPECTS = 10_000;
+const MAX_SUSPECTS_PER_CRASH = 64;
+const MAX_CRASHES = 128;
+const MAX_QUARANTINED = 256;
 
-export function createQuarantine(): QuarantineTable {
-  return {suspects: new Map(), runningAtCrash: new Map(), version: 0};
+/** For runs that share their targets with other runs. */
+export const SHARED_TARGET_THRESHOLDS: CrashThresholds = {
+  request: 3,
+  part: 3,
+  healthy: 5,
+};
+
+/** For suspect requests that run one at a time. */
+export const ISOLATED_SUSPECT_THRESHOLDS: CrashThresholds = {
+  ...SHARED_TARGET_THRESHOLDS,
+  request: 2,
+};
+
+export function createQuarantine(
+  thresholds: CrashThresholds = SHARED_TARGET_THRESHOLDS,
+): QuarantineTable {
+  return {
+    thresholds,
+    crashes: new Map(),
+    quarantined: new Map(),
+    nextIncident: 1,
+    version: 0,
+  };
+}
+
+/** A whole request as a suspect. */
+export function requestSuspect(fingerprint: Fingerprint): Suspect {
+  return {fingerprint, kind: 'request', position: 0, wasHealthy: false};
 }
 
 export function suspicionOf(
   table: QuarantineTable,
   fingerprint: Fingerprint,
 ): Suspicion {
-  const row = table.suspects.get(fingerprint);
-  if (row === undefined) return 'clear';
-  return row.isQuarantined ? 'quarantined' : 'suspect';
-}
-
-function crashCount(table: QuarantineTable, fingerprint: Fingerprint): number {
-  return table.suspects.get(fingerprint)?.crashes.size ?? 0;
+  if (table.quarantined.has(fingerprint)) return 'quarantined';
+  const isSuspect = [...table.crashes.values()].some(row =>
+    row.suspects.has(fingerprint),
+  );
+  return isSuspect ? 'suspect' : 'clear';
 }
 
 /**
- * Whether a suspect is the proven cause of its crashes: it was running in three,
- * or in two of which one had no other suspect with two crashes.
+ * Records crashes that happened together, as one incident. A crash may be
+ * reported again, also by other entries; only new suspects are added.
  */
-function isProvenCause(table: QuarantineTable, row: SuspectRow): boolean {
-  if (row.crashes.size < CRASHES_TO_QUARANTINE) return false;
-  if (row.crashes.size >= CRASHES_WHEN_AMBIGUOUS) return true;
-  const isEquallySuspect = (other: Fingerprint) =>
-    other !== row.fingerprint &&
-    crashCount(table, other) >= CRASHES_TO_QUARANTINE;
-  return [...row.crashes].some(crash => {
-    const concurrent = table.runningAtCrash.get(crash) ?? new Set();
-    return ![...concurrent].some(isEquallySuspect);
-  });
+export function recordCrashes(
+  table: QuarantineTable,
+  reports: readonly CrashEvidence[],
+  nowMs: number,
+): void {
+  const incident = table.nextIncident;
+  for (const report of reports) {
+    addSuspects(table, report, incident, nowMs);
+    for (const fingerprint of report.failedTrials) {
+      recordFailedTrial(table, fingerprint, nowMs);
+    }
+  }
+  if (table.nextIncident === incident && !reports.some(hasFailedTrial)) return;
+  quarantineCauses(table, nowMs);
+  evictOldest(table.crashes, MAX_CRASHES);
+  evictOldest(table.quarantined, MAX_QUARANTINED);
+  table.version += 1;
 }
 
-/**
- * Records the requests that ran on a target when it crashed. The same crash may
- * be reported again, also by other entries; only new requests are counted.
- */
-export function recordCrash(
+function hasFailedTrial(report: CrashEvidence): boolean {
+  return report.failedTrials.length > 0;
+}
+
+function addSuspects(
   table: QuarantineTable,
-  crash: CrashId,
-  fingerprints: readonly Fingerprint[],
+  {crash, suspects}: CrashEvidence,
+  incident: number,
   nowMs: number,
 ): void {
-  const running = table.runningAtCrash.get(crash) ?? new Set<Fingerprint>();
-  table.runningAtCrash.set(crash, running);
-  const added = fingerprints.filter(fingerprint => !running.has(fingerprint));
-  if (added.length === 0) return;
-  for (const fingerprint of added) {
-    running.add(fingerprint);
-    const known = table.suspects.get(fingerprint);
-    const crashes = new Set([...(known?.crashes ?? []), crash]);
-    const isQuarantined = known?.isQuarantined ?? false;
-    table.suspects.delete(fingerprint);
-    table.suspects.set(fingerprint, {
-      fingerprint,
-      crashes,
-      isQuarantined,
-      updatedAtMs: nowMs,
-    });
+  const known = table.crashes.get(crash);
+  const merged = new Map(known?.suspects);
+  for (const suspect of suspects) {
+    const recorded = merged.get(suspect.fingerprint);
+    if (recorded === undefined && merged.size >= MAX_SUSPECTS_PER_CRASH) break;
+    merged.set(
+      suspect.fingerprint,
+      recorded ? mergeSuspects(recorded, suspect) : suspect,
+    );
   }
-  quarantineProvenCauses(table);
-  evictOldest(table);
-  table.version += 1;
+  if (merged.size === (known?.suspects.size ?? 0)) return;
+  table.nextIncident = incident + 1;
+  table.crashes.set(crash, {
+    crash,
+    incident: known?.incident ?? incident,
+    suspects: merged,
+    updatedAtMs: nowMs,
+  });
+}
+
+function recordFailedTrial(
+  table: QuarantineTable,
+  fingerprint: Fingerprint,
+  nowMs: number,
+): void {
+  const row = table.quarantined.get(fingerprint);
+  if (row === undefined) return;
+  const failedTrials = row.failedTrials + 1;
+  table.quarantined.set(fingerprint, {
+    ...row,
+    failedTrials,
+    updatedAtMs: nowMs,
+  });
 }
 
-function quarantineProvenCauses(table: QuarantineTable): void {
-  for (const row of table.suspects.values()) {
-    if (row.isQuarantined || !isProvenCause(table, row)) continue;
-    table.suspects.set(row.fingerprint, {...row, isQuarantined: true});
+function quarantineCauses(table: QuarantineTable, nowMs: number): void {
+  for (;;) {
+    const causes = findCauses(table);
+    if (causes.length === 0) return;
+    for (const {fingerprint, kind} of causes) {
+      table.quarantined.set(fingerprint, {
+        fingerprint,
+        kind,
+        failedTrials: 0,
+        updatedAtMs: nowMs,
+      });
+    }
   }
 }
 
-function evictOldest(table: QuarantineTable): void {
-  while (table.suspects.size > MAX_SUSPECTS) {
-    const oldest = table.suspects.keys().next().value as Fingerprint;
-    table.suspects.delete(oldest);
+function evictOldest(rows: Map<unknown, unknown>, max: number): void {
+  for (const key of rows.keys()) {
+    if (rows.size <= max) return;
+    rows.delete(key);
   }
 }
 
-/** Clears a suspect that finished. Returns false if there was none to clear. */
+/**
+ * Clears a suspect that a target answered, and releases it if it was
+ * quarantined. Returns false if there was nothing to clear.
+ */
 export function recordSuccess(
   table: QuarantineTable,
   fingerprint: Fingerprint,
 ): boolean {
-  const row = table.suspects.get(fingerprint);
-  if (row === undefined || row.isQuarantined) return false;
-  table.suspects.delete(fingerprint);
-  table.version += 1;
+  if (suspicionOf(table, fingerprint) === 'clear') return false;
+  removeSuspects(table, [], [fingerprint]);
   return true;
 }
 
+/** Removes crashes, and suspects from all crashes and from the quarantine. */
+export function removeSuspects(
+  table: QuarantineTable,
+  crashes: readonly CrashId[],
+  fingerprints: readonly Fingerprint[],
+): void {
+  for (const crash of crashes) table.crashes.delete(crash);
+  for (const fingerprint of fingerprints) {
+    table.quarantined.delete(fingerprint);
+    for (const row of table.crashes.values()) {
+      row.suspects.delete(fingerprint);
+      if (row.suspects.size === 0) table.crashes.delete(row.crash);
+    }
+  }
+  table.version += 1;
+}
+
+export interface StaleSuspects {
+  readonly crashes: readonly CrashId[];
+  readonly fingerprints: readonly Fingerprint[];
+}
+
+/** What was unchanged for `retentionMs`; undefined if there is nothing. */
+export function findStale(
+  table: QuarantineTable,
+  nowMs: number,
+  retentionMs: number,
+): StaleSuspects | undefined {
+  const isStale = (row: {readonly updatedAtMs: number}) =>
+    nowMs - row.updatedAtMs >= retentionMs;
+  const crashes = [...table.crashes.values()].filter(isStale);
+  const quarantined = [...table.quarantined.values()].filter(isStale);
+  if (crashes.length === 0 && quarantined.length === 0) return undefined;
+  return {
+    crashes: crashes.map(row => row.crash),
+    fingerprints: quarantined.map(row => row.fingerprint),
+  };
+}
+
 /** Removes suspects and quarantined requests unchanged for `retentionMs`. */
 export function expireSuspects(
   table: QuarantineTable,
   nowMs: number,
   retentionMs: number,
 ): void {
-  let isChanged = false;
-  for (const row of table.suspects.values()) {
-    if (nowMs - row.updatedAtMs < retentionMs) continue;
-    table.suspects.delete(row.fingerprint);
-    isChanged = true;
-  }
-  for (const [crash, running] of table.runningAtCrash) {
-    const isNeeded = [...running].some(item => table.suspects.has(item));
-    if (!isNeeded) table.runningAtCrash.delete(crash);
+  const stale = findStale(table, nowMs, retentionMs);
+  if (stale) removeSuspects(table, stale.crashes, stale.fingerprints);
+}
+
+export function viewOf(table: QuarantineTable): QuarantineView {
+  const suspects = new Set<Fingerprint>();
+  for (const row of table.crashes.values()) {
+    for (const fingerprint of row.suspects.keys()) suspects.add(fingerprint);
   }
-  if (isChanged) table.version += 1;
+  return {
+    version: table.version,
+    suspects: [...suspects],
+    quarantined: [...table.quarantined.values()].map(
+      ({fingerprint, failedTrials}) => ({fingerprint, failedTrials}),
+    ),
+  };
 }
--- /dev/null
+++ b/packages/policy/src/quarantine/quarantine.spec.ts
@@ -0,0 +1,221 @@
+/** Causes of crashes among requests and parts of prompts, without a network. */
+import {expect} from 'earl';
+import {test} from 'node:test';
+import {fingerprint, type Fingerprint} from '@samphirefield/core';
+import {
+  beginTrial,
+  createHealth,
+  createQuarantine,
+  createTrials,
+  followQuarantine,
+  msUntilTrial,
+  recordAnswer,
+  recordCrashes,
+  recordSuccess,
+  removeSuspects,
+  restoreQuarantine,
+  SHARED_TARGET_THRESHOLDS,
+  suspicionOf,
+  toQuarantineSnapshot,
+  viewOf,
+  wasHealthy,
+  type QuarantineTable,
+  type Suspect,
+} from './index.js';
+
+/** The suspects of a request with these shared parts in its prompt. */
+function request(
+  name: string,
+  parts: readonly string[],
+  healthy: readonly string[] = [],
+): Suspect[] {
+  const toPart = (part: string, position: number): Suspect => ({
+    fingerprint: fingerprint(part),
+    kind: 'part',
+    position,
+    wasHealthy: healthy.includes(part),
+  });
+  const whole: Suspect = {
+    fingerprint: fingerprint(name),
+    kind: 'request',
+    position: 0,
+    wasHealthy: healthy.includes(name),
+  };
+  return [whole, ...parts.map(toPart)];
+}
+
+function crash(
+  table: QuarantineTable,
+  target: string,
+  ...runs: ReadonlyArray<readonly Suspect[]>
+): void {
+  const evidence = {crash: target, suspects: runs.flat(), failedTrials: []};
+  recordCrashes(table, [evidence], 0);
+}
+
+const refused = (table: QuarantineTable): readonly string[] =>
+  [...table.quarantined.keys()].sort();
+
+test('a part that three crashes share is refused, its companions are not', () => {
+  const table = createQuarantine();
+  crash(table, 't1', request('a', ['common', 'x', 'deadly']));
+  recordSuccess(table, fingerprint('common'));
+  crash(table, 't2', request('b', ['common', 'y', 'deadly']));
+  expect(refused(table)).toEqual([]);
+  crash(table, 't3', request('c', ['common', 'z', 'deadly']));
+  expect(refused(table)).toEqual(['deadly']);
+});
+
+test('a part is told from the first part when no sound request is answered between the crashes', () => {
+  const table = createQuarantine();
+  for (const name of ['a', 'b', 'c', 'd']) {
+    crash(table, name, request(name, ['common', 'deadly'], ['common']));
+  }
+  expect(refused(table)).toEqual(['deadly']);
+});
+
+test('a first part that crashes targets whatever follows it is refused', () => {
+  const table = createQuarantine();
+  for (const name of ['a', 'b', 'c']) {
+    crash(table, name, request(name, ['deadly', `rest of ${name}`]));
+  }
+  expect(refused(table)).toEqual(['deadly']);
+});
+
+test('a part that was healthy until it crashed targets is refused after five crashes', () => {
+  const table = createQuarantine();
+  for (const name of ['a', 'b', 'c', 'd']) {
+    crash(table, name, request(name, ['deadly'], ['deadly']));
+    expect(refused(table)).toEqual([]);
+  }
+  crash(table, 'e', request('e', ['deadly'], ['deadly']));
+  expect(refused(table)).toEqual(['deadly']);
+});
+
+test('two deadly parts at once are both refused', () => {
+  const table = createQuarantine();
+  for (const name of ['a', 'b', 'c']) {
+    crash(table, `1${name}`, request(`1${name}`, ['common', 'first']));
+    crash(table, `2${name}`, request(`2${name}`, ['common', 'second']));
+    recordSuccess(table, fingerprint('common'));
+  }
+  expect(refused(table)).toEqual(['first', 'second']);
+});
+
+test('a request that is repeated is refused, and then the part that makes it deadly', () => {
+  const table = createQuarantine();
+  for (const target of ['t1', 't2', 't3']) {
+    crash(table, target, request('same', ['deadly']));
+  }
+  expect(refused(table)).toEqual(['same']);
+  crash(table, 't4', request('other', ['deadly']));
+  expect(refused(table)).toEqual(['deadly', 'same']);
+});
+
+test('targets of one rack that fail together count once', () => {
+  const table = createQuarantine();
+  const reports = ['t1', 't2', 't3', 't4', 't5'].map(target => ({
+    crash: target,
+    suspects: request(target, ['rare']),
+    failedTrials: [],
+  }));
+  recordCrashes(table, reports, 0);
+  expect(refused(table)).toEqual([]);
+  expect(suspicionOf(table, fingerprint('rare'))).toEqual('suspect');
+});
+
+test('crashes without a cause in common refuse nothing', () => {
+  const table = createQuarantine();
+  for (let i = 0; i < 200; i += 1) {
+    crash(table, `t${i}`, request(`r${i}`, ['common', `part ${i}`]));
+    recordSuccess(table, fingerprint('common'));
+  }
+  expect(refused(table)).toEqual([]);
+});
+
+test('an answer releases a part that was refused by mistake', () => {
+  const table = createQuarantine();
+  for (const target of ['t1', 't2', 't3']) {
+    crash(table, target, request(target, ['sound']));
+  }
+  expect(refused(table)).toEqual(['sound']);
+  recordSuccess(table, fingerprint('sound'));
+  expect(suspicionOf(table, fingerprint('sound'))).toEqual('clear');
+});
+
+test('the crashes that are kept are bounded', () => {
+  const table = createQuarantine();
+  for (let i = 0; i < 1_000; i += 1) {
+    const parts = Array.from({length: 100}, (_, k) => `${i}/${k}`);
+    crash(table, `t${i}`, request(`r${i}`, parts));
+  }
+  expect(table.crashes.size <= 128).toEqual(true);
+  expect(viewOf(table).suspects.length <= 128 * 64).toEqual(true);
+});
+
+test('a snapshot restores what is refused and what the next crash proves', () => {
+  const table = createQuarantine();
+  for (const target of ['t1', 't2', 't3']) {
+    crash(table, target, request(target, ['deadly']));
+  }
+  crash(table, 't4', request('d', ['next']));
+  crash(table, 't5', request('e', ['next']));
+  const text = JSON.stringify(toQuarantineSnapshot(table));
+  const restored = restoreQuarantine(
+    JSON.parse(text),
+    SHARED_TARGET_THRESHOLDS,
+    0,
+  );
+  expect(viewOf(restored)).toEqual(viewOf(table));
+  crash(restored, 't6', request('f', ['next']));
+  expect(refused(restored)).toEqual(['deadly', 'next']);
+});
+
+test('a quarantine ends by itself with one trial at a time, later after each failure', () => {
+  const trials = createTrials();
+  const suspect = fingerprint('deadly');
+  const follow = (failedTrials: number, nowMs: number) =>
+    followQuarantine(trials, [{fingerprint: suspect, failedTrials}], nowMs);
+  follow(0, 0);
+  const firstMs = msUntilTrial(trials, suspect, 0);
+  expect(firstMs).toBeGreaterThan(0);
+  expect(beginTrial(trials, suspect, firstMs - 1)).toEqual(false);
+  expect(beginTrial(trials, suspect, firstMs)).toEqual(true);
+  expect(beginTrial(trials, suspect, firstMs)).toEqual(false);
+  follow(1, firstMs);
+  expect(msUntilTrial(trials, suspect, firstMs)).toBeGreaterThan(firstMs);
+});
+
+test('a failed trial is counted once for each trial, other late crashes are not', () => {
+  const table = createQuarantine();
+  for (const target of ['t1', 't2', 't3', 't4']) {
+    crash(table, target, request(target, ['deadly']));
+  }
+  const trial = {
+    crash: 't5',
+    suspects: request('e', ['deadly']),
+    failedTrials: [fingerprint('deadly')],
+  };
+  recordCrashes(table, [trial], 0);
+  expect(viewOf(table).quarantined).toEqual([
+    {fingerprint: fingerprint('deadly'), failedTrials: 1},
+  ]);
+});
+
+test('a removed crash no longer proves a cause', () => {
+  const table = createQuarantine();
+  crash(table, 't1', request('a', ['rare']));
+  crash(table, 't2', request('b', ['rare']));
+  removeSuspects(table, ['t1', 't2'], []);
+  crash(table, 't3', request('c', ['rare']));
+  expect(refused(table)).toEqual([]);
+});
+
+test('health is remembered for a bounded number of fingerprints', () => {
+  const health = createHealth();
+  const nth = (i: number): Fingerprint => fingerprint(`part ${i}`);
+  for (let i = 0; i < 10_000; i += 1) recordAnswer(health, nth(i), i);
+  expect(health.size <= 4_096).toEqual(true);
+  expect(wasHealthy(health, nth(9_999), 10_000)).toEqual(true);
+  expect(wasHealthy(health, nth(1), 10_000)).toEqual(false);
+});
--- a/packages/policy/src/quarantine/types.ts
+++ b/packages/policy/src/quarantine/types.ts
@@ -1,22 +1,76 @@
-/** Types of the requests that were running when targets crashed. */
+/**
+ * Types of the quarantine: what targets were working on when they crashed, and
+ * what is refused because it crashes them.
+ */
 import type {Fingerprint} from '@samphirefield/core';
 
 /** Identifies a target's crash by target and incarnation. */
 export type CrashId = string;
 
-export interface SuspectRow {
+/** What a crash may be due to. */
+export interface Suspect {
   readonly fingerprint: Fingerprint;
-  readonly crashes: ReadonlySet<CrashId>;
-  readonly isQuarantined: boolean;
+  /**
+   * What the fingerprint identifies: a whole request, or a part of a prompt that
+   * different requests share.
+   */
+  readonly kind: 'request' | 'part';
+  /** Position of the part in its prompt, from 0; 0 for a request. */
+  readonly position: number;
+  /** Whether a target lately answered a request with it. */
+  readonly wasHealthy: boolean;
+}
+
+export interface CrashEvidence {
+  readonly crash: CrashId;
+  /** The suspects of runs that the target had not begun to answer. */
+  readonly suspects: readonly Suspect[];
+  /** Quarantined suspects that were on trial on the target. */
+  readonly failedTrials: readonly Fingerprint[];
+}
+
+export interface CrashRow {
+  readonly crash: CrashId;
+  /** Crashes of one incident count once: a rack takes several targets. */
+  readonly incident: number;
+  readonly suspects: Map<Fingerprint, Suspect>;
+  readonly updatedAtMs: number;
+}
+
+export interface QuarantineRow {
+  readonly fingerprint: Fingerprint;
+  readonly kind: Suspect['kind'];
+  readonly failedTrials: number;
   readonly updatedAtMs: number;
 }
 
+/** In how many incidents a suspect was involved when it is proven the cause. */
+export interface CrashThresholds {
+  readonly request: number;
+  readonly part: number;
+  /** For a suspect that was healthy lately. */
+  readonly healthy: number;
+}
+
 export interface QuarantineTable {
-  readonly suspects: Map<Fingerprint, SuspectRow>;
-  /** Requests that were running on the target at each crash. */
-  readonly runningAtCrash: Map<CrashId, Set<Fingerprint>>;
+  readonly thresholds: CrashThresholds;
+  readonly crashes: Map<CrashId, CrashRow>;
+  readonly quarantined: Map<Fingerprint, QuarantineRow>;
+  nextIncident: number;
   /** Incremented by each change, so that entries can request updates only. */
   version: number;
 }
 
+/** What entries need to know of the table. */
+export interface QuarantineView {
+  readonly version: number;
+  readonly suspects: readonly Fingerprint[];
+  readonly quarantined: readonly QuarantinedView[];
+}
+
+export interface QuarantinedView {
+  readonly fingerprint: Fingerprint;
+  readonly failedTrials: number;
+}
+
 export type Suspicion = 'clear' | 'suspect' | 'quarantined';
