Tell the dispatcher that a target is gone when its successor announces the address

Cause: an announcement marks older targets at its address as gone in the table, but the callers of mergeAnnouncement only passed on the announced target. The dispatchers of leader and entries kept the crashed one as ready; since it was gone in the table it never became silent either, so it stood there, empty and so preferred, for 2 minutes (leader) or 10 (entry). It needs a crash shorter than the 4.6 s after which a target counts as silent; crashed workers of the users are back after 3 to 3.5 s. Class: a change of one row that changes others, of which only the first is told. Evidence: the new test of cluster.spec failed (the run went to the crashed target), passes now with and without a leader.

--- a/packages/cluster/src/cluster.spec.ts
+++ b/packages/cluster/src/cluster.spec.ts
@@ -9,6 +9,7 @@
   requestId,
   targetId,
   zoneId,
+  type TargetId,
   type ZoneId,
 } from '@samphirefield/core';
 import type {Demand} from '@samphirefield/gateway';
@@ -251,6 +252,34 @@
   expect((await third).kind).toEqual('granted');
 });
 
+test('a crashed target gets runs after its successor announced the address', async t => {
+  const cluster = await setUp(t);
+  await startAll(cluster);
+  const entry = cluster.startEntry();
+  await cluster.putConfig(0, 1);
+  const crashed = createAnnouncement();
+  const successor = createAnnouncement({id: targetId('i-2'), bornMs: 2});
+  const targetOf = async (name: string) => {
+    const run = {...demand(name), kvTokens: 1};
+    const result = await entry.reserve(run);
+    entry.release(run.request, SERVICE, 'served');
+    return result.kind === 'granted' ? result.target : undefined;
+  };
+  const isKnown = (id: TargetId) => entry.findTarget(id) !== undefined;
+  cluster.controls.get(0)!.announce(crashed);
+  await until('the target is known', () => isKnown(crashed.id));
+  cluster.controls.get(0)!.announce(successor);
+  await until('its successor is known', () => isKnown(successor.id));
+  for (let i = 0; i < 20; i += 1) {
+    expect(await targetOf(`with a leader ${i}`)).toEqual(successor.id);
+  }
+  for (const i of [0, 1, 2]) await cluster.stop(i);
+  await until('no leader', () => entry.metrics()['has_leader'] === 0);
+  for (let i = 0; i < 20; i += 1) {
+    expect(await targetOf(`without ${i}`)).toEqual(successor.id);
+  }
+});
+
 test('entries without a leader stay within their shares of an engine', async t => {
   const cluster = await setUp(t);
   await startAll(cluster);
--- a/packages/cluster/src/control/target-registry.ts
+++ b/packages/cluster/src/control/target-registry.ts
@@ -112,7 +112,16 @@
   ): void {
     const {id} = announcement;
     const nowMs = this.options.nowMs();
-    const outcome = mergeAnnouncement(this.table, announcement, nowMs, ageMs);
+    const outcome = mergeAnnouncement(
+      this.table,
+      announcement,
+      nowMs,
+      ageMs,
+      replaced => {
+        this.logChange(replaced.announcement, 'its successor');
+        this.options.onChange(replaced, false);
+      },
+    );
     if (outcome === 'stale') return;
     const wasSilent = this.silentTargets.delete(id);
     const record = this.table.get(id)!;
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -350,7 +350,17 @@
   private onTargetUpdate(update: TargetUpdate): void {
     const {announcement, ageMs} = update;
     const nowMs = this.options.nowMs();
-    const outcome = mergeAnnouncement(this.table, announcement, nowMs, ageMs);
+    const onReplaced = (replaced: TargetRecord) => {
+      this.onTargetChanged(replaced);
+      this.updateTarget(replaced);
+    };
+    const outcome = mergeAnnouncement(
+      this.table,
+      announcement,
+      nowMs,
+      ageMs,
+      onReplaced,
+    );
     const record = this.table.get(announcement.id);
     if (record === undefined) return;
     if (outcome === 'changed') this.onTargetChanged(record);
--- a/packages/gateway/src/registry/logic.ts
+++ b/packages/gateway/src/registry/logic.ts
@@ -45,12 +45,14 @@
 
 /**
  * Merges an announcement that a daemon received from the target `ageMs` ago.
+ * Calls `onReplaced` for each target that it shows to be gone.
  */
 export function mergeAnnouncement(
   table: TargetTable,
   next: TargetAnnouncement,
   nowMs: number,
   ageMs = 0,
+  onReplaced: (record: TargetRecord) => void = () => undefined,
 ): MergeOutcome {
   const recorded = table.get(next.id);
   if (recorded && !isNewer(next, recorded.announcement)) return 'stale';
@@ -61,7 +63,9 @@
     coldUntilMs: lastSeenAtMs + next.coldLeftMs,
   };
   table.set(next.id, record);
-  if (next.state === 'ready') markAddressPredecessorsGone(table, next);
+  if (next.state === 'ready') {
+    markAddressPredecessorsGone(table, next).forEach(onReplaced);
+  }
   return recorded && isSameExceptTiming(recorded.announcement, next)
     ? 'renewed'
     : 'changed';
@@ -74,15 +78,20 @@
 function markAddressPredecessorsGone(
   table: TargetTable,
   next: TargetAnnouncement,
-): void {
+): TargetRecord[] {
+  const replaced: TargetRecord[] = [];
   for (const [id, {announcement: earlier, ...recordRest}] of table) {
     const sharesAddress =
       earlier.host === next.host && earlier.port === next.port;
     const isOlder = earlier.bornMs < next.bornMs;
     if (id === next.id || !sharesAddress || !isOlder) continue;
     if (earlier.state === 'gone') continue;
-    table.set(id, {...recordRest, announcement: {...earlier, state: 'gone'}});
+    const announcement = {...earlier, state: 'gone' as const};
+    const record: TargetRecord = {...recordRest, announcement};
+    table.set(id, record);
+    replaced.push(record);
   }
+  return replaced;
 }
 
 /**
