Believe a refusal only if it names the request

What callers saw (reported by operators of systems like ours): 'not run, try again' for requests that a worker ran, or such a request ran at a second worker, after a faulty worker had written an earlier refusal once more on a kept connection. Here: a refusal with the earlier request's id was skipped already (test), one without an id was taken for the answer to the present request: an unsafe request ran on both targets (test, failed before). Cause: an id that is missing counted as the right one. A promise that a request has not run needs the id now; otherwise the outcome is unknown (502), the connection is closed, only safe requests go on to another target.

--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -159,6 +159,14 @@
         return;
       }
       if (metadata!.isNotRun || metadata!.isMisdirected) {
+        // It may be a refusal of an earlier request, written once more.
+        if (metadata!.attemptId !== attemptId) {
+          breakOff({
+            kind: 'malformed',
+            reason: 'a refusal that names no request',
+          });
+          return;
+        }
         finish({kind: 'not_run', isMisdirected: metadata!.isMisdirected});
         return;
       }
