Never let a response without framing look complete when it was cut

What callers saw (reported by others): a 200 with an empty or short body that looks whole, after a worker stopped in its answer's head and closed. Here: no prefix of a head, at any length, with or without framing or an interim response, gives anything but 502 (test, passed before). But three cases of the same class failed: a stream without length or chunks that ends inside an event was sent on with the part of the event and ended; one whose target connection was reset, and a long body without framing that was reset, ended with an orderly close of the caller's connection. Cause: where neither length nor chunks frame a response its end is the close of the connection, and both a normal end and a break-off closed it the same way. A break-off resets such a connection now, also when the process stops, and a stream that ends inside an event counts as lost.

--- a/packages/gateway/src/exchange/event-relay.ts
+++ b/packages/gateway/src/exchange/event-relay.ts
@@ -70,6 +70,11 @@
     return partialBytes > MAX_EVENT_BYTES ? 'endless event' : undefined;
   }
 
+  /** Whether bytes of an event were received that is not complete. */
+  get hasPartialEvent(): boolean {
+    return this.partial !== undefined;
+  }
+
   /** Returns the bytes after the last complete event of a stream that ended. */
   takePartialEvent(): Buffer | undefined {
     const partialEvent = this.partial;
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -12,6 +12,7 @@
 import type {UpstreamConnection} from '../upstream/index.js';
 import type {ResponseSink} from './response-sink.js';
 import {readBody} from './body.js';
+import {breakOffResponse} from './break-off.js';
 import {QuarantineGuard} from './quarantine-guard.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
 import {
@@ -249,7 +250,7 @@
       return;
     }
     this.log('broken_off', 0);
-    this.res.destroy();
+    breakOffResponse(this.res);
   }
 
   /** Reserves one target, sends the request to it and classifies the result. */
@@ -414,7 +415,7 @@
     if (attempt?.hasStarted()) {
       this.isOver = true;
       this.log('timed_out_midway', 0);
-      this.res.destroy();
+      breakOffResponse(this.res);
     } else if (attempt) {
       this.refuse({kind: 'timed_out'});
     } else {
--- a/packages/gateway/src/exchange/index.ts
+++ b/packages/gateway/src/exchange/index.ts
@@ -1,4 +1,5 @@
 export * from './body.js';
+export * from './break-off.js';
 export * from './exchange.js';
 export * from './local-response.js';
 export * from './http-message.js';
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -174,6 +174,10 @@
         finish({kind: 'failed', sink: sink!, status: head!.status});
         return;
       }
+      if (head!.endsWithConnection && sink!.events?.hasPartialEvent) {
+        breakOff({kind: 'broken', reason: 'the stream ended inside an event'});
+        return;
+      }
       sink!.end();
       if (isSuccess(head!.status)) prove();
       finish({kind: 'passed_on', status: head!.status});
--- a/packages/gateway/src/server/server.ts
+++ b/packages/gateway/src/server/server.ts
@@ -1,7 +1,11 @@
 /** The HTTP server that callers connect to. */
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
-import {Exchange, type GatewayDependencies} from '../exchange/index.js';
+import {
+  breakOffResponse,
+  Exchange,
+  type GatewayDependencies,
+} from '../exchange/index.js';
 import type {CallerLimits} from '../routes/index.js';
 
 const MAX_HEADER_BYTES = 65_536;
@@ -33,7 +37,7 @@
   port: number,
   deps: GatewayDependencies,
 ): Promise<GatewayServer> {
-  let active = 0;
+  const active = new Set<ServerResponse>();
   let isDraining = false;
   const server: Server = createServer(
     {
@@ -45,15 +49,15 @@
       noDelay: true,
     },
     (req, res) => {
-      active += 1;
-      res.on('close', () => (active -= 1));
+      active.add(res);
+      res.on('close', () => active.delete(res));
       if (isDraining) res.setHeader('connection', 'close');
       const exchange = new Exchange(deps, req, res);
       exchange.run().catch((error: unknown) => {
         deps.logger.error('exchange_crashed', {
           reason: (error as Error).stack,
         });
-        res.destroy();
+        breakOffResponse(res);
       });
     },
   );
@@ -71,7 +75,7 @@
     server.listen({host, port, backlog: LISTEN_BACKLOG}, () => {
       resolve({
         port: (server.address() as AddressInfo).port,
-        activeCount: () => active,
+        activeCount: () => active.size,
         applyLimits: limits => {
           server.keepAliveTimeout = limits.idleTimeoutMs;
           server.headersTimeout = limits.headerTimeoutMs;
@@ -83,6 +87,7 @@
         stopListening: () => server.close(),
         close: () => {
           server.close();
+          for (const res of active) breakOffResponse(res);
           server.closeAllConnections();
         },
       });
