Start no run late in a planned stop that the end of the process may cut

What callers saw (reported by others): requests that came late in the grace of a stopping entry were taken, passed on and cut at its end, among them some that may not be repeated (LOST). Here: it could happen. The entry compared an estimate (objective and 14 ms a token) with the end of the process, so a request to a slow target was taken until shortly before it, and the estimate was not made again after a wait for a target. Change: from 2 s after the stop request on, a request is taken only if its deadline and its route's timeout end before the process; decided again right before it is sent. It is refused as not run, with Retry-After.

--- a/packages/gateway/src/exchange/exchange.spec.ts
+++ b/packages/gateway/src/exchange/exchange.spec.ts
@@ -345,6 +345,36 @@
   expect(targets[0]!.received.length).toEqual(1);
 });
 
+test('a request that comes late in a planned stop is cut by its end', async t => {
+  for (const kind of ['safe', 'unsafe', 'stream'] as const) {
+    const {targets, gateway} = await setUp(t, {kind}, [
+      respondWith(completeResponse('done')),
+    ]);
+    const headers = {'deadline-ms': '3000', output: '1'};
+    gateway.stopIn(4_000, 3_500);
+    expect((await call(gateway.port, {headers})).status).toEqual(200);
+    gateway.stopIn(2_500, 3_500);
+    const late = await call(gateway.port, {headers});
+    expect(late.status).toEqual(503);
+    expect(late.headers['retry-after'] === undefined).toEqual(false);
+    expect(targets[0]!.received.length).toEqual(1);
+  }
+});
+
+test('a request that waited for a target is sent too late in a planned stop', async t => {
+  const {targets, gateway} = await setUp(t, {kind: 'unsafe'}, [
+    respondWith(rejected),
+    respondWith(completeResponse('done')),
+  ]);
+  targets[0]!.received.push = (...items) => {
+    gateway.stopIn(500, 3_500);
+    return Array.prototype.push.apply(targets[0]!.received, items);
+  };
+  const response = await call(gateway.port);
+  expect(response.status).toEqual(503);
+  expect(targets[1]!.received.length).toEqual(0);
+});
+
 test('resumes on the same target when only the connection broke', async t => {
   const mover: KvCacheMover = {
     copy: () => Promise.resolve({kind: 'refused', handle: 'h2'}),
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -13,6 +13,7 @@
 import type {ResponseSink} from './response-sink.js';
 import {readBody} from './body.js';
 import {breakOffResponse} from './break-off.js';
+import {canFinishBeforeStop} from './planned-stop.js';
 import {QuarantineGuard} from './quarantine-guard.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
 import {
@@ -49,8 +50,6 @@
 /** Share of its remaining time that a request waits for a configuration. */
 const CONFIG_WAIT_SHARE = 0.6;
 const CONFIG_POLL_MS = 25;
-/** Time per output token that few generations exceed. */
-const SLOW_TOKEN_MS = 14;
 const DEFAULT_DEADLINE_MS = 60_000;
 const MIN_REMAINING_MS = 1;
 
@@ -141,12 +140,8 @@
       if (body.error === 'too_large') this.refuse({kind: 'body_too_large'});
       return undefined;
     }
-    if (!this.canFinishBeforeStop(route)) {
-      return this.refuse({
-        kind: 'not_run',
-        reason: 'would not finish before this process stops',
-      });
-    }
+    const stopRefusal = this.refuseBeforeStop(route);
+    if (stopRefusal) return this.refuse(stopRefusal);
     const service = pickService(route, this.deps.random());
     const quarantine = this.createQuarantineGuard(service, body.value);
     const refusal = quarantine.refuse();
@@ -187,12 +182,18 @@
     return body;
   }
 
-  private canFinishBeforeStop(route: Route): boolean {
-    const stopsAtMs = this.deps.stopsAtMs();
-    if (stopsAtMs === undefined) return true;
+  /** Undefined if a run can end before this process does. */
+  private refuseBeforeStop(route: Route): LocalResponse | undefined {
+    const {objectiveMs, timeoutMs} = route;
     const {maxOutputTokens} = this.metadata;
-    const runMs = route.objectiveMs + maxOutputTokens * SLOW_TOKEN_MS;
-    return this.deps.nowMs() + runMs < stopsAtMs;
+    const endsAtMs = Math.min(this.endsAtMs, this.startedAtMs + timeoutMs);
+    const run = {objectiveMs, maxOutputTokens, endsAtMs};
+    const {plannedStop, nowMs} = this.deps;
+    if (canFinishBeforeStop(run, plannedStop(), nowMs())) return undefined;
+    return {
+      kind: 'not_run',
+      reason: 'would not finish before this process stops',
+    };
   }
 
   /**
@@ -284,7 +285,9 @@
         },
       };
     }
-    const refusal = await admitted.quarantine.refuseRun();
+    const refusal =
+      this.refuseBeforeStop(admitted.route) ??
+      (await admitted.quarantine.refuseRun());
     if (refusal || this.isOver) {
       release('abandoned');
       return refusal ? {kind: 'own', response: refusal} : {kind: 'broken_off'};
--- a/packages/gateway/src/exchange/index.ts
+++ b/packages/gateway/src/exchange/index.ts
@@ -3,4 +3,5 @@
 export * from './exchange.js';
 export * from './local-response.js';
 export * from './http-message.js';
+export type {PlannedStop} from './planned-stop.js';
 export * from './types.js';
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -16,6 +16,7 @@
 import type {Demand, DispatchResult, RunOutcome} from '../dispatch/index.js';
 import type {RequestObserver} from '../metrics/index.js';
 import type {KvCacheMover, ResumePoint} from '../moves/index.js';
+import type {PlannedStop} from './planned-stop.js';
 import type {Quarantine} from '../quarantine/index.js';
 import type {TargetRecord} from '../registry/index.js';
 import type {GatewayView, RouteIndex} from '../routes/index.js';
@@ -126,8 +127,8 @@
   /** Undefined until this process has received a first configuration. */
   readonly activeConfig: () => ActiveConfig | undefined;
   readonly nowMs: () => number;
-  /** When this process ends; undefined unless it was asked to stop. */
-  readonly stopsAtMs: () => number | undefined;
+  /** Undefined unless this process was asked to stop. */
+  readonly plannedStop: () => PlannedStop | undefined;
   /** A random number in [0, 1). */
   readonly random: () => number;
 }
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -13,6 +13,7 @@
   DispatchResult,
   GatewayProtocol,
   KvCacheMover,
+  PlannedStop,
   ReservationClient,
   RequestKind,
   Route,
@@ -58,8 +59,8 @@
 export interface TestGateway {
   readonly port: number;
   readonly server: GatewayServer;
-  /** Simulates a process that was asked to stop and ends in `ms`. */
-  stopIn(ms: number): void;
+  /** Simulates a process that was asked to stop, and ends in `ms`. */
+  stopIn(ms: number, requestedMsAgo?: number): void;
   /** Marks a target as draining. */
   startDraining(position: number): void;
   /** Number of runs that hold a reservation. */
@@ -170,7 +171,7 @@
 ): Promise<TestGateway> {
   const reservations = new TestReservationClient(options.targets);
   const pool = new UpstreamPool();
-  let stopsAtMs: number | undefined;
+  let plannedStop: PlannedStop | undefined;
   let remainingRetries = options.retries ?? Number.POSITIVE_INFINITY;
   const table = {
     version: 1,
@@ -234,13 +235,17 @@
     observe: () => undefined,
     activeConfig: () => activeConfig,
     nowMs: () => performance.now(),
-    stopsAtMs: () => stopsAtMs,
+    plannedStop: () => plannedStop,
     random: () => 0,
   });
   return {
     port: server.port,
     server,
-    stopIn: ms => (stopsAtMs = performance.now() + ms),
+    stopIn: (ms, requestedMsAgo = 0) => {
+      const nowMs = performance.now();
+      const requestedAtMs = nowMs - requestedMsAgo;
+      plannedStop = {requestedAtMs, endsAtMs: nowMs + ms};
+    },
     startDraining: position =>
       reservations.startDraining(targetId(`t${position + 1}`)),
     heldRunCount: () => reservations.dispatcher.runCount,
