Keep a quarantine of samphirefieldd over a change of its leader

What callers saw: after a change of leader, a request that had crashed two targets was sent to targets again. The leader's table is in memory, and entries replaced what they knew by the empty table of the new leader. Change: an entry keeps what was quarantined under the earlier leader and sends it with its next heartbeat; the new leader takes it over. Heartbeats of earlier versions have no such field. If all daemons restart at once the table is lost; each has then lost its runs as well.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -188,6 +188,7 @@
     announcements: [],
     deaths: [],
     clearedSuspects: [],
+    inheritedQuarantine: [],
     waitingSuspects: [],
     runningSuspects: [],
     knownTargetsVersion: lastResponse?.targetsVersion ?? 0,
--- a/packages/daemon/src/entry/heartbeat-messages.ts
+++ b/packages/daemon/src/entry/heartbeat-messages.ts
@@ -61,6 +61,7 @@
         fingerprints: [...crash.fingerprints],
       })),
       clearedSuspects: tables.unreportedClearedSuspects,
+      inheritedQuarantine: tables.inheritedQuarantine,
       waitingSuspects: [...tables.waitingSuspects],
       runningSuspects: [...runningSuspects(tables)],
       knownTargetsVersion: tables.knownTargetsVersion,
@@ -152,6 +153,20 @@
   return hasShrunk;
 }
 
+/** Keeps what a new leader does not know yet in quarantine. */
+function applySuspects(
+  tables: EntryTables,
+  suspects: NonNullable<ReportResponse['suspects']>,
+): void {
+  const inherited = tables.inheritedQuarantine.map(fingerprint => ({
+    fingerprint,
+    isQuarantined: true,
+  }));
+  tables.sharedSuspects = new Map(
+    [...suspects, ...inherited].map(row => [row.fingerprint, row]),
+  );
+}
+
 export interface AppliedResponse {
   /** Whether the leader awaits a confirmation or lacks this entry's state. */
   readonly needsEarlyHeartbeat: boolean;
@@ -179,11 +194,7 @@
   if (orders.targets.length > 0) clearCandidateLists(tables);
   tables.knownTargetsVersion = orders.targetsVersion;
   const hasShrunk = applyAllocations(tables, orders);
-  if (orders.suspects) {
-    tables.sharedSuspects = new Map(
-      orders.suspects.map(row => [row.fingerprint, row]),
-    );
-  }
+  if (orders.suspects) applySuspects(tables, orders.suspects);
   tables.knownQuarantineVersion = orders.quarantineVersion;
   syncAllCandidates(tables);
   tables.permittedSuspects = new Set(orders.suspectTurns);
@@ -213,6 +224,12 @@
   tables.unreportedCrashes = tables.unreportedCrashes.slice(
     report.deaths.length,
   );
+  // A new leader does not know what its predecessor had quarantined.
+  tables.inheritedQuarantine = isNewLeader
+    ? [...tables.sharedSuspects.values()]
+        .filter(row => row.isQuarantined)
+        .map(row => row.fingerprint)
+    : [];
   tables.unreportedClearedSuspects = tables.unreportedClearedSuspects.slice(
     report.clearedSuspects.length,
   );
--- a/packages/daemon/src/entry/tables.ts
+++ b/packages/daemon/src/entry/tables.ts
@@ -109,6 +109,8 @@
   readonly waitingSuspects: Set<Fingerprint>;
   unreportedCrashes: CrashReport[];
   unreportedClearedSuspects: Fingerprint[];
+  /** Quarantined under an earlier leader and not reported to the present one. */
+  inheritedQuarantine: Fingerprint[];
 }
 
 export function createEntryTables(
@@ -140,6 +142,7 @@
     waitingSuspects: new Set(),
     unreportedCrashes: [],
     unreportedClearedSuspects: [],
+    inheritedQuarantine: [],
   };
 }
 
--- a/packages/daemon/src/rpc/schemas.ts
+++ b/packages/daemon/src/rpc/schemas.ts
@@ -140,6 +140,8 @@
     .array(z.object({death: z.string(), fingerprints}))
     .max(MAX_LIST_LENGTH),
   clearedSuspects: fingerprints,
+  /** Missing in heartbeats of earlier versions. */
+  inheritedQuarantine: fingerprints.default([]),
   waitingSuspects: fingerprints,
   runningSuspects: fingerprints,
   knownTargetsVersion: index,
--- a/packages/policy/src/allocations/allocations.spec.ts
+++ b/packages/policy/src/allocations/allocations.spec.ts
@@ -82,6 +82,7 @@
     announcements: [],
     deaths: [],
     clearedSuspects: [],
+    inheritedQuarantine: [],
     waitingSuspects: [],
     runningSuspects: [],
     knownTargetsVersion: 0,
--- a/packages/policy/src/allocations/leader.ts
+++ b/packages/policy/src/allocations/leader.ts
@@ -11,6 +11,7 @@
 import {
   createQuarantine,
   expireSuspects,
+  inheritQuarantine,
   ISOLATED_SUSPECT_THRESHOLDS,
   recordCrashes,
   recordSuccess,
@@ -130,6 +131,7 @@
     const evidence = {crash: death, suspects, failedTrials: []};
     recordCrashes(tables.quarantine, [evidence], nowMs);
   }
+  inheritQuarantine(tables.quarantine, report.inheritedQuarantine, nowMs);
   for (const fingerprint of report.clearedSuspects) {
     recordSuccess(tables.quarantine, fingerprint);
   }
--- a/packages/policy/src/allocations/types.ts
+++ b/packages/policy/src/allocations/types.ts
@@ -151,6 +151,8 @@
   readonly announcements: readonly ReceivedAnnouncement[];
   readonly deaths: readonly CrashReport[];
   readonly clearedSuspects: readonly Fingerprint[];
+  /** Quarantined under an earlier leader, whose table is lost. */
+  readonly inheritedQuarantine: readonly Fingerprint[];
   readonly waitingSuspects: readonly Fingerprint[];
   readonly runningSuspects: readonly Fingerprint[];
   readonly knownTargetsVersion: number;
--- a/packages/policy/src/quarantine/index.ts
+++ b/packages/policy/src/quarantine/index.ts
@@ -4,6 +4,7 @@
   createQuarantine,
   expireSuspects,
   findStale,
+  inheritQuarantine,
   ISOLATED_SUSPECT_THRESHOLDS,
   recordCrashes,
   recordSuccess,
--- a/packages/policy/src/quarantine/logic.ts
+++ b/packages/policy/src/quarantine/logic.ts
@@ -119,6 +119,28 @@
   return true;
 }
 
+/**
+ * Takes over requests that an earlier table had quarantined, of which the crashes
+ * are not known any more.
+ */
+export function inheritQuarantine(
+  table: QuarantineTable,
+  fingerprints: readonly Fingerprint[],
+  nowMs: number,
+): void {
+  for (const fingerprint of fingerprints) {
+    if (table.quarantined.has(fingerprint)) continue;
+    table.quarantined.set(fingerprint, {
+      fingerprint,
+      kind: 'request',
+      failedTrials: 0,
+      updatedAtMs: nowMs,
+    });
+    table.version += 1;
+  }
+  evictOldest(table.quarantined, MAX_QUARANTINED);
+}
+
 function recordFailedTrial(
   table: QuarantineTable,
   fingerprint: Fingerprint,
