--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -141,9 +141,9 @@
   ],
   [
     'two crashes quarantine a request',
-    'policy/dist/quarantine/logic.js',
-    'if (row.crashes.size < CRASHES_TO_QUARANTINE)',
-    'if (true)',
+    'policy/dist/quarantine/causes.js',
+    'incidents.size >= requiredIncidents(table, suspect)',
+    'false',
     'daemon/dist/entry/capacity.spec.js',
     'poison request',
   ],
