Quarantine messages that crash the targets of samphirefieldd

What callers saw, were a system message deadly: each new chat with it crashes another target. Change: the messages before the last are parts of the prompt, reported with crashes of runs that had no token yet, and refused like the parts of the gateway, by the same decision; at most 16 a prompt, there and here. A part never makes a request wait for a permit.

--- a/packages/daemon/src/entry/heartbeat-messages.ts
+++ b/packages/daemon/src/entry/heartbeat-messages.ts
@@ -59,6 +59,7 @@
       deaths: tables.unreportedCrashes.map(crash => ({
         ...crash,
         fingerprints: [...crash.fingerprints],
+        prompts: crash.prompts.map(parts => [...parts]),
       })),
       clearedSuspects: tables.unreportedClearedSuspects,
       inheritedQuarantine: tables.inheritedQuarantine,
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -3,6 +3,7 @@
 export {
   recordTargetCrash,
   recordRunSuccess,
+  requestSuspicion,
   effectiveSuspicion,
 } from './suspects.js';
 export {
--- a/packages/daemon/src/entry/suspects.ts
+++ b/packages/daemon/src/entry/suspects.ts
@@ -4,6 +4,7 @@
  */
 import type {Fingerprint, TargetId} from '@samphirefield/core';
 import {
+  partSuspects,
   recordCrashes,
   recordSuccess,
   requestSuspect,
@@ -23,6 +24,22 @@
   return own === 'suspect' || shared ? 'suspect' : 'clear';
 }
 
+/** The same for a request; a part of its prompt may be quarantined. */
+export function requestSuspicion(
+  tables: EntryTables,
+  request: {
+    readonly fingerprint: Fingerprint;
+    readonly promptParts: readonly Fingerprint[];
+  },
+): Suspicion {
+  const hasQuarantinedPart = request.promptParts.some(
+    part => effectiveSuspicion(tables, part) === 'quarantined',
+  );
+  return hasQuarantinedPart
+    ? 'quarantined'
+    : effectiveSuspicion(tables, request.fingerprint);
+}
+
 /** Makes every request that this entry ran on a crashed target a suspect. */
 export function recordTargetCrash(
   tables: EntryTables,
@@ -30,26 +47,35 @@
   incarnation: string,
   nowMs: number,
 ): readonly Fingerprint[] {
-  const fingerprints = [...tables.activeRuns.values()]
-    .filter(run => run.target === target && run.incarnation === incarnation)
-    .map(run => run.fingerprint);
+  const runs = [...tables.activeRuns.values()].filter(
+    run => run.target === target && run.incarnation === incarnation,
+  );
+  const fingerprints = runs.map(run => run.fingerprint);
+  const prompts = runs
+    .filter(run => run.generatedTokens === 0)
+    .map(run => run.promptParts);
   const crashId = `${target}/${incarnation}`;
   const previousVersion = tables.quarantine.version;
-  const suspects = fingerprints.map(requestSuspect);
+  const suspects = [
+    ...fingerprints.map(requestSuspect),
+    ...prompts.flatMap(partSuspects),
+  ];
   const evidence = {crash: crashId, suspects, failedTrials: []};
   recordCrashes(tables.quarantine, [evidence], nowMs);
   if (tables.quarantine.version !== previousVersion) {
-    tables.unreportedCrashes.push({death: crashId, fingerprints});
+    tables.unreportedCrashes.push({death: crashId, fingerprints, prompts});
   }
   return fingerprints;
 }
 
-/** Clears a suspect that ran to completion, on this entry and on all others. */
+/** Clears suspects that ran to completion, on this entry and on all others. */
 export function recordRunSuccess(
   tables: EntryTables,
-  fingerprint: Fingerprint,
+  fingerprints: readonly Fingerprint[],
 ): void {
-  const wasOwn = recordSuccess(tables.quarantine, fingerprint);
-  const wasShared = tables.sharedSuspects.has(fingerprint);
-  if (wasOwn || wasShared) tables.unreportedClearedSuspects.push(fingerprint);
+  for (const fingerprint of fingerprints) {
+    const wasOwn = recordSuccess(tables.quarantine, fingerprint);
+    const wasShared = tables.sharedSuspects.has(fingerprint);
+    if (wasOwn || wasShared) tables.unreportedClearedSuspects.push(fingerprint);
+  }
 }
--- a/packages/daemon/src/entry/tables.ts
+++ b/packages/daemon/src/entry/tables.ts
@@ -64,6 +64,7 @@
   readonly target: TargetId;
   readonly incarnation: string;
   readonly fingerprint: Fingerprint;
+  readonly promptParts: readonly Fingerprint[];
   readonly isSuspect: boolean;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
--- a/packages/daemon/src/generations/parse-request.ts
+++ b/packages/daemon/src/generations/parse-request.ts
@@ -17,6 +17,8 @@
 const DEFAULT_MAX_TOKENS = 32_768;
 const PREFIX_HASH_CHARACTERS = 16;
 const MAX_CHOICES = 16;
+/** Later messages of a conversation are seldom shared. */
+const MAX_PROMPT_PARTS = 16;
 
 const requestSchema = z.looseObject({
   model: z.string(),
@@ -39,6 +41,16 @@
     : JSON.stringify(body.prompt);
 }
 
+/** A model's targets share no weights with others', so it is part of each. */
+function promptPartsOf(body: RequestBody, isChat: boolean) {
+  const shared = isChat ? (body.messages ?? []).slice(0, -1) : [];
+  return shared
+    .slice(0, MAX_PROMPT_PARTS)
+    .map(message =>
+      fingerprint(sha256Hex(`${body.model}\n${JSON.stringify(message)}`)),
+    );
+}
+
 function parseBody(text: string): Result<RequestBody, ApiError> {
   let value: unknown;
   try {
@@ -95,6 +107,7 @@
     isStreamed: body.stream === true,
     isChat,
     fingerprint: fingerprint(sha256Hex(`${path}\n${JSON.stringify(content)}`)),
+    promptParts: promptPartsOf(body, isChat),
     prefixHash:
       prefix === undefined
         ? ''
--- a/packages/daemon/src/generations/run-generation.ts
+++ b/packages/daemon/src/generations/run-generation.ts
@@ -127,6 +127,7 @@
       model: request.model.model,
       modelVersion: request.model.version,
       fingerprint: request.fingerprint,
+      promptParts: request.promptParts,
       prefix: request.prefixHash,
       promptTokens: request.promptTokens,
       maxOutputTokens: request.maxOutputTokens,
@@ -282,7 +283,8 @@
       histogramFor(deps.tables, service.service, workspace.workspace),
       generatedTokens,
     );
-    recordRunSuccess(deps.tables, request.fingerprint);
+    const {fingerprint, promptParts} = request;
+    recordRunSuccess(deps.tables, [fingerprint, ...promptParts]);
     this.sink.finish();
     deps.logger.info('answer_complete', {
       request: request.id,
--- a/packages/daemon/src/generations/types.ts
+++ b/packages/daemon/src/generations/types.ts
@@ -20,6 +20,8 @@
   readonly isStreamed: boolean;
   readonly isChat: boolean;
   readonly fingerprint: Fingerprint;
+  /** The messages before the last, which other requests may share. */
+  readonly promptParts: readonly Fingerprint[];
   /** Hash of the prompt's prefix; empty for a service without prefix affinity. */
   readonly prefixHash: string;
   readonly promptTokens: number;
--- a/packages/daemon/src/plain/call-plain.ts
+++ b/packages/daemon/src/plain/call-plain.ts
@@ -68,6 +68,7 @@
       model: '',
       modelVersion: '',
       fingerprint: request.fingerprint,
+      promptParts: [],
       prefix: '',
       promptTokens: 0,
       maxOutputTokens: 0,
@@ -87,7 +88,7 @@
       const response = await this.send(admission);
       isFinished = response.isOk();
       if (response.isOk()) {
-        recordRunSuccess(this.deps.tables, this.request.fingerprint);
+        recordRunSuccess(this.deps.tables, [this.request.fingerprint]);
         return ok(response.value);
       }
       return await this.handleFailure(admission, response.error);
--- a/packages/daemon/src/rpc/schemas.ts
+++ b/packages/daemon/src/rpc/schemas.ts
@@ -137,7 +137,14 @@
     .array(z.object({announcement: announcementSchema, heardAgoMs: count}))
     .max(MAX_LIST_LENGTH),
   deaths: z
-    .array(z.object({death: z.string(), fingerprints}))
+    .array(
+      z.object({
+        death: z.string(),
+        fingerprints,
+        /** Missing in heartbeats of earlier versions. */
+        prompts: z.array(fingerprints).max(MAX_LIST_LENGTH).default([]),
+      }),
+    )
     .max(MAX_LIST_LENGTH),
   clearedSuspects: fingerprints,
   /** Missing in heartbeats of earlier versions. */
--- a/packages/daemon/src/scheduler/scheduler.ts
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -38,7 +38,7 @@
   estimateKvTokens,
   refreshKvEstimates,
   removeRun,
-  effectiveSuspicion,
+  requestSuspicion,
   type EntryTables,
   type ActiveRun,
 } from '../entry/index.js';
@@ -171,7 +171,7 @@
   private findRefusal(request: AdmissionRequest): AdmissionError | undefined {
     const {tables, clock} = this.options;
     if (!hasViewLease(tables, clock.nowMs())) return {kind: 'no_view_lease'};
-    if (effectiveSuspicion(tables, request.fingerprint) === 'quarantined') {
+    if (requestSuspicion(tables, request) === 'quarantined') {
       return {kind: 'quarantined'};
     }
     return request.signal.aborted ? {kind: 'caller_left'} : undefined;
@@ -282,7 +282,7 @@
   ): boolean {
     const {tables} = this.options;
     const {request} = pending;
-    const suspicion = effectiveSuspicion(tables, request.fingerprint);
+    const suspicion = requestSuspicion(tables, request);
     if (suspicion === 'quarantined') {
       this.refuse(pending, {kind: 'quarantined'});
       return true;
@@ -357,6 +357,7 @@
       target: decision.target,
       incarnation: target.view.incarnation,
       fingerprint: request.fingerprint,
+      promptParts: request.promptParts,
       isSuspect,
       promptTokens: request.promptTokens,
       maxOutputTokens: request.maxOutputTokens,
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -17,6 +17,8 @@
   readonly model: string;
   readonly modelVersion: string;
   readonly fingerprint: Fingerprint;
+  /** The parts of the prompt that other requests may share. */
+  readonly promptParts: readonly Fingerprint[];
   /** Hash of the start of the prompt, for prefix affinity; empty without it. */
   readonly prefix: string;
   readonly promptTokens: number;
--- a/packages/gateway/src/quarantine/traits.ts
+++ b/packages/gateway/src/quarantine/traits.ts
@@ -4,6 +4,8 @@
 import type {RequestTrait} from './types.js';
 
 const DIGEST_BYTES = 9;
+/** Later parts of a prompt are seldom shared. */
+const MAX_PROMPT_PARTS = 16;
 
 export interface RequestContent {
   readonly service: ServiceId;
@@ -30,7 +32,8 @@
     kind: 'request',
     position: 0,
   };
-  const parts = sharedPromptParts.map((part, position): RequestTrait => ({
+  const shared = sharedPromptParts.slice(0, MAX_PROMPT_PARTS);
+  const parts = shared.map((part, position): RequestTrait => ({
     fingerprint: fingerprint(digest(service, part)),
     kind: 'part',
     position,
--- a/packages/policy/src/allocations/leader.ts
+++ b/packages/policy/src/allocations/leader.ts
@@ -12,6 +12,7 @@
   createQuarantine,
   expireSuspects,
   inheritQuarantine,
+  partSuspects,
   ISOLATED_SUSPECT_THRESHOLDS,
   recordCrashes,
   recordSuccess,
@@ -126,8 +127,11 @@
   for (const held of report.held) {
     recordHeldAllocation(tables, report.holder, held, nowMs);
   }
-  for (const {death, fingerprints} of report.deaths) {
-    const suspects = fingerprints.map(requestSuspect);
+  for (const {death, fingerprints, prompts} of report.deaths) {
+    const suspects = [
+      ...fingerprints.map(requestSuspect),
+      ...prompts.flatMap(partSuspects),
+    ];
     const evidence = {crash: death, suspects, failedTrials: []};
     recordCrashes(tables.quarantine, [evidence], nowMs);
   }
--- a/packages/policy/src/allocations/types.ts
+++ b/packages/policy/src/allocations/types.ts
@@ -138,6 +138,8 @@
 export interface CrashReport {
   readonly death: CrashId;
   readonly fingerprints: readonly Fingerprint[];
+  /** The shared parts of the prompts of runs without a token so far. */
+  readonly prompts: ReadonlyArray<readonly Fingerprint[]>;
 }
 
 /** The report that an entry sends to the leader with each heartbeat. */
--- a/packages/policy/src/quarantine/index.ts
+++ b/packages/policy/src/quarantine/index.ts
@@ -6,6 +6,7 @@
   findStale,
   inheritQuarantine,
   ISOLATED_SUSPECT_THRESHOLDS,
+  partSuspects,
   recordCrashes,
   recordSuccess,
   removeSuspects,
--- a/packages/policy/src/quarantine/logic.ts
+++ b/packages/policy/src/quarantine/logic.ts
@@ -53,6 +53,16 @@
   return {fingerprint, kind: 'request', position: 0, wasHealthy: false};
 }
 
+/** The shared parts of a prompt, in order, as suspects. */
+export function partSuspects(fingerprints: readonly Fingerprint[]): Suspect[] {
+  return fingerprints.map((fingerprint, position) => ({
+    fingerprint,
+    kind: 'part',
+    position,
+    wasHealthy: false,
+  }));
+}
+
 export function suspicionOf(
   table: QuarantineTable,
   fingerprint: Fingerprint,
--- a/packages/replay/src/simulate/samphirefield.ts
+++ b/packages/replay/src/simulate/samphirefield.ts
@@ -136,6 +136,7 @@
         service,
         model: 'model',
         modelVersion: '1',
+        promptParts: [],
         fingerprint: fingerprint(request.id),
         prefix: arrival.prefix,
         promptTokens: arrival.prompt_tokens,
