--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -34,6 +34,12 @@
   type AdmittedRequest,
   type Reservation,
 } from './reservation.js';
+import {
+  createRequestRecord,
+  logFailedAttempt,
+  recordEnd,
+  type RequestRecord,
+} from './request-record.js';
 import {serializeRequest} from './http-message.js';
 import {startTargetAttempt, type TargetAttempt} from './target-attempt.js';
 import type {
@@ -55,7 +61,7 @@
 
 /** One caller's request and its response. */
 export class Exchange {
-  private readonly startedAtMs: number;
+  private readonly record: RequestRecord;
   private readonly metadata: RequestMetadata;
   private endsAtMs: number;
   private isOver = false;
@@ -64,32 +70,26 @@
     {request: RequestId; service: ServiceId} | undefined;
   private readonly excluded: TargetId[] = [];
   private runCount = 0;
-  private attempts = 0;
-  private moves = 0;
-  private waitedMs = 0;
-  private responseStartedAtMs: number | undefined;
-  private lastTarget: TargetId | undefined;
-  private lastRun: RequestId | undefined;
   private failureResponse: ResponseSink | undefined;
-  private service: ServiceId | undefined;
 
   constructor(
     private readonly deps: GatewayDependencies,
     private readonly req: IncomingMessage,
     private readonly res: ServerResponse,
   ) {
-    this.startedAtMs = deps.nowMs();
     this.metadata = deps.protocol.readRequest(req.headers);
+    this.record = createRequestRecord(this.metadata.attemptId, deps.nowMs());
     this.endsAtMs =
-      this.startedAtMs + (this.metadata.deadlineMs ?? DEFAULT_DEADLINE_MS);
+      this.record.startedAtMs +
+      (this.metadata.deadlineMs ?? DEFAULT_DEADLINE_MS);
   }
 
   async run(): Promise<void> {
     this.res.on('close', () => this.onClose());
     const admitted = await this.admit();
     if (admitted === undefined) return;
-    this.service = admitted.service;
-    const timeoutAtMs = this.startedAtMs + admitted.route.timeoutMs;
+    this.record.service = admitted.service;
+    const timeoutAtMs = this.record.startedAtMs + admitted.route.timeoutMs;
     this.endsAtMs = Math.min(this.endsAtMs, timeoutAtMs);
     const timer = setTimeout(() => this.onTimeout(), this.remainingMs());
     try {
@@ -109,7 +109,7 @@
   private async waitForConfiguration(): Promise<ActiveConfig | undefined> {
     const {deps} = this;
     const untilMs =
-      this.startedAtMs +
+      this.record.startedAtMs +
       Math.min(CONFIG_WAIT_MAX_MS, this.remainingMs() * CONFIG_WAIT_SHARE);
     while (deps.activeConfig() === undefined && deps.nowMs() < untilMs) {
       await delay(CONFIG_POLL_MS);
@@ -186,7 +186,10 @@
   private refuseBeforeStop(route: Route): LocalResponse | undefined {
     const {objectiveMs, timeoutMs} = route;
     const {maxOutputTokens} = this.metadata;
-    const endsAtMs = Math.min(this.endsAtMs, this.startedAtMs + timeoutMs);
+    const endsAtMs = Math.min(
+      this.endsAtMs,
+      this.record.startedAtMs + timeoutMs,
+    );
     const run = {objectiveMs, maxOutputTokens, endsAtMs};
     const {plannedStop, nowMs} = this.deps;
     if (canFinishBeforeStop(run, plannedStop(), nowMs())) return undefined;
@@ -231,7 +234,7 @@
       }
       this.failureResponse = nextStep.failureResponse ?? this.failureResponse;
       const isExhausted =
-        this.attempts >= MAX_ATTEMPTS ||
+        this.record.attempts >= MAX_ATTEMPTS ||
         (nextStep.usesRetryBudget && !budget.tryConsume(admitted.service));
       if (isExhausted) {
         this.refuse(nextStep.responseIfFinal);
@@ -272,7 +275,7 @@
       ),
     );
     this.pendingReservation = undefined;
-    this.waitedMs += deps.nowMs() - requestedAtMs;
+    this.record.waitedMs += deps.nowMs() - requestedAtMs;
     const release = (outcome: RunOutcome) =>
       deps.reservations.release(run, service, outcome);
     if (result.kind === 'refused') {
@@ -292,8 +295,8 @@
       release('abandoned');
       return refusal ? {kind: 'own', response: refusal} : {kind: 'broken_off'};
     }
-    this.lastTarget = result.target;
-    this.lastRun = run;
+    this.record.lastTarget = result.target;
+    this.record.lastRun = run;
     excluded.push(result.target);
     const endpoint = findEndpoint(deps.reservations, result.target);
     const reservation = endpoint && {...endpoint, run};
@@ -302,7 +305,8 @@
       admitted,
     );
     release(outcome);
-    if (outcome !== 'served') this.logFailedAttempt(run, outcome, nextStep);
+    if (outcome !== 'served')
+      logFailedAttempt(deps, this.record, outcome, nextStep);
     return nextStep;
   }
 
@@ -324,7 +328,7 @@
         'the reserved target is not registered any more',
       );
     }
-    this.attempts += 1;
+    this.record.attempts += 1;
     const timeoutMs = Math.min(CONNECT_TIMEOUT_MS, this.remainingMs());
     const connection = await this.deps.pool.acquire(
       reservation.address,
@@ -351,12 +355,12 @@
           continuation,
         ),
       onMoved: target => {
-        this.moves += 1;
-        this.lastTarget = target;
+        this.record.moves += 1;
+        this.record.lastTarget = target;
       },
     });
     const result = await supervisor.supervise(attempt, reservation);
-    this.responseStartedAtMs = attempt.sink()?.headSentAtMs;
+    this.record.responseStartedAtMs = attempt.sink()?.headSentAtMs;
     if (result.kind === 'lost') this.observeLostRun(admitted, reservation);
     this.attempt = undefined;
     if (mayHaveRun(result)) this.runCount += 1;
@@ -368,7 +372,7 @@
     {run, address}: Reservation,
   ): void {
     const answeringForMs = this.attempt?.answeringForMs();
-    const target = this.lastTarget!;
+    const target = this.record.lastTarget!;
     void quarantine.observeLostRun({run, target, address, answeringForMs});
   }
 
@@ -435,56 +439,7 @@
     this.deps.reservations.release(request, service, 'abandoned');
   }
 
-  private logFailedAttempt(
-    run: RequestId,
-    outcome: RunOutcome,
-    nextStep: NextStep,
-  ): void {
-    const {deps, lastTarget} = this;
-    const record = lastTarget && deps.reservations.findTarget(lastTarget);
-    const response =
-      nextStep.kind === 'retry' ? nextStep.responseIfFinal : undefined;
-    deps.logger.info('try_failed', {
-      request: this.metadata.attemptId,
-      run,
-      target: lastTarget,
-      target_state: record?.announcement.state ?? 'unknown',
-      target_age_ms: record && Math.round(deps.nowMs() - record.lastSeenAtMs),
-      outcome,
-      next: nextStep.kind,
-      reason: response && 'reason' in response ? response.reason : undefined,
-    });
-  }
-
   private log(outcome: string, status: number, reason?: string): void {
-    const {deps, attempts, moves, service} = this;
-    const waitedMs = Math.round(this.waitedMs);
-    const durationMs = Math.round(deps.nowMs() - this.startedAtMs);
-    deps.logger.info('request', {
-      request: this.metadata.attemptId,
-      run: this.lastRun,
-      outcome,
-      status,
-      reason,
-      service,
-      target: this.lastTarget,
-      sendings: attempts,
-      moves,
-      waited_ms: waitedMs,
-      first_ms:
-        this.responseStartedAtMs &&
-        Math.round(this.responseStartedAtMs - this.startedAtMs),
-      took_ms: durationMs,
-      view: deps.activeConfig()?.view.index,
-    });
-    deps.observe({
-      outcome,
-      status,
-      service,
-      durationMs,
-      waitedMs,
-      attempts,
-      moves,
-    });
+    recordEnd(this.deps, this.record, outcome, status, reason);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/exchange/request-record.ts
@@ -0,0 +1,95 @@
+/** What happened to one request so far, for its log lines and metrics. */
+import type {RequestId, ServiceId, TargetId} from '@samphirefield/core';
+import type {RunOutcome} from '../dispatch/index.js';
+import type {NextStep} from './classify-result.js';
+import type {GatewayDependencies} from './types.js';
+
+export interface RequestRecord {
+  readonly attemptId: string | undefined;
+  readonly startedAtMs: number;
+  service: ServiceId | undefined;
+  lastTarget: TargetId | undefined;
+  lastRun: RequestId | undefined;
+  /** Attempts, including those that a target rejected. */
+  attempts: number;
+  moves: number;
+  /** Time spent waiting for targets. */
+  waitedMs: number;
+  responseStartedAtMs: number | undefined;
+}
+
+export function createRequestRecord(
+  attemptId: string | undefined,
+  startedAtMs: number,
+): RequestRecord {
+  return {
+    attemptId,
+    startedAtMs,
+    service: undefined,
+    lastTarget: undefined,
+    lastRun: undefined,
+    attempts: 0,
+    moves: 0,
+    waitedMs: 0,
+    responseStartedAtMs: undefined,
+  };
+}
+
+export function logFailedAttempt(
+  deps: GatewayDependencies,
+  {attemptId, lastRun, lastTarget}: RequestRecord,
+  outcome: RunOutcome,
+  nextStep: NextStep,
+): void {
+  const record = lastTarget && deps.reservations.findTarget(lastTarget);
+  const response =
+    nextStep.kind === 'retry' ? nextStep.responseIfFinal : undefined;
+  deps.logger.info('try_failed', {
+    request: attemptId,
+    run: lastRun,
+    target: lastTarget,
+    target_state: record?.announcement.state ?? 'unknown',
+    target_age_ms: record && Math.round(deps.nowMs() - record.lastSeenAtMs),
+    outcome,
+    next: nextStep.kind,
+    reason: response && 'reason' in response ? response.reason : undefined,
+  });
+}
+
+/** Logs the end of the request and counts it in the metrics. */
+export function recordEnd(
+  deps: GatewayDependencies,
+  record: RequestRecord,
+  outcome: string,
+  status: number,
+  reason?: string,
+): void {
+  const {service, attempts, moves, startedAtMs, responseStartedAtMs} = record;
+  const waitedMs = Math.round(record.waitedMs);
+  const durationMs = Math.round(deps.nowMs() - startedAtMs);
+  deps.logger.info('request', {
+    request: record.attemptId,
+    run: record.lastRun,
+    outcome,
+    status,
+    reason,
+    service,
+    target: record.lastTarget,
+    sendings: attempts,
+    moves,
+    waited_ms: waitedMs,
+    first_ms:
+      responseStartedAtMs && Math.round(responseStartedAtMs - startedAtMs),
+    took_ms: durationMs,
+    view: deps.activeConfig()?.view.index,
+  });
+  deps.observe({
+    outcome,
+    status,
+    service,
+    durationMs,
+    waitedMs,
+    attempts,
+    moves,
+  });
+}
