Probe the target on which a moved run was lost, not its first one

Seen while reading: run_lost of a moved run told whether the first target is gone. It decided nothing (a moved run had been answering), but the line would mislead. gateway tests pass.

--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -367,12 +367,15 @@
     return classifyResult(result, admitted.route, this.runCount);
   }
 
+  /** The run may have moved off the target that it was reserved on. */
   private observeLostRun(
     {quarantine}: AdmittedRequest,
-    {run, address}: Reservation,
+    {run, address: firstAddress}: Reservation,
   ): void {
     const answeringForMs = this.attempt?.answeringForMs();
     const target = this.record.lastTarget!;
+    const endpoint = findEndpoint(this.deps.reservations, target);
+    const address = endpoint?.address ?? firstAddress;
     void quarantine.observeLostRun({run, target, address, answeringForMs});
   }
 
