--- a/packages/cluster/src/control/quarantine-keeper.ts
+++ b/packages/cluster/src/control/quarantine-keeper.ts
@@ -77,6 +77,7 @@
     });
   }
 
+  /** Clears suspects that a target answered. */
   clear(fingerprints: readonly Fingerprint[]): void {
     const table = this.options.table();
     if (table === undefined || !this.options.isLeader()) return;
