--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,11 +1,20 @@
 /**
- * Runs the compiled spec files; arguments select those whose path contains one of
- * them. Fails if there is none.
+ * Runs the compiled spec files and those of the scripts; arguments select those
+ * whose path contains one of them. Fails if there is none, and if the outcome is
+ * another than KNOWN-RED.txt lists.
  */
 import {spawnSync} from 'node:child_process';
-import {existsSync, readdirSync} from 'node:fs';
-import {dirname, join} from 'node:path';
+import {
+  existsSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {dirname, join, relative} from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {describe, isGreen, judge, parseKnownRed} from './known-red.mjs';
 
 const CONCURRENCY = 4;
 const root = dirname(dirname(fileURLToPath(import.meta.url)));
@@ -28,9 +37,35 @@
         specs.push(join(dist, file));
     }
   }
+  const scripts = readdirSync(join(root, 'scripts'));
+  for (const file of scripts.filter(name => name.endsWith('.spec.mjs')))
+    specs.push(join(root, 'scripts', file));
   return specs.sort();
 }
 
+/** The source of a compiled spec file, relative to the repository. */
+function sourceOf(file) {
+  return relative(root, file)
+    .replace('/dist/', '/src/')
+    .replace(/\.js$/, '.ts');
+}
+
+/** Reads what the reporter wrote, without the outcomes of whole files. */
+function readOutcomes(path) {
+  const lines = existsSync(path) ? readFileSync(path, 'utf8').split('\n') : [];
+  const outcomes = lines
+    .filter(line => line !== '')
+    .map(line => JSON.parse(line));
+  const isSound = ({isWholeFile, isPassed, cause}) =>
+    isWholeFile && (isPassed || cause === 'subtestsFailed');
+  return outcomes
+    .filter(outcome => !outcome.isSkipped && !isSound(outcome))
+    .map(({name, file, isPassed}) => ({
+      key: `${sourceOf(file ?? name)} > ${name}`,
+      isPassed,
+    }));
+}
+
 const pathParts = process.argv.slice(2);
 const specs = findSpecs().filter(
   spec => pathParts.length === 0 || pathParts.some(part => spec.includes(part)),
@@ -41,14 +76,27 @@
   );
   process.exit(1);
 }
+const folder = mkdtempSync(join(tmpdir(), 'samphirefield-test-'));
+const outcomePath = join(folder, 'outcomes.jsonl');
 const result = spawnSync(
   process.execPath,
   [
     '--test',
     '--test-force-exit',
     `--test-concurrency=${CONCURRENCY}`,
+    '--test-reporter=spec',
+    '--test-reporter-destination=stdout',
+    `--test-reporter=${join(root, 'scripts', 'outcome-reporter.mjs')}`,
+    `--test-reporter-destination=${outcomePath}`,
     ...specs,
   ],
   {cwd: root, stdio: 'inherit'},
 );
-process.exit(result.status ?? 1);
+const outcomes = readOutcomes(outcomePath);
+rmSync(folder, {recursive: true, force: true});
+const listed = parseKnownRed(readFileSync(join(root, 'KNOWN-RED.txt'), 'utf8'));
+const verdict = judge(outcomes, listed, pathParts.length > 0);
+for (const line of describe(verdict)) console.log(line);
+// A runner that fails without a failed test has stopped early.
+const isRunnerSound = result.status === 0 || outcomes.some(o => !o.isPassed);
+process.exit(isGreen(verdict) && isRunnerSound ? 0 : 1);
