--- a/packages/cluster/src/control/quarantine-keeper.ts
+++ b/packages/cluster/src/control/quarantine-keeper.ts
@@ -136,6 +136,7 @@
     for (const {crash, suspects} of crashes) {
       this.options.logger.warn('crash', {
         crash,
+        incident: this.options.table()?.crashes.get(crash)?.incident,
         suspects: suspects.map(item => item.fingerprint).join(','),
         healthy: suspects.filter(item => item.wasHealthy).length,
         recorded: isRecorded,
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -14,6 +14,7 @@
   silentLogger,
   targetId,
   zoneId,
+  type Logger,
 } from '@samphirefield/core';
 import type {RouteTable, TargetAnnouncement} from '@samphirefield/gateway';
 import {ControlNode} from '../control/index.js';
@@ -96,15 +97,20 @@
     readonly addresses: readonly Address[],
     private readonly voters: number,
     private readonly root: string,
+    private readonly decodeConfig: typeof decodeTestDocument,
   ) {
     addresses.forEach((_, i) => this.folders.push(join(root, `disk-${i}`)));
   }
 
-  static async create(size: number, voters = 3): Promise<TestCluster> {
+  static async create(
+    size: number,
+    voters = 3,
+    decodeConfig = decodeTestDocument,
+  ): Promise<TestCluster> {
     const addresses: Address[] = [];
     while (addresses.length < size) addresses.push(await freeAddress());
     const root = mkdtempSync(join(tmpdir(), 'samphirefield-cluster-'));
-    return new TestCluster(addresses, voters, root);
+    return new TestCluster(addresses, voters, root, decodeConfig);
   }
 
   /** Starts daemon `i`; the first three addresses are the seeds. */
@@ -119,7 +125,7 @@
       timing: TIMING,
       voters: this.voters,
       targetSilentAfterMs: 600,
-      decodeConfig: decodeTestDocument,
+      decodeConfig: this.decodeConfig,
       logger: silentLogger,
       nowMs,
     });
@@ -139,13 +145,13 @@
     rmSync(this.folders[i]!, {recursive: true, force: true});
   }
 
-  startEntry(name = 'e1'): EntryNode {
+  startEntry(name = 'e1', logger: Logger = silentLogger): EntryNode {
     const entry = new EntryNode({
       instance: instanceId(name),
       zone: zoneId('z0'),
       seeds: this.addresses.slice(0, 3),
-      decodeConfig: decodeTestDocument,
-      logger: silentLogger,
+      decodeConfig: this.decodeConfig,
+      logger,
       nowMs,
       onRouteTable: () => undefined,
       onTargetChange: () => undefined,
--- /dev/null
+++ b/packages/cluster/src/testing/crashing-targets.ts
@@ -0,0 +1,162 @@
+/**
+ * Targets that crash when they begin to run a deadly request, and start again
+ * a while later. They announce themselves to the control daemons.
+ */
+import {
+  targetId,
+  zoneId,
+  type ServiceId,
+  type TargetId,
+} from '@samphirefield/core';
+import {
+  completeResponse,
+  startScriptedTarget,
+  type ScriptedTarget,
+} from '@samphirefield/gateway/testing';
+import type {TestCluster} from './cluster.js';
+
+const ANNOUNCE_EVERY_MS = 100;
+const RESTART_AFTER_MS = 500;
+
+/** As what a target comes back. */
+export type Comeback =
+  'same_id' | 'same_id_without_start' | 'other_id' | 'other_address';
+
+export interface CrashingTargetsOptions {
+  readonly cluster: TestCluster;
+  readonly services: readonly ServiceId[];
+  readonly perService: number;
+  readonly isDeadly: (head: string, body: string) => boolean;
+  readonly comeback: Comeback;
+  /** A target ends without a reset of its connections. */
+  readonly isSilentEnd?: boolean;
+}
+
+interface Place {
+  readonly service: ServiceId;
+  readonly name: string;
+  starts: number;
+  id: TargetId;
+  bornMs: number;
+  sequence: number;
+  port: number;
+  server: ScriptedTarget | undefined;
+}
+
+export class CrashingTargets {
+  /** One item for each crash, in order. */
+  readonly crashed: TargetId[] = [];
+  private readonly places: Place[] = [];
+  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly dead: ScriptedTarget[] = [];
+
+  private constructor(private readonly options: CrashingTargetsOptions) {}
+
+  static async start(
+    options: CrashingTargetsOptions,
+  ): Promise<CrashingTargets> {
+    const targets = new CrashingTargets(options);
+    for (const service of options.services) {
+      for (let i = 0; i < options.perService; i += 1) {
+        const place: Place = {
+          service,
+          name: `${service}-${i}`,
+          starts: 0,
+          id: targetId(''),
+          bornMs: 0,
+          sequence: 0,
+          port: 0,
+          server: undefined,
+        };
+        targets.places.push(place);
+        await targets.startPlace(place);
+      }
+    }
+    targets.timers.push(
+      setInterval(() => targets.announceAll(), ANNOUNCE_EVERY_MS),
+    );
+    return targets;
+  }
+
+  get areAllUp(): boolean {
+    return this.places.every(place => place.server !== undefined);
+  }
+
+  get ids(): readonly TargetId[] {
+    return this.places.map(place => place.id);
+  }
+
+  /** Ends the target at this position, as a crash does. */
+  crash(position: number): void {
+    this.end(this.places[position]!);
+  }
+
+  close(): void {
+    for (const timer of this.timers) clearTimeout(timer);
+    for (const {server} of this.places) server?.close();
+    for (const server of this.dead) server.close();
+  }
+
+  private async startPlace(place: Place): Promise<void> {
+    const {comeback} = this.options;
+    place.starts += 1;
+    const keepsId = comeback === 'same_id' || comeback.startsWith('same_id_');
+    place.id = targetId(
+      keepsId ? place.name : `${place.name}-start-${place.starts}`,
+    );
+    const hasStartTime = comeback !== 'same_id_without_start';
+    place.bornMs = hasStartTime ? Date.now() : 0;
+    place.sequence = 0;
+    const port = comeback === 'other_address' ? 0 : place.port;
+    const server: ScriptedTarget = await startScriptedTarget(
+      ({head, body, socket}) => {
+        if (place.server !== server) return;
+        const isDeadly = this.options.isDeadly(head, body);
+        if (isDeadly) this.end(place);
+        else socket.write(completeResponse('done'));
+      },
+      port,
+    );
+    place.server = server;
+    place.port = server.port;
+    this.announce(place);
+  }
+
+  private end(place: Place): void {
+    const {server} = place;
+    if (server === undefined) return;
+    this.crashed.push(place.id);
+    place.server = undefined;
+    if (this.options.isSilentEnd) this.dead.push(server);
+    else server.close();
+    this.timers.push(
+      setTimeout(() => {
+        server.close();
+        void this.startPlace(place);
+      }, RESTART_AFTER_MS),
+    );
+  }
+
+  private announceAll(): void {
+    for (const place of this.places) {
+      if (place.server) this.announce(place);
+    }
+  }
+
+  private announce(place: Place): void {
+    const [control] = this.options.cluster.controls.values();
+    place.sequence += 1;
+    control?.announce({
+      id: place.id,
+      bornMs: place.bornMs,
+      sequence: place.sequence,
+      service: place.service,
+      host: '127.0.0.1',
+      port: place.port,
+      zone: zoneId('z0'),
+      slots: 8,
+      state: 'ready',
+      coldLeftMs: 0,
+    });
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/testing/gateways.ts
@@ -0,0 +1,115 @@
+/** Entries with a gateway for callers, in front of a test cluster. */
+import {ok} from 'neverthrow';
+import {
+  instanceId,
+  workspaceId,
+  zoneId,
+  type Logger,
+  type ServiceId,
+} from '@samphirefield/core';
+import {
+  startGatewayServer,
+  UpstreamPool,
+  type GatewayServer,
+  type RequestKind,
+  type RouteTable,
+} from '@samphirefield/gateway';
+import {NO_MOVES, testProtocol} from '@samphirefield/gateway/testing';
+import type {EntryNode} from '../entry/index.js';
+import {decodeTestDocument, until, type TestCluster} from './cluster.js';
+
+export const KEYS = ['k1', 'k2', 'k3'] as const;
+
+export interface RoutedServices {
+  readonly kind: RequestKind;
+  readonly services: readonly ServiceId[];
+  readonly isEngine: boolean;
+}
+
+/** Decodes a number into a table of that version, with one route to all services. */
+export function decodeRouted(routed: RoutedServices) {
+  return (document: string) => {
+    const base = decodeTestDocument(document)._unsafeUnwrap();
+    const [engine] = base.services;
+    const table: RouteTable = {
+      ...base,
+      routes: [
+        {
+          name: 'r',
+          host: 'test',
+          pathPrefix: '/',
+          kind: routed.kind,
+          timeoutMs: 5_000,
+          objectiveMs: 1_000,
+          priority: 0,
+          services: routed.services.map(service => ({service, weight: 1})),
+          maxRuns: 2,
+          isPublic: false,
+          eventGapMs: 100,
+        },
+      ],
+      services: routed.services.map(name => ({
+        ...engine!,
+        name,
+        engine: routed.isEngine ? {...engine!.engine!, slots: 8} : undefined,
+      })),
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 100_000,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+      workspaces: [
+        {name: workspaceId('w'), keys: [...KEYS], priority: undefined},
+      ],
+    };
+    return ok(table);
+  };
+}
+
+export interface EntryGateway {
+  readonly entry: EntryNode;
+  readonly port: number;
+  /** Ends the entry, as a kill does. */
+  close(): void;
+}
+
+export async function startEntryGateway(
+  cluster: TestCluster,
+  name: string,
+  logger: Logger,
+): Promise<EntryGateway> {
+  const entry = cluster.startEntry(name, logger);
+  const pool = new UpstreamPool();
+  const nowMs = () => performance.now();
+  const server: GatewayServer = await startGatewayServer('127.0.0.1', 0, {
+    instance: instanceId(name),
+    zone: zoneId('z0'),
+    protocol: testProtocol,
+    reservations: entry,
+    budget: {recordRequest: () => undefined, tryConsume: () => true},
+    quarantine: entry.quarantine,
+    pool,
+    mover: NO_MOVES,
+    logger,
+    observe: () => undefined,
+    activeConfig: () => entry.activeConfig(),
+    nowMs,
+    plannedStop: () => undefined,
+    random: Math.random,
+  });
+  await until(
+    `${name} has a leader and a configuration`,
+    () =>
+      entry.metrics()['has_leader'] === 1 && entry.activeConfig() !== undefined,
+  );
+  return {
+    entry,
+    port: server.port,
+    close: () => {
+      server.close();
+      pool.close();
+      entry.stop();
+    },
+  };
+}
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -362,6 +362,8 @@
     const result = await supervisor.supervise(attempt, reservation);
     this.record.responseStartedAtMs = attempt.sink()?.headSentAtMs;
     if (result.kind === 'lost') this.observeLostRun(admitted, reservation);
+    if (result.kind === 'ended' && attempt.answeringForMs() === undefined)
+      admitted.quarantine.noteEndedRun(reservation);
     this.attempt = undefined;
     if (mayHaveRun(result)) this.runCount += 1;
     return classifyResult(result, admitted.route, this.runCount);
--- a/packages/gateway/src/exchange/quarantine-guard.ts
+++ b/packages/gateway/src/exchange/quarantine-guard.ts
@@ -5,6 +5,7 @@
  */
 import type {Fingerprint, RequestId, TargetId} from '@samphirefield/core';
 import type {RequestTrait} from '../quarantine/index.js';
+import type {TargetAnnouncement} from '../registry/index.js';
 import {refusesConnections, type UpstreamAddress} from '../upstream/index.js';
 import type {
   GatewayDependencies,
@@ -30,6 +31,16 @@
   retryAfterMs,
 });
 
+/** Why the end of a target is no crash that this run may have caused. */
+function reasonNotCounted(
+  state: TargetAnnouncement['state'] | undefined,
+  answeringForMs: number | undefined,
+): string | undefined {
+  if (state !== 'ready') return `target_${state ?? 'unknown'}`;
+  if ((answeringForMs ?? 0) >= PROVEN_AFTER_MS) return 'was_answering';
+  return undefined;
+}
+
 export class QuarantineGuard {
   private trialOf: readonly Fingerprint[] = [];
 
@@ -57,16 +68,25 @@
     this.deps.quarantine.recordAnswer(this.traits);
   }
 
+  /** Logs a run that its caller or its timeout ended before any answer. */
+  noteEndedRun({run, target}: Pick<LostRun, 'run' | 'target'>): void {
+    this.deps.logger.info('run_ended_unanswered', {
+      request: this.metadata.attemptId,
+      run,
+      target,
+      fingerprint: this.traits[0]?.fingerprint,
+    });
+  }
+
   /** Finds out whether the target of a lost run has crashed. */
   async observeLostRun(lost: LostRun): Promise<void> {
     const {deps, traits, trialOf} = this;
     const {run, target, address, answeringForMs} = lost;
     const announcement = deps.reservations.findTarget(target)?.announcement;
     const isTargetGone = await refusesConnections(address, REFUSAL_TIMEOUT_MS);
-    const mayBeCause =
-      isTargetGone &&
-      announcement?.state === 'ready' &&
-      (answeringForMs ?? 0) < PROVEN_AFTER_MS;
+    const notCounted = isTargetGone
+      ? reasonNotCounted(announcement?.state, answeringForMs)
+      : 'accepts_connections';
     deps.logger.warn('run_lost', {
       request: this.metadata.attemptId,
       run,
@@ -75,11 +95,13 @@
       target_state: announcement?.state ?? 'unknown',
       target_gone: isTargetGone,
       answering_ms: answeringForMs && Math.round(answeringForMs),
-      may_be_cause: mayBeCause,
+      may_be_cause: notCounted === undefined,
+      not_counted: notCounted,
+      fingerprint: traits[0]?.fingerprint,
       trial: trialOf.length > 0 || undefined,
       prompt_parts: this.metadata.sharedPromptParts.join(','),
     });
-    if (!mayBeCause) return;
+    if (notCounted !== undefined || announcement === undefined) return;
     const crash = `${target}/${announcement.bornMs}`;
     deps.quarantine.recordCrash({crash, traits, trialOf});
   }
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -32,7 +32,7 @@
     deadlineMs: headers['deadline-ms']
       ? Number(headers['deadline-ms'])
       : undefined,
-    apiKey: undefined,
+    apiKey: headers['key'] as string | undefined,
     promptTokens: 100,
     maxOutputTokens: Number(headers['output'] ?? 100),
     hintedOutputTokens: undefined,
@@ -78,7 +78,7 @@
 }
 
 const SERVICE = serviceId('s');
-const NO_MOVES: KvCacheMover = {
+export const NO_MOVES: KvCacheMover = {
   copy: () => Promise.resolve({kind: 'no_run'}),
   drop: () => undefined,
 };
@@ -268,6 +268,8 @@
   readonly attemptId?: string;
   readonly body?: string;
   readonly headers?: Record<string, string>;
+  /** Default: `/x?q=1`. */
+  readonly path?: string;
   /** Called with all data received so far. */
   readonly onData?: (text: string, disconnect: () => void) => void;
 }
@@ -278,13 +280,14 @@
   options: CallOptions = {},
 ): Promise<CallerResponse> {
   const {attemptId = 'a1', body = 'hello', headers = {}, onData} = options;
+  const {path = '/x?q=1'} = options;
   return new Promise((resolve, reject) => {
     const req = request(
       {
         host: '127.0.0.1',
         port,
         method: 'POST',
-        path: '/x?q=1',
+        path,
         agent: false,
         headers: {host: 'test', attempt: attemptId, ...headers},
       },
--- /dev/null
+++ b/packages/gateway/src/testing/index.ts
@@ -0,0 +1,2 @@
+export * from './gateway.js';
+export * from './scripted-target.js';
--- a/packages/gateway/src/testing/scripted-target.ts
+++ b/packages/gateway/src/testing/scripted-target.ts
@@ -31,6 +31,7 @@
  */
 export function startScriptedTarget(
   respond: (request: ReceivedRequest) => void,
+  port = 0,
 ): Promise<ScriptedTarget> {
   const received: ReceivedRequest[] = [];
   const sockets = new Set<Socket>();
@@ -58,11 +59,11 @@
     });
   });
   return new Promise(resolve => {
-    server.listen(0, '127.0.0.1', () => {
-      const {address, port} = server.address() as AddressInfo;
+    server.listen(port, '127.0.0.1', () => {
+      const bound = server.address() as AddressInfo;
       resolve({
-        host: address,
-        port,
+        host: bound.address,
+        port: bound.port,
         received,
         close: () => {
           server.close();
