--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -12,7 +12,11 @@
   ServiceCapacity,
   TargetAnnouncement,
 } from '@samphirefield/gateway';
-import {viewOf, type QuarantineTable} from '@samphirefield/policy/quarantine';
+import {
+  viewOf,
+  type QuarantineTable,
+  type SuspectRequest,
+} from '@samphirefield/policy/quarantine';
 import {
   formatAddress,
   LinkSet,
@@ -44,7 +48,6 @@
   SuspectsMessage,
   TargetUpdate,
   TargetsMessage,
-  TrialAnswer,
 } from './messages.js';
 import {QuorumContact} from './quorum-contact.js';
 import {ReservationManager} from './reservations.js';
@@ -324,9 +327,10 @@
       crash: (message: CrashMessage) => this.quarantine.recordCrash(message),
       suspects_answered: ({fingerprints}: SuspectsMessage) =>
         this.quarantine.clear(fingerprints),
-      try_suspects: ({fingerprints}: SuspectsMessage): TrialAnswer => ({
-        mayTry: this.quarantine.mayTry(fingerprints),
-      }),
+      admit_suspects: (request: SuspectRequest) =>
+        this.quarantine.admit(request),
+      suspects_ended: ({fingerprints}: SuspectsMessage) =>
+        this.quarantine.endRun(fingerprints),
       held_runs: (held: HeldRuns) => {
         // Runs that arrive before this daemon knows its term would be cleared.
         this.startTermIfLeader();
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -109,11 +109,7 @@
   readonly ageMs: number;
 }
 
-/** Suspects that a target answered, or that the sender wants to try. */
+/** Suspects that a target answered, or whose run ended and tells nothing. */
 export interface SuspectsMessage {
   readonly fingerprints: readonly Fingerprint[];
 }
-
-export interface TrialAnswer {
-  readonly mayTry: boolean;
-}
--- a/packages/cluster/src/control/quarantine-keeper.ts
+++ b/packages/cluster/src/control/quarantine-keeper.ts
@@ -1,27 +1,35 @@
 /**
- * The leader's part of the quarantine: gathers the crashes that entries report,
- * replicates them, and permits one trial of a quarantined suspect at a time.
- * Every control daemon follows the table, so a new leader knows the delays.
+ * The leader's part of the quarantine: replicates the crashes that entries
+ * report, and permits one trial of a quarantined suspect and one run of a
+ * watched request at a time. Every control daemon follows the table, so a new
+ * leader knows the delays.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import type {Fingerprint, Logger} from '@samphirefield/core';
 import {
-  beginTrial,
+  admit,
+  assignIncident,
+  createIncidentLog,
+  createSolos,
   createTrials,
+  endSolos,
+  findKnown,
   findStale,
   followQuarantine,
-  groupIncidents,
-  INCIDENT_MS,
-  msUntilTrial,
   viewOf,
+  type Admission,
   type CrashEvidence,
   type QuarantineTable,
   type QuarantineView,
+  type SuspectRequest,
 } from '@samphirefield/policy/quarantine';
 import type {CrashMessage} from './messages.js';
 import type {QuarantineCommand} from './state-machine.js';
 
-/** Entries report a crash within this time. */
-const GATHER_CRASHES_MS = INCIDENT_MS;
+/** Reports that come within this time are replicated together. */
+const GATHER_CRASHES_MS = 5;
+/** When to come back while this daemon does not know the table. */
+const UNKNOWN_RETRY_MS = 1_000;
 const RETENTION_MS = 7_200_000;
 
 export interface QuarantineKeeperOptions {
@@ -36,13 +44,18 @@
 
 interface PendingCrash {
   readonly evidence: CrashEvidence;
-  readonly crashedAtMs: number;
+  readonly incident: number;
   readonly settle: (isRecorded: boolean) => void;
 }
 
 export class QuarantineKeeper {
   private readonly trials = createTrials();
+  private readonly solos = createSolos();
+  private readonly incidents = createIncidentLog();
+  private nextIncident = 1;
   private pending: PendingCrash[] = [];
+  /** Resolves when the crashes reported so far are recorded, or failed to be. */
+  private recorded: Promise<void> = Promise.resolve();
   private quarantined = new Set<Fingerprint>();
   private isDropping = false;
   private readonly clearing = new Set<Fingerprint>();
@@ -67,18 +80,32 @@
 
   /** Resolves with whether the crash is recorded durably. */
   recordCrash({crash: evidence, ageMs}: CrashMessage): Promise<boolean> {
-    const crashedAtMs = this.options.nowMs() - ageMs;
     if (!this.options.isLeader()) return Promise.resolve(false);
+    const incident = this.incidentOf(evidence, this.options.nowMs() - ageMs);
     return new Promise(settle => {
       if (this.pending.length === 0) {
-        setTimeout(() => void this.submitCrashes(), GATHER_CRASHES_MS);
+        const gathered = delay(GATHER_CRASHES_MS);
+        this.recorded = Promise.all([this.recorded, gathered]).then(() =>
+          this.submitCrashes(),
+        );
       }
-      this.pending.push({evidence, crashedAtMs, settle});
+      this.pending.push({evidence, incident, settle});
     });
   }
 
+  private incidentOf(evidence: CrashEvidence, crashedAtMs: number): number {
+    const known = this.options.table()?.nextIncident ?? 1;
+    const next = Math.max(known, this.nextIncident);
+    const incident = evidence.wasAlone
+      ? next
+      : assignIncident(this.incidents, crashedAtMs, next);
+    this.nextIncident = Math.max(next, incident + 1);
+    return incident;
+  }
+
   /** Clears suspects that a target answered. */
   clear(fingerprints: readonly Fingerprint[]): void {
+    this.endRun(fingerprints);
     const table = this.options.table();
     if (table === undefined || !this.options.isLeader()) return;
     const {suspects, quarantined} = viewOf(table);
@@ -96,17 +123,35 @@
       .finally(() => cleared.forEach(item => this.clearing.delete(item)));
   }
 
-  /** Begins a trial of all these suspects if each may be tried now. */
-  mayTry(fingerprints: readonly Fingerprint[]): boolean {
-    if (!this.options.isLeader()) return false;
+  /** Decides right before an entry sends a request with known suspects. */
+  async admit(request: SuspectRequest): Promise<Admission> {
+    await this.recorded;
+    const table = this.options.table();
+    if (table === undefined || !this.options.isLeader())
+      return {kind: 'busy', retryAfterMs: UNKNOWN_RETRY_MS};
+    const known = findKnown(request, viewOf(table));
+    const {trials, solos} = this;
     const nowMs = this.options.nowMs();
-    const isDue = fingerprints.every(
-      item => msUntilTrial(this.trials, item, nowMs) === 0,
-    );
-    if (!isDue) return false;
-    for (const item of fingerprints) beginTrial(this.trials, item, nowMs);
-    this.options.logger.info('trial', {suspects: fingerprints.join(',')});
-    return true;
+    const admission = admit({trials, solos}, request, known, nowMs);
+    if (admission.kind !== 'clear') this.logAdmission(request, admission);
+    return admission;
+  }
+
+  /** A trial or a solo run ended and tells nothing. */
+  endRun(fingerprints: readonly Fingerprint[]): void {
+    endSolos(this.solos, fingerprints);
+  }
+
+  private logAdmission({service}: SuspectRequest, admission: Admission): void {
+    this.options.logger.info('suspect_admission', {
+      service,
+      outcome: admission.kind,
+      suspects: 'suspects' in admission ? admission.suspects.join(',') : '',
+      retry_after_ms:
+        'retryAfterMs' in admission
+          ? Math.round(admission.retryAfterMs)
+          : undefined,
+    });
   }
 
   /** Drops what has not changed for long. */
@@ -122,26 +167,37 @@
   }
 
   private async submitCrashes(): Promise<void> {
-    const incidents = groupIncidents(this.pending);
+    const {pending} = this;
     this.pending = [];
-    for (const incident of incidents) await this.submitIncident(incident);
+    const incidents = new Set(pending.map(item => item.incident));
+    for (const incident of incidents) {
+      const crashes = pending.filter(item => item.incident === incident);
+      await this.submitIncident(incident, crashes);
+    }
   }
 
-  private async submitIncident(incident: PendingCrash[]): Promise<void> {
-    const crashes = incident.map(item => item.evidence);
+  private async submitIncident(
+    incident: number,
+    reports: readonly PendingCrash[],
+  ): Promise<void> {
+    const crashes = reports.map(item => item.evidence);
     const isRecorded = await this.options.submit({
       kind: 'record_crashes',
       crashes,
+      incident,
     });
-    for (const {crash, suspects} of crashes) {
+    for (const {crash, suspects, failedTrials, wasAlone} of crashes) {
+      const fingerprints = suspects.map(item => item.fingerprint);
+      this.endRun([...fingerprints, ...failedTrials]);
       this.options.logger.warn('crash', {
         crash,
-        incident: this.options.table()?.crashes.get(crash)?.incident,
-        suspects: suspects.map(item => item.fingerprint).join(','),
+        incident,
+        suspects: fingerprints.join(','),
         healthy: suspects.filter(item => item.wasHealthy).length,
+        alone: wasAlone,
         recorded: isRecorded,
       });
     }
-    for (const {settle} of incident) settle(isRecorded);
+    for (const {settle} of reports) settle(isRecorded);
   }
 }
--- a/packages/cluster/src/control/state-machine.ts
+++ b/packages/cluster/src/control/state-machine.ts
@@ -28,10 +28,11 @@
   | {readonly kind: 'set_zone'; readonly zone: ZoneId; readonly isOut: boolean};
 
 export type QuarantineCommand =
-  /** Crashes that happened together. */
+  /** Crashes of one incident; undefined in entries of earlier versions. */
   | {
       readonly kind: 'record_crashes';
       readonly crashes: readonly CrashEvidence[];
+      readonly incident?: number;
     }
   /** A target answered requests with these suspects. */
   | {
@@ -93,7 +94,7 @@
 ): void {
   switch (command.kind) {
     case 'record_crashes':
-      recordCrashes(table, command.crashes, nowMs);
+      recordCrashes(table, command.crashes, nowMs, command.incident);
       break;
     case 'clear_suspects':
       for (const item of command.fingerprints) recordSuccess(table, item);
--- a/packages/cluster/src/entry/entry-quarantine.ts
+++ b/packages/cluster/src/entry/entry-quarantine.ts
@@ -6,8 +6,7 @@
 import type {Fingerprint, Logger} from '@samphirefield/core';
 import {
   LocalQuarantine,
-  refusalMs,
-  type Admission,
+  type Candidate,
   type Quarantine,
   type RequestTrait,
   type RunCrash,
@@ -15,14 +14,13 @@
 import {
   createTrials,
   followQuarantine,
+  refusalMs,
+  type Admission,
   type CrashEvidence,
   type QuarantineView,
+  type SuspectRequest,
 } from '@samphirefield/policy/quarantine';
-import type {
-  CrashMessage,
-  SuspectsMessage,
-  TrialAnswer,
-} from '../control/index.js';
+import type {CrashMessage, SuspectsMessage} from '../control/index.js';
 import type {Peer} from '../link/index.js';
 
 const REPORT_TIMEOUT_MS = 2_000;
@@ -30,9 +28,9 @@
 /** A crash that could not be reported for this long is forgotten. */
 const REPORT_MAX_AGE_MS = 60_000;
 const MAX_UNREPORTED = 64;
-const TRIAL_TIMEOUT_MS = 500;
-/** When to come back if another request is on trial. */
-const TRIAL_BUSY_RETRY_MS = 1_000;
+const ADMISSION_TIMEOUT_MS = 500;
+/** When to come back if the leader does not answer. */
+const NO_ANSWER_RETRY_MS = 1_000;
 
 export interface EntryQuarantineOptions {
   readonly leader: () => Peer | undefined;
@@ -51,6 +49,7 @@
   private version = -1;
   private suspects = new Set<Fingerprint>();
   private quarantined = new Set<Fingerprint>();
+  private watched = new Set<Fingerprint>();
   private readonly unreported = new Set<UnreportedCrash>();
   private timer: NodeJS.Timeout | undefined;
 
@@ -67,24 +66,30 @@
     if (view.version <= this.version) return;
     this.version = view.version;
     this.suspects = new Set(view.suspects);
+    this.watched = new Set(view.watched ?? []);
     this.quarantined = new Set(view.quarantined.map(row => row.fingerprint));
     followQuarantine(this.trials, view.quarantined, this.options.nowMs());
   }
 
   refusalMs(traits: readonly RequestTrait[]): number | undefined {
-    const found = this.quarantinedOf(traits);
+    const found = this.among(this.quarantined, traits);
     const sharedMs = refusalMs(found, this.trials, this.options.nowMs());
     if (sharedMs !== undefined || this.options.leader()) return sharedMs;
     return this.local.refusalMs(traits);
   }
 
-  async admit(traits: readonly RequestTrait[]): Promise<Admission> {
+  async admit(candidate: Candidate): Promise<Admission> {
+    const {traits} = candidate;
     const retryAfterMs = this.refusalMs(traits);
     if (retryAfterMs !== undefined) return {kind: 'refused', retryAfterMs};
-    const suspects = this.quarantinedOf(traits);
+    const quarantined = this.among(this.quarantined, traits);
+    const watched = this.among(this.watched, traits);
     const leader = this.options.leader();
-    if (suspects.length > 0) return this.requestTrial(leader, suspects);
-    return leader ? {kind: 'clear'} : this.local.admit(traits);
+    if (leader === undefined && quarantined.length === 0)
+      return this.local.admit(candidate, watched);
+    const isKnown =
+      quarantined.length > 0 || watched.length > 0 || this.isReported(traits);
+    return isKnown ? this.askLeader(leader, candidate) : {kind: 'clear'};
   }
 
   recordCrash(crash: RunCrash): void {
@@ -106,29 +111,48 @@
     this.options.leader()?.notify('suspects_answered', message);
   }
 
+  endRun(suspects: readonly Fingerprint[]): void {
+    this.local.endRun(suspects);
+    const message: SuspectsMessage = {fingerprints: suspects};
+    this.options.leader()?.notify('suspects_ended', message);
+  }
+
   stop(): void {
     clearTimeout(this.timer);
     this.unreported.clear();
   }
 
-  private quarantinedOf(traits: readonly RequestTrait[]): Fingerprint[] {
-    if (this.quarantined.size === 0) return [];
+  private among(
+    known: ReadonlySet<Fingerprint>,
+    traits: readonly RequestTrait[],
+  ): Fingerprint[] {
+    if (known.size === 0) return [];
     return traits
       .map(trait => trait.fingerprint)
-      .filter(item => this.quarantined.has(item));
+      .filter(item => known.has(item));
   }
 
-  private async requestTrial(
+  /** Whether a crash with one of these traits is on its way to the leader. */
+  private isReported(traits: readonly RequestTrait[]): boolean {
+    if (this.unreported.size === 0) return false;
+    const own = new Set(traits.map(trait => trait.fingerprint));
+    return [...this.unreported].some(({evidence}) =>
+      evidence.suspects.some(({fingerprint}) => own.has(fingerprint)),
+    );
+  }
+
+  private async askLeader(
     leader: Peer | undefined,
-    suspects: readonly Fingerprint[],
+    {service, traits}: Candidate,
   ): Promise<Admission> {
-    const message: SuspectsMessage = {fingerprints: suspects};
-    const answer = await leader
-      ?.request<TrialAnswer>('try_suspects', message, TRIAL_TIMEOUT_MS)
+    const request: SuspectRequest = {
+      service,
+      fingerprints: traits.map(trait => trait.fingerprint),
+    };
+    const admission = await leader
+      ?.request<Admission>('admit_suspects', request, ADMISSION_TIMEOUT_MS)
       .catch(() => undefined);
-    return answer?.mayTry
-      ? {kind: 'trial', suspects}
-      : {kind: 'refused', retryAfterMs: TRIAL_BUSY_RETRY_MS};
+    return admission ?? {kind: 'busy', retryAfterMs: NO_ANSWER_RETRY_MS};
   }
 
   private async report(item: UnreportedCrash): Promise<void> {
--- a/packages/cluster/src/quarantine.spec.ts
+++ b/packages/cluster/src/quarantine.spec.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {fingerprint, silentLogger} from '@samphirefield/core';
+import {fingerprint, silentLogger, type Fingerprint} from '@samphirefield/core';
 import type {RequestTrait} from '@samphirefield/gateway';
 import {
   createQuarantine,
@@ -12,7 +12,7 @@
 } from '@samphirefield/policy/quarantine';
 import {QuarantineKeeper} from './control/quarantine-keeper.js';
 import type {EntryNode} from './entry/index.js';
-import {TestCluster, until} from './testing/cluster.js';
+import {SERVICE, TestCluster, until} from './testing/cluster.js';
 
 async function setUp(t: TestContext): Promise<TestCluster> {
   const cluster = await TestCluster.create(3, 3);
@@ -51,6 +51,7 @@
     crash: target,
     traits: traits(target, ['common', 'deadly']),
     trialOf: [],
+    wasAlone: false,
   });
 }
 
@@ -65,6 +66,8 @@
   for (const i of [1, 2, 3]) {
     crash(entries[i % entries.length]!, `t${i}`);
     await until(`${i} crashes are recorded`, () => incidents() === i);
+    // Crashes of one moment would be one incident.
+    await delay(INCIDENT_MS * 2);
   }
 }
 
@@ -135,29 +138,62 @@
   });
   for (const target of ['t1', 't2', 't3']) {
     const suspects = TAINTED.map(item => ({...item, wasHealthy: false}));
-    recordCrashes(table, [{crash: target, suspects, failedTrials: []}], 0);
+    recordCrashes(
+      table,
+      [{crash: target, suspects, failedTrials: [], wasAlone: false}],
+      0,
+    );
   }
   keeper.follow(viewOf(table));
   return {keeper, table, advance: (ms: number) => (nowMs += ms)};
 }
 
-test('two entries try the same quarantined part at once', () => {
+const mayTry = async (
+  keeper: QuarantineKeeper,
+  fingerprints: readonly Fingerprint[],
+) => (await keeper.admit({service: SERVICE, fingerprints})).kind === 'trial';
+
+test('two entries try the same quarantined part at once', async () => {
   const {keeper, table, advance} = keeperWithQuarantine();
   const refused = [...table.quarantined.keys()];
-  expect(keeper.mayTry(refused)).toEqual(false);
+  expect(await mayTry(keeper, refused)).toEqual(false);
   advance(60_000);
-  expect(keeper.mayTry(refused)).toEqual(true);
-  expect(keeper.mayTry(refused)).toEqual(false);
+  expect(await mayTry(keeper, refused)).toEqual(true);
+  expect(await mayTry(keeper, refused)).toEqual(false);
 });
 
-test('a part that still crashes targets is tried as soon again', () => {
+test('a part that still crashes targets is tried as soon again', async () => {
   const {keeper, table, advance} = keeperWithQuarantine();
   const refused = [...table.quarantined.keys()];
   advance(60_000);
-  expect(keeper.mayTry(refused)).toEqual(true);
-  const failed = {crash: 't9', suspects: [], failedTrials: refused};
+  expect(await mayTry(keeper, refused)).toEqual(true);
+  const failed = {
+    crash: 't9',
+    suspects: [],
+    failedTrials: refused,
+    wasAlone: true,
+  };
   recordCrashes(table, [failed], 0);
   keeper.follow(viewOf(table));
   advance(60_000);
-  expect(keeper.mayTry(refused)).toEqual(false);
+  expect(await mayTry(keeper, refused)).toEqual(false);
+});
+
+test('an entry that is lost keeps the leader from admitting watched requests', async () => {
+  const {keeper, table, advance} = keeperWithQuarantine();
+  const suspects = traits('watched', []).map(item => ({
+    ...item,
+    wasHealthy: false,
+  }));
+  for (const crash of ['t7', 't8']) {
+    const evidence = {crash, suspects, failedTrials: [], wasAlone: false};
+    recordCrashes(table, [evidence], 0);
+  }
+  const request = {service: SERVICE, fingerprints: [fingerprint('watched')]};
+  expect((await keeper.admit(request)).kind).toEqual('solo');
+  expect((await keeper.admit(request)).kind).toEqual('busy');
+  advance(60_000);
+  expect((await keeper.admit(request)).kind).toEqual('solo');
+  keeper.endRun(request.fingerprints);
+  expect((await keeper.admit(request)).kind).toEqual('solo');
 });
--- a/packages/cluster/src/testing/crashing-targets.ts
+++ b/packages/cluster/src/testing/crashing-targets.ts
@@ -10,7 +10,7 @@
 } from '@samphirefield/core';
 import {
   completeResponse,
-  startScriptedTarget,
+  startScriptedTargetAt,
   type ScriptedTarget,
 } from '@samphirefield/gateway/testing';
 import type {TestCluster} from './cluster.js';
@@ -108,14 +108,13 @@
     place.bornMs = hasStartTime ? Date.now() : 0;
     place.sequence = 0;
     const port = comeback === 'other_address' ? 0 : place.port;
-    const server: ScriptedTarget = await startScriptedTarget(
+    const server: ScriptedTarget = await startScriptedTargetAt(
+      port,
       ({head, body, socket}) => {
         if (place.server !== server) return;
-        const isDeadly = this.options.isDeadly(head, body);
-        if (isDeadly) this.end(place);
+        if (this.options.isDeadly(head, body)) this.end(place);
         else socket.write(completeResponse('done'));
       },
-      port,
     );
     place.server = server;
     place.port = server.port;
--- a/packages/daemon/src/entry/suspects.ts
+++ b/packages/daemon/src/entry/suspects.ts
@@ -60,7 +60,12 @@
     ...fingerprints.map(requestSuspect),
     ...prompts.flatMap(partSuspects),
   ];
-  const evidence = {crash: crashId, suspects, failedTrials: []};
+  const evidence = {
+    crash: crashId,
+    suspects,
+    failedTrials: [],
+    wasAlone: false,
+  };
   recordCrashes(tables.quarantine, [evidence], nowMs);
   if (tables.quarantine.version !== previousVersion) {
     tables.unreportedCrashes.push({death: crashId, fingerprints, prompts});
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -169,7 +169,7 @@
       body,
       sharedPromptParts: metadata.sharedPromptParts,
     });
-    return new QuarantineGuard(deps, metadata, traits);
+    return new QuarantineGuard(deps, metadata, {service, traits});
   }
 
   private async readBodyInTime(maxBytes: number) {
@@ -290,8 +290,9 @@
     }
     const refusal =
       this.refuseBeforeStop(admitted.route) ??
-      (await admitted.quarantine.refuseRun());
+      (await admitted.quarantine.refuseRun(this.remainingMs()));
     if (refusal || this.isOver) {
+      admitted.quarantine.endRun();
       release('abandoned');
       return refusal ? {kind: 'own', response: refusal} : {kind: 'broken_off'};
     }
@@ -305,6 +306,7 @@
       admitted,
     );
     release(outcome);
+    admitted.quarantine.endRun();
     if (outcome !== 'served')
       logFailedAttempt(deps, this.record, outcome, nextStep);
     return nextStep;
@@ -361,24 +363,28 @@
     });
     const result = await supervisor.supervise(attempt, reservation);
     this.record.responseStartedAtMs = attempt.sink()?.headSentAtMs;
-    if (result.kind === 'lost') this.observeLostRun(admitted, reservation);
+    const observed =
+      result.kind === 'lost' && this.observeLostRun(admitted, reservation);
     if (result.kind === 'ended' && attempt.answeringForMs() === undefined)
       admitted.quarantine.noteEndedRun(reservation);
     this.attempt = undefined;
     if (mayHaveRun(result)) this.runCount += 1;
-    return classifyResult(result, admitted.route, this.runCount);
+    const classified = classifyResult(result, admitted.route, this.runCount);
+    // A crash has to be known before the request is sent to another target.
+    if (classified.step.kind === 'retry') await observed;
+    return classified;
   }
 
   /** The run may have moved off the target that it was reserved on. */
-  private observeLostRun(
+  private async observeLostRun(
     {quarantine}: AdmittedRequest,
     {run, address: firstAddress}: Reservation,
-  ): void {
+  ): Promise<void> {
     const answeringForMs = this.attempt?.answeringForMs();
     const target = this.record.lastTarget!;
     const endpoint = findEndpoint(this.deps.reservations, target);
     const address = endpoint?.address ?? firstAddress;
-    void quarantine.observeLostRun({run, target, address, answeringForMs});
+    await quarantine.observeLostRun({run, target, address, answeringForMs});
   }
 
   private startAttempt(
--- a/packages/gateway/src/exchange/quarantine-guard.ts
+++ b/packages/gateway/src/exchange/quarantine-guard.ts
@@ -3,8 +3,10 @@
  * crashes targets, and reports whether its runs were answered or crashed their
  * target.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import type {Fingerprint, RequestId, TargetId} from '@samphirefield/core';
-import type {RequestTrait} from '../quarantine/index.js';
+import type {Admission, CrashId} from '@samphirefield/policy/quarantine';
+import type {Candidate} from '../quarantine/index.js';
 import type {TargetAnnouncement} from '../registry/index.js';
 import {refusesConnections, type UpstreamAddress} from '../upstream/index.js';
 import type {
@@ -14,6 +16,11 @@
 } from './types.js';
 
 const REFUSAL_TIMEOUT_MS = 300;
+/** How long a request waits for another watched request of its service. */
+const SOLO_WAIT_MAX_MS = 400;
+const SOLO_POLL_MS = 40;
+/** Share of its remaining time that a request waits for that. */
+const SOLO_WAIT_SHARE = 0.25;
 /** A run that has been answering for this long has not crashed its target. */
 export const PROVEN_AFTER_MS = 300;
 
@@ -43,29 +50,71 @@
 
 export class QuarantineGuard {
   private trialOf: readonly Fingerprint[] = [];
+  private soloOf: readonly Fingerprint[] = [];
+  private isObserving = false;
 
   constructor(
     private readonly deps: GatewayDependencies,
     private readonly metadata: RequestMetadata,
-    private readonly traits: readonly RequestTrait[],
+    private readonly candidate: Candidate,
   ) {}
 
   /** The response to a request that cannot be sent now. */
   refuse(): LocalResponse | undefined {
-    const retryAfterMs = this.deps.quarantine.refusalMs(this.traits);
+    const {traits} = this.candidate;
+    const retryAfterMs = this.deps.quarantine.refusalMs(traits);
     return retryAfterMs === undefined ? undefined : refusal(retryAfterMs);
   }
 
   /** Decides right before the request is sent; undefined: it may be sent. */
-  async refuseRun(): Promise<LocalResponse | undefined> {
-    const admission = await this.deps.quarantine.admit(this.traits);
-    if (admission.kind === 'refused') return refusal(admission.retryAfterMs);
-    this.trialOf = admission.kind === 'trial' ? admission.suspects : [];
+  async refuseRun(remainingMs: number): Promise<LocalResponse | undefined> {
+    const waitMs = Math.min(SOLO_WAIT_MAX_MS, remainingMs * SOLO_WAIT_SHARE);
+    const untilMs = this.deps.nowMs() + waitMs;
+    for (;;) {
+      const admission = await this.deps.quarantine.admit(this.candidate);
+      const mayWait = this.deps.nowMs() < untilMs;
+      if (admission.kind === 'busy' && mayWait) {
+        await delay(SOLO_POLL_MS);
+        continue;
+      }
+      return this.apply(admission);
+    }
+  }
+
+  private apply(admission: Admission): LocalResponse | undefined {
+    switch (admission.kind) {
+      case 'refused':
+      case 'busy':
+        return refusal(admission.retryAfterMs);
+      case 'trial':
+        this.trialOf = admission.suspects;
+        break;
+      case 'solo':
+        this.soloOf = admission.suspects;
+        break;
+      case 'clear':
+        break;
+    }
     return undefined;
   }
 
   recordAnswer(): void {
-    this.deps.quarantine.recordAnswer(this.traits);
+    this.deps.quarantine.recordAnswer(this.candidate.traits);
+    this.endRun();
+  }
+
+  /** Lets others run, if this request was on trial or ran alone. */
+  endRun(): void {
+    if (this.isObserving) return;
+    const held = this.takeHeld();
+    if (held.length > 0) this.deps.quarantine.endRun(held);
+  }
+
+  private takeHeld(): readonly Fingerprint[] {
+    const held = [...this.trialOf, ...this.soloOf];
+    this.trialOf = [];
+    this.soloOf = [];
+    return held;
   }
 
   /** Logs a run that its caller or its timeout ended before any answer. */
@@ -74,13 +123,29 @@
       request: this.metadata.attemptId,
       run,
       target,
-      fingerprint: this.traits[0]?.fingerprint,
+      fingerprint: this.candidate.traits[0]?.fingerprint,
     });
   }
 
   /** Finds out whether the target of a lost run has crashed. */
   async observeLostRun(lost: LostRun): Promise<void> {
-    const {deps, traits, trialOf} = this;
+    this.isObserving = true;
+    const crash = await this.findCrash(lost);
+    this.isObserving = false;
+    if (crash === undefined) {
+      this.endRun();
+      return;
+    }
+    const {traits} = this.candidate;
+    const {trialOf} = this;
+    const wasAlone = this.soloOf.length > 0;
+    this.takeHeld();
+    this.deps.quarantine.recordCrash({crash, traits, trialOf, wasAlone});
+  }
+
+  /** Undefined if the run cannot have crashed its target. */
+  private async findCrash(lost: LostRun): Promise<CrashId | undefined> {
+    const {deps, trialOf, soloOf} = this;
     const {run, target, address, answeringForMs} = lost;
     const announcement = deps.reservations.findTarget(target)?.announcement;
     const isTargetGone = await refusesConnections(address, REFUSAL_TIMEOUT_MS);
@@ -97,12 +162,13 @@
       answering_ms: answeringForMs && Math.round(answeringForMs),
       may_be_cause: notCounted === undefined,
       not_counted: notCounted,
-      fingerprint: traits[0]?.fingerprint,
+      fingerprint: this.candidate.traits[0]?.fingerprint,
       trial: trialOf.length > 0 || undefined,
+      solo: soloOf.length > 0 || undefined,
       prompt_parts: this.metadata.sharedPromptParts.join(','),
     });
-    if (notCounted !== undefined || announcement === undefined) return;
-    const crash = `${target}/${announcement.bornMs}`;
-    deps.quarantine.recordCrash({crash, traits, trialOf});
+    if (notCounted !== undefined || announcement === undefined)
+      return undefined;
+    return `${target}/${announcement.bornMs}`;
   }
 }
--- a/packages/gateway/src/quarantine/local-quarantine.ts
+++ b/packages/gateway/src/quarantine/local-quarantine.ts
@@ -4,68 +4,95 @@
  */
 import type {Fingerprint} from '@samphirefield/core';
 import {
-  beginTrial,
+  admit,
+  assignIncident,
   createHealth,
+  createIncidentLog,
   createQuarantine,
+  createSolos,
   createTrials,
+  endSolos,
   expireSuspects,
+  findKnown,
   followQuarantine,
-  INCIDENT_MS,
-  msUntilTrial,
   recordAnswer,
   recordCrashes,
   recordSuccess,
+  refusalMs,
   viewOf,
   wasHealthy,
+  type Admission,
   type CrashEvidence,
-  type TrialTable,
+  type QuarantineView,
 } from '@samphirefield/policy/quarantine';
-import type {Admission, Quarantine, RequestTrait, RunCrash} from './types.js';
+import type {Candidate, Quarantine, RequestTrait, RunCrash} from './types.js';
 
 const RETENTION_MS = 7_200_000;
 
 export class LocalQuarantine implements Quarantine {
   private readonly table = createQuarantine();
   private readonly trials = createTrials();
+  private readonly solos = createSolos();
   private readonly health = createHealth();
-  private incident: number | undefined;
-  private incidentAtMs = -Infinity;
+  private readonly incidents = createIncidentLog();
+  private view: QuarantineView = viewOf(this.table);
 
   constructor(private readonly nowMs: () => number) {}
 
   refusalMs(traits: readonly RequestTrait[]): number | undefined {
-    return refusalMs(this.quarantinedOf(traits), this.trials, this.nowMs());
+    if (this.view.quarantined.length === 0) return undefined;
+    this.expire();
+    const known = findKnown(requestOf(traits), this.view);
+    return refusalMs(known.quarantined, this.trials, this.nowMs());
   }
 
-  admit(traits: readonly RequestTrait[]): Promise<Admission> {
-    const suspects = this.quarantinedOf(traits);
-    return Promise.resolve(admitLocally(suspects, this.trials, this.nowMs()));
+  /** `watched` is what others watch. */
+  admit(
+    {service, traits}: Candidate,
+    watched: readonly Fingerprint[] = [],
+  ): Promise<Admission> {
+    const request = {service, ...requestOf(traits)};
+    const known = findKnown(request, this.view);
+    const all = {...known, watched: [...known.watched, ...watched]};
+    return Promise.resolve(
+      admit(
+        {trials: this.trials, solos: this.solos},
+        request,
+        all,
+        this.nowMs(),
+      ),
+    );
   }
 
   recordCrash(crash: RunCrash): void {
     const nowMs = this.nowMs();
-    const isSameIncident = nowMs - this.incidentAtMs <= INCIDENT_MS;
-    if (!isSameIncident) this.incidentAtMs = nowMs;
-    this.incident = recordCrashes(
-      this.table,
-      [this.reportOf(crash)],
-      nowMs,
-      isSameIncident ? this.incident : undefined,
-    );
+    const next = this.table.nextIncident;
+    const incident = crash.wasAlone
+      ? next
+      : assignIncident(this.incidents, nowMs, next);
+    const evidence = this.reportOf(crash);
+    recordCrashes(this.table, [evidence], nowMs, incident);
+    this.endRun(crash.traits.map(trait => trait.fingerprint));
     this.follow();
   }
 
   recordAnswer(traits: readonly RequestTrait[]): void {
     const nowMs = this.nowMs();
+    const {version} = this.table;
     for (const {fingerprint} of traits) {
       recordAnswer(this.health, fingerprint, nowMs);
       recordSuccess(this.table, fingerprint);
     }
-    this.follow();
+    this.endRun(traits.map(trait => trait.fingerprint));
+    if (this.table.version !== version) this.follow();
+  }
+
+  endRun(suspects: readonly Fingerprint[]): void {
+    endSolos(this.solos, suspects);
   }
 
   /** The crash with what this entry knows of its suspects. */
-  reportOf({crash, traits, trialOf}: RunCrash): CrashEvidence {
+  reportOf({crash, traits, trialOf, wasAlone}: RunCrash): CrashEvidence {
     const nowMs = this.nowMs();
     return {
       crash,
@@ -74,43 +101,22 @@
         wasHealthy: wasHealthy(this.health, trait.fingerprint, nowMs),
       })),
       failedTrials: trialOf,
+      wasAlone,
     };
   }
 
-  private quarantinedOf(traits: readonly RequestTrait[]): Fingerprint[] {
-    const {quarantined} = this.table;
-    if (quarantined.size === 0) return [];
+  private expire(): void {
+    const {version} = this.table;
     expireSuspects(this.table, this.nowMs(), RETENTION_MS);
-    return traits
-      .map(trait => trait.fingerprint)
-      .filter(fingerprint => quarantined.has(fingerprint));
+    if (this.table.version !== version) this.follow();
   }
 
   private follow(): void {
-    const {quarantined} = viewOf(this.table);
-    followQuarantine(this.trials, quarantined, this.nowMs());
+    this.view = viewOf(this.table);
+    followQuarantine(this.trials, this.view.quarantined, this.nowMs());
   }
 }
 
-/** Time until a request that holds quarantined suspects may be a trial. */
-export function refusalMs(
-  suspects: readonly Fingerprint[],
-  trials: TrialTable,
-  nowMs: number,
-): number | undefined {
-  const waitsMs = suspects.map(item => msUntilTrial(trials, item, nowMs));
-  return Math.max(0, ...waitsMs) || undefined;
-}
-
-/** Begins a trial of all the suspects that a request holds, if it may begin. */
-export function admitLocally(
-  suspects: readonly Fingerprint[],
-  trials: TrialTable,
-  nowMs: number,
-): Admission {
-  if (suspects.length === 0) return {kind: 'clear'};
-  const retryAfterMs = refusalMs(suspects, trials, nowMs);
-  if (retryAfterMs !== undefined) return {kind: 'refused', retryAfterMs};
-  for (const suspect of suspects) beginTrial(trials, suspect, nowMs);
-  return {kind: 'trial', suspects};
-}
+const requestOf = (traits: readonly RequestTrait[]) => ({
+  fingerprints: traits.map(trait => trait.fingerprint),
+});
--- a/packages/gateway/src/testing/scripted-target.ts
+++ b/packages/gateway/src/testing/scripted-target.ts
@@ -31,7 +31,14 @@
  */
 export function startScriptedTarget(
   respond: (request: ReceivedRequest) => void,
-  port = 0,
+): Promise<ScriptedTarget> {
+  return startScriptedTargetAt(0, respond);
+}
+
+/** The same at a given port, at which an earlier target has ended. */
+export function startScriptedTargetAt(
+  port: number,
+  respond: (request: ReceivedRequest) => void,
 ): Promise<ScriptedTarget> {
   const received: ReceivedRequest[] = [];
   const sockets = new Set<Socket>();
--- a/packages/policy/src/allocations/leader.ts
+++ b/packages/policy/src/allocations/leader.ts
@@ -132,7 +132,12 @@
       ...fingerprints.map(requestSuspect),
       ...prompts.flatMap(partSuspects),
     ];
-    const evidence = {crash: death, suspects, failedTrials: []};
+    const evidence = {
+      crash: death,
+      suspects,
+      failedTrials: [],
+      wasAlone: false,
+    };
     recordCrashes(tables.quarantine, [evidence], nowMs);
   }
   inheritQuarantine(tables.quarantine, report.inheritedQuarantine, nowMs);
--- a/packages/policy/src/decisions.spec.ts
+++ b/packages/policy/src/decisions.spec.ts
@@ -164,7 +164,11 @@
   nowMs: number,
 ) {
   const suspects = fingerprints.map(requestSuspect);
-  recordCrashes(table, [{crash, suspects, failedTrials: []}], nowMs);
+  recordCrashes(
+    table,
+    [{crash, suspects, failedTrials: [], wasAlone: false}],
+    nowMs,
+  );
 }
 
 const POISON = fingerprint('poison');
--- a/packages/policy/src/quarantine/causes.ts
+++ b/packages/policy/src/quarantine/causes.ts
@@ -1,15 +1,23 @@
 /**
  * Finds the suspects that explain the crashes. A crash is explained once one of
  * its suspects is quarantined; only unexplained crashes can prove another cause.
+ * Crashes of one incident are no proof by themselves: a rack that fails takes
+ * several targets with the copies of a request that they run.
  * Among suspects that explain nearly as much, the one that fewest requests share
  * is taken: a request before a part, a part that was not healthy lately before
  * one that was, a late part of a prompt before an early one.
  */
 import type {Fingerprint} from '@samphirefield/core';
-import type {CrashRow, QuarantineTable, Suspect} from './types.js';
+import type {
+  CrashRow,
+  CrashThreshold,
+  QuarantineTable,
+  Suspect,
+} from './types.js';
 
 interface Evidence {
   readonly suspect: Suspect;
+  crashes: number;
   /** Incidents that count for this suspect. */
   readonly incidents: Set<number>;
   /** Incidents among them that no quarantined suspect explains. */
@@ -22,29 +30,39 @@
   row: CrashRow,
   kind: Suspect['kind'],
 ): boolean {
-  return [...row.suspects.keys()].some(
-    fingerprint => table.quarantined.get(fingerprint)?.kind === kind,
-  );
+  for (const quarantined of table.quarantined.values()) {
+    if (quarantined.kind !== kind) continue;
+    if (row.suspects.has(quarantined.fingerprint)) return true;
+  }
+  return false;
 }
 
 /**
  * A crash that a quarantined request explains still counts for its parts: one of
  * them may be why the request crashes targets.
  */
-function collectEvidence(table: QuarantineTable): Evidence[] {
+function collectEvidence(
+  table: QuarantineTable,
+  candidates: ReadonlySet<Fingerprint>,
+): Evidence[] {
   const byFingerprint = new Map<Fingerprint, Evidence>();
   for (const row of table.crashes.values()) {
-    if (isExplainedBy(table, row, 'part')) continue;
+    const involved = [...candidates].flatMap(
+      item => row.suspects.get(item) ?? [],
+    );
+    if (involved.length === 0 || isExplainedBy(table, row, 'part')) continue;
     const isUnexplained = !isExplainedBy(table, row, 'request');
-    for (const suspect of row.suspects.values()) {
+    for (const suspect of involved) {
       if (!isUnexplained && suspect.kind === 'request') continue;
       const evidence = byFingerprint.get(suspect.fingerprint) ?? {
         suspect,
+        crashes: 0,
         incidents: new Set(),
         unexplained: new Set(),
       };
       byFingerprint.set(suspect.fingerprint, {
         ...evidence,
+        crashes: evidence.crashes + 1,
         suspect: mergeSuspects(evidence.suspect, suspect),
       });
       evidence.incidents.add(row.incident);
@@ -59,9 +77,25 @@
   return {...a, wasHealthy: a.wasHealthy || b.wasHealthy};
 }
 
-function requiredIncidents(table: QuarantineTable, suspect: Suspect): number {
-  const {thresholds} = table;
-  return suspect.wasHealthy ? thresholds.healthy : thresholds[suspect.kind];
+function thresholdOf(
+  {thresholds}: QuarantineTable,
+  {kind, wasHealthy}: Suspect,
+): CrashThreshold {
+  if (kind === 'request')
+    return wasHealthy ? thresholds.healthyRequest : thresholds.request;
+  return wasHealthy ? thresholds.healthyPart : thresholds.part;
+}
+
+function isProven(
+  table: QuarantineTable,
+  {suspect, crashes, incidents, unexplained}: Evidence,
+): boolean {
+  const threshold = thresholdOf(table, suspect);
+  return (
+    unexplained.size > 0 &&
+    crashes >= threshold.crashes &&
+    incidents.size >= threshold.incidents
+  );
 }
 
 /** Negative if `a` is shared by fewer requests, as far as can be told. */
@@ -71,29 +105,33 @@
   return b.position - a.position;
 }
 
-/** Returns the suspects to quarantine next; none if no cause is proven. */
-export function findCauses(table: QuarantineTable): readonly Suspect[] {
-  const proven = collectEvidence(table).filter(
-    ({suspect, incidents, unexplained}) =>
-      unexplained.size > 0 &&
-      incidents.size >= requiredIncidents(table, suspect),
+/**
+ * Returns which of the candidates to quarantine next; none if no cause is
+ * proven.
+ */
+export function findCauses(
+  table: QuarantineTable,
+  candidates: ReadonlySet<Fingerprint>,
+): readonly Suspect[] {
+  const proven = collectEvidence(table, candidates).filter(item =>
+    isProven(table, item),
   );
-  const most = Math.max(0, ...proven.map(({incidents}) => incidents.size));
+  const most = Math.max(0, ...proven.map(({crashes}) => crashes));
   // A shared part may have been involved in one more crash by chance.
-  const isClose = ({suspect, incidents}: Evidence) =>
-    incidents.size >= (suspect.kind === 'part' ? most - 1 : most);
+  const isClose = ({suspect, crashes}: Evidence) =>
+    crashes >= (suspect.kind === 'part' ? most - 1 : most);
   const ranked = proven
     .filter(isClose)
     .sort((a, b) => compareSpecificity(a.suspect, b.suspect));
   const [best] = ranked;
   if (best === undefined) return [];
   const equals = ranked.filter(
-    ({suspect, incidents}) =>
+    ({suspect, crashes}) =>
       compareSpecificity(suspect, best.suspect) === 0 &&
-      incidents.size === best.incidents.size,
+      crashes === best.crashes,
   );
   const isAmbiguous =
     equals.length > 1 &&
-    best.incidents.size <= requiredIncidents(table, best.suspect);
+    best.crashes <= thresholdOf(table, best.suspect).crashes;
   return isAmbiguous ? [] : equals.map(({suspect}) => suspect);
 }
--- a/packages/policy/src/quarantine/index.ts
+++ b/packages/policy/src/quarantine/index.ts
@@ -1,3 +1,4 @@
+export * from './admission.js';
 export * from './health.js';
 export * from './incidents.js';
 export {
@@ -17,5 +18,6 @@
   type StaleSuspects,
 } from './logic.js';
 export * from './snapshot.js';
+export * from './solo.js';
 export * from './trials.js';
 export type * from './types.js';
--- a/packages/policy/src/quarantine/logic.ts
+++ b/packages/policy/src/quarantine/logic.ts
@@ -4,8 +4,10 @@
  *
  * Every run that a target had not begun to answer when it crashed makes its
  * request and the parts of its prompt suspects. An answer of any target clears
- * the suspects of its request. A suspect that was involved in several incidents
- * without an answer in between is quarantined.
+ * the suspects of its request. A suspect that was involved in several crashes
+ * without an answer in between is quarantined. Before that, once two crashes
+ * have a request in common, its copies run one at a time, so that few targets
+ * crash and each crash tells it from others.
  */
 import type {Fingerprint} from '@samphirefield/core';
 import {findCauses, mergeSuspects} from './causes.js';
@@ -19,21 +21,27 @@
   Suspicion,
 } from './types.js';
 
-const MAX_SUSPECTS_PER_CRASH = 64;
+const MAX_SUSPECTS_PER_CRASH = 256;
+/** Crashes from which on a suspect request runs alone. */
+const WATCHED_CRASHES = 2;
+const WATCHED_HEALTHY_CRASHES = 3;
 const MAX_CRASHES = 128;
+/** Suspects of all crashes together. */
+const MAX_SUSPECTS = 8_192;
 const MAX_QUARANTINED = 256;
 
 /** For runs that share their targets with other runs. */
 export const SHARED_TARGET_THRESHOLDS: CrashThresholds = {
-  request: 3,
-  part: 3,
-  healthy: 5,
+  request: {crashes: 3, incidents: 2},
+  part: {crashes: 3, incidents: 3},
+  healthyRequest: {crashes: 4, incidents: 3},
+  healthyPart: {crashes: 5, incidents: 5},
 };
 
 /** For suspect requests that run one at a time. */
 export const ISOLATED_SUSPECT_THRESHOLDS: CrashThresholds = {
   ...SHARED_TARGET_THRESHOLDS,
-  request: 2,
+  request: {crashes: 2, incidents: 2},
 };
 
 export function createQuarantine(
@@ -75,16 +83,15 @@
 }
 
 /**
- * Records crashes that happened together, as one incident; `incident` joins them
- * to an earlier one. A crash may be reported again, also by other entries; only
- * new suspects are added. Returns the incident.
+ * Records crashes of one incident; by default a new one. A crash may be reported
+ * again, also by other entries; only new suspects are added.
  */
 export function recordCrashes(
   table: QuarantineTable,
   reports: readonly CrashEvidence[],
   nowMs: number,
   incident = table.nextIncident,
-): number {
+): void {
   let isChanged = false;
   for (const report of reports) {
     if (addSuspects(table, report, incident, nowMs)) isChanged = true;
@@ -93,19 +100,20 @@
       isChanged = true;
     }
   }
-  if (!isChanged) return incident;
+  if (!isChanged) return;
   table.nextIncident = Math.max(table.nextIncident, incident + 1);
-  quarantineCauses(table, nowMs);
+  const involved = reports.flatMap(report => report.suspects);
+  quarantineCauses(table, new Set(involved.map(fingerprintOf)), nowMs);
   evictOldest(table.crashes, MAX_CRASHES);
+  evictCrowded(table);
   evictOldest(table.quarantined, MAX_QUARANTINED);
   table.version += 1;
-  return incident;
 }
 
 /** Returns whether the report holds new suspects. */
 function addSuspects(
   table: QuarantineTable,
-  {crash, suspects}: CrashEvidence,
+  {crash, suspects, wasAlone}: CrashEvidence,
   incident: number,
   nowMs: number,
 ): boolean {
@@ -120,9 +128,10 @@
     );
   }
   if (merged.size === (known?.suspects.size ?? 0)) return false;
+  const recordedIncident = wasAlone ? undefined : known?.incident;
   table.crashes.set(crash, {
     crash,
-    incident: known?.incident ?? incident,
+    incident: recordedIncident ?? incident,
     suspects: merged,
     updatedAtMs: nowMs,
   });
@@ -166,9 +175,16 @@
   });
 }
 
-function quarantineCauses(table: QuarantineTable, nowMs: number): void {
+const fingerprintOf = ({fingerprint}: Suspect): Fingerprint => fingerprint;
+
+/** Only what was involved in a new crash can have become a proven cause. */
+function quarantineCauses(
+  table: QuarantineTable,
+  candidates: ReadonlySet<Fingerprint>,
+  nowMs: number,
+): void {
   for (;;) {
-    const causes = findCauses(table);
+    const causes = findCauses(table, candidates);
     if (causes.length === 0) return;
     for (const {fingerprint, kind} of causes) {
       table.quarantined.set(fingerprint, {
@@ -188,6 +204,17 @@
   }
 }
 
+/** Removes the oldest crashes while all together have too many suspects. */
+function evictCrowded({crashes}: QuarantineTable): void {
+  let count = 0;
+  for (const row of crashes.values()) count += row.suspects.size;
+  for (const [crash, {suspects}] of crashes) {
+    if (count <= MAX_SUSPECTS) return;
+    crashes.delete(crash);
+    count -= suspects.size;
+  }
+}
+
 /**
  * Clears a suspect that a target answered, and releases it if it was
  * quarantined. Returns false if there was nothing to clear.
@@ -250,14 +277,32 @@
   if (stale) removeSuspects(table, stale.crashes, stale.fingerprints);
 }
 
+/** Whether a suspect that was in this many crashes may run only alone. */
+function isWatched({kind, wasHealthy}: Suspect, crashes: number): boolean {
+  if (kind !== 'request') return false;
+  return crashes >= (wasHealthy ? WATCHED_HEALTHY_CRASHES : WATCHED_CRASHES);
+}
+
 export function viewOf(table: QuarantineTable): QuarantineView {
-  const suspects = new Set<Fingerprint>();
+  const suspects = new Map<Fingerprint, Suspect>();
+  const crashes = new Map<Fingerprint, number>();
   for (const row of table.crashes.values()) {
-    for (const fingerprint of row.suspects.keys()) suspects.add(fingerprint);
+    for (const [fingerprint, suspect] of row.suspects) {
+      const known = suspects.get(fingerprint);
+      suspects.set(
+        fingerprint,
+        known ? mergeSuspects(known, suspect) : suspect,
+      );
+      crashes.set(fingerprint, (crashes.get(fingerprint) ?? 0) + 1);
+    }
   }
+  const watched = [...suspects.values()].filter(suspect =>
+    isWatched(suspect, crashes.get(suspect.fingerprint) ?? 0),
+  );
   return {
     version: table.version,
-    suspects: [...suspects],
+    suspects: [...suspects.keys()],
+    watched: watched.map(({fingerprint}) => fingerprint),
     quarantined: [...table.quarantined.values()].map(
       ({fingerprint, failedTrials}) => ({fingerprint, failedTrials}),
     ),
--- a/packages/policy/src/quarantine/quarantine.spec.ts
+++ b/packages/policy/src/quarantine/quarantine.spec.ts
@@ -1,14 +1,19 @@
 /** Causes of crashes among requests and parts of prompts, without a network. */
 import {expect} from 'earl';
 import {test} from 'node:test';
-import {fingerprint, type Fingerprint} from '@samphirefield/core';
+import {fingerprint, serviceId, type Fingerprint} from '@samphirefield/core';
 import {
+  admit,
+  assignIncident,
   beginTrial,
   createHealth,
+  createIncidentLog,
   createQuarantine,
+  createSolos,
   createTrials,
+  endSolos,
+  findKnown,
   followQuarantine,
-  groupIncidents,
   msUntilTrial,
   recordAnswer,
   recordCrashes,
@@ -50,7 +55,12 @@
   target: string,
   ...runs: ReadonlyArray<readonly Suspect[]>
 ): void {
-  const evidence = {crash: target, suspects: runs.flat(), failedTrials: []};
+  const evidence = {
+    crash: target,
+    suspects: runs.flat(),
+    failedTrials: [],
+    wasAlone: false,
+  };
   recordCrashes(table, [evidence], 0);
 }
 
@@ -119,6 +129,7 @@
     crash: target,
     suspects: request(target, ['rare']),
     failedTrials: [],
+    wasAlone: false,
   }));
   recordCrashes(table, reports, 0);
   expect(refused(table)).toEqual([]);
@@ -196,6 +207,7 @@
     crash: 't5',
     suspects: request('e', ['deadly']),
     failedTrials: [fingerprint('deadly')],
+    wasAlone: true,
   };
   recordCrashes(table, [trial], 0);
   expect(viewOf(table).quarantined).toEqual([
@@ -222,8 +234,96 @@
 });
 
 test('crashes without a pause between them are more than one incident', () => {
-  const crashes = Array.from({length: 20}, (_, i) => ({crashedAtMs: i * 100}));
-  const incidents = groupIncidents(crashes.reverse());
-  expect(incidents.length).toEqual(7);
-  expect(incidents[0]!.map(item => item.crashedAtMs)).toEqual([0, 100, 200]);
+  const log = createIncidentLog();
+  const ends = Array.from({length: 20}, (_, i) => i * 100);
+  const incidents = ends.map((atMs, i) => assignIncident(log, atMs, i + 1));
+  expect(new Set(incidents).size).toEqual(7);
+  expect(incidents.slice(0, 4)).toEqual([1, 1, 1, 4]);
+  expect(assignIncident(log, 0, 99)).toEqual(1);
+});
+
+const alone = (target: string, suspects: Suspect[], wasAlone: boolean) => ({
+  crash: target,
+  suspects,
+  failedTrials: [],
+  wasAlone,
+});
+
+test('copies that a failing rack takes prove nothing, one more crash does', () => {
+  const table = createQuarantine();
+  const copies = ['t1', 't2', 't3'].map(target =>
+    alone(target, request('same', []), false),
+  );
+  recordCrashes(table, copies, 0);
+  expect(refused(table)).toEqual([]);
+  expect(viewOf(table).watched).toEqual([fingerprint('same')]);
+  crash(table, 't4', request('same', []));
+  expect(refused(table)).toEqual(['same']);
+});
+
+test('a watched request that crashed its target alone is no part of the incident before', () => {
+  const table = createQuarantine();
+  const suspects = request('same', []);
+  const early = ['t1', 't2'].map(target => alone(target, suspects, false));
+  recordCrashes(table, early, 0, 1);
+  recordCrashes(table, [alone('t3', suspects, true)], 0, 2);
+  expect(refused(table)).toEqual(['same']);
+});
+
+test('a request that was answered lately is refused after four crashes in three incidents', () => {
+  const table = createQuarantine();
+  const suspects = request('same', [], ['same']);
+  recordCrashes(table, [alone('t1', suspects, false)], 0, 1);
+  recordCrashes(table, [alone('t2', suspects, false)], 0, 1);
+  expect(viewOf(table).watched).toEqual([]);
+  crash(table, 't3', suspects);
+  expect(viewOf(table).watched).toEqual([fingerprint('same')]);
+  expect(refused(table)).toEqual([]);
+  crash(table, 't4', suspects);
+  expect(refused(table)).toEqual(['same']);
+});
+
+test('watched requests run one at a time, and one that is lost keeps others waiting for a bounded time', () => {
+  const tables = {trials: createTrials(), solos: createSolos()};
+  const service = serviceId('s');
+  const known = (name: string) => ({
+    quarantined: [],
+    watched: [fingerprint(name)],
+  });
+  const ask = (name: string, nowMs: number) =>
+    admit(tables, {service}, known(name), nowMs).kind;
+  expect(ask('a', 0)).toEqual('solo');
+  expect(ask('a', 1)).toEqual('busy');
+  expect(ask('b', 1)).toEqual('busy');
+  endSolos(tables.solos, [fingerprint('a')]);
+  expect(ask('b', 2)).toEqual('solo');
+  expect(ask('a', 60_000)).toEqual('solo');
+  expect(
+    admit(tables, {service}, {quarantined: [], watched: []}, 60_001).kind,
+  ).toEqual('clear');
+});
+
+test('two requests that crash a target together are told apart when they run alone', () => {
+  const table = createQuarantine();
+  const both = [...request('deadly', []), ...request('rider', [])];
+  for (const target of ['t1', 't2']) crash(table, target, both);
+  const {watched} = findKnown(
+    {fingerprints: both.map(s => s.fingerprint)},
+    viewOf(table),
+  );
+  expect(watched.length).toEqual(2);
+  recordSuccess(table, fingerprint('rider'));
+  crash(table, 't3', request('deadly', []));
+  expect(refused(table)).toEqual(['deadly']);
+});
+
+test('the suspects of a crowded target do not push out the guilty one', () => {
+  const table = createQuarantine();
+  for (const target of ['t1', 't2', 't3']) {
+    const riders = Array.from({length: 100}, (_, i) =>
+      request(`${target}/${i}`, []),
+    );
+    crash(table, target, [...riders.flat(), ...request('deadly', [])]);
+  }
+  expect(refused(table)).toEqual(['deadly']);
 });
--- a/packages/policy/src/quarantine/types.ts
+++ b/packages/policy/src/quarantine/types.ts
@@ -27,6 +27,11 @@
   readonly suspects: readonly Suspect[];
   /** Quarantined suspects that were on trial on the target. */
   readonly failedTrials: readonly Fingerprint[];
+  /**
+   * Whether the only watched suspect that ran anywhere ran there: it was sent
+   * after all earlier crashes, so the crash is no part of their incident.
+   */
+  readonly wasAlone: boolean;
 }
 
 export interface CrashRow {
@@ -44,12 +49,20 @@
   readonly updatedAtMs: number;
 }
 
-/** In how many incidents a suspect was involved when it is proven the cause. */
+/** In how much a suspect was involved when it is proven the cause. */
+export interface CrashThreshold {
+  /** Crashes of targets. */
+  readonly crashes: number;
+  /** Crashes that count once where several belong to one incident. */
+  readonly incidents: number;
+}
+
 export interface CrashThresholds {
-  readonly request: number;
-  readonly part: number;
-  /** For a suspect that was healthy lately. */
-  readonly healthy: number;
+  readonly request: CrashThreshold;
+  readonly part: CrashThreshold;
+  /** For suspects that were healthy lately. */
+  readonly healthyRequest: CrashThreshold;
+  readonly healthyPart: CrashThreshold;
 }
 
 export interface QuarantineTable {
@@ -65,6 +78,8 @@
 export interface QuarantineView {
   readonly version: number;
   readonly suspects: readonly Fingerprint[];
+  /** Suspects that may run only alone. */
+  readonly watched: readonly Fingerprint[];
   readonly quarantined: readonly QuarantinedView[];
 }
 
