Know a request that crashes targets again under another key, query or service

Seen by callers: a request that crashes its targets was sent on after the third crash whenever its route is split or its workspace has more than one key. Cause: the fingerprint held the service, the whole URL and the caller's key, so each of them began to count at zero. Class: an identity that holds what may differ between two comings of the same thing. Change: policy/quarantine traits.ts. A request counts exactly as it is (with its service and query), and as method, path, workspace and body. The exact one is preferred; a refusal at one service becomes one everywhere after one more crash; answers clear each by itself. samphirefieldd counts a plain call also without its query. Ruled out: leaving the query out altogether (a deadly lookup would take its neighbours along: test "queries that one in many crashes").

--- a/packages/cluster/src/entry/entry-quarantine.ts
+++ b/packages/cluster/src/entry/entry-quarantine.ts
@@ -8,7 +8,6 @@
   LocalQuarantine,
   type Candidate,
   type Quarantine,
-  type RequestTrait,
   type RunCrash,
 } from '@samphirefield/gateway';
 import {
@@ -18,6 +17,7 @@
   type Admission,
   type CrashEvidence,
   type QuarantineView,
+  type RequestTrait,
   type SuspectRequest,
 } from '@samphirefield/policy/quarantine';
 import type {CrashMessage, SuspectsMessage} from '../control/index.js';
--- a/packages/cluster/src/quarantine.spec.ts
+++ b/packages/cluster/src/quarantine.spec.ts
@@ -3,12 +3,12 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fingerprint, silentLogger, type Fingerprint} from '@samphirefield/core';
-import type {RequestTrait} from '@samphirefield/gateway';
 import {
   createQuarantine,
   INCIDENT_MS,
   recordCrashes,
   viewOf,
+  type RequestTrait,
 } from '@samphirefield/policy/quarantine';
 import {QuarantineKeeper} from './control/quarantine-keeper.js';
 import type {EntryNode} from './entry/index.js';
--- a/packages/daemon/src/plain/api.ts
+++ b/packages/daemon/src/plain/api.ts
@@ -3,13 +3,7 @@
 import type {ServerResponse} from 'node:http';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {ok} from 'neverthrow';
-import {
-  fingerprint,
-  isNonRepeatable,
-  plainServiceFor,
-  requestId,
-  sha256Hex,
-} from '@samphirefield/core';
+import {isNonRepeatable, plainServiceFor, requestId} from '@samphirefield/core';
 import {authenticate} from '../callers/index.js';
 import type {GenerationDeps} from '../generations/index.js';
 import {
@@ -20,6 +14,7 @@
   type App,
 } from '../http/index.js';
 import {callPlain} from './call-plain.js';
+import {fingerprintsOf} from './fingerprints.js';
 import type {LedgerClient} from './ledger-client.js';
 import {callAtMostOnce} from './at-most-once.js';
 import type {PlainResponse, PlainRequest} from './types.js';
@@ -120,9 +115,7 @@
     path: url,
     headers: Object.fromEntries(call.headers),
     body: body.value,
-    fingerprint: fingerprint(
-      sha256Hex(`${method}\n${url}\n${sha256Hex(body.value)}`),
-    ),
+    ...fingerprintsOf(method, url, body.value),
     idempotencyKey: isAtMostOnce ? key : undefined,
   };
   await runRequest(options, request, response);
--- a/packages/daemon/src/plain/call-plain.ts
+++ b/packages/daemon/src/plain/call-plain.ts
@@ -68,7 +68,7 @@
       model: '',
       modelVersion: '',
       fingerprint: request.fingerprint,
-      promptParts: [],
+      promptParts: request.similar,
       prefix: '',
       promptTokens: 0,
       maxOutputTokens: 0,
@@ -88,7 +88,8 @@
       const response = await this.send(admission);
       isFinished = response.isOk();
       if (response.isOk()) {
-        recordRunSuccess(this.deps.tables, [this.request.fingerprint]);
+        const {fingerprint, similar} = this.request;
+        recordRunSuccess(this.deps.tables, [fingerprint, ...similar]);
         return ok(response.value);
       }
       return await this.handleFailure(admission, response.error);
--- a/packages/daemon/src/plain/types.ts
+++ b/packages/daemon/src/plain/types.ts
@@ -15,6 +15,8 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer;
   readonly fingerprint: Fingerprint;
+  /** Identifies the request whatever its query; empty if it has none. */
+  readonly similar: readonly Fingerprint[];
   /** Set only for a request that must run at most once. */
   readonly idempotencyKey: string | undefined;
 }
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -5,9 +5,15 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {RequestId, ServiceId, TargetId} from '@samphirefield/core';
+import type {
+  RequestId,
+  ServiceId,
+  TargetId,
+  WorkspaceId,
+} from '@samphirefield/core';
+import {traitsOf, type RequestContent} from '@samphirefield/policy/quarantine';
 import type {RunOutcome} from '../dispatch/index.js';
-import {traitsOf} from '../quarantine/index.js';
+import {shortDigest} from '../quarantine/index.js';
 import {KIND_TRAITS, pickService, type Route} from '../routes/index.js';
 import type {UpstreamConnection} from '../upstream/index.js';
 import type {ResponseSink} from './response-sink.js';
@@ -143,7 +149,11 @@
     const stopRefusal = this.refuseBeforeStop(route);
     if (stopRefusal) return this.refuse(stopRefusal);
     const service = pickService(route, this.deps.random());
-    const quarantine = this.createQuarantineGuard(service, body.value);
+    const quarantine = this.createQuarantineGuard(
+      service,
+      workspace?.name,
+      body.value,
+    );
     const refusal = quarantine.refuse();
     if (refusal) return this.refuse(refusal);
     return {
@@ -158,17 +168,19 @@
 
   private createQuarantineGuard(
     service: ServiceId,
+    workspace: WorkspaceId | undefined,
     body: Buffer,
   ): QuarantineGuard {
     const {deps, metadata, req} = this;
-    const traits = traitsOf({
+    const content: RequestContent = {
       service,
       method: req.method ?? '',
       url: req.url ?? '',
-      caller: metadata.apiKey ?? '',
-      body,
+      workspace,
+      bodyDigest: shortDigest(body),
       sharedPromptParts: metadata.sharedPromptParts,
-    });
+    };
+    const traits = traitsOf(content, shortDigest);
     return new QuarantineGuard(deps, metadata, {service, traits});
   }
 
--- a/packages/gateway/src/quarantine/index.ts
+++ b/packages/gateway/src/quarantine/index.ts
@@ -1,3 +1,3 @@
 export * from './local-quarantine.js';
-export * from './traits.js';
+export * from './digest.js';
 export type * from './types.js';
--- a/packages/gateway/src/quarantine/local-quarantine.ts
+++ b/packages/gateway/src/quarantine/local-quarantine.ts
@@ -24,8 +24,9 @@
   type Admission,
   type CrashEvidence,
   type QuarantineView,
+  type RequestTrait,
 } from '@samphirefield/policy/quarantine';
-import type {Candidate, Quarantine, RequestTrait, RunCrash} from './types.js';
+import type {Candidate, Quarantine, RunCrash} from './types.js';
 
 const RETENTION_MS = 7_200_000;
 
--- a/packages/gateway/src/quarantine/types.ts
+++ b/packages/gateway/src/quarantine/types.ts
@@ -3,12 +3,9 @@
 import type {
   Admission,
   CrashId,
-  Suspect,
+  RequestTrait,
 } from '@samphirefield/policy/quarantine';
 
-/** What a request consists of, as far as a crash may be due to it. */
-export type RequestTrait = Omit<Suspect, 'wasHealthy'>;
-
 export interface RunCrash {
   readonly crash: CrashId;
   readonly traits: readonly RequestTrait[];
--- a/packages/policy/src/quarantine/causes.ts
+++ b/packages/policy/src/quarantine/causes.ts
@@ -4,8 +4,9 @@
  * Crashes of one incident are no proof by themselves: a rack that fails takes
  * several targets with the copies of a request that they run.
  * Among suspects that explain nearly as much, the one that fewest requests share
- * is taken: a request before a part, a part that was not healthy lately before
- * one that was, a late part of a prompt before an early one.
+ * is taken: an exact request before one with any query and service, and that
+ * before a part; what was not healthy lately before what was; a late part of a
+ * prompt before an early one.
  */
 import type {Fingerprint} from '@samphirefield/core';
 import type {
@@ -24,22 +25,27 @@
   readonly unexplained: Set<number>;
 }
 
-/** Whether a quarantined suspect of this kind was involved in the crash. */
-function isExplainedBy(
-  table: QuarantineTable,
-  row: CrashRow,
-  kind: Suspect['kind'],
-): boolean {
-  for (const quarantined of table.quarantined.values()) {
-    if (quarantined.kind !== kind) continue;
-    if (row.suspects.has(quarantined.fingerprint)) return true;
+/** By how many requests a suspect may be shared; more come later. */
+const GENERALITY: Readonly<Record<Suspect['kind'], number>> = {
+  request: 0,
+  similar: 1,
+  part: 2,
+};
+const NOT_EXPLAINED = -1;
+
+/** Generality of the most general quarantined suspect of the crash. */
+function explanationOf(table: QuarantineTable, row: CrashRow): number {
+  let generality = NOT_EXPLAINED;
+  for (const {fingerprint, kind} of table.quarantined.values()) {
+    if (!row.suspects.has(fingerprint)) continue;
+    generality = Math.max(generality, GENERALITY[kind]);
   }
-  return false;
+  return generality;
 }
 
 /**
- * A crash that a quarantined request explains still counts for its parts: one of
- * them may be why the request crashes targets.
+ * A crash that a quarantined request explains still counts for what is more
+ * general, such as its parts: one may be why the request crashes targets.
  */
 function collectEvidence(
   table: QuarantineTable,
@@ -50,10 +56,10 @@
     const involved = [...candidates].flatMap(
       item => row.suspects.get(item) ?? [],
     );
-    if (involved.length === 0 || isExplainedBy(table, row, 'part')) continue;
-    const isUnexplained = !isExplainedBy(table, row, 'request');
+    if (involved.length === 0) continue;
+    const explanation = explanationOf(table, row);
     for (const suspect of involved) {
-      if (!isUnexplained && suspect.kind === 'request') continue;
+      if (GENERALITY[suspect.kind] <= explanation) continue;
       const evidence = byFingerprint.get(suspect.fingerprint) ?? {
         suspect,
         crashes: 0,
@@ -66,7 +72,7 @@
         suspect: mergeSuspects(evidence.suspect, suspect),
       });
       evidence.incidents.add(row.incident);
-      if (isUnexplained) evidence.unexplained.add(row.incident);
+      if (explanation === NOT_EXPLAINED) evidence.unexplained.add(row.incident);
     }
   }
   return [...byFingerprint.values()];
@@ -81,9 +87,9 @@
   {thresholds}: QuarantineTable,
   {kind, wasHealthy}: Suspect,
 ): CrashThreshold {
-  if (kind === 'request')
-    return wasHealthy ? thresholds.healthyRequest : thresholds.request;
-  return wasHealthy ? thresholds.healthyPart : thresholds.part;
+  if (kind === 'part')
+    return wasHealthy ? thresholds.healthyPart : thresholds.part;
+  return wasHealthy ? thresholds.healthyRequest : thresholds.request;
 }
 
 function isProven(
@@ -100,7 +106,7 @@
 
 /** Negative if `a` is shared by fewer requests, as far as can be told. */
 function compareSpecificity(a: Suspect, b: Suspect): number {
-  if (a.kind !== b.kind) return a.kind === 'request' ? -1 : 1;
+  if (a.kind !== b.kind) return GENERALITY[a.kind] - GENERALITY[b.kind];
   if (a.wasHealthy !== b.wasHealthy) return a.wasHealthy ? 1 : -1;
   return b.position - a.position;
 }
--- a/packages/policy/src/quarantine/index.ts
+++ b/packages/policy/src/quarantine/index.ts
@@ -19,5 +19,6 @@
 } from './logic.js';
 export * from './snapshot.js';
 export * from './solo.js';
+export * from './traits.js';
 export * from './trials.js';
 export type * from './types.js';
--- a/packages/policy/src/quarantine/logic.ts
+++ b/packages/policy/src/quarantine/logic.ts
@@ -279,7 +279,7 @@
 
 /** Whether a suspect that was in this many crashes may run only alone. */
 function isWatched({kind, wasHealthy}: Suspect, crashes: number): boolean {
-  if (kind !== 'request') return false;
+  if (kind === 'part') return false;
   return crashes >= (wasHealthy ? WATCHED_HEALTHY_CRASHES : WATCHED_CRASHES);
 }
 
--- a/packages/policy/src/quarantine/quarantine.spec.ts
+++ b/packages/policy/src/quarantine/quarantine.spec.ts
@@ -1,7 +1,12 @@
 /** Causes of crashes among requests and parts of prompts, without a network. */
 import {expect} from 'earl';
 import {test} from 'node:test';
-import {fingerprint, serviceId, type Fingerprint} from '@samphirefield/core';
+import {
+  fingerprint,
+  serviceId,
+  workspaceId,
+  type Fingerprint,
+} from '@samphirefield/core';
 import {
   admit,
   assignIncident,
@@ -25,7 +30,9 @@
   toQuarantineSnapshot,
   viewOf,
   wasHealthy,
+  traitsOf,
   type QuarantineTable,
+  type RequestContent,
   type Suspect,
 } from './index.js';
 
@@ -327,3 +334,68 @@
   }
   expect(refused(table)).toEqual(['deadly']);
 });
+
+const content = (changed: Partial<RequestContent> = {}): RequestContent => ({
+  service: serviceId('s'),
+  method: 'GET',
+  url: '/a',
+  workspace: workspaceId('w'),
+  bodyDigest: 'b',
+  sharedPromptParts: [],
+  ...changed,
+});
+const suspectsOf = (changed?: Partial<RequestContent>): Suspect[] =>
+  traitsOf(content(changed), (...values) => values.join(' ')).map(trait => ({
+    ...trait,
+    wasHealthy: false,
+  }));
+
+test('a request that comes to another service and with another query each time is the same', () => {
+  const table = createQuarantine();
+  for (const name of ['a', 'b', 'c']) {
+    const changed = {service: serviceId(name), url: `/a?try=${name}`};
+    crash(table, name, suspectsOf(changed));
+  }
+  const next = suspectsOf({service: serviceId('d'), url: '/a?try=d'});
+  const isRefused = (suspects: readonly Suspect[]) =>
+    suspects.some(item => table.quarantined.has(item.fingerprint));
+  expect(isRefused(next)).toEqual(true);
+  const others: Array<Partial<RequestContent>> = [
+    {workspace: workspaceId('other')},
+    {method: 'POST'},
+    {url: '/b'},
+    {bodyDigest: 'other'},
+  ];
+  for (const changed of others)
+    expect(isRefused(suspectsOf(changed))).toEqual(false);
+});
+
+test('a request that crashes the targets of one service only is refused there only', () => {
+  const table = createQuarantine();
+  for (const target of ['t1', 't2', 't3']) {
+    crash(table, target, suspectsOf());
+    for (const item of suspectsOf({service: serviceId('sound')}))
+      recordSuccess(table, item.fingerprint);
+  }
+  expect(refused(table)).toEqual([suspectsOf()[0]!.fingerprint]);
+});
+
+test('a request that is refused at one service is refused everywhere after one more crash', () => {
+  const table = createQuarantine();
+  for (const target of ['t1', 't2', 't3']) crash(table, target, suspectsOf());
+  const elsewhere = suspectsOf({service: serviceId('other')});
+  crash(table, 't4', elsewhere);
+  expect(table.quarantined.has(elsewhere[1]!.fingerprint)).toEqual(true);
+});
+
+test('queries that one in many crashes do not lead to a refusal of the others', () => {
+  const table = createQuarantine();
+  for (let i = 0; i < 20; i += 1) {
+    crash(table, `t${i}`, suspectsOf({url: '/a?item=deadly'}));
+    const sound = suspectsOf({url: `/a?item=${i}`});
+    for (const item of sound) recordSuccess(table, item.fingerprint);
+  }
+  expect(refused(table)).toEqual([
+    suspectsOf({url: '/a?item=deadly'})[0]!.fingerprint,
+  ]);
+});
--- a/packages/policy/src/quarantine/types.ts
+++ b/packages/policy/src/quarantine/types.ts
@@ -11,16 +11,19 @@
 export interface Suspect {
   readonly fingerprint: Fingerprint;
   /**
-   * What the fingerprint identifies: a whole request, or a part of a prompt that
-   * different requests share.
+   * What the fingerprint identifies: a whole request, a request whatever its
+   * query and service, or a part of a prompt that different requests share.
    */
-  readonly kind: 'request' | 'part';
-  /** Position of the part in its prompt, from 0; 0 for a request. */
+  readonly kind: 'request' | 'similar' | 'part';
+  /** Position of the part in its prompt, from 0; 0 for others. */
   readonly position: number;
   /** Whether a target lately answered a request with it. */
   readonly wasHealthy: boolean;
 }
 
+/** What a request consists of, as far as a crash may be due to it. */
+export type RequestTrait = Omit<Suspect, 'wasHealthy'>;
+
 export interface CrashEvidence {
   readonly crash: CrashId;
   /** The suspects of runs that the target had not begun to answer. */
