See the crashes of targets that end silently, and of runs that their caller left

Seen by callers: a request that ends its targets without a reset was sent on without end. A run that its caller or its timeout had ended left no trace, nor did one whose target had a successor at its address already. A target that announces no start time could crash once only. Class: evidence that is looked for at one moment only, by the one who happens to notice. The crash of a start is known by a refused connection, by a later start under its id, by a successor at its address (hasCrashed in the announcement), or by its silence; the last is taken back if the target announces itself again. Without a start time crashes are told apart by when they happened. The oldest report is dropped when too many wait, not the newest. Ruled out: probing each target that a caller leaves (a connection for each impatient caller; connections are priced).

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -113,6 +113,9 @@
         this.reservations.setTarget(record, isSilent);
         const update = {...this.registry.toUpdate(record), isSilent};
         this.subscribers.sendTargets('entry', [update]);
+        const {id, bornMs, state} = record.announcement;
+        if (!isSilent && state !== 'gone')
+          this.quarantine.retract({target: id, bornMs});
       },
       onRemoved: id => this.reservations.removeTarget(id),
       onDirectAnnouncement: (record, isChange) => {
--- a/packages/cluster/src/control/quarantine-keeper.ts
+++ b/packages/cluster/src/control/quarantine-keeper.ts
@@ -9,6 +9,7 @@
 import {
   admit,
   assignIncident,
+  crashIdOf,
   createIncidentLog,
   createSolos,
   createTrials,
@@ -16,12 +17,14 @@
   findKnown,
   findStale,
   followQuarantine,
+  nameCrash,
   viewOf,
   type Admission,
   type CrashEvidence,
   type QuarantineTable,
   type QuarantineView,
   type SuspectRequest,
+  type TargetStart,
 } from '@samphirefield/policy/quarantine';
 import type {CrashMessage} from './messages.js';
 import type {QuarantineCommand} from './state-machine.js';
@@ -79,9 +82,13 @@
   }
 
   /** Resolves with whether the crash is recorded durably. */
-  recordCrash({crash: evidence, ageMs}: CrashMessage): Promise<boolean> {
+  recordCrash({crash: reported, ageMs}: CrashMessage): Promise<boolean> {
     if (!this.options.isLeader()) return Promise.resolve(false);
-    const incident = this.incidentOf(evidence, this.options.nowMs() - ageMs);
+    const crashedAtMs = this.options.nowMs() - ageMs;
+    const incident = this.incidentOf(reported, crashedAtMs);
+    const {incidents} = this;
+    const crash = nameCrash(incidents, reported.crash, crashedAtMs, incident);
+    const evidence = {...reported, crash};
     return new Promise(settle => {
       if (this.pending.length === 0) {
         const gathered = delay(GATHER_CRASHES_MS);
@@ -137,6 +144,15 @@
     return admission;
   }
 
+  /** Takes back the crash of a target that only was silent. */
+  retract(start: TargetStart): void {
+    const crash = crashIdOf(start);
+    const isCertain = this.options.table()?.crashes.get(crash)?.isCertain;
+    if (isCertain !== false || !this.options.isLeader()) return;
+    this.options.logger.info('crash_retracted', {crash});
+    void this.options.submit({kind: 'retract_crash', crash});
+  }
+
   /** A trial or a solo run ended and tells nothing. */
   endRun(fingerprints: readonly Fingerprint[]): void {
     endSolos(this.solos, fingerprints);
--- a/packages/cluster/src/control/state-machine.ts
+++ b/packages/cluster/src/control/state-machine.ts
@@ -10,9 +10,11 @@
   recordSuccess,
   removeSuspects,
   restoreQuarantine,
+  retractCrash,
   SHARED_TARGET_THRESHOLDS,
   toQuarantineSnapshot,
   type CrashEvidence,
+  type CrashId,
   type QuarantineSnapshot,
   type QuarantineTable,
   type StaleSuspects,
@@ -39,7 +41,9 @@
       readonly kind: 'clear_suspects';
       readonly fingerprints: readonly Fingerprint[];
     }
-  | ({readonly kind: 'drop_suspects'} & StaleSuspects);
+  | ({readonly kind: 'drop_suspects'} & StaleSuspects)
+  /** A target that was silent announced itself again. */
+  | {readonly kind: 'retract_crash'; readonly crash: CrashId};
 
 export type ClusterCommand = ConfigCommand | QuarantineCommand;
 
@@ -102,6 +106,9 @@
     case 'drop_suspects':
       removeSuspects(table, command.crashes, command.fingerprints);
       break;
+    case 'retract_crash':
+      retractCrash(table, command.crash);
+      break;
   }
 }
 
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -350,6 +350,7 @@
   private onTargetUpdate(update: TargetUpdate): void {
     const {announcement, ageMs} = update;
     const nowMs = this.options.nowMs();
+    const before = this.table.get(announcement.id)?.announcement;
     const onReplaced = (replaced: TargetRecord) => {
       this.onTargetChanged(replaced);
       this.updateTarget(replaced);
@@ -365,6 +366,13 @@
     if (record === undefined) return;
     if (outcome === 'changed') this.onTargetChanged(record);
     this.updateTarget(record);
+    const hasRestarted =
+      before?.state === 'ready' && before.bornMs !== record.announcement.bornMs;
+    if (hasRestarted)
+      this.quarantine.recordCrash(
+        {target: before.id, bornMs: before.bornMs},
+        true,
+      );
   }
 
   private onTargetChanged(record: TargetRecord): void {
@@ -379,5 +387,10 @@
   private updateTarget(record: TargetRecord): void {
     const isSilent = this.controls.isSilent(record.announcement.id);
     this.localDispatcher.setTarget(record, isSilent, this.options.nowMs());
+    const {id, bornMs, state, hasCrashed} = record.announcement;
+    const start = {target: id, bornMs};
+    if (hasCrashed) this.quarantine.recordCrash(start, true);
+    else if (!isSilent) this.quarantine.retractCrash(start);
+    else if (state === 'ready') this.quarantine.recordCrash(start, false);
   }
 }
--- a/packages/cluster/src/entry/entry-quarantine.ts
+++ b/packages/cluster/src/entry/entry-quarantine.ts
@@ -8,7 +8,6 @@
   LocalQuarantine,
   type Candidate,
   type Quarantine,
-  type RunCrash,
 } from '@samphirefield/gateway';
 import {
   createTrials,
@@ -19,6 +18,8 @@
   type QuarantineView,
   type RequestTrait,
   type SuspectRequest,
+  type TargetStart,
+  type UnansweredRun,
 } from '@samphirefield/policy/quarantine';
 import type {CrashMessage, SuspectsMessage} from '../control/index.js';
 import type {Peer} from '../link/index.js';
@@ -54,7 +55,9 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: EntryQuarantineOptions) {
-    this.local = new LocalQuarantine(options.nowMs);
+    this.local = new LocalQuarantine(options.nowMs, evidence =>
+      this.addReport(evidence),
+    );
   }
 
   get quarantinedCount(): number {
@@ -92,13 +95,17 @@
     return isKnown ? this.askLeader(leader, candidate) : {kind: 'clear'};
   }
 
-  recordCrash(crash: RunCrash): void {
-    const evidence = this.local.reportOf(crash);
-    this.local.recordCrash(crash);
-    if (this.unreported.size >= MAX_UNREPORTED) return;
-    const item = {evidence, crashedAtMs: this.options.nowMs()};
-    this.unreported.add(item);
-    void this.report(item);
+  noteUnanswered(run: Omit<UnansweredRun, 'endedAtMs'>): void {
+    this.local.noteUnanswered(run);
+  }
+
+  recordCrash(start: TargetStart, isCertain: boolean): void {
+    this.local.recordCrash(start, isCertain);
+  }
+
+  /** A target that only was silent has announced itself again. */
+  retractCrash(start: TargetStart): void {
+    this.local.retractCrash(start);
   }
 
   recordAnswer(traits: readonly RequestTrait[]): void {
@@ -122,6 +129,14 @@
     this.unreported.clear();
   }
 
+  private addReport(evidence: CrashEvidence): void {
+    const [oldest] = this.unreported;
+    if (this.unreported.size >= MAX_UNREPORTED && oldest) this.forget(oldest);
+    const item = {evidence, crashedAtMs: this.options.nowMs()};
+    this.unreported.add(item);
+    void this.report(item);
+  }
+
   private among(
     known: ReadonlySet<Fingerprint>,
     traits: readonly RequestTrait[],
--- a/packages/cluster/src/quarantine.spec.ts
+++ b/packages/cluster/src/quarantine.spec.ts
@@ -2,7 +2,12 @@
 import {expect} from 'earl';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {fingerprint, silentLogger, type Fingerprint} from '@samphirefield/core';
+import {
+  fingerprint,
+  silentLogger,
+  targetId,
+  type Fingerprint,
+} from '@samphirefield/core';
 import {
   createQuarantine,
   INCIDENT_MS,
@@ -47,12 +52,14 @@
 }
 
 function crash(entry: EntryNode, target: string): void {
-  entry.quarantine.recordCrash({
-    crash: target,
+  const start = {target: targetId(target), bornMs: 1};
+  entry.quarantine.noteUnanswered({
+    start,
     traits: traits(target, ['common', 'deadly']),
     trialOf: [],
     wasAlone: false,
   });
+  entry.quarantine.recordCrash(start, true);
 }
 
 /** Crashes one after the other, each seen by one of the entries. */
@@ -140,7 +147,15 @@
     const suspects = TAINTED.map(item => ({...item, wasHealthy: false}));
     recordCrashes(
       table,
-      [{crash: target, suspects, failedTrials: [], wasAlone: false}],
+      [
+        {
+          crash: target,
+          suspects,
+          failedTrials: [],
+          wasAlone: false,
+          isCertain: true,
+        },
+      ],
       0,
     );
   }
@@ -172,6 +187,7 @@
     suspects: [],
     failedTrials: refused,
     wasAlone: true,
+    isCertain: true,
   };
   recordCrashes(table, [failed], 0);
   keeper.follow(viewOf(table));
@@ -186,7 +202,13 @@
     wasHealthy: false,
   }));
   for (const crash of ['t7', 't8']) {
-    const evidence = {crash, suspects, failedTrials: [], wasAlone: false};
+    const evidence = {
+      crash,
+      suspects,
+      failedTrials: [],
+      wasAlone: false,
+      isCertain: true,
+    };
     recordCrashes(table, [evidence], 0);
   }
   const request = {service: SERVICE, fingerprints: [fingerprint('watched')]};
--- a/packages/daemon/src/entry/suspects.ts
+++ b/packages/daemon/src/entry/suspects.ts
@@ -65,6 +65,7 @@
     suspects,
     failedTrials: [],
     wasAlone: false,
+    isCertain: true,
   };
   recordCrashes(tables.quarantine, [evidence], nowMs);
   if (tables.quarantine.version !== previousVersion) {
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -34,9 +34,9 @@
   writeLocalResponse,
 } from './local-response.js';
 import {
-  findEndpoint,
   newRunId,
   buildStartDemand,
+  reservationOn,
   type AdmittedRequest,
   type Reservation,
 } from './reservation.js';
@@ -47,7 +47,11 @@
   type RequestRecord,
 } from './request-record.js';
 import {serializeRequest} from './http-message.js';
-import {startTargetAttempt, type TargetAttempt} from './target-attempt.js';
+import {
+  startTargetAttempt,
+  type AttemptResult,
+  type TargetAttempt,
+} from './target-attempt.js';
 import type {
   GatewayDependencies,
   ActiveConfig,
@@ -311,8 +315,7 @@
     this.record.lastTarget = result.target;
     this.record.lastRun = run;
     excluded.push(result.target);
-    const endpoint = findEndpoint(deps.reservations, result.target);
-    const reservation = endpoint && {...endpoint, run};
+    const reservation = reservationOn(deps.reservations, result.target, run);
     const {outcome, step: nextStep} = await this.sendToTarget(
       reservation,
       admitted,
@@ -356,6 +359,7 @@
       return {outcome: 'abandoned', step: {kind: 'broken_off'}};
     }
     const attempt = this.startAttempt(connection, admitted, reservation);
+    let current = reservation;
     const supervisor = new RunSupervisor({
       deps: this.deps,
       admitted,
@@ -368,17 +372,15 @@
           nextReservation,
           continuation,
         ),
-      onMoved: target => {
+      onMoved: moved => {
         this.record.moves += 1;
-        this.record.lastTarget = target;
+        this.record.lastTarget = moved.target;
+        current = moved;
       },
     });
     const result = await supervisor.supervise(attempt, reservation);
     this.record.responseStartedAtMs = attempt.sink()?.headSentAtMs;
-    const observed =
-      result.kind === 'lost' && this.observeLostRun(admitted, reservation);
-    if (result.kind === 'ended' && attempt.answeringForMs() === undefined)
-      admitted.quarantine.noteEndedRun(reservation);
+    const observed = this.observeEnd(admitted, current, result);
     this.attempt = undefined;
     if (mayHaveRun(result)) this.runCount += 1;
     const classified = classifyResult(result, admitted.route, this.runCount);
@@ -387,16 +389,16 @@
     return classified;
   }
 
-  /** The run may have moved off the target that it was reserved on. */
-  private async observeLostRun(
+  /** Observes the run on the target that it was sent to last. */
+  private async observeEnd(
     {quarantine}: AdmittedRequest,
-    {run, address: firstAddress}: Reservation,
+    {run, target, bornMs, address}: Reservation,
+    result: AttemptResult,
   ): Promise<void> {
     const answeringForMs = this.attempt?.answeringForMs();
-    const target = this.record.lastTarget!;
-    const endpoint = findEndpoint(this.deps.reservations, target);
-    const address = endpoint?.address ?? firstAddress;
-    await quarantine.observeLostRun({run, target, address, answeringForMs});
+    const ended = {run, start: {target, bornMs}, address, answeringForMs};
+    if (result.kind === 'lost') await quarantine.observeLostRun(ended);
+    if (result.kind === 'ended') quarantine.noteEndedRun(ended);
   }
 
   private startAttempt(
--- a/packages/gateway/src/exchange/quarantine-guard.ts
+++ b/packages/gateway/src/exchange/quarantine-guard.ts
@@ -4,10 +4,9 @@
  * target.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import type {Fingerprint, RequestId, TargetId} from '@samphirefield/core';
-import type {Admission, CrashId} from '@samphirefield/policy/quarantine';
+import type {Fingerprint, RequestId} from '@samphirefield/core';
+import type {Admission, TargetStart} from '@samphirefield/policy/quarantine';
 import type {Candidate} from '../quarantine/index.js';
-import type {TargetAnnouncement} from '../registry/index.js';
 import {refusesConnections, type UpstreamAddress} from '../upstream/index.js';
 import type {
   GatewayDependencies,
@@ -24,9 +23,10 @@
 /** A run that has been answering for this long has not crashed its target. */
 export const PROVEN_AFTER_MS = 300;
 
-export interface LostRun {
+export interface EndedRun {
   readonly run: RequestId;
-  readonly target: TargetId;
+  /** The target that the run was sent to last, as it was then. */
+  readonly start: TargetStart;
   readonly address: UpstreamAddress;
   /** How long the target had been sending the body; undefined: not yet. */
   readonly answeringForMs: number | undefined;
@@ -38,16 +38,6 @@
   retryAfterMs,
 });
 
-/** Why the end of a target is no crash that this run may have caused. */
-function reasonNotCounted(
-  state: TargetAnnouncement['state'] | undefined,
-  answeringForMs: number | undefined,
-): string | undefined {
-  if (state !== 'ready') return `target_${state ?? 'unknown'}`;
-  if ((answeringForMs ?? 0) >= PROVEN_AFTER_MS) return 'was_answering';
-  return undefined;
-}
-
 export class QuarantineGuard {
   private trialOf: readonly Fingerprint[] = [];
   private soloOf: readonly Fingerprint[] = [];
@@ -117,58 +107,75 @@
     return held;
   }
 
-  /** Logs a run that its caller or its timeout ended before any answer. */
-  noteEndedRun({run, target}: Pick<LostRun, 'run' | 'target'>): void {
+  /**
+   * Notes a run that its caller or its timeout ended. The target may have
+   * crashed before.
+   */
+  noteEndedRun(ended: EndedRun): void {
+    if (this.wasAnswering(ended)) return;
+    const {run, start} = ended;
+    this.noteUnanswered(start);
     this.deps.logger.info('run_ended_unanswered', {
       request: this.metadata.attemptId,
       run,
-      target,
+      target: start.target,
       fingerprint: this.candidate.traits[0]?.fingerprint,
     });
   }
 
-  /** Finds out whether the target of a lost run has crashed. */
-  async observeLostRun(lost: LostRun): Promise<void> {
+  /** Notes a lost run, and finds out whether its target has crashed. */
+  async observeLostRun(lost: EndedRun): Promise<void> {
+    const wasAnswering = this.wasAnswering(lost);
+    if (!wasAnswering) this.noteUnanswered(lost.start);
     this.isObserving = true;
-    const crash = await this.findCrash(lost);
+    const isGone = await refusesConnections(lost.address, REFUSAL_TIMEOUT_MS);
     this.isObserving = false;
-    if (crash === undefined) {
-      this.endRun();
-      return;
-    }
-    const {traits} = this.candidate;
+    const leaving = this.leavingState(lost.start);
+    this.logLostRun(lost, isGone, leaving, wasAnswering);
+    if (isGone && leaving === undefined)
+      this.deps.quarantine.recordCrash(lost.start, true);
+    this.endRun();
+  }
+
+  private wasAnswering({answeringForMs}: EndedRun): boolean {
+    return (answeringForMs ?? 0) >= PROVEN_AFTER_MS;
+  }
+
+  private noteUnanswered(start: TargetStart): void {
     const {trialOf} = this;
+    const {traits} = this.candidate;
     const wasAlone = this.soloOf.length > 0;
-    this.takeHeld();
-    this.deps.quarantine.recordCrash({crash, traits, trialOf, wasAlone});
+    this.deps.quarantine.noteUnanswered({start, traits, trialOf, wasAlone});
   }
 
-  /** Undefined if the run cannot have crashed its target. */
-  private async findCrash(lost: LostRun): Promise<CrashId | undefined> {
-    const {deps, trialOf, soloOf} = this;
-    const {run, target, address, answeringForMs} = lost;
-    const announcement = deps.reservations.findTarget(target)?.announcement;
-    const isTargetGone = await refusesConnections(address, REFUSAL_TIMEOUT_MS);
-    const notCounted = isTargetGone
-      ? reasonNotCounted(announcement?.state, answeringForMs)
-      : 'accepts_connections';
-    deps.logger.warn('run_lost', {
+  /** Undefined unless this start of the target said that it leaves. */
+  private leavingState({target, bornMs}: TargetStart): string | undefined {
+    const announcement =
+      this.deps.reservations.findTarget(target)?.announcement;
+    if (announcement?.bornMs !== bornMs || announcement.hasCrashed)
+      return undefined;
+    return announcement.state === 'ready' ? undefined : announcement.state;
+  }
+
+  private logLostRun(
+    {run, start, answeringForMs}: EndedRun,
+    isGone: boolean,
+    leaving: string | undefined,
+    wasAnswering: boolean,
+  ): void {
+    this.deps.logger.warn('run_lost', {
       request: this.metadata.attemptId,
       run,
-      target,
-      born_ms: announcement?.bornMs,
-      target_state: announcement?.state ?? 'unknown',
-      target_gone: isTargetGone,
+      target: start.target,
+      born_ms: start.bornMs,
+      target_state: leaving ?? 'ready',
+      target_gone: isGone,
       answering_ms: answeringForMs && Math.round(answeringForMs),
-      may_be_cause: notCounted === undefined,
-      not_counted: notCounted,
+      may_be_cause: isGone && leaving === undefined && !wasAnswering,
       fingerprint: this.candidate.traits[0]?.fingerprint,
-      trial: trialOf.length > 0 || undefined,
-      solo: soloOf.length > 0 || undefined,
+      trial: this.trialOf.length > 0 || undefined,
+      solo: this.soloOf.length > 0 || undefined,
       prompt_parts: this.metadata.sharedPromptParts.join(','),
     });
-    if (notCounted !== undefined || announcement === undefined)
-      return undefined;
-    return `${target}/${announcement.bornMs}`;
   }
 }
--- a/packages/gateway/src/exchange/reservation.ts
+++ b/packages/gateway/src/exchange/reservation.ts
@@ -43,6 +43,8 @@
 /** A reserved target and the run that holds the reservation. */
 export interface Reservation extends TargetEndpoint {
   readonly run: RequestId;
+  /** Start of the target when the request was sent to it; 0 if unknown. */
+  readonly bornMs: number;
 }
 
 /** Undefined when the target is not registered any more. */
@@ -56,6 +58,17 @@
   return {target, address: {host, port}};
 }
 
+/** Undefined when the target is not registered any more. */
+export function reservationOn(
+  reservations: ReservationClient,
+  target: TargetId,
+  run: RequestId,
+): Reservation | undefined {
+  const endpoint = findEndpoint(reservations, target);
+  const bornMs = reservations.findTarget(target)?.announcement.bornMs ?? 0;
+  return endpoint && {...endpoint, run, bornMs};
+}
+
 /** Builds the demand for a target on which a request starts. */
 export function buildStartDemand(
   deps: GatewayDependencies,
--- a/packages/gateway/src/exchange/run-supervisor.ts
+++ b/packages/gateway/src/exchange/run-supervisor.ts
@@ -20,6 +20,7 @@
   findEndpoint,
   buildMoveDemand,
   newRunId,
+  reservationOn,
   type AdmittedRequest,
   type Reservation,
 } from './reservation.js';
@@ -51,8 +52,8 @@
     reservation: Reservation,
     continuation: StreamContinuation,
   ) => TargetAttempt;
-  /** Called when the run was resumed; `target` is where it continues. */
-  readonly onMoved: (target: TargetId) => void;
+  /** Called when the run was resumed, with where it continues. */
+  readonly onMoved: (reservation: Reservation) => void;
 }
 
 interface MoveWatch {
@@ -110,7 +111,7 @@
       deps.reservations.release(reservation.run, admitted.service, 'served');
       heldDestination = moved?.destination;
       ({reservation, attempt} = resumed);
-      onMoved(reservation.target);
+      onMoved(reservation);
     }
   }
 
@@ -235,7 +236,10 @@
       return undefined;
     }
     const {target, address} = resume;
-    const reservation: Reservation = {target, address, run: from.run};
+    const known = reservationOn(deps.reservations, target, from.run);
+    const reservation = known
+      ? {...known, address}
+      : {target, address, run: from.run, bornMs: 0};
     const attempt = startAttempt(connection, reservation, {sink, resume});
     return {attempt, reservation};
   }
--- a/packages/gateway/src/quarantine/local-quarantine.ts
+++ b/packages/gateway/src/quarantine/local-quarantine.ts
@@ -6,29 +6,41 @@
 import {
   admit,
   assignIncident,
+  crashIdOf,
   createHealth,
   createIncidentLog,
   createQuarantine,
   createSolos,
   createTrials,
+  createUnansweredRuns,
   endSolos,
   expireSuspects,
   findKnown,
   followQuarantine,
+  hasStart,
+  nameCrash,
+  noteUnanswered,
   recordAnswer,
   recordCrashes,
   recordSuccess,
   refusalMs,
+  retractCrash,
+  takeUnanswered,
   viewOf,
   wasHealthy,
   type Admission,
   type CrashEvidence,
+  type CrashId,
   type QuarantineView,
   type RequestTrait,
+  type Suspect,
+  type TargetStart,
+  type UnansweredRun,
 } from '@samphirefield/policy/quarantine';
-import type {Candidate, Quarantine, RunCrash} from './types.js';
+import type {Candidate, Quarantine} from './types.js';
 
 const RETENTION_MS = 7_200_000;
+const MAX_CRASHED_STARTS = 256;
 
 export class LocalQuarantine implements Quarantine {
   private readonly table = createQuarantine();
@@ -36,9 +48,17 @@
   private readonly solos = createSolos();
   private readonly health = createHealth();
   private readonly incidents = createIncidentLog();
+  /** Starts that have crashed, and whether that is certain. */
+  private readonly crashedStarts = new Map<CrashId, boolean>();
+  private readonly unanswered = createUnansweredRuns();
   private view: QuarantineView = viewOf(this.table);
 
-  constructor(private readonly nowMs: () => number) {}
+  /** `report` receives each crash in which runs of this entry were involved. */
+  constructor(
+    private readonly nowMs: () => number,
+    private readonly report: (evidence: CrashEvidence) => void = () =>
+      undefined,
+  ) {}
 
   refusalMs(traits: readonly RequestTrait[]): number | undefined {
     if (this.view.quarantined.length === 0) return undefined;
@@ -65,15 +85,50 @@
     );
   }
 
-  recordCrash(crash: RunCrash): void {
+  noteUnanswered(run: Omit<UnansweredRun, 'endedAtMs'>): void {
+    noteUnanswered(this.unanswered, {...run, endedAtMs: this.nowMs()});
+    const crash = this.crashOf(run.start);
+    if (crash) this.recordCrash(run.start, crash.isCertain);
+  }
+
+  /** Undefined unless this start is known to have crashed. */
+  private crashOf(
+    start: TargetStart,
+  ): {readonly isCertain: boolean} | undefined {
+    const isCertain = this.crashedStarts.get(crashIdOf(start));
+    return isCertain === undefined ? undefined : {isCertain};
+  }
+
+  recordCrash(start: TargetStart, isCertain: boolean): void {
     const nowMs = this.nowMs();
+    const runs = takeUnanswered(this.unanswered, start, nowMs);
+    this.rememberCrash(start, isCertain);
+    if (runs.length === 0) return;
+    const wasAlone = runs.some(run => run.wasAlone);
     const next = this.table.nextIncident;
-    const incident = crash.wasAlone
+    const incident = wasAlone
       ? next
       : assignIncident(this.incidents, nowMs, next);
-    const evidence = this.reportOf(crash);
-    recordCrashes(this.table, [evidence], nowMs, incident);
-    this.endRun(crash.traits.map(trait => trait.fingerprint));
+    const reported: CrashEvidence = {
+      crash: crashIdOf(start),
+      suspects: this.suspectsOf(runs),
+      failedTrials: runs.flatMap(run => run.trialOf),
+      wasAlone,
+      isCertain,
+    };
+    const crash = nameCrash(this.incidents, reported.crash, nowMs, incident);
+    recordCrashes(this.table, [{...reported, crash}], nowMs, incident);
+    this.endRun(reported.suspects.map(({fingerprint}) => fingerprint));
+    this.follow();
+    this.report(reported);
+  }
+
+  /** A target that only was silent has announced itself again. */
+  retractCrash(start: TargetStart): void {
+    const crash = crashIdOf(start);
+    if (this.crashedStarts.get(crash) !== false) return;
+    this.crashedStarts.delete(crash);
+    retractCrash(this.table, crash);
     this.follow();
   }
 
@@ -92,18 +147,26 @@
     endSolos(this.solos, suspects);
   }
 
-  /** The crash with what this entry knows of its suspects. */
-  reportOf({crash, traits, trialOf, wasAlone}: RunCrash): CrashEvidence {
+  /** Runs on this start may end a while after it. */
+  private rememberCrash(start: TargetStart, isCertain: boolean): void {
+    const crash = crashIdOf(start);
+    if (!hasStart(crash)) return;
+    this.crashedStarts.delete(crash);
+    this.crashedStarts.set(crash, isCertain);
+    const [oldest] = this.crashedStarts.keys();
+    if (this.crashedStarts.size > MAX_CRASHED_STARTS)
+      this.crashedStarts.delete(oldest!);
+  }
+
+  /** The suspects with what this entry knows of them. */
+  private suspectsOf(runs: readonly UnansweredRun[]): Suspect[] {
     const nowMs = this.nowMs();
-    return {
-      crash,
-      suspects: traits.map(trait => ({
+    return runs.flatMap(run =>
+      run.traits.map(trait => ({
         ...trait,
         wasHealthy: wasHealthy(this.health, trait.fingerprint, nowMs),
       })),
-      failedTrials: trialOf,
-      wasAlone,
-    };
+    );
   }
 
   private expire(): void {
--- a/packages/gateway/src/quarantine/types.ts
+++ b/packages/gateway/src/quarantine/types.ts
@@ -2,19 +2,11 @@
 import type {Fingerprint, ServiceId} from '@samphirefield/core';
 import type {
   Admission,
-  CrashId,
   RequestTrait,
+  TargetStart,
+  UnansweredRun,
 } from '@samphirefield/policy/quarantine';
 
-export interface RunCrash {
-  readonly crash: CrashId;
-  readonly traits: readonly RequestTrait[];
-  /** The quarantined suspects that the run was a trial of. */
-  readonly trialOf: readonly Fingerprint[];
-  /** Whether the run was the only one of watched suspects. */
-  readonly wasAlone: boolean;
-}
-
 /** A request before it is sent to a target. */
 export interface Candidate {
   readonly service: ServiceId;
@@ -29,8 +21,13 @@
   refusalMs(traits: readonly RequestTrait[]): number | undefined;
   /** Decides right before a request is sent to a target. */
   admit(candidate: Candidate): Promise<Admission>;
-  /** A target crashed before it began to answer the request. */
-  recordCrash(crash: RunCrash): void;
+  /** A run ended without an answer; its target may have crashed. */
+  noteUnanswered(run: Omit<UnansweredRun, 'endedAtMs'>): void;
+  /**
+   * A start of a target has crashed. It is not certain if the target is only
+   * silent.
+   */
+  recordCrash(start: TargetStart, isCertain: boolean): void;
   /** A target answered the request, or began to and went on. */
   recordAnswer(traits: readonly RequestTrait[]): void;
   /** A trial or a solo run ended and tells nothing. */
--- a/packages/gateway/src/registry/logic.ts
+++ b/packages/gateway/src/registry/logic.ts
@@ -64,7 +64,16 @@
   };
   table.set(next.id, record);
   if (next.state === 'ready') {
-    markAddressPredecessorsGone(table, next).forEach(onReplaced);
+    for (const earlier of findAddressPredecessors(table, next)) {
+      const announcement: TargetAnnouncement = {
+        ...earlier.announcement,
+        state: 'gone',
+        hasCrashed: earlier.announcement.state === 'ready',
+      };
+      const replaced: TargetRecord = {...earlier, announcement};
+      table.set(announcement.id, replaced);
+      onReplaced(replaced);
+    }
   }
   return recorded && isSameExceptTiming(recorded.announcement, next)
     ? 'renewed'
@@ -72,26 +81,20 @@
 }
 
 /**
- * Marks older targets at the announced address as gone: the announcement proves
- * that they do not use the address any more.
+ * Older targets at the announced address: the announcement proves that they do
+ * not use it any more.
  */
-function markAddressPredecessorsGone(
+function findAddressPredecessors(
   table: TargetTable,
   next: TargetAnnouncement,
 ): TargetRecord[] {
-  const replaced: TargetRecord[] = [];
-  for (const [id, {announcement: earlier, ...recordRest}] of table) {
+  return [...table.values()].filter(({announcement: earlier}) => {
     const sharesAddress =
       earlier.host === next.host && earlier.port === next.port;
     const isOlder = earlier.bornMs < next.bornMs;
-    if (id === next.id || !sharesAddress || !isOlder) continue;
-    if (earlier.state === 'gone') continue;
-    const announcement = {...earlier, state: 'gone' as const};
-    const record: TargetRecord = {...recordRest, announcement};
-    table.set(id, record);
-    replaced.push(record);
-  }
-  return replaced;
+    const isOther = earlier.id !== next.id;
+    return isOther && sharesAddress && isOlder && earlier.state !== 'gone';
+  });
 }
 
 /**
--- a/packages/gateway/src/registry/types.ts
+++ b/packages/gateway/src/registry/types.ts
@@ -17,6 +17,8 @@
   readonly zone: ZoneId;
   readonly slots: number;
   readonly state: 'ready' | 'draining' | 'gone';
+  /** Set on a target that is gone though it never said that it leaves. */
+  readonly hasCrashed?: boolean;
   /** How much longer the target stays cold, counted from the announcement. */
   readonly coldLeftMs: number;
 }
--- a/packages/policy/src/allocations/leader.ts
+++ b/packages/policy/src/allocations/leader.ts
@@ -137,6 +137,7 @@
       suspects,
       failedTrials: [],
       wasAlone: false,
+      isCertain: true,
     };
     recordCrashes(tables.quarantine, [evidence], nowMs);
   }
--- a/packages/policy/src/decisions.spec.ts
+++ b/packages/policy/src/decisions.spec.ts
@@ -166,7 +166,7 @@
   const suspects = fingerprints.map(requestSuspect);
   recordCrashes(
     table,
-    [{crash, suspects, failedTrials: [], wasAlone: false}],
+    [{crash, suspects, failedTrials: [], wasAlone: false, isCertain: true}],
     nowMs,
   );
 }
--- a/packages/policy/src/quarantine/index.ts
+++ b/packages/policy/src/quarantine/index.ts
@@ -12,6 +12,7 @@
   recordSuccess,
   removeSuspects,
   requestSuspect,
+  retractCrash,
   SHARED_TARGET_THRESHOLDS,
   suspicionOf,
   viewOf,
@@ -21,4 +22,5 @@
 export * from './solo.js';
 export * from './traits.js';
 export * from './trials.js';
+export * from './unanswered.js';
 export type * from './types.js';
--- a/packages/policy/src/quarantine/logic.ts
+++ b/packages/policy/src/quarantine/logic.ts
@@ -113,7 +113,7 @@
 /** Returns whether the report holds new suspects. */
 function addSuspects(
   table: QuarantineTable,
-  {crash, suspects, wasAlone}: CrashEvidence,
+  {crash, suspects, wasAlone, isCertain}: CrashEvidence,
   incident: number,
   nowMs: number,
 ): boolean {
@@ -127,12 +127,16 @@
       recorded ? mergeSuspects(recorded, suspect) : suspect,
     );
   }
-  if (merged.size === (known?.suspects.size ?? 0)) return false;
+  const isNowCertain = isCertain !== false && known?.isCertain === false;
+  const hasMore = merged.size > (known?.suspects.size ?? 0);
+  if (!hasMore && !isNowCertain) return false;
   const recordedIncident = wasAlone ? undefined : known?.incident;
   table.crashes.set(crash, {
     crash,
     incident: recordedIncident ?? incident,
     suspects: merged,
+    // Undefined in log entries of earlier versions, whose crashes are certain.
+    isCertain: isCertain !== false || (known?.isCertain ?? false),
     updatedAtMs: nowMs,
   });
   return true;
@@ -245,6 +249,29 @@
   table.version += 1;
 }
 
+/**
+ * Takes back a crash of a target that only was silent, and the refusals that
+ * the other crashes do not prove.
+ */
+export function retractCrash(table: QuarantineTable, crash: CrashId): void {
+  const row = table.crashes.get(crash);
+  if (row === undefined || row.isCertain) return;
+  table.crashes.delete(crash);
+  for (const fingerprint of row.suspects.keys()) {
+    const others = [...table.crashes.values()].filter(other =>
+      other.suspects.has(fingerprint),
+    );
+    const kind = table.quarantined.get(fingerprint)?.kind;
+    const isUnproven = kind && others.length < minCrashes(table, kind);
+    if (isUnproven) table.quarantined.delete(fingerprint);
+  }
+  table.version += 1;
+}
+
+function minCrashes({thresholds}: QuarantineTable, kind: Suspect['kind']) {
+  return thresholds[kind === 'part' ? 'part' : 'request'].crashes;
+}
+
 export interface StaleSuspects {
   readonly crashes: readonly CrashId[];
   readonly fingerprints: readonly Fingerprint[];
--- a/packages/policy/src/quarantine/quarantine.spec.ts
+++ b/packages/policy/src/quarantine/quarantine.spec.ts
@@ -4,6 +4,7 @@
 import {
   fingerprint,
   serviceId,
+  targetId,
   workspaceId,
   type Fingerprint,
 } from '@samphirefield/core';
@@ -16,17 +17,23 @@
   createQuarantine,
   createSolos,
   createTrials,
+  createUnansweredRuns,
+  crashIdOf,
   endSolos,
   findKnown,
   followQuarantine,
   msUntilTrial,
+  nameCrash,
+  noteUnanswered,
   recordAnswer,
   recordCrashes,
   recordSuccess,
   removeSuspects,
   restoreQuarantine,
+  retractCrash,
   SHARED_TARGET_THRESHOLDS,
   suspicionOf,
+  takeUnanswered,
   toQuarantineSnapshot,
   viewOf,
   wasHealthy,
@@ -67,6 +74,7 @@
     suspects: runs.flat(),
     failedTrials: [],
     wasAlone: false,
+    isCertain: true,
   };
   recordCrashes(table, [evidence], 0);
 }
@@ -137,6 +145,7 @@
     suspects: request(target, ['rare']),
     failedTrials: [],
     wasAlone: false,
+    isCertain: true,
   }));
   recordCrashes(table, reports, 0);
   expect(refused(table)).toEqual([]);
@@ -215,6 +224,7 @@
     suspects: request('e', ['deadly']),
     failedTrials: [fingerprint('deadly')],
     wasAlone: true,
+    isCertain: true,
   };
   recordCrashes(table, [trial], 0);
   expect(viewOf(table).quarantined).toEqual([
@@ -254,6 +264,7 @@
   suspects,
   failedTrials: [],
   wasAlone,
+  isCertain: true,
 });
 
 test('copies that a failing rack takes prove nothing, one more crash does', () => {
@@ -388,6 +399,49 @@
   expect(table.quarantined.has(elsewhere[1]!.fingerprint)).toEqual(true);
 });
 
+test('a second crash under the same id without a start time is taken for the first', () => {
+  const log = createIncidentLog();
+  const start = {target: targetId('t'), bornMs: 0};
+  const name = (atMs: number, incident: number) =>
+    nameCrash(log, crashIdOf(start), atMs, incident);
+  const first = name(0, 1);
+  expect(name(300, 2)).toEqual(first);
+  expect(name(5_000, 3)).not.toEqual(first);
+  const known = crashIdOf({...start, bornMs: 7});
+  expect(nameCrash(log, known, 5_000, 4)).toEqual(known);
+});
+
+test('a target that was only silent and comes back leaves its requests refused', () => {
+  const table = createQuarantine();
+  const suspects = request('same', []);
+  for (const target of ['t1', 't2', 't3']) {
+    const evidence = {...alone(target, suspects, false), isCertain: false};
+    recordCrashes(table, [evidence], 0);
+  }
+  expect(refused(table)).toEqual(['same']);
+  retractCrash(table, 't3');
+  expect(refused(table)).toEqual([]);
+  crash(table, 't2', suspects);
+  retractCrash(table, 't2');
+  expect(table.crashes.has('t2')).toEqual(true);
+});
+
+test('runs that nobody waited for are forgotten before their target is known to have crashed', () => {
+  const table = createUnansweredRuns();
+  const start = {target: targetId('t'), bornMs: 1};
+  const run = {start, traits: suspectsOf(), trialOf: [], wasAlone: false};
+  noteUnanswered(table, {...run, endedAtMs: 0});
+  noteUnanswered(table, {...run, endedAtMs: 5_000});
+  expect(takeUnanswered(table, {...start, bornMs: 2}, 6_000)).toEqual([]);
+  expect(takeUnanswered(table, start, 6_000).length).toEqual(2);
+  expect(takeUnanswered(table, start, 6_000)).toEqual([]);
+  noteUnanswered(table, {...run, endedAtMs: 7_000});
+  expect(takeUnanswered(table, start, 60_000)).toEqual([]);
+  for (let i = 0; i < 5_000; i += 1)
+    noteUnanswered(table, {...run, endedAtMs: 8_000});
+  expect(table.runs.length <= 1_024).toEqual(true);
+});
+
 test('queries that one in many crashes do not lead to a refusal of the others', () => {
   const table = createQuarantine();
   for (let i = 0; i < 20; i += 1) {
--- a/packages/policy/src/quarantine/snapshot.ts
+++ b/packages/policy/src/quarantine/snapshot.ts
@@ -19,6 +19,8 @@
 }
 
 interface CrashSnapshot extends Pick<CrashRow, 'crash' | 'incident'> {
+  /** Missing in snapshots of earlier versions, whose crashes are certain. */
+  readonly isCertain?: boolean;
   readonly suspects: readonly Suspect[];
 }
 
@@ -28,11 +30,14 @@
   return {
     version: table.version,
     nextIncident: table.nextIncident,
-    crashes: [...table.crashes.values()].map(({crash, incident, suspects}) => ({
-      crash,
-      incident,
-      suspects: [...suspects.values()],
-    })),
+    crashes: [...table.crashes.values()].map(
+      ({crash, incident, isCertain, suspects}) => ({
+        crash,
+        incident,
+        isCertain,
+        suspects: [...suspects.values()],
+      }),
+    ),
     quarantined: [...table.quarantined.values()].map(
       ({fingerprint, kind, failedTrials}) => ({
         fingerprint,
@@ -48,10 +53,11 @@
   thresholds: CrashThresholds,
   nowMs: number,
 ): QuarantineTable {
-  const crashes = snapshot.crashes.map(({crash, incident, suspects}) => ({
-    crash,
-    incident,
-    suspects: new Map(suspects.map(item => [item.fingerprint, item])),
+  const crashes = snapshot.crashes.map(row => ({
+    crash: row.crash,
+    incident: row.incident,
+    isCertain: row.isCertain ?? true,
+    suspects: new Map(row.suspects.map(item => [item.fingerprint, item])),
     updatedAtMs: nowMs,
   }));
   const quarantined = snapshot.quarantined.map(row => ({
--- a/packages/policy/src/quarantine/types.ts
+++ b/packages/policy/src/quarantine/types.ts
@@ -35,6 +35,8 @@
    * after all earlier crashes, so the crash is no part of their incident.
    */
   readonly wasAlone: boolean;
+  /** False if the target only fell silent: it may announce itself again. */
+  readonly isCertain: boolean;
 }
 
 export interface CrashRow {
@@ -42,6 +44,7 @@
   /** Crashes of one incident count once: a rack takes several targets. */
   readonly incident: number;
   readonly suspects: Map<Fingerprint, Suspect>;
+  readonly isCertain: boolean;
   readonly updatedAtMs: number;
 }
 
