--- a/packages/cluster/src/repeated-request.spec.ts
+++ b/packages/cluster/src/repeated-request.spec.ts
@@ -16,6 +16,7 @@
   decodeRouted,
   KEYS,
   startEntryGateway,
+  targetsAreKnown,
   type EntryGateway,
 } from './testing/gateways.js';
 
@@ -94,15 +95,8 @@
     return new Play(scenario, cluster, targets, gateways);
   }
 
-  async targetsAreKnown(): Promise<void> {
-    await until('all targets are up and known', () => {
-      const isKnown = ({entry}: EntryGateway) =>
-        this.targets.ids.every(id => {
-          const record = entry.findTarget(id);
-          return record?.announcement.state === 'ready';
-        });
-      return this.targets.areAllUp && this.gateways.every(isKnown);
-    });
+  targetsAreKnown(): Promise<void> {
+    return targetsAreKnown(this.targets, this.gateways);
   }
 
   send(body: string, coming: number, entry = coming): Promise<CallerResponse> {
--- /dev/null
+++ b/packages/cluster/src/stated-limit.spec.ts
@@ -0,0 +1,114 @@
+/** Targets that state how many requests a second they take from all entries. */
+import {expect} from 'earl';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {serviceId, silentLogger} from '@samphirefield/core';
+import {call} from '@samphirefield/gateway/testing';
+import {TestCluster, until} from './testing/cluster.js';
+import {CrashingTargets} from './testing/crashing-targets.js';
+import {
+  decodeRouted,
+  KEYS,
+  startEntryGateway,
+  targetsAreKnown,
+  type EntryGateway,
+} from './testing/gateways.js';
+
+const LIMIT_PER_S = 5;
+const WINDOW_MS = 2_000;
+/** What the users allow in any window. */
+const ALLOWED = 1.5 * LIMIT_PER_S * (WINDOW_MS / 1_000) + 5;
+/** Within this time of its first naming, all entries obey a limit. */
+const KNOWN_AFTER_MS = 1_000;
+const PLAY_MS = 5_000;
+const REQUESTS_PER_S = 60;
+
+interface LimitPlay {
+  readonly cluster: TestCluster;
+  readonly gateways: EntryGateway[];
+  readonly targets: CrashingTargets;
+  /** When each request reached the targets, by position. */
+  readonly runsAtMs: number[][];
+  readonly statuses: number[];
+}
+
+async function setUp(
+  t: TestContext,
+  isEngine: boolean,
+  limited: readonly number[],
+): Promise<LimitPlay> {
+  const services = [serviceId('desk')];
+  const kind = isEngine ? 'stream' : 'unsafe';
+  const cluster = await TestCluster.create(
+    3,
+    3,
+    decodeRouted({kind, services, isEngine}),
+  );
+  t.after(() => cluster.close());
+  for (const i of [0, 1, 2]) await cluster.start(i, true);
+  await until('a leader', () => cluster.leaderIndex() !== undefined);
+  await cluster.putConfig(0, 1);
+  const gateways: EntryGateway[] = [];
+  t.after(() => gateways.forEach(gateway => gateway.close()));
+  for (const name of ['e1', 'e2', 'e3'])
+    gateways.push(await startEntryGateway(cluster, name, silentLogger));
+  const runsAtMs: number[][] = [[], [], []];
+  const targets = await CrashingTargets.start({
+    cluster,
+    services,
+    perService: 3,
+    isDeadly: () => false,
+    comeback: 'other_id',
+    onRun: position => runsAtMs[position]!.push(performance.now()),
+    headOf: position =>
+      limited.includes(position) ? [`Limit: ${LIMIT_PER_S}`] : [],
+  });
+  t.after(() => targets.close());
+  await targetsAreKnown(targets, gateways);
+  return {cluster, gateways, targets, runsAtMs, statuses: []};
+}
+
+/** Sends requests at a steady rate, to the entries in turn. */
+async function sendMany(play: LimitPlay, forMs: number): Promise<void> {
+  const sent: Array<Promise<void>> = [];
+  const startedAtMs = performance.now();
+  for (let i = 0; performance.now() - startedAtMs < forMs; i += 1) {
+    const {port} = play.gateways[i % play.gateways.length]!;
+    const headers = {key: KEYS[0], 'deadline-ms': '2000'};
+    const request = {attemptId: `a${i}`, body: `b${i}`, path: '/x', headers};
+    sent.push(
+      call(port, request).then(({status}) => void play.statuses.push(status)),
+    );
+    await delay(1_000 / REQUESTS_PER_S);
+  }
+  await Promise.all(sent);
+}
+
+/** The most requests in any window that begins when the limit is known. */
+function mostInWindow(runsAtMs: readonly number[]): number {
+  const fromMs = (runsAtMs[0] ?? 0) + KNOWN_AFTER_MS;
+  const counted = runsAtMs.filter(atMs => atMs >= fromMs);
+  const counts = counted.map(
+    startMs =>
+      counted.filter(atMs => atMs >= startMs && atMs < startMs + WINDOW_MS)
+        .length,
+  );
+  return Math.max(0, ...counts);
+}
+
+const isKept = (play: LimitPlay, position: number) =>
+  mostInWindow(play.runsAtMs[position]!) <= ALLOWED;
+
+test('plain targets get far more requests than the limit that they named', async t => {
+  const play = await setUp(t, false, [0, 1]);
+  await sendMany(play, PLAY_MS);
+  expect([isKept(play, 0), isKept(play, 1)]).toEqual([true, true]);
+  const served = play.statuses.filter(status => status === 200).length;
+  expect(served).toEqual(play.statuses.length);
+});
+
+test('engines get far more requests than the limit that they named', async t => {
+  const play = await setUp(t, true, [0, 1]);
+  await sendMany(play, PLAY_MS);
+  expect([isKept(play, 0), isKept(play, 1)]).toEqual([true, true]);
+});
--- a/packages/cluster/src/testing/crashing-targets.ts
+++ b/packages/cluster/src/testing/crashing-targets.ts
@@ -2,6 +2,7 @@
  * Targets that crash when they begin to run a deadly request, and start again
  * a while later. They announce themselves to the control daemons.
  */
+import type {Socket} from 'node:net';
 import {
   targetId,
   zoneId,
@@ -30,6 +31,10 @@
   readonly comeback: Comeback;
   /** A target ends without a reset of its connections. */
   readonly isSilentEnd?: boolean;
+  /** Called for each request that is answered, with the target's position. */
+  readonly onRun?: (position: number) => void;
+  /** Further lines of the head of a response of the target at a position. */
+  readonly headOf?: (position: number) => readonly string[];
 }
 
 interface Place {
@@ -113,7 +118,7 @@
       ({head, body, socket}) => {
         if (place.server !== server) return;
         if (this.options.isDeadly(head, body)) this.end(place);
-        else socket.write(completeResponse('done'));
+        else this.answer(place, socket);
       },
     );
     place.server = server;
@@ -121,6 +126,13 @@
     this.announce(place);
   }
 
+  private answer(place: Place, socket: Socket): void {
+    const {onRun, headOf} = this.options;
+    const position = this.places.indexOf(place);
+    onRun?.(position);
+    socket.write(completeResponse('done', headOf?.(position) ?? []));
+  }
+
   private end(place: Place): void {
     const {server} = place;
     if (server === undefined) return;
--- a/packages/cluster/src/testing/gateways.ts
+++ b/packages/cluster/src/testing/gateways.ts
@@ -17,6 +17,7 @@
 import {NO_MOVES, testProtocol} from '@samphirefield/gateway/testing';
 import type {EntryNode} from '../entry/index.js';
 import {decodeTestDocument, until, type TestCluster} from './cluster.js';
+import type {CrashingTargets} from './crashing-targets.js';
 
 export const KEYS = ['k1', 'k2', 'k3'] as const;
 
@@ -113,3 +114,18 @@
     },
   };
 }
+
+/** Waits until all targets are up and known to all entries. */
+export function targetsAreKnown(
+  targets: CrashingTargets,
+  gateways: readonly EntryGateway[],
+): Promise<void> {
+  const isKnown = ({entry}: EntryGateway) =>
+    targets.ids.every(
+      id => entry.findTarget(id)?.announcement.state === 'ready',
+    );
+  return until(
+    'all targets are up and known',
+    () => targets.areAllUp && gateways.every(isKnown),
+  );
+}
