Keep to the limit that a target states, over all entries together

Cause: nothing read what a target states in its answers. Class: what a target says of itself reaches nobody. The entry that received a statement obeys it at once and tells the leader, which tells all entries, hands a new leader's table on, and counts every sending: reservations on engines there, one grant for each sending to a plain target with a limit (void after 0.3 s). Without a leader an entry sends its share, from a random moment on. Sendings are spaced; what was missed is made up for 250 ms at most. The queue's estimate counts with the limits, so what cannot be served is refused at once, with the time. A new start, or an answer without it to a later request, ends it. A limit that cannot be meant changes nothing, and is logged once. Ruled out: equal shares of the entries with a leader too (8 or 73 entries with one sending saved up each exceed a limit of 2.5).

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -44,6 +44,8 @@
   MovePermitMessage,
   PullRequest,
   RaftLinkMessage,
+  SendRequest,
+  StatementsMessage,
   StateUpdate,
   SuspectsMessage,
   TargetUpdate,
@@ -52,6 +54,7 @@
 import {QuorumContact} from './quorum-contact.js';
 import {ReservationManager} from './reservations.js';
 import {TargetRegistry} from './target-registry.js';
+import {StatementKeeper} from './statement-keeper.js';
 import {StatusReporter} from './status-reporter.js';
 import {Subscribers} from './subscribers.js';
 
@@ -94,6 +97,7 @@
   private readonly contact: QuorumContact;
   private readonly status: StatusReporter;
   private readonly quarantine: QuarantineKeeper;
+  private readonly statements: StatementKeeper;
   private readonly entryIncarnations = new Map<InstanceId, string>();
   private pendingRenewals = new Map<TargetId, TargetUpdate>();
   private listener: LinkListener | undefined;
@@ -117,14 +121,30 @@
         if (!isSilent && state !== 'gone')
           this.quarantine.retract({target: id, bornMs});
       },
-      onRemoved: id => this.reservations.removeTarget(id),
+      onRemoved: id => {
+        this.reservations.removeTarget(id);
+        this.statements.forget(id);
+      },
       onDirectAnnouncement: (record, isChange) => {
         const update = this.registry.toUpdate(record);
         if (isChange) this.subscribers.sendTargets('control', [update]);
         else this.pendingRenewals.set(record.announcement.id, update);
       },
     });
-    this.reservations = new ReservationManager({logger, nowMs});
+    this.statements = new StatementKeeper({
+      logger,
+      nowMs,
+      startOf: id => {
+        const bornMs = this.registry.find(id)?.announcement.bornMs;
+        return bornMs === undefined ? undefined : {target: id, bornMs};
+      },
+      spread: reports => this.subscribers.sendStatements({reports}),
+    });
+    this.reservations = new ReservationManager({
+      logger,
+      nowMs,
+      limiter: this.statements,
+    });
     this.links = new LinkSet(this.handlers(), {
       onUp: (_address, peer) => this.sendHello(peer),
       onDown: address => {
@@ -334,6 +354,15 @@
         this.quarantine.admit(request),
       suspects_ended: ({fingerprints}: SuspectsMessage) =>
         this.quarantine.endRun(fingerprints),
+      statements: ({reports}: StatementsMessage) => {
+        this.startTermIfLeader();
+        if (!this.isLeader) return;
+        for (const report of reports) this.statements.learn(report);
+      },
+      take_send: ({target}: SendRequest) =>
+        this.isLeader
+          ? this.statements.takeSend(target)
+          : Promise.reject(new Error('not_leader')),
       held_runs: (held: HeldRuns) => {
         // Runs that arrive before this daemon knows its term would be cleared.
         this.startTermIfLeader();
@@ -385,6 +414,8 @@
     if (group && hello.role === 'entry') {
       peer.notify('quarantine', viewOf(group.quarantine));
     }
+    if (this.isLeader && hello.role === 'entry')
+      peer.notify('statements', {reports: this.statements.reports()});
     this.options.logger.info('subscriber', {
       peer: hello.instance,
       role: hello.role,
@@ -461,7 +492,9 @@
   private startTermIfLeader(): void {
     if (!this.isLeader) return;
     const isNew = this.reservations.startTerm(this.group!.term);
-    if (isNew) this.status.noteLeadership();
+    if (!isNew) return;
+    this.statements.startTerm();
+    this.status.noteLeadership();
   }
 
   private tick(): void {
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -8,6 +8,7 @@
 } from '@samphirefield/core';
 import type {TargetAnnouncement} from '@samphirefield/gateway';
 import type {CrashEvidence} from '@samphirefield/policy/quarantine';
+import type {StatementReport} from '@samphirefield/policy/statements';
 import type {Envelope, ReplicaId} from '@samphirefield/replication';
 import type {Address} from '../link/index.js';
 import type {ClusterState} from './state-machine.js';
@@ -109,6 +110,22 @@
   readonly ageMs: number;
 }
 
+/** Statements of targets, to or from the leader. */
+export interface StatementsMessage {
+  readonly reports: readonly StatementReport[];
+}
+
+/** Asks the leader for one sending to a target with a limit. */
+export interface SendRequest {
+  readonly target: TargetId;
+}
+
+export interface SendAnswer {
+  readonly isGranted: boolean;
+  /** Time until the next sending may be granted. */
+  readonly retryAfterMs: number;
+}
+
 /** Suspects that a target answered, or whose run ended and tells nothing. */
 export interface SuspectsMessage {
   readonly fingerprints: readonly Fingerprint[];
--- a/packages/cluster/src/control/reservations.ts
+++ b/packages/cluster/src/control/reservations.ts
@@ -16,11 +16,13 @@
   type DispatchResult,
   type RunOutcome,
   type ServiceCapacity,
+  type TargetLimiter,
   type TargetRecord,
 } from '@samphirefield/gateway';
 import type {FinishMessage, HeldRuns, MovePermitMessage} from './messages.js';
 
 export interface ReservationManagerOptions {
+  readonly limiter: TargetLimiter;
   readonly logger: Logger;
   readonly nowMs: () => number;
 }
@@ -41,6 +43,7 @@
       onResult: (demand, result) => this.onResult(demand, result),
       share: () => 1,
       random: Math.random,
+      limiter: options.limiter,
     });
     this.permits = new MovePermits(options.nowMs);
   }
--- a/packages/cluster/src/control/subscribers.ts
+++ b/packages/cluster/src/control/subscribers.ts
@@ -2,7 +2,12 @@
 import type {InstanceId} from '@samphirefield/core';
 import type {QuarantineView} from '@samphirefield/policy/quarantine';
 import {serializeNotification, type Peer} from '../link/index.js';
-import type {GroupStatus, Hello, TargetUpdate} from './messages.js';
+import type {
+  GroupStatus,
+  Hello,
+  StatementsMessage,
+  TargetUpdate,
+} from './messages.js';
 
 export class Subscribers {
   private readonly hellos = new Map<Peer, Hello>();
@@ -46,6 +51,13 @@
     }
   }
 
+  sendStatements(message: StatementsMessage): void {
+    const line = serializeNotification('statements', message);
+    for (const [peer, hello] of this.hellos) {
+      if (hello.role === 'entry') peer.notifyLine(line);
+    }
+  }
+
   sendTargets(role: Hello['role'], items: readonly TargetUpdate[]): void {
     const line = serializeNotification('targets', {items});
     for (const [peer, hello] of this.hellos) {
--- a/packages/cluster/src/entry/control-links.ts
+++ b/packages/cluster/src/entry/control-links.ts
@@ -6,9 +6,11 @@
 import {createHash} from 'node:crypto';
 import type {InstanceId, Logger, TargetId, ZoneId} from '@samphirefield/core';
 import type {QuarantineView} from '@samphirefield/policy/quarantine';
+import type {StatementReport} from '@samphirefield/policy/statements';
 import type {
   GroupStatus,
   Hello,
+  StatementsMessage,
   TargetUpdate,
   TargetsMessage,
 } from '../control/index.js';
@@ -44,6 +46,7 @@
   readonly onLeader: (leader: Peer | undefined) => void;
   readonly onStatus: (status: GroupStatus, peer: Peer) => void;
   readonly onQuarantine: (view: QuarantineView) => void;
+  readonly onStatements: (reports: readonly StatementReport[]) => void;
   /** Called when other daemons than before decide which targets are silent. */
   readonly onInformantsChanged: () => void;
 }
@@ -83,6 +86,8 @@
         targets: (message: TargetsMessage, peer: Peer) =>
           this.onTargets(message, peer),
         quarantine: (view: QuarantineView) => options.onQuarantine(view),
+        statements: ({reports}: StatementsMessage) =>
+          options.onStatements(reports),
       },
       {
         onUp: (address, peer) => this.onUp(address, peer),
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -39,6 +39,7 @@
 import type {Address, Peer} from '../link/index.js';
 import {ControlLinks} from './control-links.js';
 import {EntryQuarantine} from './entry-quarantine.js';
+import {EntryStatements} from './entry-statements.js';
 
 const PULL_TIMEOUT_MS = 2_000;
 const DISPATCH_EVERY_MS = 100;
@@ -68,6 +69,7 @@
   private current: ActiveConfig | undefined;
   private readonly table: TargetTable = new Map();
   readonly quarantine: EntryQuarantine;
+  readonly statements: EntryStatements;
   private readonly controls: ControlLinks;
   private readonly localDispatcher: Dispatcher;
   private readonly localResolvers = new Map<
@@ -82,7 +84,20 @@
   private isPulling = false;
 
   constructor(private readonly options: EntryNodeOptions) {
+    this.statements = new EntryStatements({
+      logger: options.logger,
+      nowMs: options.nowMs,
+      random: Math.random,
+      leader: () => this.controls.leaderPeer,
+      entryCount: () => this.entryCount,
+      startOf: id => {
+        const bornMs = this.table.get(id)?.announcement.bornMs;
+        return bornMs === undefined ? undefined : {target: id, bornMs};
+      },
+      onGrant: () => this.localDispatcher.dispatchPending(options.nowMs()),
+    });
     this.localDispatcher = new Dispatcher({
+      limiter: this.statements,
       onResult: (demand, result) => this.resolveLocally(demand, result),
       // Reservations on engines are granted here only without a leader, when
       // all entries do so: each uses an equal share.
@@ -98,7 +113,11 @@
       ...options,
       incarnation: randomUUID(),
       onTarget: update => this.onTargetUpdate(update),
-      onLeader: leader => this.sendHeldRuns(leader),
+      onLeader: leader => {
+        this.sendHeldRuns(leader);
+        this.statements.reportAll(leader);
+      },
+      onStatements: reports => this.statements.learn(reports),
       onStatus: (status, peer) => {
         if (status.index > this.stateIndex) void this.pullState(peer);
       },
@@ -242,6 +261,7 @@
     );
     for (const id of expired) {
       this.localDispatcher.removeTarget(id);
+      this.statements.forget(id);
       this.controls.forgetTarget(id);
     }
   }
--- /dev/null
+++ b/packages/cluster/src/entry/entry-statements.ts
@@ -0,0 +1,204 @@
+/**
+ * An entry's part of the statements of targets: obeys what it receives itself at
+ * once and reports it to the leader, and learns from the leader what others
+ * received. The leader grants each sending to a target with a limit; without one
+ * the entry sends its share.
+ */
+import type {Logger, TargetId} from '@samphirefield/core';
+import type {
+  ResponseMetadata,
+  StatementListener,
+  TargetLimiter,
+} from '@samphirefield/gateway';
+import type {TargetStart} from '@samphirefield/policy/quarantine';
+import {
+  createSendRates,
+  createStatements,
+  hearStatement,
+  learnStatement,
+  msUntilSend,
+  parseLimit,
+  recordSend,
+  startLimiting,
+  statementOf,
+  statementReports,
+  type StatementReport,
+  type TargetStatement,
+} from '@samphirefield/policy/statements';
+import type {SendAnswer, SendRequest} from '../control/index.js';
+import type {Peer} from '../link/index.js';
+
+const TAKE_SEND_TIMEOUT_MS = 500;
+/** A granted sending that nobody uses for this long is void. */
+const GRANT_VALID_MS = 300;
+const ASK_AGAIN_MIN_MS = 20;
+const MS_PER_S = 1_000;
+const MAX_LOGGED_STARTS = 256;
+
+export interface EntryStatementsOptions {
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  readonly random: () => number;
+  readonly leader: () => Peer | undefined;
+  /** Number of entries that share a limit while there is no leader. */
+  readonly entryCount: () => number;
+  /** The present start of a target; undefined if it is not known. */
+  readonly startOf: (target: TargetId) => TargetStart | undefined;
+  /** Called when more may be sent than before. */
+  readonly onGrant: () => void;
+}
+
+interface LimitedTarget {
+  /** When the granted sendings become void. */
+  grantsUntilMs: number[];
+  isAsking: boolean;
+  askAgainAtMs: number;
+}
+
+export class EntryStatements implements StatementListener, TargetLimiter {
+  private readonly table = createStatements();
+  private readonly rates = createSendRates();
+  private readonly limited = new Map<TargetId, LimitedTarget>();
+  private readonly loggedInvalid = new Set<string>();
+
+  constructor(private readonly options: EntryStatementsOptions) {}
+
+  hear(
+    start: TargetStart,
+    {limitsPerS}: ResponseMetadata,
+    sentAtMs: number,
+  ): void {
+    const limitPerS = parseLimit(limitsPerS);
+    if (limitPerS === 'invalid') {
+      this.logInvalid(start, limitsPerS);
+      return;
+    }
+    const {nowMs} = this.options;
+    const statement: TargetStatement = {limitPerS};
+    if (!hearStatement(this.table, start, statement, sentAtMs, nowMs())) return;
+    this.options.logger.info('statement_heard', {
+      target: start.target,
+      born_ms: start.bornMs,
+      limit_per_s: limitPerS,
+    });
+    this.onChange(start.target);
+    const report: StatementReport = {start, statement, ageMs: 0};
+    this.options.leader()?.notify('statements', {reports: [report]});
+  }
+
+  learn(reports: readonly StatementReport[]): void {
+    const nowMs = this.options.nowMs();
+    for (const report of reports) {
+      if (learnStatement(this.table, report, nowMs))
+        this.onChange(report.start.target);
+    }
+  }
+
+  /** Reports all that this entry knows to a leader that may not. */
+  reportAll(leader: Peer | undefined): void {
+    const reports = statementReports(this.table, this.options.nowMs());
+    if (reports.length > 0) leader?.notify('statements', {reports});
+  }
+
+  forget(target: TargetId): void {
+    this.table.delete(target);
+    this.rates.delete(target);
+    this.limited.delete(target);
+  }
+
+  expectedPerS(target: TargetId): number | undefined {
+    const limitPerS = this.limitOf(target);
+    return limitPerS && limitPerS / Math.max(1, this.options.entryCount());
+  }
+
+  maySend(target: TargetId, nowMs: number): boolean {
+    if (this.limitOf(target) === undefined) return true;
+    if (this.options.leader() === undefined)
+      return msUntilSend(this.rates, target, nowMs) === 0;
+    return this.validGrants(target, nowMs).length > 0;
+  }
+
+  recordSend(target: TargetId, nowMs: number): void {
+    const perS = this.expectedPerS(target);
+    if (perS === undefined) return;
+    recordSend(this.rates, target, perS, nowMs);
+    this.validGrants(target, nowMs).shift();
+  }
+
+  want(target: TargetId, nowMs: number): void {
+    const leader = this.options.leader();
+    const row = this.rowOf(target);
+    if (leader === undefined || row.isAsking || nowMs < row.askAgainAtMs)
+      return;
+    row.isAsking = true;
+    void this.takeSend(leader, target, row);
+  }
+
+  private async takeSend(
+    leader: Peer,
+    target: TargetId,
+    row: LimitedTarget,
+  ): Promise<void> {
+    const request: SendRequest = {target};
+    const answer = await leader
+      .request<SendAnswer>('take_send', request, TAKE_SEND_TIMEOUT_MS)
+      .catch(() => ({isGranted: false, retryAfterMs: TAKE_SEND_TIMEOUT_MS}));
+    const nowMs = this.options.nowMs();
+    row.isAsking = false;
+    if (answer.isGranted) {
+      row.grantsUntilMs.push(nowMs + GRANT_VALID_MS);
+      this.options.onGrant();
+      return;
+    }
+    const waitMs = Math.max(ASK_AGAIN_MIN_MS, answer.retryAfterMs);
+    row.askAgainAtMs = nowMs + waitMs;
+  }
+
+  private limitOf(target: TargetId): number | undefined {
+    const start = this.options.startOf(target);
+    return start && statementOf(this.table, start).limitPerS;
+  }
+
+  private rowOf(target: TargetId): LimitedTarget {
+    const row = this.limited.get(target) ?? {
+      grantsUntilMs: [],
+      isAsking: false,
+      askAgainAtMs: 0,
+    };
+    this.limited.set(target, row);
+    return row;
+  }
+
+  private validGrants(target: TargetId, nowMs: number): number[] {
+    const row = this.rowOf(target);
+    row.grantsUntilMs = row.grantsUntilMs.filter(untilMs => untilMs > nowMs);
+    return row.grantsUntilMs;
+  }
+
+  /** Entries without a leader begin at different times. */
+  private onChange(target: TargetId): void {
+    const {nowMs, random, onGrant} = this.options;
+    const perS = this.expectedPerS(target);
+    if (perS === undefined) {
+      this.limited.delete(target);
+      onGrant();
+      return;
+    }
+    const delayMs = (random() * MS_PER_S) / perS;
+    startLimiting(this.rates, target, delayMs, nowMs());
+  }
+
+  private logInvalid(
+    {target, bornMs}: TargetStart,
+    limitsPerS: readonly number[],
+  ): void {
+    const key = `${target}/${bornMs}`;
+    if (this.loggedInvalid.has(key)) return;
+    if (this.loggedInvalid.size >= MAX_LOGGED_STARTS) return;
+    this.loggedInvalid.add(key);
+    this.options.logger.warn('statement_invalid', {
+      target,
+      limits_per_s: limitsPerS.join(','),
+    });
+  }
+}
--- a/packages/cluster/src/stated-limit.spec.ts
+++ b/packages/cluster/src/stated-limit.spec.ts
@@ -112,3 +112,51 @@
   await sendMany(play, PLAY_MS);
   expect([isKept(play, 0), isKept(play, 1)]).toEqual([true, true]);
 });
+
+test('a limit that one entry heard is not known to an entry that starts', async t => {
+  const play = await setUp(t, false, [0, 1, 2]);
+  await sendMany(play, 500);
+  const [stopped] = play.gateways.splice(0, 1);
+  stopped!.close();
+  const last = await startEntryGateway(play.cluster, 'e4', silentLogger);
+  play.gateways.push(last);
+  const [id] = play.targets.ids;
+  await until(
+    'the entry knows the limit',
+    () => last.entry.statements.expectedPerS(id!) !== undefined,
+  );
+});
+
+test('entries exceed the limit after the leader was lost and another leads', async t => {
+  const play = await setUp(t, true, [0, 1]);
+  await sendMany(play, 1_500);
+  const leader = play.cluster.leaderIndex()!;
+  await play.cluster.stop(leader);
+  await sendMany(play, PLAY_MS);
+  expect([isKept(play, 0), isKept(play, 1)]).toEqual([true, true]);
+});
+
+test('a limit holds after the target has ended it', async t => {
+  const limited = [0, 1, 2];
+  const play = await setUp(t, false, limited);
+  await sendMany(play, 1_500);
+  limited.length = 0;
+  const before = play.runsAtMs.map(runs => runs.length);
+  await sendMany(play, 3_000);
+  const after = play.runsAtMs.map((runs, i) => runs.length - before[i]!);
+  const sum = after.reduce((a, b) => a + b, 0);
+  // Under the limits together it would be 45.
+  expect(sum > 2 * LIMIT_PER_S * 3 * 3).toEqual(true);
+});
+
+test('an entry alone without a leader uses more than its share of a limit', async t => {
+  const play = await setUp(t, false, [0, 1]);
+  await sendMany(play, 1_000);
+  for (const i of [0, 1]) await play.cluster.stop(i);
+  await until('no leader', () =>
+    play.gateways.every(({entry}) => entry.metrics()['has_leader'] === 0),
+  );
+  for (const runs of play.runsAtMs) runs.length = 0;
+  await sendMany(play, PLAY_MS);
+  expect([isKept(play, 0), isKept(play, 1)]).toEqual([true, true]);
+});
--- a/packages/cluster/src/testing/crashing-targets.ts
+++ b/packages/cluster/src/testing/crashing-targets.ts
@@ -118,7 +118,7 @@
       ({head, body, socket}) => {
         if (place.server !== server) return;
         if (this.options.isDeadly(head, body)) this.end(place);
-        else this.answer(place, socket);
+        else this.answer(place, head, socket);
       },
     );
     place.server = server;
@@ -126,11 +126,13 @@
     this.announce(place);
   }
 
-  private answer(place: Place, socket: Socket): void {
+  private answer(place: Place, head: string, socket: Socket): void {
     const {onRun, headOf} = this.options;
     const position = this.places.indexOf(place);
     onRun?.(position);
-    socket.write(completeResponse('done', headOf?.(position) ?? []));
+    const attempt = /^attempt: (.*)$/im.exec(head)?.[1] ?? '';
+    const lines = [`Attempt: ${attempt}`, ...(headOf?.(position) ?? [])];
+    socket.write(completeResponse('done', lines));
   }
 
   private end(place: Place): void {
--- a/packages/cluster/src/testing/gateways.ts
+++ b/packages/cluster/src/testing/gateways.ts
@@ -90,6 +90,7 @@
     reservations: entry,
     budget: {recordRequest: () => undefined, tryConsume: () => true},
     quarantine: entry.quarantine,
+    statements: entry.statements,
     pool,
     mover: NO_MOVES,
     logger,
--- a/packages/gateway/src/dispatch/dispatcher.spec.ts
+++ b/packages/gateway/src/dispatch/dispatcher.spec.ts
@@ -12,6 +12,7 @@
 } from '@samphirefield/core';
 import type {TargetRecord} from '../registry/index.js';
 import {Dispatcher} from './dispatcher.js';
+import {NO_LIMITS, type TargetLimiter} from './limiter.js';
 import type {Demand, DispatchResult} from './types.js';
 
 const SERVICE = serviceId('advice');
@@ -62,12 +63,30 @@
   };
 }
 
-function setUp(targets: readonly TargetRecord[], coldRequestsPerS = 0) {
+/** Limits of 2 a second on some targets, of which one sending is free. */
+function limiterOf(limited: readonly string[]): TargetLimiter {
+  const sent = new Set<string>();
+  return {
+    ...NO_LIMITS,
+    maySend: id => !sent.has(id),
+    recordSend: id => {
+      if (limited.includes(id)) sent.add(id);
+    },
+    expectedPerS: id => (limited.includes(id) ? 2 : undefined),
+  };
+}
+
+function setUp(
+  targets: readonly TargetRecord[],
+  coldRequestsPerS = 0,
+  limiter: TargetLimiter = NO_LIMITS,
+) {
   const results = new Map<string, DispatchResult>();
   const dispatcher = new Dispatcher({
     onResult: ({request}, result) => results.set(request, result),
     share: () => 1,
     random: () => 0,
+    limiter,
   });
   dispatcher.configure(
     [{service: SERVICE, kvTokens: KV_TOKENS, coldRequestsPerS}],
@@ -223,6 +242,33 @@
   expect(results.has('patient')).toEqual(false);
 });
 
+test('demands wait in vain for targets that may get no more a second', () => {
+  const limiter = limiterOf(['t1', 't2']);
+  const targets = [record('t1', {slots: 99}), record('t2', {slots: 99})];
+  const {dispatcher, results, targetOf} = setUp(targets, 0, limiter);
+  const hasty = {maxWaitMs: 1_000};
+  for (const name of ['r1', 'r2']) dispatcher.acquire(demand(name, hasty), 0);
+  expect([targetOf('r1'), targetOf('r2')].sort()).toEqual(['t1', 't2']);
+  // Four a second together: the fifth that waits would be served in 1.25 s.
+  for (let i = 0; i < 5; i += 1) dispatcher.acquire(demand(`w${i}`, hasty), 0);
+  dispatcher.acquire(demand('late', hasty), 0);
+  expect(results.get('late')).toEqual({
+    kind: 'refused',
+    reason: 'crowded',
+    retryAfterMs: 1_250,
+  });
+});
+
+test('a limited target keeps others of its service from being used', () => {
+  const limiter = limiterOf(['t1']);
+  const targets = [record('t1', {slots: 99}), record('t2', {slots: 99})];
+  const {dispatcher, targetOf} = setUp(targets, 0, limiter);
+  for (let i = 0; i < 8; i += 1) dispatcher.acquire(demand(`r${i}`), 0);
+  const granted = Array.from({length: 8}, (_, i) => targetOf(`r${i}`));
+  expect(granted.filter(target => target === 't1').length).toEqual(1);
+  expect(granted.filter(target => target === 't2').length).toEqual(7);
+});
+
 test('releases the runs of a lost daemon', () => {
   const {dispatcher, targetOf} = setUp([record('t1', {slots: 1})]);
   dispatcher.acquire(demand('r1'), 0);
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -17,6 +17,7 @@
 } from '@samphirefield/core';
 import type {TargetRecord} from '../registry/index.js';
 import {DemandQueue} from './demand-queue.js';
+import {NO_LIMITS, type TargetLimiter} from './limiter.js';
 import {
   addRun,
   createTargetState,
@@ -39,6 +40,7 @@
 
 const FULL_LOAD = 1;
 const TIE_BREAK_RANGE = 0.02;
+const MS_PER_S = 1_000;
 
 export interface Run {
   readonly request: RequestId;
@@ -55,6 +57,8 @@
   readonly share: (service: ServiceId) => number;
   /** A random number in [0, 1) that chooses among equally good targets. */
   readonly random: () => number;
+  /** Default: targets state no limits. */
+  readonly limiter?: TargetLimiter;
 }
 
 /** Grants or refuses demands; keeps the runs and the pending demands. */
@@ -67,7 +71,11 @@
   private readonly queue = new DemandQueue();
   private readonly estimate = new WaitEstimate();
 
-  constructor(private readonly options: DispatcherOptions) {}
+  private readonly limiter: TargetLimiter;
+
+  constructor(private readonly options: DispatcherOptions) {
+    this.limiter = options.limiter ?? NO_LIMITS;
+  }
 
   get pendingCount(): number {
     return this.queue.size;
@@ -255,7 +263,23 @@
     nowMs: number,
   ): number | undefined {
     const ahead = this.queue.countAhead(service, priority);
-    return this.estimate.waitMs(service, ahead, nowMs);
+    const estimateMs = this.estimate.waitMs(service, ahead, nowMs);
+    const statedPerS = this.statedPerS(service);
+    if (statedPerS === undefined) return estimateMs;
+    const statedMs = (ahead / statedPerS) * MS_PER_S;
+    return Math.max(estimateMs ?? 0, statedMs);
+  }
+
+  /** The sum of the limits, if each usable target of the service states one. */
+  private statedPerS(service: ServiceId): number | undefined {
+    let sum = 0;
+    for (const id of this.byService.get(service) ?? []) {
+      if (!this.isAvailable(this.targets.get(id)!)) continue;
+      const perS = this.limiter.expectedPerS(id);
+      if (perS === undefined) return undefined;
+      sum += perS;
+    }
+    return sum > 0 ? sum : undefined;
   }
 
   /** Whether the demands ahead need more time than this one may wait. */
@@ -269,6 +293,7 @@
     const {request, entry, kvTokens} = demand;
     addRun(target, kvTokens);
     recordGrant(target, demand.prefillTokens, nowMs);
+    this.limiter.recordSend(id, nowMs);
     this.runs.set(request, {request, entry, target: id, kvTokens});
     this.estimate.recordGrant(demand.service, nowMs);
     this.options.onResult(demand, {kind: 'granted', target: id});
@@ -325,6 +350,10 @@
       }
       const load = this.loadAfter(target, demand);
       if (load > maxLoad) continue;
+      if (!this.limiter.maySend(id, nowMs)) {
+        this.limiter.want(id, nowMs);
+        continue;
+      }
       const cost = this.costOf(target, load, demand, nowMs);
       if (cost < bestCost) {
         best = target;
@@ -335,13 +364,13 @@
   }
 
   private isUsable(target: TargetState, demand: Demand): boolean {
-    const {id, state, zone} = target.record.announcement;
-    return (
-      state === 'ready' &&
-      !target.isSilent &&
-      !this.zonesOut.has(zone) &&
-      !demand.excluded.includes(id)
-    );
+    const {id} = target.record.announcement;
+    return this.isAvailable(target) && !demand.excluded.includes(id);
+  }
+
+  private isAvailable({record, isSilent}: TargetState): boolean {
+    const {state, zone} = record.announcement;
+    return state === 'ready' && !isSilent && !this.zonesOut.has(zone);
   }
 
   /**
--- a/packages/gateway/src/dispatch/index.ts
+++ b/packages/gateway/src/dispatch/index.ts
@@ -1,3 +1,4 @@
 export * from './demands.js';
 export * from './dispatcher.js';
+export * from './limiter.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/dispatch/limiter.ts
@@ -0,0 +1,20 @@
+/** How a dispatcher keeps to the limits that targets state. */
+import type {TargetId} from '@samphirefield/core';
+
+export interface TargetLimiter {
+  /** Whether a request may be sent to the target now. */
+  maySend(target: TargetId, nowMs: number): boolean;
+  /** Counts a request that is sent now. */
+  recordSend(target: TargetId, nowMs: number): void;
+  /** A request could be sent to the target but for its limit. */
+  want(target: TargetId, nowMs: number): void;
+  /** This dispatcher's part of the target's limit; undefined: no limit. */
+  expectedPerS(target: TargetId): number | undefined;
+}
+
+export const NO_LIMITS: TargetLimiter = {
+  maySend: () => true,
+  recordSend: () => undefined,
+  want: () => undefined,
+  expectedPerS: () => undefined,
+};
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -408,6 +408,9 @@
     continuation?: StreamContinuation,
   ): TargetAttempt {
     const {protocol} = this.deps;
+    const {target, bornMs} = reservation;
+    const start = {target, bornMs};
+    const sentAtMs = this.deps.nowMs();
     const gatewayHeaders = protocol.writeGatewayHeaders({
       target: reservation.target,
       workspace: admitted.workspace,
@@ -429,6 +432,7 @@
       isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
       continuedSink: continuation?.sink,
       onProven: () => admitted.quarantine.recordAnswer(),
+      onHead: metadata => this.deps.statements.hear(start, metadata, sentAtMs),
     });
     this.attempt = attempt;
     return attempt;
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -70,6 +70,8 @@
   readonly continuedSink: ResponseSink | undefined;
   /** Called once when the target has answered, or goes on answering. */
   readonly onProven: () => void;
+  /** Called with the head of a response that names this request. */
+  readonly onHead: (metadata: ResponseMetadata) => void;
 }
 
 const FIRST_FAILURE_STATUS = 500;
@@ -119,6 +121,8 @@
     onHead: response => {
       head = response;
       metadata = protocol.readResponse(response);
+      if (metadata.attemptId === attemptId && !metadata.isMisdirected)
+        options.onHead(metadata);
       if (isSuccess(response.status) && !metadata.isSigned) {
         breakOff({
           kind: 'malformed',
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -17,6 +17,7 @@
 import type {RequestObserver} from '../metrics/index.js';
 import type {KvCacheMover, ResumePoint} from '../moves/index.js';
 import type {PlannedStop} from './planned-stop.js';
+import type {TargetStart} from '@samphirefield/policy/quarantine';
 import type {Quarantine} from '../quarantine/index.js';
 import type {TargetRecord} from '../registry/index.js';
 import type {GatewayView, RouteIndex} from '../routes/index.js';
@@ -68,6 +69,11 @@
   readonly isMisdirected: boolean;
   /** Whether the response carries the target's signature. */
   readonly isSigned: boolean;
+  /**
+   * Every limit that the head names, in requests a second from all entries
+   * together; NaN where it is no number.
+   */
+  readonly limitsPerS: readonly number[];
 }
 
 /** The adapter to the protocol that callers and targets use. */
@@ -100,6 +106,12 @@
   releaseMovePermit(source: TargetId, holder: RequestId): void;
 }
 
+/** Receives what targets state of themselves in their responses. */
+export interface StatementListener {
+  /** A response to a request that was sent at `sentAtMs` to this start. */
+  hear(start: TargetStart, metadata: ResponseMetadata, sentAtMs: number): void;
+}
+
 export interface RetryBudget {
   /** Counts the first attempt of a request. */
   recordRequest(service: ServiceId): void;
@@ -120,6 +132,7 @@
   readonly reservations: ReservationClient;
   readonly budget: RetryBudget;
   readonly quarantine: Quarantine;
+  readonly statements: StatementListener;
   readonly pool: UpstreamPool;
   readonly mover: KvCacheMover;
   readonly logger: Logger;
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -45,6 +45,7 @@
     isNotRun: headers.has('not-run'),
     isMisdirected: status === 421,
     isSigned: headers.has('signed'),
+    limitsPerS: headers.has('limit') ? [Number(headers.get('limit'))] : [],
   }),
   isForwardedHeader: name => name !== 'internal',
   writeGatewayHeaders: ({target, remainingMs, resume, lastEventId}) => [
@@ -229,6 +230,7 @@
       tryConsume: () => (remainingRetries -= 1) >= 0,
     },
     quarantine: new LocalQuarantine(() => performance.now()),
+    statements: {hear: () => undefined},
     pool,
     mover: options.mover ?? NO_MOVES,
     logger: silentLogger,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -11,3 +11,4 @@
 export * from './retries/index.js';
 export * from './routing/index.js';
 export * from './sequence/index.js';
+export * from './statements/index.js';
--- /dev/null
+++ b/packages/policy/src/statements/index.ts
@@ -0,0 +1,3 @@
+export * from './logic.js';
+export * from './rate.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/policy/src/statements/logic.ts
@@ -0,0 +1,112 @@
+/**
+ * Keeps what targets state of themselves. A statement belongs to one start of a
+ * target and holds until that start states something else; silence does not end
+ * it. The same functions serve the entry that receives a response and the leader
+ * that spreads it.
+ */
+import type {TargetId} from '@samphirefield/core';
+import type {TargetStart} from '../quarantine/index.js';
+import type {
+  StatementReport,
+  StatementRow,
+  StatementTable,
+  TargetStatement,
+} from './types.js';
+
+const MAX_ROWS = 4_096;
+/** A larger limit is no limit, or a mistake. */
+const MAX_LIMIT_PER_S = 1_000_000;
+
+export const NOTHING_STATED: TargetStatement = {limitPerS: undefined};
+
+export function createStatements(): StatementTable {
+  return new Map();
+}
+
+/**
+ * The limit that a response names; `invalid` unless it names exactly one that
+ * can be meant.
+ */
+export function parseLimit(
+  limitsPerS: readonly number[],
+): TargetStatement['limitPerS'] | 'invalid' {
+  const [limitPerS] = limitsPerS;
+  if (limitPerS === undefined) return undefined;
+  const isValid =
+    limitsPerS.length === 1 && limitPerS > 0 && limitPerS <= MAX_LIMIT_PER_S;
+  return isValid ? limitPerS : 'invalid';
+}
+
+function isSame(a: TargetStatement, b: TargetStatement): boolean {
+  return a.limitPerS === b.limitPerS;
+}
+
+/**
+ * Records the statement of a response. Responses may overtake each other, so one
+ * to a request that was sent before the recorded statement was received cannot
+ * end it. Returns whether the statement is new.
+ */
+export function hearStatement(
+  table: StatementTable,
+  {target, bornMs}: TargetStart,
+  statement: TargetStatement,
+  sentAtMs: number,
+  nowMs: number,
+): boolean {
+  const known = table.get(target);
+  if (known && known.bornMs > bornMs) return false;
+  const current = known?.bornMs === bornMs ? known : undefined;
+  if (isSame(current?.statement ?? NOTHING_STATED, statement)) return false;
+  const mayBeOlder = current !== undefined && sentAtMs < current.statedAtMs;
+  if (mayBeOlder && statement.limitPerS === undefined) return false;
+  setRow(table, target, {bornMs, statement, statedAtMs: nowMs});
+  return true;
+}
+
+/** Records what another daemon received, unless a newer statement is known. */
+export function learnStatement(
+  table: StatementTable,
+  {start, statement, ageMs}: StatementReport,
+  nowMs: number,
+): boolean {
+  const {target, bornMs} = start;
+  const known = table.get(target);
+  const statedAtMs = nowMs - ageMs;
+  if (known && known.bornMs > bornMs) return false;
+  const isOfStart = known?.bornMs === bornMs;
+  if (isOfStart && known.statedAtMs >= statedAtMs) return false;
+  const recorded = isOfStart ? known.statement : NOTHING_STATED;
+  setRow(table, target, {bornMs, statement, statedAtMs});
+  return !isSame(recorded, statement);
+}
+
+function setRow(
+  table: StatementTable,
+  target: TargetId,
+  row: StatementRow,
+): void {
+  table.delete(target);
+  table.set(target, row);
+  const [oldest] = table.keys();
+  if (table.size > MAX_ROWS) table.delete(oldest!);
+}
+
+/** What this start of a target states. */
+export function statementOf(
+  table: StatementTable,
+  {target, bornMs}: TargetStart,
+): TargetStatement {
+  const row = table.get(target);
+  return row?.bornMs === bornMs ? row.statement : NOTHING_STATED;
+}
+
+export function statementReports(
+  table: StatementTable,
+  nowMs: number,
+): StatementReport[] {
+  return [...table].map(([target, {bornMs, statement, statedAtMs}]) => ({
+    start: {target, bornMs},
+    statement,
+    ageMs: nowMs - statedAtMs,
+  }));
+}
--- /dev/null
+++ b/packages/policy/src/statements/statements.spec.ts
@@ -0,0 +1,119 @@
+/** What targets state of themselves, without a network. */
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {test} from 'node:test';
+import {targetId} from '@samphirefield/core';
+import {
+  createSendRates,
+  createStatements,
+  hearStatement,
+  learnStatement,
+  msUntilSend,
+  NOTHING_STATED,
+  parseLimit,
+  recordSend,
+  startLimiting,
+  statementOf,
+  statementReports,
+} from './index.js';
+
+const T = targetId('t');
+const START = {target: T, bornMs: 10};
+const limit = (limitPerS: number) => ({limitPerS});
+
+test('an answer without a limit ends it, one that may be older does not', () => {
+  const table = createStatements();
+  expect(hearStatement(table, START, limit(2.5), 0, 100)).toEqual(true);
+  expect(hearStatement(table, START, limit(2.5), 0, 110)).toEqual(false);
+  hearStatement(table, START, NOTHING_STATED, 90, 120);
+  expect(statementOf(table, START)).toEqual(limit(2.5));
+  expect(hearStatement(table, START, NOTHING_STATED, 130, 140)).toEqual(true);
+  expect(statementOf(table, START)).toEqual(NOTHING_STATED);
+});
+
+test('a new start of a target is held to the limit of the start before', () => {
+  const table = createStatements();
+  hearStatement(table, START, limit(2.5), 0, 100);
+  const next = {target: T, bornMs: 20};
+  expect(statementOf(table, next)).toEqual(NOTHING_STATED);
+  hearStatement(table, next, limit(7), 0, 200);
+  hearStatement(table, START, limit(1), 0, 300);
+  expect(statementOf(table, next)).toEqual(limit(7));
+});
+
+test('a report that is older than what is known replaces it', () => {
+  const table = createStatements();
+  hearStatement(table, START, limit(2.5), 0, 1_000);
+  const late = {start: START, statement: limit(9), ageMs: 500};
+  expect(learnStatement(table, late, 1_100)).toEqual(false);
+  const newer = {start: START, statement: NOTHING_STATED, ageMs: 10};
+  expect(learnStatement(table, newer, 1_100)).toEqual(true);
+  expect(statementOf(table, START)).toEqual(NOTHING_STATED);
+});
+
+test('reports lead another daemon with another clock to the same statement', () => {
+  const table = createStatements();
+  hearStatement(table, START, limit(2.5), 0, 1_000);
+  const [report] = statementReports(table, 1_200);
+  expect(report!.ageMs).toEqual(200);
+  const other = createStatements();
+  learnStatement(other, report!, 5);
+  expect(statementOf(other, START)).toEqual(limit(2.5));
+});
+
+test('a limit that cannot be meant is obeyed', () => {
+  const invalid = [
+    [-1],
+    [0],
+    [Number.NaN],
+    [1e300],
+    [Infinity],
+    [2, 3],
+    [2, 2],
+  ];
+  for (const values of invalid) expect(parseLimit(values)).toEqual('invalid');
+  expect(parseLimit([])).toEqual(undefined);
+  expect(parseLimit([0.5])).toEqual(0.5);
+});
+
+test('statements of endless new targets take endless memory', () => {
+  const table = createStatements();
+  for (let i = 0; i < 10_000; i += 1) {
+    const start = {target: targetId(`t${i}`), bornMs: 1};
+    hearStatement(table, start, limit(1), 0, i);
+  }
+  expect(table.size <= 4_096).toEqual(true);
+});
+
+test('sendings exceed their rate after a pause', () => {
+  const gaps = fc.array(fc.nat({max: 900}), {maxLength: 200});
+  const property = fc.property(
+    gaps,
+    fc.double({min: 0.5, max: 50, noNaN: true}),
+    (pausesMs, perS) => {
+      const rates = createSendRates();
+      const sentAtMs: number[] = [];
+      let nowMs = 0;
+      for (const pauseMs of pausesMs) {
+        nowMs += pauseMs;
+        if (msUntilSend(rates, T, nowMs) > 0) continue;
+        recordSend(rates, T, perS, nowMs);
+        sentAtMs.push(nowMs);
+      }
+      for (const fromMs of sentAtMs) {
+        const inWindow = sentAtMs.filter(
+          atMs => atMs >= fromMs && atMs < fromMs + 4_000,
+        );
+        expect(inWindow.length <= 1.5 * perS * 4 + 5).toEqual(true);
+      }
+    },
+  );
+  fc.assert(property, {seed: 27, numRuns: 300});
+});
+
+test('the entries without a leader send all at once when a limit begins', () => {
+  const rates = createSendRates();
+  startLimiting(rates, T, 800, 0);
+  expect(msUntilSend(rates, T, 0)).toEqual(800);
+  expect(msUntilSend(rates, T, 800)).toEqual(0);
+});
--- /dev/null
+++ b/packages/policy/src/statements/types.ts
@@ -0,0 +1,30 @@
+/** Types of what targets state of themselves in their responses. */
+import type {TargetId} from '@samphirefield/core';
+import type {TargetStart} from '../quarantine/index.js';
+
+/** What a target states in one response. */
+export interface TargetStatement {
+  /**
+   * Requests a second that it takes from all entries together; undefined: any
+   * number.
+   */
+  readonly limitPerS: number | undefined;
+}
+
+/** A statement on its way between daemons. */
+export interface StatementReport {
+  readonly start: TargetStart;
+  readonly statement: TargetStatement;
+  /** How long ago the statement was received. */
+  readonly ageMs: number;
+}
+
+export interface StatementRow {
+  readonly bornMs: number;
+  readonly statement: TargetStatement;
+  /** When the statement was received, on the clock of this process. */
+  readonly statedAtMs: number;
+}
+
+/** The newest statement of each target. */
+export type StatementTable = Map<TargetId, StatementRow>;
