Tests listen below the range of ports that outgoing connections take

Ruled out: a daemon left behind (names differ for each test). The demo keeps its own, as it begins at once.

--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -3,7 +3,6 @@
  * folder.
  */
 import {mkdtempSync, rmSync} from 'node:fs';
-import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -16,6 +15,7 @@
   zoneId,
   type Logger,
 } from '@samphirefield/core';
+import {findFreePort} from '@samphirefield/core/testing';
 import type {RouteTable, TargetAnnouncement} from '@samphirefield/gateway';
 import {ControlNode} from '../control/index.js';
 import {EntryNode} from '../entry/index.js';
@@ -66,13 +66,8 @@
 }
 
 async function freeAddress(): Promise<Address> {
-  const server = createServer();
-  await new Promise<void>(resolve => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return {host: '127.0.0.1', port};
+  const host = '127.0.0.1';
+  return {host, port: await findFreePort(host)};
 }
 
 /** Polls until the condition holds; throws after `MAX_WAIT_MS`. */
--- a/packages/cluster/src/testing/crashing-targets.ts
+++ b/packages/cluster/src/testing/crashing-targets.ts
@@ -9,6 +9,7 @@
   type ServiceId,
   type TargetId,
 } from '@samphirefield/core';
+import {findFreePort} from '@samphirefield/core/testing';
 import {
   completeResponse,
   startScriptedTargetAt,
@@ -16,6 +17,7 @@
 } from '@samphirefield/gateway/testing';
 import type {TestCluster} from './cluster.js';
 
+const HOST = '127.0.0.1';
 const ANNOUNCE_EVERY_MS = 100;
 const RESTART_AFTER_MS = 500;
 
@@ -112,7 +114,8 @@
     const hasStartTime = comeback !== 'same_id_without_start';
     place.bornMs = hasStartTime ? Date.now() : 0;
     place.sequence = 0;
-    const port = comeback === 'other_address' ? 0 : place.port;
+    const keepsPort = comeback !== 'other_address' && place.port !== 0;
+    const port = keepsPort ? place.port : await findFreePort(HOST);
     const server: ScriptedTarget = await startScriptedTargetAt(
       port,
       ({head, body, socket}) => {
@@ -164,7 +167,7 @@
       bornMs: place.bornMs,
       sequence: place.sequence,
       service: place.service,
-      host: '127.0.0.1',
+      host: HOST,
       port: place.port,
       zone: zoneId('z0'),
       slots: 8,
--- /dev/null
+++ b/packages/core/src/testing/index.ts
@@ -0,0 +1,1 @@
+export * from './ports.js';
--- a/packages/daemon/src/testing/deployment.ts
+++ b/packages/daemon/src/testing/deployment.ts
@@ -12,13 +12,13 @@
   writeFileSync,
 } from 'node:fs';
 import {randomUUID} from 'node:crypto';
-import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {loadSettings, sha256Hex, silentLogger} from '@samphirefield/core';
+import {findFreePort} from '@samphirefield/core/testing';
 import type {
   ClusterStatus,
   OperatorResult,
@@ -72,14 +72,6 @@
   readonly body: {readonly kind: string; readonly answer?: OperatorResult};
 }
 
-async function findFreePort(address: string): Promise<number> {
-  const server = createServer();
-  await new Promise<void>(resolve => server.listen(0, address, resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
-
 /** Waits for a condition; the time limit only ends a test that would hang. */
 export async function waitFor<T>(
   condition: string,
