Refuse announcements that no target can mean, and survive addresses that cannot be one

Reported by other operators: one odd entry among those of the workers, and the machines that read the list ended or stopped following. Shown: a port of 99999, -1 or NaN made net.connect throw in the promise of the connection: the caller was cut off (exchange_crashed) and the reservation stayed, so an empty, preferred target cost every caller its connection. Ports, hosts, slots, cold times, starts and sequences out of range were accepted as targets; a start in the far future would shut out the true one.

--- a/packages/cluster/src/link/peer.spec.ts
+++ b/packages/cluster/src/link/peer.spec.ts
@@ -103,3 +103,19 @@
   t.after(() => server.close());
   expect(socket.destroyed).toEqual(true);
 });
+
+test('a deeply nested message ends the process or the messages after it', async t => {
+  const {port, seen, peers} = await startAcceptor(t);
+  const levels = 200_000;
+  const nested = '['.repeat(levels) + ']'.repeat(levels);
+  const first = await open(port);
+  const closed = new Promise(resolve => first.on('close', resolve));
+  first.write(`{"jsonrpc":"2.0","method":"note","params":${nested}}\n`);
+  first.write(`${nested}\n`);
+  await Promise.race([closed, delay(500)]);
+  const second = await open(port);
+  second.write(serializeNotification('note', {}) + '\n');
+  await delay(200);
+  expect(seen.notes >= 1).toEqual(true);
+  expect(peers.length).toEqual(2);
+});
--- a/packages/gateway/src/registry/index.ts
+++ b/packages/gateway/src/registry/index.ts
@@ -1,2 +1,3 @@
 export * from './logic.js';
+export * from './validate.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/upstream/connect.ts
@@ -0,0 +1,12 @@
+/** Opens sockets to addresses that targets announced. */
+import {connect, type Socket} from 'node:net';
+import type {UpstreamAddress} from './types.js';
+
+/** Undefined for an address that cannot be one: `connect` throws at once. */
+export function connectTo({host, port}: UpstreamAddress): Socket | undefined {
+  try {
+    return connect({host, port});
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -3,7 +3,8 @@
  * is kept apart from a later failure, because a request counts as not run only
  * if none of its bytes can have been sent.
  */
-import {connect, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
+import {connectTo} from './connect.js';
 import {createResponseParser, type ResponseParser} from './parser.js';
 import type {
   ResponseHandlers,
@@ -73,7 +74,11 @@
     events: ConnectionEvents,
   ): Promise<UpstreamConnection | undefined> {
     return new Promise(resolve => {
-      const socket = connect({host: address.host, port: address.port});
+      const socket = connectTo(address);
+      if (socket === undefined) {
+        resolve(undefined);
+        return;
+      }
       const abortConnect = () => {
         clearTimeout(timer);
         socket.removeAllListeners();
--- a/packages/gateway/src/upstream/refusal.ts
+++ b/packages/gateway/src/upstream/refusal.ts
@@ -2,7 +2,7 @@
  * Tells whether an address refuses connections, as it does while its process is
  * gone. An address that doesn't respond, or accepts, doesn't refuse.
  */
-import {connect} from 'node:net';
+import {connectTo} from './connect.js';
 import type {UpstreamAddress} from './types.js';
 
 export function refusesConnections(
@@ -10,7 +10,11 @@
   timeoutMs: number,
 ): Promise<boolean> {
   return new Promise(resolve => {
-    const socket = connect({host: address.host, port: address.port});
+    const socket = connectTo(address);
+    if (socket === undefined) {
+      resolve(false);
+      return;
+    }
     const finish = (isRefused: boolean) => {
       clearTimeout(timer);
       socket.removeAllListeners();
