Take a target back that lives though another entry announced its address

One odd entry with a target's address and a later start marked the target as gone for good; its own announcements changed nothing any more. Change: four announcements of the same start, over two seconds or more, show that the target lives. Late ones of a target that crashed are few and come together. It is not marked again for that address; its silence still ends it. Evidence: the new test of registry.spec failed before (gone after six announcements); one late announcement still changes nothing.

--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -410,7 +410,8 @@
     const {id, bornMs, state, hasCrashed} = record.announcement;
     const start = {target: id, bornMs};
     if (hasCrashed) this.quarantine.recordCrash(start, true);
-    else if (!isSilent) this.quarantine.retractCrash(start);
-    else if (state === 'ready') this.quarantine.recordCrash(start, false);
+    else if (isSilent && state === 'ready')
+      this.quarantine.recordCrash(start, false);
+    else this.quarantine.retractCrash(start);
   }
 }
--- a/packages/gateway/src/quarantine/local-quarantine.ts
+++ b/packages/gateway/src/quarantine/local-quarantine.ts
@@ -123,11 +123,10 @@
     this.report(reported);
   }
 
-  /** A target that only was silent has announced itself again. */
+  /** A target has announced itself again; it may only have been silent. */
   retractCrash(start: TargetStart): void {
     const crash = crashIdOf(start);
-    if (this.crashedStarts.get(crash) !== false) return;
-    this.crashedStarts.delete(crash);
+    if (!this.crashedStarts.delete(crash)) return;
     retractCrash(this.table, crash);
     this.follow();
   }
--- a/packages/gateway/src/registry/logic.ts
+++ b/packages/gateway/src/registry/logic.ts
@@ -16,6 +16,10 @@
   /** The target is new, has restarted, or changed its address or state. */
   | 'changed';
 
+/** After these a target lives whose address another one announced. */
+const MIN_SIGNS = 4;
+const MIN_SIGNS_SPAN_MS = 2_000;
+
 function isNewer(
   next: TargetAnnouncement,
   recorded: TargetAnnouncement,
@@ -27,6 +31,36 @@
   return next.sequence > recorded.sequence;
 }
 
+/**
+ * Counts the announcements of a target whose address another one announced.
+ * Late ones of a target that crashed are few and come together. Returns whether
+ * the target lives after all, so that the other entry was wrong.
+ */
+function noteSignOfLife(
+  table: TargetTable,
+  recorded: TargetRecord,
+  next: TargetAnnouncement,
+  nowMs: number,
+): boolean {
+  const {announcement, signsOfLife: known} = recorded;
+  const wasReplaced = announcement.hasCrashed !== undefined;
+  const lastSequence = known?.sequence ?? announcement.sequence;
+  const isSign =
+    wasReplaced &&
+    next.bornMs === announcement.bornMs &&
+    next.state === 'ready' &&
+    next.sequence > lastSequence;
+  if (!isSign) return false;
+  const signsOfLife = {
+    count: (known?.count ?? 0) + 1,
+    firstAtMs: known?.firstAtMs ?? nowMs,
+    sequence: next.sequence,
+  };
+  table.set(announcement.id, {...recorded, signsOfLife});
+  const spanMs = nowMs - signsOfLife.firstAtMs;
+  return signsOfLife.count >= MIN_SIGNS && spanMs >= MIN_SIGNS_SPAN_MS;
+}
+
 function isSameExceptTiming(
   a: TargetAnnouncement,
   b: TargetAnnouncement,
@@ -55,12 +89,17 @@
   onReplaced: (record: TargetRecord) => void = () => undefined,
 ): MergeOutcome {
   const recorded = table.get(next.id);
-  if (recorded && !isNewer(next, recorded.announcement)) return 'stale';
+  const isLiving = recorded && noteSignOfLife(table, recorded, next, nowMs);
+  if (recorded && !isLiving && !isNewer(next, recorded.announcement))
+    return 'stale';
   const lastSeenAtMs = nowMs - ageMs;
+  const signsOfLife = table.get(next.id)?.signsOfLife;
+  const isSameStart = recorded?.announcement.bornMs === next.bornMs;
   const record: TargetRecord = {
     announcement: next,
     lastSeenAtMs,
     coldUntilMs: lastSeenAtMs + next.coldLeftMs,
+    ...(isSameStart && signsOfLife && {signsOfLife}),
   };
   table.set(next.id, record);
   if (next.state === 'ready') {
@@ -88,7 +127,8 @@
   table: TargetTable,
   next: TargetAnnouncement,
 ): TargetRecord[] {
-  return [...table.values()].filter(({announcement: earlier}) => {
+  return [...table.values()].filter(({announcement: earlier, signsOfLife}) => {
+    if ((signsOfLife?.count ?? 0) >= MIN_SIGNS) return false;
     const sharesAddress =
       earlier.host === next.host && earlier.port === next.port;
     const isOlder = earlier.bornMs < next.bornMs;
--- a/packages/gateway/src/registry/registry.spec.ts
+++ b/packages/gateway/src/registry/registry.spec.ts
@@ -113,3 +113,18 @@
   expect([...table.keys()]).toEqual([base.id]);
   expect(removeExpired(table, 700, 600)).toEqual([base.id]);
 });
+
+test('an entry with the address of a target shuts the target out for good', () => {
+  const table = apply([base]);
+  const odd = {...base, id: targetId('i-odd'), bornMs: base.bornMs + 5};
+  mergeAnnouncement(table, odd, 0);
+  expect(table.get(base.id)?.announcement.state).toEqual('gone');
+  // One late announcement of a target that crashed is no sign of life.
+  mergeAnnouncement(table, {...base, sequence: 2}, 100);
+  expect(table.get(base.id)?.announcement.state).toEqual('gone');
+  for (let sequence = 3; sequence <= 8; sequence += 1)
+    mergeAnnouncement(table, {...base, sequence}, sequence * 500);
+  expect(table.get(base.id)?.announcement.state).toEqual('ready');
+  mergeAnnouncement(table, {...odd, sequence: 2}, 5_000);
+  expect(table.get(base.id)?.announcement.state).toEqual('ready');
+});
--- a/packages/gateway/src/registry/types.ts
+++ b/packages/gateway/src/registry/types.ts
@@ -17,7 +17,10 @@
   readonly zone: ZoneId;
   readonly slots: number;
   readonly state: 'ready' | 'draining' | 'gone';
-  /** Set on a target that is gone though it never said that it leaves. */
+  /**
+   * Set on a target that is gone because another one announced its address:
+   * whether it had not said that it leaves.
+   */
   readonly hasCrashed?: boolean;
   /** How much longer the target stays cold, counted from the announcement. */
   readonly coldLeftMs: number;
@@ -29,6 +32,14 @@
   readonly lastSeenAtMs: number;
   /** Until when the target is cold, on the clock of this process. */
   readonly coldUntilMs: number;
+  /** Announcements since another target announced its address. */
+  readonly signsOfLife?: SignsOfLife;
+}
+
+export interface SignsOfLife {
+  readonly count: number;
+  readonly firstAtMs: number;
+  readonly sequence: number;
 }
 
 export type TargetTable = Map<TargetId, TargetRecord>;
