Start a control daemon whose empty disk is full, and close what a full disk left open

Shown and mended: a daemon that starts with an empty folder while its disk is full ended its process. What a disk refuses for now is tried again each second; what the folder holds is refused as before. The storage of a replica whose disk failed is closed at once (a stop within that second left its file open, DEP0137). Evidence: the test of the empty folder failed before (ENOSPC from start).

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -29,6 +29,8 @@
 import {capacitiesOf} from '../capacities.js';
 import {
   GroupReplica,
+  type GroupReplicaOptions,
+  type OpenError,
   type GroupTiming,
   type SubmitOutcome,
 } from './group-replica.js';
@@ -83,6 +85,7 @@
   readonly decodeConfig: (document: string) => Result<RouteTable, unknown>;
   readonly logger: Logger;
   readonly nowMs: () => number;
+  readonly openStorage?: GroupReplicaOptions['openStorage'];
 }
 
 export type ChangeOutcome = 'accepted' | 'unavailable';
@@ -106,6 +109,8 @@
   private decodedVersion = 0;
   private capacities: ServiceCapacity[] = [];
   private isStopping = false;
+  /** Ends when the storage of a replica whose disk failed is closed. */
+  private closing: Promise<void> | undefined;
 
   constructor(private readonly options: ControlNodeOptions) {
     const {logger, nowMs} = options;
@@ -177,7 +182,9 @@
   async start(): Promise<Result<void, string>> {
     const {address, seeds} = this.options;
     const opened = await this.openGroup();
-    if (opened.isErr()) return err(opened.error);
+    if (opened.isErr() && !opened.error.isPassing)
+      return err(opened.error.reason);
+    if (opened.isErr()) this.reopenLater(opened.error);
     this.listener = await listenForLinks(address, this.handlers(), peer =>
       this.onPeerClosed(peer),
     );
@@ -270,6 +277,7 @@
     this.isStopping = true;
     for (const timer of this.timers) clearInterval(timer);
     await this.group?.stop('the daemon stops');
+    await this.closing;
     this.links.close();
     this.listener?.close();
   }
@@ -278,7 +286,7 @@
     this.timers.push(setInterval(run, ms));
   }
 
-  private async openGroup(): Promise<Result<void, string>> {
+  private async openGroup(): Promise<Result<void, OpenError>> {
     const {options} = this;
     const group = await GroupReplica.open({
       dataFolder: options.dataFolder,
@@ -297,6 +305,7 @@
       onChange: () => this.scheduleStateUpdate(),
       onQuarantineChange: table => this.sendQuarantine(table),
       onDiskFailure: error => this.onDiskFailure(error),
+      ...(options.openStorage && {openStorage: options.openStorage}),
     });
     if (group.isErr()) return err(group.error);
     this.group = group.value;
@@ -305,21 +314,27 @@
   }
 
   /**
-   * Reopens the replica from its stored state once the disk can be read again.
+   * Reopens the replica from its stored state once the disk can be used again.
    */
   private onDiskFailure(error: Error): void {
     this.options.logger.error('replica_stopped', {reason: error.message});
     const failed = this.group;
     this.group = undefined;
-    const reopen = async () => {
-      if (this.isStopping) return;
-      await failed?.node.stop('its disk failed').catch(() => undefined);
-      const opened = await this.openGroup();
-      if (opened.isOk()) return;
-      this.options.logger.error('replica_not_opened', {reason: opened.error});
-      setTimeout(() => void reopen(), REOPEN_AFTER_MS);
-    };
-    setTimeout(() => void reopen(), REOPEN_AFTER_MS);
+    this.closing = failed?.node.stop('its disk failed').catch(() => undefined);
+    setTimeout(() => void this.reopen(), REOPEN_AFTER_MS);
+  }
+
+  private reopenLater({reason}: OpenError): void {
+    this.options.logger.error('replica_not_opened', {reason});
+    setTimeout(() => void this.reopen(), REOPEN_AFTER_MS);
+  }
+
+  private async reopen(): Promise<void> {
+    await this.closing;
+    if (this.isStopping) return;
+    const opened = await this.openGroup();
+    if (opened.isErr()) this.reopenLater(opened.error);
+    if (this.isStopping) await this.group?.stop('the daemon stops');
   }
 
   private handlers(): RpcHandlers {
--- a/packages/cluster/src/control/group-replica.ts
+++ b/packages/cluster/src/control/group-replica.ts
@@ -23,6 +23,7 @@
   type RaftConfig,
   type Replica,
   type ReplicaId,
+  type StorageError,
 } from '@samphirefield/replication';
 import {formatAddress, type Address} from '../link/index.js';
 import {
@@ -67,6 +68,21 @@
   readonly onChange: (state: ClusterState) => void;
   readonly onQuarantineChange: (table: QuarantineTable) => void;
   readonly onDiskFailure: (error: Error) => void;
+  /** Default: files in the data folder. */
+  readonly openStorage?: typeof openFileStorage;
+}
+
+export interface OpenError {
+  /** Whether the disk refuses for now; otherwise what it holds is refused. */
+  readonly isPassing: boolean;
+  readonly reason: string;
+}
+
+function toOpenError(error: StorageError): OpenError {
+  return {
+    isPassing: error.kind === 'disk',
+    reason: formatStorageError(error),
+  };
 }
 
 export type SubmitOutcome =
@@ -117,7 +133,7 @@
 
   static async open(
     options: GroupReplicaOptions,
-  ): Promise<Result<GroupReplica, string>> {
+  ): Promise<Result<GroupReplica, OpenError>> {
     const {dataFolder, address, seeds, logger, timing} = options;
     const self = formatAddress(address);
     const isSeed = seeds.some(seed => formatAddress(seed) === self);
@@ -125,14 +141,15 @@
     try {
       mkdirSync(dataFolder, {recursive: true});
     } catch (error) {
-      return err((error as Error).message);
+      return err({isPassing: true, reason: (error as Error).message});
     }
     const identity = openIdentity(dataFolder, self, DEPLOYMENT, () =>
       isFirst ? INITIAL_GROUP : randomUUID(),
     );
-    if (identity.isErr()) return err(formatStorageError(identity.error));
-    const opened = await openFileStorage(dataFolder);
-    if (opened.isErr()) return err(formatStorageError(opened.error));
+    if (identity.isErr()) return err(toOpenError(identity.error));
+    const {openStorage = openFileStorage} = options;
+    const opened = await openStorage(dataFolder);
+    if (opened.isErr()) return err(toOpenError(opened.error));
     const {storage, stored} = opened.value;
     logger.info('replica_opened', {
       replica: identity.value.replica,
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -20,6 +20,7 @@
 import {ControlNode} from '../control/index.js';
 import {EntryNode} from '../entry/index.js';
 import type {Address} from '../link/index.js';
+import {TestDisk} from './disk.js';
 
 const TIMING = {
   heartbeatMs: 40,
@@ -87,6 +88,9 @@
   readonly controls = new Map<number, ControlNode>();
   readonly entries: EntryNode[] = [];
   private readonly folders: string[] = [];
+  private readonly disks = new Map<number, TestDisk>();
+  /** Receives the events of daemons that start later. */
+  logger: Logger = silentLogger;
 
   private constructor(
     readonly addresses: readonly Address[],
@@ -108,6 +112,13 @@
     return new TestCluster(addresses, voters, root, decodeConfig);
   }
 
+  /** The disk of daemon `i`, which can be full. */
+  disk(i: number): TestDisk {
+    const disk = this.disks.get(i) ?? new TestDisk();
+    this.disks.set(i, disk);
+    return disk;
+  }
+
   /** Starts daemon `i`; the first three addresses are the seeds. */
   async start(i: number, isFirstStart: boolean): Promise<ControlNode> {
     const node = new ControlNode({
@@ -121,8 +132,9 @@
       voters: this.voters,
       targetSilentAfterMs: 600,
       decodeConfig: this.decodeConfig,
-      logger: silentLogger,
+      logger: this.logger,
       nowMs,
+      openStorage: folder => this.disk(i).open(folder),
     });
     const started = await node.start();
     if (started.isErr()) throw new Error(started.error);
