Obey a target that says in its answers that it leaves, or wants nothing for a while

Cause: as for the limit, what a target says of itself reached nobody. Change: the three statements are one part of the response's metadata and one table of policy/statements. Leaving binds like a drain: no reservation there at the leader or without one, runs are moved, on the entry that heard it at once, on all through the leader, also after a restart or a change of leader. A pause binds the entry that heard it, until its time or the next start. A granted target that may not be used goes back and another is asked for, at no attempt. If all pause, the refusal is immediate and names the shortest pause. Ruled out: pauses for all entries (a full target tells each asker itself; a report that is 250 ms old keeps others from free places; not measured). Values that cannot be meant change nothing, are logged once, and the answer goes on unchanged. Not done: samphirefieldd's own targets.

--- a/packages/cluster/src/control/statement-keeper.ts
+++ b/packages/cluster/src/control/statement-keeper.ts
@@ -10,10 +10,12 @@
   createStatements,
   learnStatement,
   msUntilSend,
+  NOTHING_STATED,
   recordSend,
   statementOf,
   statementReports,
   type StatementReport,
+  type TargetStatement,
 } from '@samphirefield/policy/statements';
 import type {SendAnswer} from './messages.js';
 
@@ -45,6 +47,7 @@
       target: start.target,
       born_ms: start.bornMs,
       limit_per_s: statement.limitPerS,
+      leaving: statement.isLeaving,
     });
     this.options.spread([report]);
   }
@@ -54,8 +57,16 @@
   }
 
   expectedPerS(target: TargetId): number | undefined {
+    return this.statementOf(target).limitPerS;
+  }
+
+  isLeaving(target: TargetId): boolean {
+    return this.statementOf(target).isLeaving;
+  }
+
+  private statementOf(target: TargetId): TargetStatement {
     const start = this.options.startOf(target);
-    return start && statementOf(this.table, start).limitPerS;
+    return start ? statementOf(this.table, start) : NOTHING_STATED;
   }
 
   maySend(target: TargetId, nowMs: number): boolean {
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -95,6 +95,7 @@
         return bornMs === undefined ? undefined : {target: id, bornMs};
       },
       onGrant: () => this.localDispatcher.dispatchPending(options.nowMs()),
+      onLeaving: id => this.callDrainListeners(id),
     });
     this.localDispatcher = new Dispatcher({
       limiter: this.statements,
@@ -155,7 +156,8 @@
 
   onDraining(id: TargetId, listener: () => void): () => void {
     const state = this.table.get(id)?.announcement.state;
-    if (state !== undefined && state !== 'ready') {
+    const hasLeft = state !== undefined && state !== 'ready';
+    if (hasLeft || this.statements.isLeaving(id)) {
       listener();
       return () => undefined;
     }
@@ -398,7 +400,10 @@
   private onTargetChanged(record: TargetRecord): void {
     this.options.onTargetChange(record);
     const {id, state} = record.announcement;
-    if (state === 'ready') return;
+    if (state !== 'ready') this.callDrainListeners(id);
+  }
+
+  private callDrainListeners(id: TargetId): void {
     const listeners = this.drainListeners.get(id);
     this.drainListeners.delete(id);
     for (const listener of listeners ?? []) listener();
--- a/packages/cluster/src/entry/entry-statements.ts
+++ b/packages/cluster/src/entry/entry-statements.ts
@@ -1,27 +1,29 @@
 /**
  * An entry's part of the statements of targets: obeys what it receives itself at
  * once and reports it to the leader, and learns from the leader what others
- * received. The leader grants each sending to a target with a limit; without one
+ * received. A pause binds only the entry that received it. The leader grants each sending to a target with a limit; without one
  * the entry sends its share.
  */
 import type {Logger, TargetId} from '@samphirefield/core';
-import type {
-  ResponseMetadata,
-  StatementListener,
-  TargetLimiter,
-} from '@samphirefield/gateway';
+import type {StatementListener, TargetLimiter} from '@samphirefield/gateway';
 import type {TargetStart} from '@samphirefield/policy/quarantine';
 import {
+  beginPause,
+  createPauses,
   createSendRates,
   createStatements,
+  endPauses,
   hearStatement,
   learnStatement,
   msUntilSend,
-  parseLimit,
+  NOTHING_STATED,
+  pauseLeftMs,
+  readStatement,
   recordSend,
   startLimiting,
   statementOf,
   statementReports,
+  type HeadValues,
   type StatementReport,
   type TargetStatement,
 } from '@samphirefield/policy/statements';
@@ -46,6 +48,8 @@
   readonly startOf: (target: TargetId) => TargetStart | undefined;
   /** Called when more may be sent than before. */
   readonly onGrant: () => void;
+  /** Called when a target said that it leaves. */
+  readonly onLeaving: (target: TargetId) => void;
 }
 
 interface LimitedTarget {
@@ -58,34 +62,53 @@
 export class EntryStatements implements StatementListener, TargetLimiter {
   private readonly table = createStatements();
   private readonly rates = createSendRates();
+  private readonly pauses = createPauses();
   private readonly limited = new Map<TargetId, LimitedTarget>();
   private readonly loggedInvalid = new Set<string>();
 
   constructor(private readonly options: EntryStatementsOptions) {}
 
-  hear(
-    start: TargetStart,
-    {limitsPerS}: ResponseMetadata,
-    sentAtMs: number,
-  ): void {
-    const limitPerS = parseLimit(limitsPerS);
-    if (limitPerS === 'invalid') {
-      this.logInvalid(start, limitsPerS);
+  hear(start: TargetStart, stated: HeadValues, sentAtMs: number): void {
+    const read = readStatement(stated);
+    if (read === undefined) {
+      this.logInvalid(start, stated);
       return;
     }
-    const {nowMs} = this.options;
-    const statement: TargetStatement = {limitPerS};
-    if (!hearStatement(this.table, start, statement, sentAtMs, nowMs())) return;
+    const nowMs = this.options.nowMs();
+    const {statement, pauseMs} = read;
+    if (pauseMs !== undefined) this.pause(start, pauseMs);
+    if (!hearStatement(this.table, start, statement, sentAtMs, nowMs)) return;
     this.options.logger.info('statement_heard', {
       target: start.target,
       born_ms: start.bornMs,
-      limit_per_s: limitPerS,
+      limit_per_s: statement.limitPerS,
+      leaving: statement.isLeaving,
     });
     this.onChange(start.target);
     const report: StatementReport = {start, statement, ageMs: 0};
     this.options.leader()?.notify('statements', {reports: [report]});
   }
 
+  mayUse(start: TargetStart): boolean {
+    if (statementOf(this.table, start).isLeaving) return false;
+    return pauseLeftMs(this.pauses, start, this.options.nowMs()) === 0;
+  }
+
+  pausedTargets(): readonly TargetId[] {
+    if (this.pauses.size === 0) return [];
+    endPauses(this.pauses, this.options.nowMs());
+    return [...this.pauses.keys()].filter(id => this.pauseLeft(id) > 0);
+  }
+
+  pauseLeftMs(targets: readonly TargetId[]): number | undefined {
+    const leftMs = targets.map(id => this.pauseLeft(id)).filter(ms => ms > 0);
+    return leftMs.length === 0 ? undefined : Math.min(...leftMs);
+  }
+
+  isLeaving(target: TargetId): boolean {
+    return this.statementOf(target).isLeaving;
+  }
+
   learn(reports: readonly StatementReport[]): void {
     const nowMs = this.options.nowMs();
     for (const report of reports) {
@@ -103,6 +126,7 @@
   forget(target: TargetId): void {
     this.table.delete(target);
     this.rates.delete(target);
+    this.pauses.delete(target);
     this.limited.delete(target);
   }
 
@@ -155,8 +179,26 @@
   }
 
   private limitOf(target: TargetId): number | undefined {
+    return this.statementOf(target).limitPerS;
+  }
+
+  private statementOf(target: TargetId): TargetStatement {
+    const start = this.options.startOf(target);
+    return start ? statementOf(this.table, start) : NOTHING_STATED;
+  }
+
+  private pause(start: TargetStart, pauseMs: number): void {
+    beginPause(this.pauses, start, this.options.nowMs() + pauseMs);
+    this.options.logger.info('target_pauses', {
+      target: start.target,
+      pause_ms: Math.round(pauseMs),
+    });
+  }
+
+  private pauseLeft(target: TargetId): number {
     const start = this.options.startOf(target);
-    return start && statementOf(this.table, start).limitPerS;
+    if (start === undefined) return 0;
+    return pauseLeftMs(this.pauses, start, this.options.nowMs());
   }
 
   private rowOf(target: TargetId): LimitedTarget {
@@ -177,7 +219,8 @@
 
   /** Entries without a leader begin at different times. */
   private onChange(target: TargetId): void {
-    const {nowMs, random, onGrant} = this.options;
+    const {nowMs, random, onGrant, onLeaving} = this.options;
+    if (this.isLeaving(target)) onLeaving(target);
     const perS = this.expectedPerS(target);
     if (perS === undefined) {
       this.limited.delete(target);
@@ -188,17 +231,16 @@
     startLimiting(this.rates, target, delayMs, nowMs());
   }
 
-  private logInvalid(
-    {target, bornMs}: TargetStart,
-    limitsPerS: readonly number[],
-  ): void {
+  private logInvalid({target, bornMs}: TargetStart, stated: HeadValues): void {
     const key = `${target}/${bornMs}`;
     if (this.loggedInvalid.has(key)) return;
     if (this.loggedInvalid.size >= MAX_LOGGED_STARTS) return;
     this.loggedInvalid.add(key);
     this.options.logger.warn('statement_invalid', {
       target,
-      limits_per_s: limitsPerS.join(','),
+      limits_per_s: stated.limitsPerS.join(','),
+      leaving: stated.leaving.join(','),
+      pauses_s: stated.pausesS.join(','),
     });
   }
 }
--- a/packages/cluster/src/stated-limit.spec.ts
+++ b/packages/cluster/src/stated-limit.spec.ts
@@ -2,17 +2,11 @@
 import {expect} from 'earl';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {serviceId, silentLogger} from '@samphirefield/core';
+import {silentLogger} from '@samphirefield/core';
 import {call} from '@samphirefield/gateway/testing';
-import {TestCluster, until} from './testing/cluster.js';
-import {CrashingTargets} from './testing/crashing-targets.js';
-import {
-  decodeRouted,
-  KEYS,
-  startEntryGateway,
-  targetsAreKnown,
-  type EntryGateway,
-} from './testing/gateways.js';
+import {until} from './testing/cluster.js';
+import {KEYS, startEntryGateway} from './testing/gateways.js';
+import {setUpStating, type StatingPlay} from './testing/stating-targets.js';
 
 const LIMIT_PER_S = 5;
 const WINDOW_MS = 2_000;
@@ -23,12 +17,7 @@
 const PLAY_MS = 5_000;
 const REQUESTS_PER_S = 60;
 
-interface LimitPlay {
-  readonly cluster: TestCluster;
-  readonly gateways: EntryGateway[];
-  readonly targets: CrashingTargets;
-  /** When each request reached the targets, by position. */
-  readonly runsAtMs: number[][];
+interface LimitPlay extends StatingPlay {
   readonly statuses: number[];
 }
 
@@ -37,35 +26,11 @@
   isEngine: boolean,
   limited: readonly number[],
 ): Promise<LimitPlay> {
-  const services = [serviceId('desk')];
-  const kind = isEngine ? 'stream' : 'unsafe';
-  const cluster = await TestCluster.create(
-    3,
-    3,
-    decodeRouted({kind, services, isEngine}),
+  const heads = [0, 1, 2].map(position =>
+    limited.includes(position) ? [`Limit: ${LIMIT_PER_S}`] : [],
   );
-  t.after(() => cluster.close());
-  for (const i of [0, 1, 2]) await cluster.start(i, true);
-  await until('a leader', () => cluster.leaderIndex() !== undefined);
-  await cluster.putConfig(0, 1);
-  const gateways: EntryGateway[] = [];
-  t.after(() => gateways.forEach(gateway => gateway.close()));
-  for (const name of ['e1', 'e2', 'e3'])
-    gateways.push(await startEntryGateway(cluster, name, silentLogger));
-  const runsAtMs: number[][] = [[], [], []];
-  const targets = await CrashingTargets.start({
-    cluster,
-    services,
-    perService: 3,
-    isDeadly: () => false,
-    comeback: 'other_id',
-    onRun: position => runsAtMs[position]!.push(performance.now()),
-    headOf: position =>
-      limited.includes(position) ? [`Limit: ${LIMIT_PER_S}`] : [],
-  });
-  t.after(() => targets.close());
-  await targetsAreKnown(targets, gateways);
-  return {cluster, gateways, targets, runsAtMs, statuses: []};
+  const play = await setUpStating(t, {isEngine, heads});
+  return {...play, statuses: []};
 }
 
 /** Sends requests at a steady rate, to the entries in turn. */
@@ -137,10 +102,9 @@
 });
 
 test('a limit holds after the target has ended it', async t => {
-  const limited = [0, 1, 2];
-  const play = await setUp(t, false, limited);
+  const play = await setUp(t, false, [0, 1, 2]);
   await sendMany(play, 1_500);
-  limited.length = 0;
+  play.heads.fill([]);
   const before = play.runsAtMs.map(runs => runs.length);
   await sendMany(play, 3_000);
   const after = play.runsAtMs.map((runs, i) => runs.length - before[i]!);
--- a/packages/cluster/src/testing/crashing-targets.ts
+++ b/packages/cluster/src/testing/crashing-targets.ts
@@ -15,7 +15,7 @@
   startScriptedTargetAt,
   type ScriptedTarget,
 } from '@samphirefield/gateway/testing';
-import type {TestCluster} from './cluster.js';
+import {until, type TestCluster} from './cluster.js';
 
 const HOST = '127.0.0.1';
 const ANNOUNCE_EVERY_MS = 100;
@@ -35,6 +35,8 @@
   readonly isSilentEnd?: boolean;
   /** Called for each request that is answered, with the target's position. */
   readonly onRun?: (position: number) => void;
+  /** A line of the head with which the target rejects; undefined: it runs. */
+  readonly rejectionOf?: (position: number) => string | undefined;
   /** Further lines of the head of a response of the target at a position. */
   readonly headOf?: (position: number) => readonly string[];
 }
@@ -98,6 +100,12 @@
     this.end(this.places[position]!);
   }
 
+  /** Ends the target at this position and waits for its next start. */
+  async restart(position: number): Promise<void> {
+    this.crash(position);
+    await until('the target is back', () => this.areAllUp);
+  }
+
   close(): void {
     for (const timer of this.timers) clearTimeout(timer);
     for (const {server} of this.places) server?.close();
@@ -135,7 +143,13 @@
     onRun?.(position);
     const attempt = /^attempt: (.*)$/im.exec(head)?.[1] ?? '';
     const lines = [`Attempt: ${attempt}`, ...(headOf?.(position) ?? [])];
-    socket.write(completeResponse('done', lines));
+    const rejection = this.options.rejectionOf?.(position);
+    if (rejection === undefined) {
+      socket.write(completeResponse('done', lines));
+      return;
+    }
+    const rejected = [...lines, 'Not-Run: 1', rejection];
+    socket.write(completeResponse('', rejected, '503 Busy'));
   }
 
   private end(place: Place): void {
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -369,8 +369,9 @@
   }
 
   private isAvailable({record, isSilent}: TargetState): boolean {
-    const {state, zone} = record.announcement;
-    return state === 'ready' && !isSilent && !this.zonesOut.has(zone);
+    const {id, state, zone} = record.announcement;
+    if (state !== 'ready' || isSilent || this.zonesOut.has(zone)) return false;
+    return !this.limiter.isLeaving(id);
   }
 
   /**
--- a/packages/gateway/src/dispatch/limiter.ts
+++ b/packages/gateway/src/dispatch/limiter.ts
@@ -1,4 +1,4 @@
-/** How a dispatcher keeps to the limits that targets state. */
+/** How a dispatcher keeps to what targets state of themselves. */
 import type {TargetId} from '@samphirefield/core';
 
 export interface TargetLimiter {
@@ -8,6 +8,8 @@
   recordSend(target: TargetId, nowMs: number): void;
   /** A request could be sent to the target but for its limit. */
   want(target: TargetId, nowMs: number): void;
+  /** Whether the target said that it leaves. */
+  isLeaving(target: TargetId): boolean;
   /** This dispatcher's part of the target's limit; undefined: no limit. */
   expectedPerS(target: TargetId): number | undefined;
 }
@@ -16,5 +18,6 @@
   maySend: () => true,
   recordSend: () => undefined,
   want: () => undefined,
+  isLeaving: () => false,
   expectedPerS: () => undefined,
 };
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -280,13 +280,14 @@
     const run = newRunId(deps);
     this.pendingReservation = {request: run, service};
     const requestedAtMs = deps.nowMs();
+    const paused = deps.statements.pausedTargets();
     const result = await deps.reservations.reserve(
       buildStartDemand(
         deps,
         admitted,
         metadata,
         run,
-        excluded,
+        [...excluded, ...paused],
         this.remainingMs(),
       ),
     );
@@ -300,10 +301,17 @@
         response: {
           kind: 'not_run',
           reason: result.reason,
-          retryAfterMs: result.retryAfterMs,
+          retryAfterMs:
+            result.retryAfterMs ?? deps.statements.pauseLeftMs(paused),
         },
       };
     }
+    if (!this.mayUse(result.target)) {
+      // It has said so since; another one costs the caller no attempt.
+      release('abandoned');
+      excluded.push(result.target);
+      return this.attemptOnce(admitted);
+    }
     const refusal =
       this.refuseBeforeStop(admitted.route) ??
       (await admitted.quarantine.refuseRun(this.remainingMs()));
@@ -327,6 +335,12 @@
     return nextStep;
   }
 
+  private mayUse(target: TargetId): boolean {
+    const {reservations, statements} = this.deps;
+    const bornMs = reservations.findTarget(target)?.announcement.bornMs;
+    return bornMs === undefined || statements.mayUse({target, bornMs});
+  }
+
   private async sendToTarget(
     reservation: Reservation | undefined,
     admitted: AdmittedRequest,
@@ -432,7 +446,8 @@
       isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
       continuedSink: continuation?.sink,
       onProven: () => admitted.quarantine.recordAnswer(),
-      onHead: metadata => this.deps.statements.hear(start, metadata, sentAtMs),
+      onHead: metadata =>
+        this.deps.statements.hear(start, metadata.stated, sentAtMs),
     });
     this.attempt = attempt;
     return attempt;
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -18,6 +18,7 @@
 import type {KvCacheMover, ResumePoint} from '../moves/index.js';
 import type {PlannedStop} from './planned-stop.js';
 import type {TargetStart} from '@samphirefield/policy/quarantine';
+import type {HeadValues} from '@samphirefield/policy/statements';
 import type {Quarantine} from '../quarantine/index.js';
 import type {TargetRecord} from '../registry/index.js';
 import type {GatewayView, RouteIndex} from '../routes/index.js';
@@ -69,11 +70,8 @@
   readonly isMisdirected: boolean;
   /** Whether the response carries the target's signature. */
   readonly isSigned: boolean;
-  /**
-   * Every limit that the head names, in requests a second from all entries
-   * together; NaN where it is no number.
-   */
-  readonly limitsPerS: readonly number[];
+  /** What the head says of the target itself. */
+  readonly stated: HeadValues;
 }
 
 /** The adapter to the protocol that callers and targets use. */
@@ -109,7 +107,13 @@
 /** Receives what targets state of themselves in their responses. */
 export interface StatementListener {
   /** A response to a request that was sent at `sentAtMs` to this start. */
-  hear(start: TargetStart, metadata: ResponseMetadata, sentAtMs: number): void;
+  hear(start: TargetStart, stated: HeadValues, sentAtMs: number): void;
+  /** Whether this start may get requests from this entry now. */
+  mayUse(start: TargetStart): boolean;
+  /** Targets that want nothing from this entry now. */
+  pausedTargets(): readonly TargetId[];
+  /** Time until one of these targets may be used again; undefined if unknown. */
+  pauseLeftMs(targets: readonly TargetId[]): number | undefined;
 }
 
 export interface RetryBudget {
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -16,6 +16,7 @@
   PlannedStop,
   ReservationClient,
   RequestKind,
+  StatementListener,
   Route,
   TargetRecord,
 } from '../index.js';
@@ -45,7 +46,13 @@
     isNotRun: headers.has('not-run'),
     isMisdirected: status === 421,
     isSigned: headers.has('signed'),
-    limitsPerS: headers.has('limit') ? [Number(headers.get('limit'))] : [],
+    stated: {
+      limitsPerS: headers.has('limit') ? [Number(headers.get('limit'))] : [],
+      leaving: headers.has('leaving') ? [Number(headers.get('leaving'))] : [],
+      pausesS: headers.has('retry-after')
+        ? [Number(headers.get('retry-after') || 'none')]
+        : [],
+    },
   }),
   isForwardedHeader: name => name !== 'internal',
   writeGatewayHeaders: ({target, remainingMs, resume, lastEventId}) => [
@@ -103,6 +110,13 @@
   };
 }
 
+const NO_STATEMENTS: StatementListener = {
+  hear: () => undefined,
+  mayUse: () => true,
+  pausedTargets: () => [],
+  pauseLeftMs: () => undefined,
+};
+
 class TestReservationClient implements ReservationClient {
   readonly records = new Map<TargetId, TargetRecord>();
   readonly drainListeners = new Map<TargetId, () => void>();
@@ -230,7 +244,7 @@
       tryConsume: () => (remainingRetries -= 1) >= 0,
     },
     quarantine: new LocalQuarantine(() => performance.now()),
-    statements: {hear: () => undefined},
+    statements: NO_STATEMENTS,
     pool,
     mover: options.mover ?? NO_MOVES,
     logger: silentLogger,
--- a/packages/policy/src/statements/logic.ts
+++ b/packages/policy/src/statements/logic.ts
@@ -7,6 +7,8 @@
 import type {TargetId} from '@samphirefield/core';
 import type {TargetStart} from '../quarantine/index.js';
 import type {
+  HeadValues,
+  ReadStatement,
   StatementReport,
   StatementRow,
   StatementTable,
@@ -17,28 +19,60 @@
 /** A larger limit is no limit, or a mistake. */
 const MAX_LIMIT_PER_S = 1_000_000;
 
-export const NOTHING_STATED: TargetStatement = {limitPerS: undefined};
+/** A longer pause is a mistake. */
+const MAX_PAUSE_S = 3_600;
+const MS_PER_S = 1_000;
+
+export const NOTHING_STATED: TargetStatement = {
+  limitPerS: undefined,
+  isLeaving: false,
+};
 
 export function createStatements(): StatementTable {
   return new Map();
 }
 
-/**
- * The limit that a response names; `invalid` unless it names exactly one that
- * can be meant.
- */
-export function parseLimit(
-  limitsPerS: readonly number[],
-): TargetStatement['limitPerS'] | 'invalid' {
-  const [limitPerS] = limitsPerS;
-  if (limitPerS === undefined) return undefined;
-  const isValid =
-    limitsPerS.length === 1 && limitPerS > 0 && limitPerS <= MAX_LIMIT_PER_S;
-  return isValid ? limitPerS : 'invalid';
+/** Reads a value that may be named once; `invalid` unless it can be meant. */
+function readOnce(
+  values: readonly number[],
+  isValid: (value: number) => boolean,
+): number | undefined | 'invalid' {
+  const [value] = values;
+  if (value === undefined) return undefined;
+  return values.length === 1 && isValid(value) ? value : 'invalid';
+}
+
+/** Undefined if the head names something that cannot be meant. */
+export function readStatement({
+  limitsPerS,
+  leaving,
+  pausesS,
+}: HeadValues): ReadStatement | undefined {
+  const limitPerS = readOnce(
+    limitsPerS,
+    value => value > 0 && value <= MAX_LIMIT_PER_S,
+  );
+  const leavingValue = readOnce(leaving, value => value === 0 || value === 1);
+  const pauseS = readOnce(pausesS, value => value >= 0 && value <= MAX_PAUSE_S);
+  const isInvalid =
+    limitPerS === 'invalid' ||
+    leavingValue === 'invalid' ||
+    pauseS === 'invalid';
+  if (isInvalid) return undefined;
+  return {
+    statement: {limitPerS, isLeaving: leavingValue === 1},
+    pauseMs: pauseS && pauseS * MS_PER_S,
+  };
 }
 
 function isSame(a: TargetStatement, b: TargetStatement): boolean {
-  return a.limitPerS === b.limitPerS;
+  return a.limitPerS === b.limitPerS && a.isLeaving === b.isLeaving;
+}
+
+/** Whether the second statement ends something that the first holds. */
+function endsPartOf(a: TargetStatement, b: TargetStatement): boolean {
+  const endsLimit = a.limitPerS !== undefined && b.limitPerS === undefined;
+  return endsLimit || (a.isLeaving && !b.isLeaving);
 }
 
 /**
@@ -58,7 +92,7 @@
   const current = known?.bornMs === bornMs ? known : undefined;
   if (isSame(current?.statement ?? NOTHING_STATED, statement)) return false;
   const mayBeOlder = current !== undefined && sentAtMs < current.statedAtMs;
-  if (mayBeOlder && statement.limitPerS === undefined) return false;
+  if (mayBeOlder && endsPartOf(current.statement, statement)) return false;
   setRow(table, target, {bornMs, statement, statedAtMs: nowMs});
   return true;
 }
--- a/packages/policy/src/statements/statements.spec.ts
+++ b/packages/policy/src/statements/statements.spec.ts
@@ -4,22 +4,27 @@
 import {test} from 'node:test';
 import {targetId} from '@samphirefield/core';
 import {
+  beginPause,
+  createPauses,
   createSendRates,
   createStatements,
+  endPauses,
   hearStatement,
   learnStatement,
   msUntilSend,
   NOTHING_STATED,
-  parseLimit,
+  pauseLeftMs,
+  readStatement,
   recordSend,
   startLimiting,
   statementOf,
   statementReports,
+  type HeadValues,
 } from './index.js';
 
 const T = targetId('t');
 const START = {target: T, bornMs: 10};
-const limit = (limitPerS: number) => ({limitPerS});
+const limit = (limitPerS: number) => ({limitPerS, isLeaving: false});
 
 test('an answer without a limit ends it, one that may be older does not', () => {
   const table = createStatements();
@@ -61,7 +66,14 @@
   expect(statementOf(other, START)).toEqual(limit(2.5));
 });
 
-test('a limit that cannot be meant is obeyed', () => {
+const head = (changed: Partial<HeadValues>): HeadValues => ({
+  limitsPerS: [],
+  leaving: [],
+  pausesS: [],
+  ...changed,
+});
+
+test('a value that cannot be meant is obeyed', () => {
   const invalid = [
     [-1],
     [0],
@@ -71,9 +83,43 @@
     [2, 3],
     [2, 2],
   ];
-  for (const values of invalid) expect(parseLimit(values)).toEqual('invalid');
-  expect(parseLimit([])).toEqual(undefined);
-  expect(parseLimit([0.5])).toEqual(0.5);
+  for (const limitsPerS of invalid)
+    expect(readStatement(head({limitsPerS}))).toEqual(undefined);
+  for (const leaving of [[2], [Number.NaN], [1, 1]])
+    expect(readStatement(head({leaving}))).toEqual(undefined);
+  for (const pausesS of [[-1], [1e300], [Number.NaN], [1, 2]])
+    expect(readStatement(head({pausesS}))).toEqual(undefined);
+  expect(readStatement(head({}))?.statement).toEqual(NOTHING_STATED);
+  expect(readStatement(head({limitsPerS: [0.5]}))?.statement).toEqual(
+    limit(0.5),
+  );
+  expect(readStatement(head({leaving: [1]}))?.statement.isLeaving).toEqual(
+    true,
+  );
+  expect(readStatement(head({pausesS: [1.5]}))?.pauseMs).toEqual(1_500);
+});
+
+test('a target that leaves is used again after an answer to an earlier request', () => {
+  const table = createStatements();
+  const leaving = {limitPerS: undefined, isLeaving: true};
+  hearStatement(table, START, leaving, 0, 100);
+  hearStatement(table, START, NOTHING_STATED, 50, 120);
+  expect(statementOf(table, START).isLeaving).toEqual(true);
+  hearStatement(table, START, limit(3), 50, 130);
+  expect(statementOf(table, START).isLeaving).toEqual(true);
+  hearStatement(table, START, NOTHING_STATED, 140, 150);
+  expect(statementOf(table, START).isLeaving).toEqual(false);
+});
+
+test('a pause outlives its time or the start that asked for it', () => {
+  const pauses = createPauses();
+  beginPause(pauses, START, 1_000);
+  beginPause(pauses, START, 600);
+  expect(pauseLeftMs(pauses, START, 400)).toEqual(600);
+  expect(pauseLeftMs(pauses, START, 1_000)).toEqual(0);
+  expect(pauseLeftMs(pauses, {...START, bornMs: 11}, 400)).toEqual(0);
+  endPauses(pauses, 1_000);
+  expect(pauses.size).toEqual(0);
 });
 
 test('statements of endless new targets take endless memory', () => {
--- a/packages/policy/src/statements/types.ts
+++ b/packages/policy/src/statements/types.ts
@@ -9,6 +9,24 @@
    * number.
    */
   readonly limitPerS: number | undefined;
+  /** Whether it leaves: it is to get no more requests. */
+  readonly isLeaving: boolean;
+}
+
+/** What the heads of responses name, as far as it can be meant. */
+export interface HeadValues {
+  /** Every limit named; NaN where it is no number. */
+  readonly limitsPerS: readonly number[];
+  /** Every value that says whether the target leaves; NaN as above. */
+  readonly leaving: readonly number[];
+  /** Every time named for which it wants nothing; NaN as above. */
+  readonly pausesS: readonly number[];
+}
+
+export interface ReadStatement {
+  readonly statement: TargetStatement;
+  /** For how long the target wants nothing from the receiver. */
+  readonly pauseMs: number | undefined;
 }
 
 /** A statement on its way between daemons. */
