Let a control daemon that was replaced while it was away forward calls again

Cause: a replica that was replaced does not learn of it, since nobody sends it the entry that removed it. It took itself for a member without a leader, asked for votes that nobody gives, and answered every call with 503, as voter and as the way to the leader. The same follows a cut, a freeze or a slow disk of more than 6 s. Class: what a node believes of itself can only be refuted by those who no longer talk to it. Change: a daemon without a leader, to which others report a group of its term or a later one without it, is outside the group: it forwards, and asks to join, with the replica and the log that it has.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -80,6 +80,7 @@
   readonly timing: GroupTiming;
   /** Number of voters that the group should have; odd. */
   readonly voters: number;
+  readonly replaceAfterMs?: number | undefined;
   /** A target without announcements for this long gets no new requests. */
   readonly targetSilentAfterMs: number;
   readonly decodeConfig: (document: string) => Result<RouteTable, unknown>;
@@ -157,6 +158,7 @@
       },
     });
     this.status = new StatusReporter({
+      self: options.address,
       group: () => this.group,
       subscribers: this.subscribers,
       logger,
@@ -296,6 +298,7 @@
       isFirstStart: options.isFirstStart,
       timing: options.timing,
       voters: options.voters,
+      replaceAfterMs: options.replaceAfterMs,
       logger: options.logger,
       nowMs: options.nowMs,
       send: (envelope, to) => {
@@ -522,14 +525,14 @@
   }
 
   private sendJoinRequests(): void {
-    const request = this.group?.joinRequest;
-    if (request === undefined) return;
+    if (this.group === undefined || this.status.members.length > 0) return;
+    const request = this.group.joinRequest;
     for (const peer of this.links.connectedPeers())
       peer.notify('join', request);
   }
 
   private checkContact(): boolean {
-    return this.contact.check(this.group?.members ?? []);
+    return this.contact.check(this.status.members);
   }
 
   private leaderPeer(): Peer | undefined {
--- a/packages/cluster/src/control/group-replica.ts
+++ b/packages/cluster/src/control/group-replica.ts
@@ -62,6 +62,8 @@
   readonly timing: GroupTiming;
   /** Number of voters that the leader maintains; odd. */
   readonly voters: number;
+  /** A voter that is silent for this long is replaced. Default: 6 s. */
+  readonly replaceAfterMs?: number | undefined;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly send: (envelope: Envelope, to: Address) => void;
@@ -216,15 +218,10 @@
     return this.node.membership.replicas.map(addressOf);
   }
 
-  /**
-   * The request to join that this daemon sends; undefined while it is a member.
-   */
-  get joinRequest(): JoinRequest | undefined {
-    const {id, membership} = this.node;
-    const isMember = membership.replicas.some(item => item.id === id);
-    if (isMember) return undefined;
+  /** The request of this replica to join the group, again if it was replaced. */
+  get joinRequest(): JoinRequest {
     const {address, zone} = this.options;
-    return {replica: id, address, zone};
+    return {replica: this.node.id, address, zone};
   }
 
   tick(): void {
@@ -313,7 +310,7 @@
     const step = planMembership(members, candidates, {
       voters: this.options.voters,
       preferredInstances: [],
-      replaceAfterMs: REPLACE_AFTER_MS,
+      replaceAfterMs: this.options.replaceAfterMs ?? REPLACE_AFTER_MS,
       maxLagEntries: MAX_LAG_ENTRIES,
     });
     if (step === undefined) return;
--- a/packages/cluster/src/control/status-reporter.ts
+++ b/packages/cluster/src/control/status-reporter.ts
@@ -13,6 +13,7 @@
 const ENTRIES_FIND_LEADER_MS = 5_000;
 
 export interface StatusReporterOptions {
+  readonly self: Address;
   readonly group: () => GroupReplica | undefined;
   readonly subscribers: Subscribers;
   readonly logger: Logger;
@@ -42,9 +43,29 @@
 
   /** The leader; a daemon outside the group knows only what others report. */
   get leader(): Address | undefined {
+    return this.members.length > 0
+      ? this.options.group()?.leader
+      : this.reported?.leader;
+  }
+
+  /**
+   * The members of the group of which this daemon is one; none if it is not. A
+   * replica that was replaced while it was away does not learn of it from its
+   * log, only from what others report.
+   */
+  get members(): readonly Address[] {
     const group = this.options.group();
-    const isMember = group !== undefined && group.members.length > 0;
-    return isMember ? group.leader : this.reported?.leader;
+    if (group === undefined) return [];
+    const {reported} = this;
+    if (reported === undefined || group.leader !== undefined)
+      return group.members;
+    const self = formatAddress(this.options.self);
+    const isKept = reported.members.some(
+      member => formatAddress(member) === self,
+    );
+    const isCurrent =
+      reported.term >= group.term && reported.index >= group.state.index;
+    return isCurrent && !isKept ? [] : group.members;
   }
 
   current(): GroupStatus {
@@ -52,7 +73,7 @@
     return {
       term: group?.term ?? 0,
       leader: group?.leader,
-      members: group?.members ?? [],
+      members: this.members,
       index: group?.state.index ?? 0,
       entryCount: this.entryCount(),
     };
--- a/packages/cluster/src/full-disks.spec.ts
+++ b/packages/cluster/src/full-disks.spec.ts
@@ -11,8 +11,10 @@
   t: TestContext,
   size: number,
   voters: number,
+  replaceAfterMs?: number,
 ): Promise<TestCluster> {
   const cluster = await TestCluster.create(size, voters);
+  cluster.replaceAfterMs = replaceAfterMs;
   t.after(() => cluster.close());
   for (let i = 0; i < size; i += 1) await cluster.start(i, true);
   await until('a leader', () => cluster.leaderIndex() !== undefined);
@@ -105,6 +107,16 @@
   expect(await isSound(cluster, await stop())).toEqual(true);
 });
 
+test('a daemon that was replaced while its disk was full refuses changes for good', async t => {
+  const cluster = await setUp(t, 5, 3, FULL_MS / 2);
+  const stop = sendChanges(cluster);
+  for (let i = 0; i < 5; i += 1) {
+    await until('a leader', () => cluster.leaderIndex() !== undefined);
+    await fillInTurn(cluster, [cluster.leaderIndex()!]);
+  }
+  expect(await isSound(cluster, await stop())).toEqual(true);
+});
+
 test('a daemon that restarts while its disk is full never comes back', async t => {
   const cluster = await setUp(t, 3, 3);
   const stop = sendChanges(cluster);
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -89,6 +89,8 @@
   readonly entries: EntryNode[] = [];
   private readonly folders: string[] = [];
   private readonly disks = new Map<number, TestDisk>();
+  /** For daemons that start later; undefined: the default. */
+  replaceAfterMs: number | undefined;
   /** Receives the events of daemons that start later. */
   logger: Logger = silentLogger;
 
@@ -130,6 +132,7 @@
       isFirstStart,
       timing: TIMING,
       voters: this.voters,
+      replaceAfterMs: this.replaceAfterMs,
       targetSilentAfterMs: 600,
       decodeConfig: this.decodeConfig,
       logger: this.logger,
