Split the host of a replica from the control daemon and access from the exchange; bindings before targets

One change of behaviour: a control daemon sends an entry the quarantine and the statements before the targets, so that an entry that has just started knows no target without what binds it.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -27,12 +27,12 @@
   type RpcHandlers,
 } from '../link/index.js';
 import {capacitiesOf} from '../capacities.js';
-import {
+import {GroupHost} from './group-host.js';
+import type {
   GroupReplica,
-  type GroupReplicaOptions,
-  type OpenError,
-  type GroupTiming,
-  type SubmitOutcome,
+  GroupReplicaOptions,
+  GroupTiming,
+  SubmitOutcome,
 } from './group-replica.js';
 import {QuarantineKeeper} from './quarantine-keeper.js';
 import type {ClusterCommand, ClusterState} from './state-machine.js';
@@ -64,7 +64,6 @@
 const JOIN_EVERY_MS = 500;
 const SEND_RENEWALS_EVERY_MS = 300;
 const REGISTRY_TICK_MS = 250;
-const REOPEN_AFTER_MS = 1_000;
 const FORWARD_TIMEOUT_MS = 3_000;
 const READ_TIMEOUT_MS = 800;
 /** An entry whose link broke keeps its reservations this long. */
@@ -93,7 +92,7 @@
 
 export class ControlNode {
   private readonly incarnation = randomUUID();
-  private group: GroupReplica | undefined;
+  private readonly host: GroupHost;
   private readonly registry: TargetRegistry;
   private readonly links: LinkSet;
   private readonly reservations: ReservationManager;
@@ -109,12 +108,10 @@
   private isUpdateScheduled = false;
   private decodedVersion = 0;
   private capacities: ServiceCapacity[] = [];
-  private isStopping = false;
-  /** Ends when the storage of a replica whose disk failed is closed. */
-  private closing: Promise<void> | undefined;
 
   constructor(private readonly options: ControlNodeOptions) {
     const {logger, nowMs} = options;
+    this.host = this.createHost();
     this.registry = new TargetRegistry({
       silentAfterMs: options.targetSilentAfterMs,
       logger,
@@ -183,10 +180,8 @@
 
   async start(): Promise<Result<void, string>> {
     const {address, seeds} = this.options;
-    const opened = await this.openGroup();
-    if (opened.isErr() && !opened.error.isPassing)
-      return err(opened.error.reason);
-    if (opened.isErr()) this.reopenLater(opened.error);
+    const started = await this.host.start();
+    if (started.isErr()) return err(started.error);
     this.listener = await listenForLinks(address, this.handlers(), peer =>
       this.onPeerClosed(peer),
     );
@@ -202,6 +197,11 @@
     return ok(undefined);
   }
 
+  /** Undefined while the disk refuses. */
+  private get group(): GroupReplica | undefined {
+    return this.host.group;
+  }
+
   get isLeader(): boolean {
     return this.group?.isLeader ?? false;
   }
@@ -276,10 +276,8 @@
   }
 
   async stop(): Promise<void> {
-    this.isStopping = true;
     for (const timer of this.timers) clearInterval(timer);
-    await this.group?.stop('the daemon stops');
-    await this.closing;
+    await this.host.stop();
     this.links.close();
     this.listener?.close();
   }
@@ -288,9 +286,9 @@
     this.timers.push(setInterval(run, ms));
   }
 
-  private async openGroup(): Promise<Result<void, OpenError>> {
+  private createHost(): GroupHost {
     const {options} = this;
-    const group = await GroupReplica.open({
+    return new GroupHost({
       dataFolder: options.dataFolder,
       address: options.address,
       zone: options.zone,
@@ -307,37 +305,9 @@
       },
       onChange: () => this.scheduleStateUpdate(),
       onQuarantineChange: table => this.sendQuarantine(table),
-      onDiskFailure: error => this.onDiskFailure(error),
+      onOpened: () => this.scheduleStateUpdate(),
       ...(options.openStorage && {openStorage: options.openStorage}),
     });
-    if (group.isErr()) return err(group.error);
-    this.group = group.value;
-    this.scheduleStateUpdate();
-    return ok(undefined);
-  }
-
-  /**
-   * Reopens the replica from its stored state once the disk can be used again.
-   */
-  private onDiskFailure(error: Error): void {
-    this.options.logger.error('replica_stopped', {reason: error.message});
-    const failed = this.group;
-    this.group = undefined;
-    this.closing = failed?.node.stop('its disk failed').catch(() => undefined);
-    setTimeout(() => void this.reopen(), REOPEN_AFTER_MS);
-  }
-
-  private reopenLater({reason}: OpenError): void {
-    this.options.logger.error('replica_not_opened', {reason});
-    setTimeout(() => void this.reopen(), REOPEN_AFTER_MS);
-  }
-
-  private async reopen(): Promise<void> {
-    await this.closing;
-    if (this.isStopping) return;
-    const opened = await this.openGroup();
-    if (opened.isErr()) this.reopenLater(opened.error);
-    if (this.isStopping) await this.group?.stop('the daemon stops');
   }
 
   private handlers(): RpcHandlers {
@@ -424,22 +394,25 @@
   private onHello(hello: Hello, peer: Peer): void {
     this.releaseEarlierIncarnation(hello);
     this.subscribers.add(peer, hello);
+    // An entry has to know what binds it before it knows any target.
+    if (hello.role === 'entry') this.sendBindings(peer);
     if (hello.receivesTargets) {
       peer.notify('targets', {items: this.registry.updates()});
     }
     peer.notify('status', this.status.current());
-    const {group} = this;
-    if (group && hello.role === 'entry') {
-      peer.notify('quarantine', viewOf(group.quarantine));
-    }
-    if (this.isLeader && hello.role === 'entry')
-      peer.notify('statements', {reports: this.statements.reports()});
     this.options.logger.info('subscriber', {
       peer: hello.instance,
       role: hello.role,
     });
   }
 
+  private sendBindings(peer: Peer): void {
+    const {group} = this;
+    if (group) peer.notify('quarantine', viewOf(group.quarantine));
+    if (this.isLeader)
+      peer.notify('statements', {reports: this.statements.reports()});
+  }
+
   private onPeerClosed(peer: Peer): void {
     const hello = this.subscribers.remove(peer);
     if (hello?.role !== 'entry') return;
--- a/packages/cluster/src/repeated-request.spec.ts
+++ b/packages/cluster/src/repeated-request.spec.ts
@@ -10,12 +10,12 @@
 } from '@samphirefield/core';
 import type {RequestKind} from '@samphirefield/gateway';
 import {call, type CallerResponse} from '@samphirefield/gateway/testing';
-import {TestCluster, until} from './testing/cluster.js';
-import {CrashingTargets, type Comeback} from './testing/crashing-targets.js';
+import type {TestCluster} from './testing/cluster.js';
+import {TestTargets, type Comeback} from './testing/test-targets.js';
 import {
-  decodeRouted,
   KEYS,
   startEntryGateway,
+  startRoutedCluster,
   targetsAreKnown,
   type EntryGateway,
 } from './testing/gateways.js';
@@ -63,27 +63,17 @@
   private constructor(
     readonly scenario: Scenario,
     readonly cluster: TestCluster,
-    readonly targets: CrashingTargets,
+    readonly targets: TestTargets,
     readonly gateways: EntryGateway[],
   ) {}
 
   static async setUp(t: TestContext, scenario: Scenario): Promise<Play> {
     const {kind = 'unsafe', isEngine = false, comeback = 'other_id'} = scenario;
     const services = (scenario.services ?? ['desk']).map(serviceId);
-    const cluster = await TestCluster.create(
-      3,
-      3,
-      decodeRouted({kind, services, isEngine}),
-    );
-    t.after(() => cluster.close());
-    for (const i of [0, 1, 2]) await cluster.start(i, true);
-    await until('a leader', () => cluster.leaderIndex() !== undefined);
-    await cluster.putConfig(0, 1);
-    const gateways: EntryGateway[] = [];
-    t.after(() => gateways.forEach(gateway => gateway.close()));
-    for (const name of ['e1', 'e2', 'e3'])
-      gateways.push(await startEntryGateway(cluster, name, logger));
-    const targets = await CrashingTargets.start({
+    const routed = {kind, services, isEngine};
+    const started = await startRoutedCluster(t, routed, logger);
+    const {cluster, gateways} = started;
+    const targets = await TestTargets.start({
       cluster,
       services,
       perService: 3,
--- a/packages/cluster/src/testing/gateways.ts
+++ b/packages/cluster/src/testing/gateways.ts
@@ -1,4 +1,5 @@
 /** Entries with a gateway for callers, in front of a test cluster. */
+import type {TestContext} from 'node:test';
 import {ok} from 'neverthrow';
 import {
   instanceId,
@@ -16,8 +17,8 @@
 } from '@samphirefield/gateway';
 import {NO_MOVES, testProtocol} from '@samphirefield/gateway/testing';
 import type {EntryNode} from '../entry/index.js';
-import {decodeTestDocument, until, type TestCluster} from './cluster.js';
-import type {CrashingTargets} from './crashing-targets.js';
+import {decodeTestDocument, TestCluster, until} from './cluster.js';
+import type {TestTargets} from './test-targets.js';
 
 export const KEYS = ['k1', 'k2', 'k3'] as const;
 
@@ -118,7 +119,7 @@
 
 /** Waits until all targets are up and known to all entries. */
 export function targetsAreKnown(
-  targets: CrashingTargets,
+  targets: TestTargets,
   gateways: readonly EntryGateway[],
 ): Promise<void> {
   const isKnown = ({entry}: EntryGateway) =>
@@ -130,3 +131,26 @@
     () => targets.areAllUp && gateways.every(isKnown),
   );
 }
+
+export interface RoutedCluster {
+  readonly cluster: TestCluster;
+  readonly gateways: EntryGateway[];
+}
+
+/** Three control daemons with a configuration, and three entries. */
+export async function startRoutedCluster(
+  t: TestContext,
+  routed: RoutedServices,
+  logger: Logger,
+): Promise<RoutedCluster> {
+  const cluster = await TestCluster.create(3, 3, decodeRouted(routed));
+  t.after(() => cluster.close());
+  for (const i of [0, 1, 2]) await cluster.start(i, true);
+  await until('a leader', () => cluster.leaderIndex() !== undefined);
+  await cluster.putConfig(0, 1);
+  const gateways: EntryGateway[] = [];
+  t.after(() => gateways.forEach(gateway => gateway.close()));
+  for (const name of ['e1', 'e2', 'e3'])
+    gateways.push(await startEntryGateway(cluster, name, logger));
+  return {cluster, gateways};
+}
--- a/packages/cluster/src/testing/stating-targets.ts
+++ b/packages/cluster/src/testing/stating-targets.ts
@@ -1,11 +1,10 @@
 /** Three entries before three targets that state things of themselves. */
 import type {TestContext} from 'node:test';
 import {serviceId, silentLogger} from '@samphirefield/core';
-import {TestCluster, until} from './cluster.js';
-import {CrashingTargets} from './crashing-targets.js';
+import type {TestCluster} from './cluster.js';
+import {TestTargets} from './test-targets.js';
 import {
-  decodeRouted,
-  startEntryGateway,
+  startRoutedCluster,
   targetsAreKnown,
   type EntryGateway,
 } from './gateways.js';
@@ -15,7 +14,7 @@
 export interface StatingPlay {
   readonly cluster: TestCluster;
   readonly gateways: EntryGateway[];
-  readonly targets: CrashingTargets;
+  readonly targets: TestTargets;
   /** When each request reached the targets, by position. */
   readonly runsAtMs: number[][];
   /** Further lines of the heads of responses, by position. */
@@ -36,20 +35,13 @@
 ): Promise<StatingPlay> {
   const services = [serviceId('desk')];
   const kind = isEngine ? 'stream' : 'unsafe';
-  const decode = decodeRouted({kind, services, isEngine});
-  const cluster = await TestCluster.create(TARGETS, TARGETS, decode);
-  t.after(() => cluster.close());
-  for (const i of [0, 1, 2]) await cluster.start(i, true);
-  await until('a leader', () => cluster.leaderIndex() !== undefined);
-  await cluster.putConfig(0, 1);
-  const gateways: EntryGateway[] = [];
-  t.after(() => gateways.forEach(gateway => gateway.close()));
-  for (const name of ['e1', 'e2', 'e3'])
-    gateways.push(await startEntryGateway(cluster, name, silentLogger));
+  const routed = {kind, services, isEngine} as const;
+  const started = await startRoutedCluster(t, routed, silentLogger);
+  const {cluster, gateways} = started;
   const runsAtMs: number[][] = [[], [], []];
   const heads = [0, 1, 2].map(position => firstHeads[position] ?? []);
   const busy = new Map<number, string>();
-  const targets = await CrashingTargets.start({
+  const targets = await TestTargets.start({
     cluster,
     services,
     perService: TARGETS,
--- a/packages/cluster/src/testing/crashing-targets.ts
+++ b/packages/cluster/src/testing/test-targets.ts
@@ -1,6 +1,7 @@
 /**
- * Targets that crash when they begin to run a deadly request, and start again
- * a while later. They announce themselves to the control daemons.
+ * Targets that announce themselves to the control daemons, state things of
+ * themselves in their answers, and crash when they begin to run a deadly
+ * request, to start again a while later.
  */
 import type {Socket} from 'node:net';
 import {
@@ -25,7 +26,7 @@
 export type Comeback =
   'same_id' | 'same_id_without_start' | 'other_id' | 'other_address';
 
-export interface CrashingTargetsOptions {
+export interface TestTargetsOptions {
   readonly cluster: TestCluster;
   readonly services: readonly ServiceId[];
   readonly perService: number;
@@ -52,19 +53,17 @@
   server: ScriptedTarget | undefined;
 }
 
-export class CrashingTargets {
+export class TestTargets {
   /** One item for each crash, in order. */
   readonly crashed: TargetId[] = [];
   private readonly places: Place[] = [];
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly dead: ScriptedTarget[] = [];
 
-  private constructor(private readonly options: CrashingTargetsOptions) {}
+  private constructor(private readonly options: TestTargetsOptions) {}
 
-  static async start(
-    options: CrashingTargetsOptions,
-  ): Promise<CrashingTargets> {
-    const targets = new CrashingTargets(options);
+  static async start(options: TestTargetsOptions): Promise<TestTargets> {
+    const targets = new TestTargets(options);
     for (const service of options.services) {
       for (let i = 0; i < options.perService; i += 1) {
         const place: Place = {
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -16,6 +16,7 @@
 import {shortDigest} from '../quarantine/index.js';
 import {KIND_TRAITS, pickService, type Route} from '../routes/index.js';
 import type {UpstreamConnection} from '../upstream/index.js';
+import {findAccess} from './access.js';
 import type {ResponseSink} from './response-sink.js';
 import {readBody} from './body.js';
 import {breakOffResponse} from './break-off.js';
@@ -133,17 +134,9 @@
     if (activeConfig === undefined)
       return this.refuse({kind: 'not_configured'});
     const {routeIndex, view} = activeConfig;
-    const host = (this.req.headers.host ?? '').split(':')[0]!.toLowerCase();
-    const path = (this.req.url ?? '/').split('?')[0]!;
-    const route = routeIndex.findRoute(host, path);
-    if (route === undefined) return this.refuse({kind: 'no_route'});
-    const needsKey = routeIndex.needsKeys && !route.isPublic;
-    const {apiKey} = this.metadata;
-    const workspace =
-      apiKey === undefined ? undefined : routeIndex.findWorkspace(apiKey);
-    if (needsKey && workspace === undefined) {
-      return this.refuse({kind: 'unknown_key'});
-    }
+    const access = findAccess(routeIndex, this.req, this.metadata.apiKey);
+    if (access.isErr()) return this.refuse(access.error);
+    const {route, workspace} = access.value;
     const body = await this.readBodyInTime(view.table.limits.maxBodyBytes);
     if (this.isOver) return undefined;
     if (body.isErr()) {
