Count the share of a stated limit by the entries that ask for it

Cause: an entry refused callers as if all entries shared a limit, also while it alone had callers (73 entries, 2.5 a second: 0.03 each, so every second caller was told to come back after half a minute). Change: the leader tells with each answer how many entries asked within 2 s; without a leader it stays the number of entries.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -347,9 +347,9 @@
         if (!this.isLeader) return;
         for (const report of reports) this.statements.learn(report);
       },
-      take_send: ({target}: SendRequest) =>
+      take_send: (request: SendRequest) =>
         this.isLeader
-          ? this.statements.takeSend(target)
+          ? this.statements.takeSend(request)
           : Promise.reject(new Error('not_leader')),
       held_runs: (held: HeldRuns) => {
         // Runs that arrive before this daemon knows its term would be cleared.
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -117,11 +117,14 @@
 
 /** Asks the leader for one sending to a target with a limit. */
 export interface SendRequest {
+  readonly entry: InstanceId;
   readonly target: TargetId;
 }
 
 export interface SendAnswer {
   readonly isGranted: boolean;
+  /** Entries that asked for sendings to the target lately, the sender too. */
+  readonly sharers: number;
   /** Time until the next sending may be granted. */
   readonly retryAfterMs: number;
 }
--- a/packages/cluster/src/control/statement-keeper.ts
+++ b/packages/cluster/src/control/statement-keeper.ts
@@ -2,7 +2,7 @@
  * The leader's part of the statements of targets: gathers what entries received,
  * sends it to all entries, and counts the sendings to targets with a limit.
  */
-import type {Logger, TargetId} from '@samphirefield/core';
+import type {InstanceId, Logger, TargetId} from '@samphirefield/core';
 import type {TargetLimiter} from '@samphirefield/gateway';
 import type {TargetStart} from '@samphirefield/policy/quarantine';
 import {
@@ -17,7 +17,10 @@
   type StatementReport,
   type TargetStatement,
 } from '@samphirefield/policy/statements';
-import type {SendAnswer} from './messages.js';
+import type {SendAnswer, SendRequest} from './messages.js';
+
+/** An entry that asked within this time shares the limit. */
+const SHARER_MS = 2_000;
 
 export interface StatementKeeperOptions {
   readonly logger: Logger;
@@ -31,6 +34,8 @@
 export class StatementKeeper implements TargetLimiter {
   private readonly table = createStatements();
   private readonly rates = createSendRates();
+  /** When each entry last asked for a sending to a target. */
+  private readonly askedAtMs = new Map<TargetId, Map<InstanceId, number>>();
 
   constructor(private readonly options: StatementKeeperOptions) {}
 
@@ -85,15 +90,30 @@
   }
 
   /** Decides on one sending of an entry that chooses its targets itself. */
-  takeSend(target: TargetId): SendAnswer {
+  takeSend({target, entry}: SendRequest): SendAnswer {
     const nowMs = this.options.nowMs();
+    const sharers = this.countSharers(target, entry, nowMs);
     const retryAfterMs = msUntilSend(this.rates, target, nowMs);
-    if (!this.maySend(target, nowMs)) return {isGranted: false, retryAfterMs};
-    this.recordSend(target, nowMs);
-    return {isGranted: true, retryAfterMs: 0};
+    const isGranted = this.maySend(target, nowMs);
+    if (isGranted) this.recordSend(target, nowMs);
+    return {isGranted, sharers, retryAfterMs: isGranted ? 0 : retryAfterMs};
+  }
+
+  private countSharers(
+    target: TargetId,
+    entry: InstanceId,
+    nowMs: number,
+  ): number {
+    const askedAtMs = this.askedAtMs.get(target) ?? new Map();
+    this.askedAtMs.set(target, askedAtMs.set(entry, nowMs));
+    for (const [other, atMs] of askedAtMs) {
+      if (nowMs - atMs > SHARER_MS) askedAtMs.delete(other);
+    }
+    return askedAtMs.size;
   }
 
   forget(target: TargetId): void {
+    this.askedAtMs.delete(target);
     this.table.delete(target);
     this.rates.delete(target);
   }
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -85,6 +85,7 @@
 
   constructor(private readonly options: EntryNodeOptions) {
     this.statements = new EntryStatements({
+      instance: options.instance,
       logger: options.logger,
       nowMs: options.nowMs,
       random: Math.random,
--- a/packages/cluster/src/entry/entry-statements.ts
+++ b/packages/cluster/src/entry/entry-statements.ts
@@ -4,7 +4,7 @@
  * received. A pause binds only the entry that received it. The leader grants each sending to a target with a limit; without one
  * the entry sends its share.
  */
-import type {Logger, TargetId} from '@samphirefield/core';
+import type {InstanceId, Logger, TargetId} from '@samphirefield/core';
 import type {StatementListener, TargetLimiter} from '@samphirefield/gateway';
 import type {TargetStart} from '@samphirefield/policy/quarantine';
 import {
@@ -38,6 +38,7 @@
 const MAX_LOGGED_STARTS = 256;
 
 export interface EntryStatementsOptions {
+  readonly instance: InstanceId;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly random: () => number;
@@ -57,6 +58,8 @@
   grantsUntilMs: number[];
   isAsking: boolean;
   askAgainAtMs: number;
+  /** Entries that share the limit; undefined until the leader has told. */
+  sharers: number | undefined;
 }
 
 export class EntryStatements implements StatementListener, TargetLimiter {
@@ -132,7 +135,14 @@
 
   expectedPerS(target: TargetId): number | undefined {
     const limitPerS = this.limitOf(target);
-    return limitPerS && limitPerS / Math.max(1, this.options.entryCount());
+    return limitPerS && limitPerS / this.sharersOf(target);
+  }
+
+  /** Without a leader any entry may send; with one, those that ask it. */
+  private sharersOf(target: TargetId): number {
+    const {leader, entryCount} = this.options;
+    const asking = leader() && this.limited.get(target)?.sharers;
+    return Math.max(1, asking ?? entryCount());
   }
 
   maySend(target: TargetId, nowMs: number): boolean {
@@ -163,18 +173,20 @@
     target: TargetId,
     row: LimitedTarget,
   ): Promise<void> {
-    const request: SendRequest = {target};
+    const request: SendRequest = {target, entry: this.options.instance};
     const answer = await leader
       .request<SendAnswer>('take_send', request, TAKE_SEND_TIMEOUT_MS)
-      .catch(() => ({isGranted: false, retryAfterMs: TAKE_SEND_TIMEOUT_MS}));
+      .catch(() => undefined);
     const nowMs = this.options.nowMs();
     row.isAsking = false;
-    if (answer.isGranted) {
+    row.sharers = answer?.sharers;
+    if (answer?.isGranted) {
       row.grantsUntilMs.push(nowMs + GRANT_VALID_MS);
       this.options.onGrant();
       return;
     }
-    const waitMs = Math.max(ASK_AGAIN_MIN_MS, answer.retryAfterMs);
+    const retryAfterMs = answer?.retryAfterMs ?? TAKE_SEND_TIMEOUT_MS;
+    const waitMs = Math.max(ASK_AGAIN_MIN_MS, retryAfterMs);
     row.askAgainAtMs = nowMs + waitMs;
   }
 
@@ -206,6 +218,7 @@
       grantsUntilMs: [],
       isAsking: false,
       askAgainAtMs: 0,
+      sharers: undefined,
     };
     this.limited.set(target, row);
     return row;
--- a/packages/cluster/src/stated-limit.spec.ts
+++ b/packages/cluster/src/stated-limit.spec.ts
@@ -124,3 +124,12 @@
   await sendMany(play, PLAY_MS);
   expect([isKept(play, 0), isKept(play, 1)]).toEqual([true, true]);
 });
+
+test('an entry that alone has callers counts with the shares of idle entries', async t => {
+  const play = await setUp(t, false, [0, 1, 2]);
+  const [busy] = play.gateways;
+  const only = {...play, gateways: [busy!]};
+  await sendMany(only, 1_000);
+  const [id] = play.targets.ids;
+  expect(busy!.entry.statements.expectedPerS(id!)).toEqual(LIMIT_PER_S);
+});
