--- a/packages/cluster/src/leaving-targets.spec.ts
+++ b/packages/cluster/src/leaving-targets.spec.ts
@@ -119,3 +119,22 @@
     return countRuns(play, 0) > before;
   });
 });
+
+test('the runs on a target that says it leaves are not moved', async t => {
+  const play = await setUpStating(t, {isEngine: true});
+  const [hearing, other] = play.gateways;
+  const [target] = play.targets.ids;
+  const start = {
+    target: target!,
+    bornMs: hearing!.entry.findTarget(target!)!.announcement.bornMs,
+  };
+  const moved: string[] = [];
+  hearing!.entry.onDraining(target!, () => moved.push('run at the hearing'));
+  other!.entry.onDraining(target!, () => moved.push('run at the other'));
+  const stated = {limitsPerS: [], leaving: [1], pausesS: []};
+  hearing!.entry.statements.hear(start, stated, performance.now());
+  expect(moved).toEqual(['run at the hearing']);
+  await until('the other entry is told', () => moved.length === 2);
+  other!.entry.onDraining(target!, () => moved.push('later run'));
+  expect(moved.length).toEqual(3);
+});
