Keep leaving targets out of the crashes, and paused ones out of the destinations of moves

Found by reading: a target that said in its answers that it leaves, and exits, cut its last runs and was counted as crashed by them; a generation could move to a target that had asked this entry for a pause; a report that failed to be submitted would have held up every later decision of the leader on suspects. Evidence: the new test of exchange/quarantine.spec fails without the first change (refused at the fourth exit); the other two by reading.

--- a/packages/cluster/src/control/quarantine-keeper.ts
+++ b/packages/cluster/src/control/quarantine-keeper.ts
@@ -92,14 +92,18 @@
     return new Promise(settle => {
       if (this.pending.length === 0) {
         const gathered = delay(GATHER_CRASHES_MS);
-        this.recorded = Promise.all([this.recorded, gathered]).then(() =>
-          this.submitCrashes(),
-        );
+        this.recorded = Promise.all([this.recorded, gathered])
+          .then(() => this.submitCrashes())
+          .catch((error: unknown) => this.logNotRecorded(error));
       }
       this.pending.push({evidence, incident, settle});
     });
   }
 
+  private logNotRecorded(error: unknown): void {
+    this.options.logger.error('crashes_not_recorded', {reason: String(error)});
+  }
+
   private incidentOf(evidence: CrashEvidence, crashedAtMs: number): number {
     const known = this.options.table()?.nextIncident ?? 1;
     const next = Math.max(known, this.nextIncident);
--- a/packages/cluster/src/entry/entry-statements.ts
+++ b/packages/cluster/src/entry/entry-statements.ts
@@ -92,8 +92,12 @@
     this.options.leader()?.notify('statements', {reports: [report]});
   }
 
+  hasLeft(start: TargetStart): boolean {
+    return statementOf(this.table, start).isLeaving;
+  }
+
   mayUse(start: TargetStart): boolean {
-    if (statementOf(this.table, start).isLeaving) return false;
+    if (this.hasLeft(start)) return false;
     return pauseLeftMs(this.pauses, start, this.options.nowMs()) === 0;
   }
 
--- a/packages/gateway/src/exchange/quarantine-guard.ts
+++ b/packages/gateway/src/exchange/quarantine-guard.ts
@@ -149,7 +149,9 @@
   }
 
   /** Undefined unless this start of the target said that it leaves. */
-  private leavingState({target, bornMs}: TargetStart): string | undefined {
+  private leavingState(start: TargetStart): string | undefined {
+    if (this.deps.statements.hasLeft(start)) return 'leaving';
+    const {target, bornMs} = start;
     const announcement =
       this.deps.reservations.findTarget(target)?.announcement;
     if (announcement?.bornMs !== bornMs || announcement.hasCrashed)
--- a/packages/gateway/src/exchange/quarantine.spec.ts
+++ b/packages/gateway/src/exchange/quarantine.spec.ts
@@ -3,6 +3,7 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {call, startTestGateway} from '../testing/gateway.js';
+import type {StatementListener} from './types.js';
 import {
   completeResponse,
   startScriptedTarget,
@@ -16,7 +17,11 @@
 const CRASHES_MAX = 5;
 
 /** Targets that crash on a request whose head matches, before any response. */
-async function setUp(t: TestContext, isDeadly: RegExp) {
+async function setUp(
+  t: TestContext,
+  isDeadly: RegExp,
+  statements: Partial<StatementListener> = {},
+) {
   const targets: ScriptedTarget[] = [];
   const start = async (i: number) => {
     targets[i] = await startScriptedTarget(({head, socket}) => {
@@ -25,7 +30,11 @@
     });
   };
   for (let i = 0; i < TARGETS; i += 1) await start(i);
-  const gateway = await startTestGateway({kind: 'unsafe', targets});
+  const gateway = await startTestGateway({
+    kind: 'unsafe',
+    targets,
+    statements,
+  });
   t.after(() => {
     gateway.close();
     for (const target of targets) target.close();
@@ -65,3 +74,13 @@
   expect(countDeadly() <= CRASHES_MAX).toEqual(true);
   expect((await call(gateway.port, {body: 'other'})).status).toEqual(200);
 });
+
+test('the exit of targets that said that they leave is taken for a crash of their runs', async t => {
+  const statements = {hasLeft: () => true};
+  const {gateway, countDeadly} = await setUp(t, /attempt: cut/, statements);
+  for (let i = 0; i < TARGETS - 2; i += 1) {
+    await call(gateway.port, {attemptId: `cut${i}`, body: 'same'});
+    await delay(PAUSE_MS);
+  }
+  expect(countDeadly()).toEqual(TARGETS - 2);
+});
--- a/packages/gateway/src/exchange/run-supervisor.ts
+++ b/packages/gateway/src/exchange/run-supervisor.ts
@@ -205,7 +205,10 @@
     const {reservations} = deps;
     const run = newRunId(deps);
     const result = await reservations.reserve(
-      buildMoveDemand(deps, admitted, metadata, run, excluded),
+      buildMoveDemand(deps, admitted, metadata, run, [
+        ...excluded,
+        ...deps.statements.pausedTargets(),
+      ]),
     );
     if (result.kind === 'refused') return undefined;
     const release = (isUsed: boolean) =>
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -108,6 +108,8 @@
 export interface StatementListener {
   /** A response to a request that was sent at `sentAtMs` to this start. */
   hear(start: TargetStart, stated: HeadValues, sentAtMs: number): void;
+  /** Whether this start said that it leaves. */
+  hasLeft(start: TargetStart): boolean;
   /** Whether this start may get requests from this entry now. */
   mayUse(start: TargetStart): boolean;
   /** Targets that want nothing from this entry now. */
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -81,6 +81,7 @@
   readonly targets: readonly ScriptedTarget[];
   readonly route?: Partial<Route>;
   readonly mover?: KvCacheMover;
+  readonly statements?: Partial<StatementListener>;
   /** Retries that the budget allows; default: any number. */
   readonly retries?: number;
 }
@@ -112,6 +113,7 @@
 
 const NO_STATEMENTS: StatementListener = {
   hear: () => undefined,
+  hasLeft: () => false,
   mayUse: () => true,
   pausedTargets: () => [],
   pauseLeftMs: () => undefined,
@@ -244,7 +246,7 @@
       tryConsume: () => (remainingRetries -= 1) >= 0,
     },
     quarantine: new LocalQuarantine(() => performance.now()),
-    statements: NO_STATEMENTS,
+    statements: {...NO_STATEMENTS, ...options.statements},
     pool,
     mover: options.mover ?? NO_MOVES,
     logger: silentLogger,
