samphirefieldd: obey what targets say of themselves in their responses

Leaving and pauses bind the entry that heard them; of a limit it sends the part that its allocation is of the target's slots, so that the parts of all entries add up to no more than the whole. A failure no longer shortens a pause. Not built: entries that tell each other, or the leader. No code of the users' bundle changed.

--- a/packages/daemon/src/components.ts
+++ b/packages/daemon/src/components.ts
@@ -14,6 +14,9 @@
   createEntryTables,
   HeartbeatLoop,
   type EntryTables,
+  hearTarget,
+  syncCandidate,
+  type HeardHead,
 } from './entry/index.js';
 import {createMetrics, type Metrics} from './metrics/index.js';
 import {LedgerClient} from './plain/index.js';
@@ -102,7 +105,10 @@
     })),
     callTimeoutMs: timing.rpc_timeout_ms,
   });
-  const targets = new TargetClient();
+  const targets = new TargetClient(
+    (address, head, sentAtMs) => hear({...address, ...head, sentAtMs}),
+    () => clock.nowMs(),
+  );
   let host: VoterHost | undefined;
   if (voter) {
     const opened = await VoterHost.open({
@@ -123,6 +129,15 @@
     instanceId(instance.id),
     zoneId(instance.zone),
   );
+  const hear = (head: HeardHead) => {
+    const outcome = hearTarget(tables, head, clock.nowMs());
+    if (outcome === 'unchanged') return;
+    const {target, incarnation} = head;
+    logger.info('statement_heard', {target, incarnation, outcome});
+    const row = tables.targets.get(target);
+    if (row) syncCandidate(tables, row);
+    scheduler.dispatch();
+  };
   const scheduler: Scheduler = new Scheduler({
     tables,
     clock,
--- a/packages/daemon/src/entry/candidates.ts
+++ b/packages/daemon/src/entry/candidates.ts
@@ -1,6 +1,7 @@
 /** Derives the candidates for routing decisions from this entry's tables. */
 import type {ServiceId} from '@samphirefield/core';
 import {createCandidateList, type CandidateList} from '@samphirefield/policy';
+import {hasLeft} from './statements.js';
 import type {EntryTables, EntryTarget} from './tables.js';
 
 const EMPTY_LIST: CandidateList = {candidates: [], ring: []};
@@ -15,7 +16,7 @@
     view.isLapsed ||
     outZones.includes(view.zone) ||
     outTargets.includes(view.target);
-  candidate.isDraining = view.isLeaving;
+  candidate.isDraining = view.isLeaving || hasLeft(tables, row);
   candidate.freeSlots = row.allocatedSlots - inUse;
   candidate.freeKvTokens =
     view.kvTokens === 0 ? Infinity : row.allocatedKvTokens - kvInUse;
@@ -23,6 +24,11 @@
   candidate.runsSuspect = (usage?.suspects ?? 0) > 0;
 }
 
+/** Keeps new requests away from a target; a later time stays. */
+export function avoidTarget({candidate}: EntryTarget, untilMs: number): void {
+  candidate.avoidUntilMs = Math.max(candidate.avoidUntilMs, untilMs);
+}
+
 /**
  * Returns the load as a share of the target's capacity: the last report, which
  * lags, corrected by the requests sent since.
--- a/packages/daemon/src/entry/heartbeat-messages.ts
+++ b/packages/daemon/src/entry/heartbeat-messages.ts
@@ -95,9 +95,10 @@
   }
 }
 
-function createEntryTarget(view: TargetView): EntryTarget {
+function createEntryTarget(view: TargetView, startNumber: number): EntryTarget {
   return {
     view,
+    startNumber,
     allocatedSlots: 0,
     allocatedKvTokens: 0,
     finishedRuns: 0,
@@ -121,10 +122,12 @@
   const hasChangedZone =
     known !== undefined && known.candidate.zone !== view.zone;
   if (known === undefined || hasChangedZone) {
-    tables.targets.set(view.target, createEntryTarget(view));
+    const startNumber = (known?.startNumber ?? 0) + 1;
+    tables.targets.set(view.target, createEntryTarget(view, startNumber));
     return;
   }
   if (known.view.incarnation !== view.incarnation) {
+    known.startNumber += 1;
     known.finishedRuns = 0;
     known.candidate.avoidUntilMs = 0;
     forgetTarget(tables.prefixCache, view.target);
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -13,7 +13,8 @@
   type EntryTarget,
   type ActiveRun,
 } from './tables.js';
-export {candidatesFor} from './candidates.js';
+export {avoidTarget, candidatesFor, syncCandidate} from './candidates.js';
+export {hearTarget, recordSending, type HeardHead} from './statements.js';
 export {
   addRun,
   histogramFor,
--- a/packages/daemon/src/entry/tables.ts
+++ b/packages/daemon/src/entry/tables.ts
@@ -21,7 +21,10 @@
 } from '@samphirefield/core';
 import {
   createCacheTable,
+  createPauses,
   createQuarantine,
+  createSendRates,
+  createStatements,
   ISOLATED_SUSPECT_THRESHOLDS,
   type CacheTable,
   type Candidate,
@@ -29,7 +32,10 @@
   type CrashReport,
   type HolderId,
   type LengthHistogram,
+  type PauseTable,
   type QuarantineTable,
+  type SendRates,
+  type StatementTable,
   type SuspectView,
   type TargetView,
 } from '@samphirefield/policy';
@@ -37,6 +43,8 @@
 /** A target: its state as the leader reports it, and this entry's use. */
 export interface EntryTarget {
   view: TargetView;
+  /** Increases with each start of the target. */
+  startNumber: number;
   /** Slots that the leader allocated to this entry. */
   allocatedSlots: number;
   /** KV cache tokens that the leader allocated to this entry. */
@@ -103,6 +111,10 @@
   readonly prefixCache: CacheTable;
   /** Suspects that this entry observed itself. */
   readonly quarantine: QuarantineTable;
+  /** What targets stated in their responses. */
+  readonly statements: StatementTable;
+  readonly pauses: PauseTable;
+  readonly sendRates: SendRates;
   /** Suspects that the leader merged from the reports of all entries. */
   sharedSuspects: ReadonlyMap<Fingerprint, SuspectView>;
   /** Waiting suspects that the leader permits this entry to run. */
@@ -138,6 +150,9 @@
     histograms: new Map(),
     prefixCache: createCacheTable(),
     quarantine: createQuarantine(ISOLATED_SUSPECT_THRESHOLDS),
+    statements: createStatements(),
+    pauses: createPauses(),
+    sendRates: createSendRates(),
     sharedSuspects: new Map(),
     permittedSuspects: new Set(),
     waitingSuspects: new Set(),
--- a/packages/daemon/src/generations/run-generation.ts
+++ b/packages/daemon/src/generations/run-generation.ts
@@ -28,6 +28,7 @@
   recordTargetCrash,
   recordRunSuccess,
   type EntryTables,
+  avoidTarget,
 } from '../entry/index.js';
 import {notRun, type ApiError} from '../http/index.js';
 import type {Metrics} from '../metrics/index.js';
@@ -308,8 +309,7 @@
       isConnectionLost && !(await deps.targets.isAlive(addressOf(admission)));
     if (isDead) this.recordTargetCrash(admission);
     if (failure !== 'failed')
-      admission.target.candidate.avoidUntilMs =
-        deps.clock.nowMs() + AVOID_TARGET_MS;
+      avoidTarget(admission.target, deps.clock.nowMs() + AVOID_TARGET_MS);
     const isGenerationGone = isNotFound && sequencer.generation !== undefined;
     const next = decideAfterFailure({
       failure: isGenerationGone ? 'lost' : (failure as AttemptFailure),
--- a/packages/daemon/src/plain/call-plain.ts
+++ b/packages/daemon/src/plain/call-plain.ts
@@ -11,6 +11,7 @@
   hasViewLease,
   recordTargetCrash,
   recordRunSuccess,
+  avoidTarget,
 } from '../entry/index.js';
 import {
   addressOf,
@@ -148,8 +149,7 @@
       this.mayHaveRun = true;
       await this.recordCrashIfDead(admission);
     }
-    admission.target.candidate.avoidUntilMs =
-      deps.clock.nowMs() + AVOID_TARGET_MS;
+    avoidTarget(admission.target, deps.clock.nowMs() + AVOID_TARGET_MS);
     const next = decideAfterFailure({
       failure,
       isEngine: false,
--- a/packages/daemon/src/scheduler/scheduler.ts
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -41,6 +41,7 @@
   requestSuspicion,
   type EntryTables,
   type ActiveRun,
+  recordSending,
 } from '../entry/index.js';
 import type {Admission, AdmissionError, AdmissionRequest} from './types.js';
 
@@ -366,6 +367,7 @@
     };
     tables.waitingSuspects.delete(request.fingerprint);
     target.sentSinceView += 1;
+    recordSending(tables, target, this.options.clock.nowMs());
     addRun(tables, run);
     this.count(run, 1);
     logger.info('route', {
--- a/packages/daemon/src/targets/target-client.ts
+++ b/packages/daemon/src/targets/target-client.ts
@@ -81,9 +81,21 @@
   }
 }
 
+/** Called with the head of each response. */
+export type HeadListener = (
+  address: TargetAddress,
+  head: Pick<TargetResponse, 'status' | 'headers'>,
+  sentAtMs: number,
+) => void;
+
 export class TargetClient {
   private readonly pools = new Map<string, PoolPair>();
 
+  constructor(
+    private readonly onHead: HeadListener = () => undefined,
+    private readonly nowMs: () => number = () => performance.now(),
+  ) {}
+
   /** Sends a call; on success the caller must read or discard the body. */
   async open(
     address: TargetAddress,
@@ -91,7 +103,9 @@
     connection: 'reused' | 'fresh',
   ): Promise<Result<TargetResponse, TargetError>> {
     const pool = this.poolFor(address)[connection];
+    const sentAtMs = this.nowMs();
     const opened = await dispatch(pool, address, call);
+    if (opened.isOk()) this.onHead(address, opened.value, sentAtMs);
     if (opened.isErr() || opened.value.status < 400) return opened;
     return err(await toTargetError(opened.value));
   }
