--- a/packages/cluster/src/testing/test-targets.ts
+++ b/packages/cluster/src/testing/test-targets.ts
@@ -35,7 +35,7 @@
   /** A target ends without a reset of its connections. */
   readonly isSilentEnd?: boolean;
   /** Called for each request that is answered, with the target's position. */
-  readonly onRun?: (position: number) => void;
+  readonly onRun?: (position: number, attempt: string) => void;
   /** A line of the head with which the target rejects; undefined: it runs. */
   readonly rejectionOf?: (position: number) => string | undefined;
   /** Further lines of the head of a response of the target at a position. */
@@ -139,8 +139,8 @@
   private answer(place: Place, head: string, socket: Socket): void {
     const {onRun, headOf} = this.options;
     const position = this.places.indexOf(place);
-    onRun?.(position);
-    const attempt = /^attempt: (.*)$/im.exec(head)?.[1] ?? '';
+    const attempt = /^attempt: (.*)$/im.exec(head)?.[1]?.trim() ?? '';
+    onRun?.(position, attempt);
     const lines = [`Attempt: ${attempt}`, ...(headOf?.(position) ?? [])];
     const rejection = this.options.rejectionOf?.(position);
     if (rejection === undefined) {
