Let the fault mix lose running requests; three mutants that it notices

The first two of three mutants of the mix went unnoticed: its targets answered at once, so no crash met a run, and two checks stand behind each other for targets that leave. Targets run a request for 30 ms now; the mutant of leaving is one of the reading.

--- a/packages/cluster/src/testing/fault-mix.ts
+++ b/packages/cluster/src/testing/fault-mix.ts
@@ -27,6 +27,7 @@
 const HURT_MIN_MS = 200;
 const HURT_MAX_MS = 900;
 const TARGETS = 4;
+const RUN_MS = 30;
 const LIMIT_PER_S = 4;
 const LIMIT_WINDOW_MS = 2_000;
 /** What the users allow of a limit in any window. */
@@ -105,6 +106,7 @@
       perService: TARGETS,
       isDeadly: () => false,
       comeback: 'same_id',
+      runMs: RUN_MS,
       onRun: (position, attempt) => mix.current?.onRun(position, attempt),
       headOf: position => mix.current?.heads[position] ?? [],
     });
--- a/packages/cluster/src/testing/test-targets.ts
+++ b/packages/cluster/src/testing/test-targets.ts
@@ -36,6 +36,8 @@
   readonly isSilentEnd?: boolean;
   /** Called for each request that is answered, with the target's position. */
   readonly onRun?: (position: number, attempt: string) => void;
+  /** How long a target runs a request. Default: it answers at once. */
+  readonly runMs?: number;
   /** A line of the head with which the target rejects; undefined: it runs. */
   readonly rejectionOf?: (position: number) => string | undefined;
   /** Further lines of the head of a response of the target at a position. */
@@ -144,13 +146,20 @@
     const lines = [`Attempt: ${attempt}`, ...(headOf?.(position) ?? [])];
     const rejection = this.options.rejectionOf?.(position);
     if (rejection === undefined) {
-      socket.write(completeResponse('done', lines));
+      const respond = () => socket.write(completeResponse('done', lines));
+      this.afterRun(respond);
       return;
     }
     const rejected = [...lines, 'Not-Run: 1', rejection];
     socket.write(completeResponse('', rejected, '503 Busy'));
   }
 
+  private afterRun(respond: () => void): void {
+    const {runMs = 0} = this.options;
+    if (runMs === 0) respond();
+    else this.timers.push(setTimeout(respond, runMs));
+  }
+
   private end(place: Place): void {
     const {server} = place;
     if (server === undefined) return;
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -243,6 +243,30 @@
     'cluster/dist/full-disks.spec.js',
     'was replaced while its disk was full',
   ],
+  [
+    'the fault mix notices a limit that is exceeded',
+    'cluster/dist/control/statement-keeper.js',
+    'return msUntilSend(this.rates, target, nowMs) === 0;',
+    'return true;',
+    'cluster/dist/fault-mix.spec.js',
+    'faults of seed',
+  ],
+  [
+    'the fault mix notices requests at targets that left',
+    'policy/dist/statements/logic.js',
+    'isLeaving: leavingValue === 1',
+    'isLeaving: false',
+    'cluster/dist/fault-mix.spec.js',
+    'faults of seed',
+  ],
+  [
+    'the fault mix notices a false "not run"',
+    'gateway/dist/exchange/classify-result.js',
+    "kind: 'outcome_unknown',\n                reason: result.error.reason",
+    "kind: 'not_run',\n                reason: result.error.reason",
+    'cluster/dist/fault-mix.spec.js',
+    'faults of seed',
+  ],
 ];
 
 function copyBuild() {
