--- a/packages/cluster/src/entry/entry-statements.ts
+++ b/packages/cluster/src/entry/entry-statements.ts
@@ -1,8 +1,8 @@
 /**
  * An entry's part of the statements of targets: obeys what it receives itself at
  * once and reports it to the leader, and learns from the leader what others
- * received. A pause binds only the entry that received it. The leader grants each sending to a target with a limit; without one
- * the entry sends its share.
+ * received. A pause binds only the entry that received it. The leader grants
+ * each sending to a target with a limit; without one the entry sends its share.
  */
 import type {InstanceId, Logger, TargetId} from '@samphirefield/core';
 import type {StatementListener, TargetLimiter} from '@samphirefield/gateway';
