--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec node review/2/run.mjs
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." && exec node "$here/run.mjs"
