Hand a stopping control daemon's vote on, and replace a lost voter before its loss stops counting

Cause: the leader began to replace a voter only after 6 s of silence, though 2.3 s after the stop (CatchupS after its successor's start) the loss no longer counts; and a voter that stops as planned kept its vote until then, handing on the leadership only. Ruled out: the successor does not ask to join (it was a candidate after 0.5 s), a slow join (no membership_changed at all before the second stop).

Change: ControlNode.leave asks the leader to replace the daemon before it exits; the leader promotes the replacement first and removes the leaver, which still responds. A voter silent for two of the longest election timeouts (1.28 s) is replaced. Same cause: the leader did not know the zones of the first voters, so votes could gather in one zone; control daemons tell zone and address when they link, and voters that share a zone are spread.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -3,6 +3,7 @@
  * and, while it is the leader, the reservations on engines.
  */
 import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
 import type {InstanceId, Logger, TargetId, ZoneId} from '@samphirefield/core';
 import type {
@@ -43,6 +44,8 @@
   HeldRuns,
   Hello,
   JoinRequest,
+  LeaveOutcome,
+  LeaveRequest,
   MovePermitMessage,
   PullRequest,
   RaftLinkMessage,
@@ -66,6 +69,7 @@
 const REGISTRY_TICK_MS = 250;
 const FORWARD_TIMEOUT_MS = 3_000;
 const READ_TIMEOUT_MS = 800;
+const LEAVE_RETRY_MS = 30;
 /** An entry whose link broke keeps its reservations this long. */
 const ENTRY_RECONNECT_GRACE_MS = 1_500;
 
@@ -101,6 +105,8 @@
   private readonly status: StatusReporter;
   private readonly quarantine: QuarantineKeeper;
   private readonly statements: StatementKeeper;
+  /** Zones of control daemons, by address; of this one too. */
+  private readonly zones = new Map<string, ZoneId>();
   private readonly entryIncarnations = new Map<InstanceId, string>();
   private pendingRenewals = new Map<TargetId, TargetUpdate>();
   private listener: LinkListener | undefined;
@@ -111,6 +117,7 @@
 
   constructor(private readonly options: ControlNodeOptions) {
     const {logger, nowMs} = options;
+    this.noteZone(options.address, options.zone);
     this.host = this.createHost();
     this.registry = new TargetRegistry({
       silentAfterMs: options.targetSilentAfterMs,
@@ -275,6 +282,42 @@
     };
   }
 
+  /**
+   * Gives up the leadership and the vote before a planned stop, so that the
+   * group bears as many losses after it as before. Resolves early if no daemon
+   * can take the vote.
+   */
+  async leave(timeoutMs: number): Promise<void> {
+    const {logger, nowMs} = this.options;
+    const untilMs = nowMs() + timeoutMs;
+    let outcome: LeaveOutcome = 'not_leader';
+    while (outcome === 'not_leader' && nowMs() < untilMs) {
+      if (this.group === undefined) return;
+      outcome = await this.requestLeave(this.group, untilMs - nowMs());
+      if (outcome === 'not_leader') await delay(LEAVE_RETRY_MS);
+    }
+    logger.info('left_group', {outcome});
+  }
+
+  private async requestLeave(
+    group: GroupReplica,
+    timeoutMs: number,
+  ): Promise<LeaveOutcome> {
+    if (this.isLeader) {
+      if (group.voterCount === 1) return 'kept';
+      await group.transferLeadership();
+      return 'not_leader';
+    }
+    const request: LeaveRequest = {replica: group.node.id};
+    try {
+      const leader = this.leaderPeer();
+      if (leader === undefined) return 'not_leader';
+      return await leader.request<LeaveOutcome>('leave', request, timeoutMs);
+    } catch {
+      return 'not_leader';
+    }
+  }
+
   async stop(): Promise<void> {
     for (const timer of this.timers) clearInterval(timer);
     await this.host.stop();
@@ -297,6 +340,7 @@
       timing: options.timing,
       voters: options.voters,
       replaceAfterMs: options.replaceAfterMs,
+      zoneOf: replica => this.zones.get(replica.instance),
       logger: options.logger,
       nowMs: options.nowMs,
       send: (envelope, to) => {
@@ -319,8 +363,11 @@
       },
       join: (request: JoinRequest) => {
         this.linkTo([request.address]);
-        this.group?.addCandidate(request);
+        this.noteZone(request.address, request.zone);
+        this.group?.membership.addCandidate(request);
       },
+      leave: ({replica}: LeaveRequest): Promise<LeaveOutcome> | LeaveOutcome =>
+        this.group?.membership.release(replica) ?? 'not_leader',
       targets: (message: TargetsMessage) => {
         for (const item of message.items) this.registry.mergeUpdate(item);
       },
@@ -365,6 +412,10 @@
     return {...state, document: undefined};
   }
 
+  private noteZone(address: Address, zone: ZoneId): void {
+    this.zones.set(formatAddress(address), zone);
+  }
+
   private linkTo(addresses: readonly Address[]): void {
     const self = formatAddress(this.options.address);
     for (const address of addresses) {
@@ -379,7 +430,7 @@
   }
 
   private sendHello(peer: Peer): void {
-    const {instance, zone} = this.options;
+    const {instance, zone, address} = this.options;
     const {incarnation} = this;
     const hello: Hello = {
       instance,
@@ -387,6 +438,7 @@
       role: 'control',
       zone,
       receivesTargets: true,
+      address,
     };
     peer.notify('hello', hello);
   }
@@ -394,6 +446,7 @@
   private onHello(hello: Hello, peer: Peer): void {
     this.releaseEarlierIncarnation(hello);
     this.subscribers.add(peer, hello);
+    if (hello.address) this.noteZone(hello.address, hello.zone);
     // An entry has to know what binds it before it knows any target.
     if (hello.role === 'entry') this.sendBindings(peer);
     if (hello.receivesTargets) {
--- a/packages/cluster/src/control/group-replica.ts
+++ b/packages/cluster/src/control/group-replica.ts
@@ -1,25 +1,21 @@
 /**
  * This daemon's replica of the control group: opens its storage, forms the
- * initial group from the seeds, requests to join later, and, while it is the
- * leader, maintains the configured number of voters.
+ * initial group from the seeds, and requests to join later.
  */
 import {randomInt, randomUUID} from 'node:crypto';
 import {mkdirSync} from 'node:fs';
 import {err, ok, type Result} from 'neverthrow';
-import {planMembership, type MemberView} from '@samphirefield/control';
 import type {Logger, ZoneId} from '@samphirefield/core';
 import type {QuarantineTable} from '@samphirefield/policy/quarantine';
 import {
   formatStorageError,
   isVoter,
-  lastIndex,
   openFileStorage,
   openIdentity,
   replicaId,
   ReplicaNode,
   votersOf,
   type Envelope,
-  type MembershipChange,
   type RaftConfig,
   type Replica,
   type ReplicaId,
@@ -32,6 +28,7 @@
   type ClusterCommand,
   type ClusterState,
 } from './state-machine.js';
+import {MembershipKeeper, toReplica} from './membership-keeper.js';
 import type {JoinRequest} from './messages.js';
 
 const DEPLOYMENT = 'samphirefield';
@@ -39,9 +36,6 @@
  * Marks replicas of the initial group, whose ids are derived from the seeds.
  */
 const INITIAL_GROUP = 'first';
-const REPLACE_AFTER_MS = 6_000;
-const MAX_LAG_ENTRIES = 50;
-const CANDIDATE_EXPIRY_MS = 3_000;
 const SNAPSHOT_EVERY_ENTRIES = 400;
 
 export interface GroupTiming {
@@ -62,8 +56,13 @@
   readonly timing: GroupTiming;
   /** Number of voters that the leader maintains; odd. */
   readonly voters: number;
-  /** A voter that is silent for this long is replaced. Default: 6 s. */
+  /**
+   * A voter that is silent for this long is replaced. Default: twice the
+   * longest election timeout.
+   */
   readonly replaceAfterMs?: number | undefined;
+  /** The zone of a member; undefined until its daemon has told it. */
+  readonly zoneOf: (replica: Replica) => ZoneId | undefined;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly send: (envelope: Envelope, to: Address) => void;
@@ -104,34 +103,23 @@
   };
 }
 
-function toReplica(address: Address, id: ReplicaId): Replica {
-  return {
-    id,
-    instance: formatAddress(address),
-    address: address.host,
-    port: address.port,
-    role: 'voter',
-  };
-}
-
 const addressOf = (replica: Replica): Address => ({
   host: replica.address,
   port: replica.port,
 });
 
 export class GroupReplica {
-  private readonly candidates = new Map<
-    ReplicaId,
-    {request: JoinRequest; lastSeenAtMs: number}
-  >();
   private readonly replyAddresses = new Map<ReplicaId, Address>();
-  private readonly zones = new Map<ReplicaId, ZoneId>();
+  /** Which daemons should be members; acts while this one leads. */
+  readonly membership: MembershipKeeper;
 
   private constructor(
     private readonly options: GroupReplicaOptions,
     private readonly stateMachine: ClusterStateMachine,
     readonly node: ReplicaNode<ClusterResult>,
-  ) {}
+  ) {
+    this.membership = new MembershipKeeper({...options, node});
+  }
 
   static async open(
     options: GroupReplicaOptions,
@@ -226,7 +214,7 @@
 
   tick(): void {
     this.node.tick();
-    if (this.isLeader) this.adjustMembership();
+    if (this.isLeader) this.membership.adjust();
   }
 
   receive(envelope: Envelope, replyTo: Address): void {
@@ -235,12 +223,6 @@
     this.node.receive(envelope.from, envelope.message);
   }
 
-  addCandidate(request: JoinRequest): void {
-    const lastSeenAtMs = this.options.nowMs();
-    this.candidates.set(request.replica, {request, lastSeenAtMs});
-    this.zones.set(request.replica, request.zone);
-  }
-
   async submit(command: ClusterCommand): Promise<SubmitOutcome> {
     const result = await this.node.submit(JSON.stringify(command));
     if (result.isOk()) return {kind: 'applied', answer: result.value};
@@ -258,6 +240,11 @@
     return isConfirmed ? this.state : undefined;
   }
 
+  /** Hands the leadership over to a voter with the complete log, if any. */
+  async transferLeadership(): Promise<void> {
+    await this.node.transferLeadership();
+  }
+
   async stop(reason: string): Promise<void> {
     if (this.isLeader) await this.node.transferLeadership();
     await this.node.stop(reason);
@@ -274,66 +261,4 @@
       if (address) this.options.send(envelope, address);
     }
   }
-
-  private memberViews(nowMs: number): MemberView[] {
-    const {raft, membership} = this.node;
-    const last = lastIndex(raft.log);
-    return membership.replicas.map(replica => {
-      const isSelf = replica.id === this.node.id;
-      const progress = raft.progress.get(replica.id);
-      return {
-        replica: replica.id,
-        instance: replica.instance,
-        zone: this.zones.get(replica.id),
-        role: replica.role,
-        silentMs: isSelf ? 0 : nowMs - (progress?.lastContactAtMs ?? nowMs),
-        lagEntries: isSelf ? 0 : last - (progress?.matchIndex ?? 0),
-      };
-    });
-  }
-
-  private adjustMembership(): void {
-    const nowMs = this.options.nowMs();
-    for (const [id, {lastSeenAtMs}] of this.candidates) {
-      if (nowMs - lastSeenAtMs > CANDIDATE_EXPIRY_MS)
-        this.candidates.delete(id);
-    }
-    const members = this.memberViews(nowMs);
-    const memberIds = new Set(members.map(member => member.replica));
-    const candidates = [...this.candidates.values()]
-      .map(({request}) => ({
-        replica: request.replica as string,
-        instance: formatAddress(request.address),
-        zone: request.zone as string,
-      }))
-      .filter(candidate => !memberIds.has(candidate.replica));
-    const step = planMembership(members, candidates, {
-      voters: this.options.voters,
-      preferredInstances: [],
-      replaceAfterMs: this.options.replaceAfterMs ?? REPLACE_AFTER_MS,
-      maxLagEntries: MAX_LAG_ENTRIES,
-    });
-    if (step === undefined) return;
-    const change = this.toMembershipChange(step.kind, replicaId(step.replica));
-    if (change === undefined) return;
-    void this.node.changeMembership(change).then(result => {
-      if (result.isErr()) return;
-      this.options.logger.info('membership_changed', {
-        change: step.kind,
-        replica: step.replica,
-        term: this.term,
-      });
-    });
-  }
-
-  private toMembershipChange(
-    kind: MembershipChange['kind'],
-    id: ReplicaId,
-  ): MembershipChange | undefined {
-    if (kind !== 'add_learner') return {kind, id};
-    const candidate = this.candidates.get(id);
-    if (candidate === undefined) return undefined;
-    const replica = toReplica(candidate.request.address, id);
-    return {kind, replica};
-  }
 }
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -24,6 +24,8 @@
   readonly role: 'entry' | 'control';
   readonly zone: ZoneId;
   readonly receivesTargets: boolean;
+  /** Where other daemons reach the sender; of control daemons only. */
+  readonly address?: Address;
 }
 
 /** Status of the control group, as known to the sender. */
@@ -77,6 +79,17 @@
   readonly zone: ZoneId;
 }
 
+/** Asks the leader to give the sender's part in the group to another daemon. */
+export interface LeaveRequest {
+  readonly replica: ReplicaId;
+}
+
+/**
+ * `released`: the sender has no vote; `kept`: no daemon can replace it now;
+ * `not_leader`: the receiver does not lead, or no longer.
+ */
+export type LeaveOutcome = 'released' | 'kept' | 'not_leader';
+
 export interface HeldRun {
   readonly request: RequestId;
   readonly target: TargetId;
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -145,6 +145,12 @@
     return node;
   }
 
+  /** Stops daemon `i` as planned: it gives up its vote first. */
+  async leave(i: number): Promise<void> {
+    await this.controls.get(i)?.leave(MAX_WAIT_MS);
+    await this.stop(i);
+  }
+
   async stop(i: number): Promise<void> {
     const node = this.controls.get(i);
     this.controls.delete(i);
--- a/packages/control/src/control.spec.ts
+++ b/packages/control/src/control.spec.ts
@@ -359,3 +359,62 @@
     replica: 'c/1',
   });
 });
+
+// Guards against a group that two planned stops leave without a majority.
+test('a voter that leaves is replaced while it still responds', () => {
+  const leaver = member('c/1', {isLeaving: true});
+  const group = [member('a/1'), member('b/1'), leaver];
+  expect(planMembership(group, [candidate('d/1')], GOAL)).toEqual({
+    kind: 'add_learner',
+    replica: 'd/1',
+  });
+  const learner = member('d/1', {role: 'learner'});
+  expect(planMembership([...group, learner], [], GOAL)).toEqual({
+    kind: 'promote',
+    replica: 'd/1',
+  });
+  expect(planMembership([...group, member('d/1')], [], GOAL)).toEqual({
+    kind: 'remove',
+    replica: 'c/1',
+  });
+});
+
+test('a lost voter is removed before one that leaves', () => {
+  const group = [
+    member('a/1', {isLeaving: true}),
+    member('b/1'),
+    member('c/1', {silentMs: 70_000}),
+    member('d/1', {role: 'learner'}),
+  ];
+  expect(planMembership(group, [], GOAL)).toEqual({
+    kind: 'remove',
+    replica: 'c/1',
+  });
+});
+
+// Guards against a zone whose loss takes the majority, after replacements.
+test('voters that share a zone are spread when a daemon of a free zone joins', () => {
+  const group = [
+    member('a/1', {zone: 'z1'}),
+    member('b/1', {zone: 'z1', silentMs: 5}),
+    member('c/1', {zone: 'z2'}),
+  ];
+  const free = {...candidate('d/1'), zone: 'z3'};
+  expect(planMembership(group, [{...free, zone: 'z2'}], GOAL)).toEqual(
+    undefined,
+  );
+  expect(planMembership(group, [free], GOAL)).toEqual({
+    kind: 'add_learner',
+    replica: 'd/1',
+  });
+  const learner = member('d/1', {role: 'learner', zone: 'z3'});
+  expect(planMembership([...group, learner], [], GOAL)).toEqual({
+    kind: 'promote',
+    replica: 'd/1',
+  });
+  const promoted = member('d/1', {zone: 'z3'});
+  expect(planMembership([...group, promoted], [], GOAL)).toEqual({
+    kind: 'remove',
+    replica: 'b/1',
+  });
+});
--- a/packages/replication/src/node/replica-node.ts
+++ b/packages/replication/src/node/replica-node.ts
@@ -16,6 +16,7 @@
   hasNoEffects,
   holdsLease,
   lastIndex,
+  membershipAt,
   propose,
   proposeMembershipChange,
   quorumContactAtMs,
@@ -104,6 +105,11 @@
     return currentMembership(this.raft);
   }
 
+  /** The latest membership that no new leader can undo. */
+  get committedMembership(): Membership {
+    return membershipAt(this.raft, this.raft.commitIndex);
+  }
+
   /** Whether this replica was ever a member of a group. */
   get hasJoinedGroup(): boolean {
     return lastIndex(this.raft.log) > 0;
--- a/packages/replication/src/raft/index.ts
+++ b/packages/replication/src/raft/index.ts
@@ -16,6 +16,7 @@
   hasNoEffects,
   currentMembership,
   isChangePending,
+  membershipAt,
   takeEffects,
   type Progress,
   type RaftState,
