Refuse invalid heads of targets, and keep what fails on one response to its own request

Cause: heads went from the lenient parser to writeHead of node:http unchecked, and what it throws left the socket's data handler as an uncaught exception. The parser also decoded heads as ASCII, which makes control characters of valid bytes above 0x7f. Ruled out: the parser itself throwing (it returns its errors).

Change: the parser reads Latin-1 and refuses invalid names, values, reason phrases and statuses as malformed; UpstreamConnection.parse turns whatever is thrown while a response is handled into the loss of that response; a head counts as sent only once it was written.

--- a/packages/daemon/src/plain/at-most-once.spec.ts
+++ b/packages/daemon/src/plain/at-most-once.spec.ts
@@ -92,6 +92,20 @@
   });
 });
 
+// Guards against a response that is lost to a byte of its content type.
+test('a content type that no header may hold costs the caller no response', async () => {
+  await withDesk({voters: 1, entries: 1}, async ({deployment, desk}) => {
+    desk.contentType = Buffer.from('text/it’s').toString('latin1');
+    const response = await post(
+      deployment.daemons[0]!,
+      '/orders',
+      ORDER,
+      withKey('k'),
+    );
+    expect([response.status, bodyOf(response).order]).toEqual([200, 1]);
+  });
+});
+
 test('a request whose response is lost has an unknown outcome and never runs again', async () => {
   await withDesk({voters: 1, entries: 1}, async ({deployment, desk}) => {
     desk.dropsResponses = true;
--- a/packages/fakes/src/plain-server.ts
+++ b/packages/fakes/src/plain-server.ts
@@ -35,6 +35,8 @@
   readonly executedCalls: ExecutedCall[] = [];
   /** Runs each call, then closes the connection instead of responding. */
   dropsResponses = false;
+  /** Each character is sent as one byte. */
+  contentType = 'application/json';
   /** Responds to each call that it was not run. */
   rejectsCalls = false;
   delayMs: number;
@@ -102,7 +104,7 @@
     response: ServerResponse,
   ): Promise<void> {
     response.setHeader('x-samphirefield-incarnation', this.incarnation);
-    response.setHeader('content-type', 'application/json');
+    response.setHeader('content-type', this.contentType);
     if (request.url === '/healthz') {
       response.end('{}');
       return;
--- a/packages/gateway/src/exchange/response-sink.ts
+++ b/packages/gateway/src/exchange/response-sink.ts
@@ -90,8 +90,6 @@
   }
 
   private sendHead(lengthBytes: number | undefined): void {
-    this.isHeadSent = true;
-    this.headSentAtMs = performance.now();
     const {status, statusText, rawHeaders} = this.head;
     const headers = forwardedResponseHeaders(rawHeaders);
     this.res.sendDate = false;
@@ -106,5 +104,7 @@
       headers.push('Content-Length', String(lengthBytes));
     }
     this.res.writeHead(status, statusText, headers);
+    this.isHeadSent = true;
+    this.headSentAtMs = performance.now();
   }
 }
--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -162,11 +162,26 @@
     }
     this.hasData = true;
     this.overheadBytes += data.length;
-    const reason = this.parser.execute(data);
+    const reason = this.parse(() => this.parser.execute(data));
     if (reason !== undefined) this.fail({kind: 'malformed', reason});
     else this.limitOverhead();
   }
 
+  /**
+   * Returns the reason if the response cannot be used. What a target sends must
+   * end no request but its own, also where its handling fails.
+   */
+  private parse(run: () => string | undefined): string | undefined {
+    const {handlers} = this;
+    try {
+      return run();
+    } catch (error) {
+      // The end of the response may have been handled already.
+      this.handlers ??= handlers;
+      return `the response could not be handled: ${(error as Error).message}`;
+    }
+  }
+
   /** Fails on endless bytes that are no body, and on a head without an end. */
   private limitOverhead(): void {
     if (this.handlers === undefined) return;
@@ -188,7 +203,8 @@
     const endsHere = this.head?.endsWithConnection && this.isMatchingResponse;
     if (endsHere) {
       this.isKeptAlive = false;
-      this.parser.finish();
+      const reason = this.parse(() => this.parser.finish());
+      if (reason !== undefined) this.fail({kind: 'malformed', reason});
     }
     this.fail({
       kind: 'broken',
--- a/packages/gateway/src/upstream/parser.ts
+++ b/packages/gateway/src/upstream/parser.ts
@@ -1,6 +1,7 @@
 /**
  * Parser of responses: http-parser-js with stricter checks where a lenient
- * parser would accept a damaged response as complete.
+ * parser would accept a damaged response as complete, or pass on a head that
+ * cannot be written to a caller.
  */
 import {HTTPParser} from 'http-parser-js';
 import type {ResponseHead} from './types.js';
@@ -8,8 +9,11 @@
 export interface ResponseParser {
   /** Parses data; returns the reason if the response is malformed. */
   execute(data: Buffer): string | undefined;
-  /** Call when the connection ends, which may complete a response. */
-  finish(): void;
+  /**
+   * Call when the connection ends, which may complete a response; returns the
+   * reason if it is malformed.
+   */
+  finish(): string | undefined;
   /** Whether bytes follow the response that has just ended. */
   hasTrailingBytes(): boolean;
   /** Whether a part of a head was received and the remainder is missing. */
@@ -26,6 +30,7 @@
 interface ParserState {
   state: string;
   BODY_CHUNKHEAD(): void;
+  parseHeader(line: string, headers: string[]): void;
   line: string;
   chunk: Buffer;
   offset: number;
@@ -35,9 +40,18 @@
 const BEFORE_HEAD = 'RESPONSE_LINE';
 const IN_HEADERS = 'HEADER';
 const CHUNK_HEAD = /^[0-9a-f]{1,8}[ \t]*(;|\r?$)/i;
+const FIRST_STATUS = 100;
 const FIRST_FINAL_STATUS = 200;
 const BODILESS = new Set([204, 304]);
 const SKIP_BODY = 1;
+/** Bytes that a value or a reason phrase may hold, read as Latin-1. */
+const FIELD_TEXT = /^[\t\x20-\x7e\x80-\xff]*$/;
+const HEADER_LINE = /^[!#$%&'*+\-.^_`|~\w]+:/;
+const CONTINUATION_LINE = /^[ \t]/;
+
+// The default, ASCII, clears the high bit, which makes control characters of
+// valid bytes.
+(HTTPParser as unknown as {encoding: BufferEncoding}).encoding = 'latin1';
 
 function toHead(
   status: number,
@@ -84,12 +98,35 @@
   };
 }
 
+/** Refuses lines that the library would skip or take as they are. */
+function checkHeaderLines(parser: InstanceType<typeof HTTPParser>): void {
+  const states = parser as unknown as ParserState;
+  const {parseHeader} = states;
+  states.parseHeader = function (this: ParserState, line, headers) {
+    const isContinuation = CONTINUATION_LINE.test(line) && headers.length > 0;
+    if (!isContinuation && !HEADER_LINE.test(line))
+      throw new Error('invalid header name');
+    if (!FIELD_TEXT.test(line)) throw new Error('invalid header value');
+    parseHeader.call(this, line, headers);
+  };
+}
+
+function findStatusFault(
+  status: number,
+  statusText: string,
+): string | undefined {
+  if (status < FIRST_STATUS) return 'invalid status';
+  return FIELD_TEXT.test(statusText) ? undefined : 'invalid reason phrase';
+}
+
 export function createResponseParser(events: ParserEvents): ResponseParser {
   const parser = new HTTPParser(HTTPParser.RESPONSE);
   checkChunkHeads(parser);
+  checkHeaderLines(parser);
   let fault: string | undefined;
   let isInterim = false;
   parser[HTTPParser.kOnHeadersComplete] = info => {
+    fault ??= findStatusFault(info.statusCode, info.statusMessage);
     isInterim = info.statusCode < FIRST_FINAL_STATUS;
     if (isInterim) return SKIP_BODY;
     const head = toHead(info.statusCode, info.statusMessage, info.headers);
@@ -113,6 +150,7 @@
     },
     finish: () => {
       if (!fault) parser.finish();
+      return fault;
     },
     hasTrailingBytes: () => {
       const {offset, end} = parser as unknown as ParserState;
