Let every control daemon lead to the group, whether it votes or not

Cause: knowledge of the group went one way. A daemon outside the group reported none of what it had heard, and over a link that another daemon had opened it heard nothing, so such seeds knew nobody. Ruled out: no leader (reads are answered), entries without links (three each).

Change: a control daemon links back to one that links to it (hello names its address) and passes the members on that were reported to it, without naming a leader. Same cause: control daemons take the seeds of reloaded settings.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -213,6 +213,11 @@
     return this.group?.isLeader ?? false;
   }
 
+  /** Links to the seeds of reloaded settings. */
+  addSeeds(seeds: readonly Address[]): void {
+    this.linkTo(seeds);
+  }
+
   /**
    * Applies an announcement that a target sent to this daemon. Returns whether
    * the other control daemons can receive it; if not, the target has to
@@ -425,7 +430,8 @@
 
   private onStatus(status: GroupStatus): void {
     this.linkTo(status.members);
-    this.contact.noteReportedMembers(status.members);
+    // Without a leader, the members may be known from hearsay.
+    if (status.leader) this.contact.noteReportedMembers(status.members);
     this.status.noteReported(status);
   }
 
@@ -446,7 +452,11 @@
   private onHello(hello: Hello, peer: Peer): void {
     this.releaseEarlierIncarnation(hello);
     this.subscribers.add(peer, hello);
-    if (hello.address) this.noteZone(hello.address, hello.zone);
+    if (hello.address) {
+      this.noteZone(hello.address, hello.zone);
+      // Reports go from the side that accepts a link to the one that opens it.
+      this.linkTo([hello.address]);
+    }
     // An entry has to know what binds it before it knows any target.
     if (hello.role === 'entry') this.sendBindings(peer);
     if (hello.receivesTargets) {
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -32,6 +32,7 @@
 export interface GroupStatus {
   readonly term: number;
   readonly leader: Address | undefined;
+  /** With a sender outside the group: the members that were reported to it. */
   readonly members: readonly Address[];
   /**
    * Index of the last log entry applied by the sender that changed the state.
--- a/packages/cluster/src/control/status-reporter.ts
+++ b/packages/cluster/src/control/status-reporter.ts
@@ -68,12 +68,19 @@
     return isCurrent && !isKept ? [] : group.members;
   }
 
+  /**
+   * A daemon outside the group passes on the members that others reported, so
+   * that whoever knows only this daemon finds them. It names no leader, which
+   * only a member is sure of.
+   */
   current(): GroupStatus {
     const group = this.options.group();
+    const {members} = this;
+    const isMember = members.length > 0;
     return {
       term: group?.term ?? 0,
-      leader: group?.leader,
-      members: this.members,
+      leader: isMember ? group?.leader : undefined,
+      members: isMember ? members : (this.reported?.members ?? []),
       index: group?.state.index ?? 0,
       entryCount: this.entryCount(),
     };
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -91,6 +91,8 @@
   private readonly disks = new Map<number, TestDisk>();
   /** For daemons that start later; undefined: the default. */
   replaceAfterMs: number | undefined;
+  /** Positions of the seeds of daemons that start later. */
+  seeds: readonly number[] = [0, 1, 2];
   /** Receives the events of daemons that start later. */
   logger: Logger = silentLogger;
 
@@ -121,14 +123,18 @@
     return disk;
   }
 
-  /** Starts daemon `i`; the first three addresses are the seeds. */
+  private get seedAddresses(): Address[] {
+    return this.seeds.map(i => this.addresses[i]!);
+  }
+
+  /** Starts daemon `i`. */
   async start(i: number, isFirstStart: boolean): Promise<ControlNode> {
     const node = new ControlNode({
       instance: instanceId(`c${i}`),
       zone: zoneId(`z${i}`),
       dataFolder: this.folders[i]!,
       address: this.addresses[i]!,
-      seeds: this.addresses.slice(0, 3),
+      seeds: this.seedAddresses,
       isFirstStart,
       timing: TIMING,
       voters: this.voters,
@@ -165,7 +171,7 @@
     const entry = new EntryNode({
       instance: instanceId(name),
       zone: zoneId('z0'),
-      seeds: this.addresses.slice(0, 3),
+      seeds: this.seedAddresses,
       decodeConfig: this.decodeConfig,
       logger,
       nowMs,
