Wait for an address that is taken, instead of ending the process

What callers saw: processes that don't start or end by themselves (FAULT; no logs were kept). Reproduced here: a port of the program that another socket holds at the start ends it, at Ready as a crash, again at each restart; suspected, not shown, to be what the users saw.

Cause: every error of listen was final, though a taken address passes by itself. Ruled out: errors of accept under few descriptors (none under limits of 120 and 60).

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -189,8 +189,11 @@
     const {address, seeds} = this.options;
     const started = await this.host.start();
     if (started.isErr()) return err(started.error);
-    this.listener = await listenForLinks(address, this.handlers(), peer =>
-      this.onPeerClosed(peer),
+    this.listener = await listenForLinks(
+      address,
+      this.handlers(),
+      peer => this.onPeerClosed(peer),
+      this.options.logger,
     );
     this.linkTo(seeds);
     this.every(TICK_MS, () => this.tick());
--- a/packages/cluster/src/link/links.ts
+++ b/packages/cluster/src/link/links.ts
@@ -2,6 +2,7 @@
  * Outgoing links, reopened when they fail, and the listener for incoming ones.
  */
 import {connect, createServer} from 'node:net';
+import {listenWhenFree, type Logger} from '@samphirefield/core';
 import {Peer, PROMPT_KEEPALIVE, type RpcHandlers} from './peer.js';
 
 const CONNECT_TIMEOUT_MS = 800;
@@ -128,10 +129,11 @@
   close(): void;
 }
 
-export function listenForLinks(
+export async function listenForLinks(
   address: Address,
   handlers: RpcHandlers,
   onClosed: (peer: Peer) => void,
+  logger: Logger,
 ): Promise<LinkListener> {
   const peers = new Set<Peer>();
   const server = createServer(socket => {
@@ -145,8 +147,9 @@
     server.close();
     for (const peer of peers) peer.close();
   };
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address, () => resolve({close}));
+  await listenWhenFree(server, address, {
+    onWaiting: reason => logger.warn('waits_to_listen', {reason}),
+    onError: reason => logger.warn('accept_failed', {reason}),
   });
+  return {close};
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,9 +1,11 @@
 /**
- * The foundation of the other packages: ids, settings, rules and logging.
- * It imports no feature package, and its only I/O is reading settings.
+ * The foundation of the other packages: ids, settings, rules, logging and how
+ * servers begin to listen. It imports no feature package; its only other I/O is
+ * reading settings.
  */
 export * from './crypto/index.js';
 export * from './ids/index.js';
+export * from './listening/index.js';
 export * from './logging/index.js';
 export * from './rules/index.js';
 export * from './settings/index.js';
--- /dev/null
+++ b/packages/core/src/listening/index.ts
@@ -0,0 +1,1 @@
+export {listenWhenFree, type ListenObserver} from './listen.js';
--- a/packages/gateway/src/server/server.ts
+++ b/packages/gateway/src/server/server.ts
@@ -1,6 +1,7 @@
 /** The HTTP server that callers connect to. */
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {listenWhenFree} from '@samphirefield/core';
 import {
   breakOffResponse,
   Exchange,
@@ -32,7 +33,7 @@
   close(): void;
 }
 
-export function startGatewayServer(
+export async function startGatewayServer(
   host: string,
   port: number,
   deps: GatewayDependencies,
@@ -70,27 +71,30 @@
       socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
     } else socket.destroy();
   });
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port, backlog: LISTEN_BACKLOG}, () => {
-      resolve({
-        port: (server.address() as AddressInfo).port,
-        activeCount: () => active.size,
-        applyLimits: limits => {
-          server.keepAliveTimeout = limits.idleTimeoutMs;
-          server.headersTimeout = limits.headerTimeoutMs;
-        },
-        startDraining: () => {
-          isDraining = true;
-        },
-        closeIdle: () => server.closeIdleConnections(),
-        stopListening: () => server.close(),
-        close: () => {
-          server.close();
-          for (const res of active) breakOffResponse(res);
-          server.closeAllConnections();
-        },
-      });
-    });
-  });
+  await listenWhenFree(
+    server,
+    {host, port, backlog: LISTEN_BACKLOG},
+    {
+      onWaiting: reason => deps.logger.warn('waits_to_listen', {reason}),
+      onError: reason => deps.logger.warn('accept_failed', {reason}),
+    },
+  );
+  return {
+    port: (server.address() as AddressInfo).port,
+    activeCount: () => active.size,
+    applyLimits: limits => {
+      server.keepAliveTimeout = limits.idleTimeoutMs;
+      server.headersTimeout = limits.headerTimeoutMs;
+    },
+    startDraining: () => {
+      isDraining = true;
+    },
+    closeIdle: () => server.closeIdleConnections(),
+    stopListening: () => server.close(),
+    close: () => {
+      server.close();
+      for (const res of active) breakOffResponse(res);
+      server.closeAllConnections();
+    },
+  };
 }
