samphirefieldd: keep a bounded part of a generation that is no event or does not end

What callers saw: nothing reported; looked for because of the report of a worker that sends without end. A faulty target that sends a line, an event or a comment without an end, or early events only, made the daemon keep all of it; a body that nobody wants was read for ever.

Cause: the parser of events has no limit by default, early events were bounded in number only (1,024, of any size), a whole response was collected without a limit, and discard() read on whatever came.

Change: limits for an event (64 Ki characters), for early events (1 Mi) and for a whole response (16 Mi); discard() closes the connection after 64 KiB or 2 s. The stream counts as broken then, as with other damage.

--- a/packages/daemon/src/generations/completion-assembler.ts
+++ b/packages/daemon/src/generations/completion-assembler.ts
@@ -48,13 +48,25 @@
   finishReason: string | null;
 }
 
+/** Most characters of chunks that make up one response. */
+const MAX_RESPONSE_CHARACTERS = 16_777_216;
+
 export class CompletionAssembler {
+  private receivedCharacters = 0;
   private head: Chunk | undefined;
   private usage: unknown;
   private readonly choices = new Map<number, JoinedChoice>();
 
-  /** Returns false for a chunk that cannot be parsed. */
+  /**
+   * Returns false for a chunk that cannot be parsed, or that makes the response
+   * too long; what was collected is dropped then.
+   */
   add(data: string): boolean {
+    this.receivedCharacters += data.length;
+    if (this.receivedCharacters > MAX_RESPONSE_CHARACTERS) {
+      this.choices.clear();
+      return false;
+    }
     let value: unknown;
     try {
       value = JSON.parse(data);
--- a/packages/daemon/src/generations/stream-relay.ts
+++ b/packages/daemon/src/generations/stream-relay.ts
@@ -7,6 +7,10 @@
 import type {ResponseEvent} from './types.js';
 
 export const DONE_MARKER = '[DONE]';
+/** Longest event; the bytes of a longer one would be kept until it ends. */
+const MAX_EVENT_CHARACTERS = 65_536;
+/** Most characters of early events that wait for the ones before them. */
+const MAX_HELD_CHARACTERS = 1_048_576;
 
 /** Why the relay of a connection ended. */
 export type RelayEnd =
@@ -38,6 +42,7 @@
   return new Promise(resolve => {
     const decoder = new StringDecoder('utf8');
     let pending: ResponseEvent[] = [];
+    let heldCharacters = 0;
     let end: RelayEnd | undefined;
 
     const accept = (message: EventSourceMessage) => {
@@ -54,13 +59,22 @@
         end = 'broken_sequence';
         return;
       }
+      const isHeld = id.sequence > first;
+      heldCharacters = isHeld ? heldCharacters + message.data.length : 0;
+      if (heldCharacters > MAX_HELD_CHARACTERS) end = 'broken_sequence';
       accepted.value.forEach((data, position) => {
         pending.push({generation, sequence: first + position, data});
         if (data === DONE_MARKER) end = 'done';
       });
     };
 
-    const parser = createParser({onEvent: accept});
+    const parser = createParser({
+      onEvent: accept,
+      onError: ({type}) => {
+        if (type === 'max-buffer-size-exceeded') end ??= 'broken_sequence';
+      },
+      maxBufferSize: MAX_EVENT_CHARACTERS,
+    });
     const finish = (reason: RelayEnd) => {
       clearTimeout(timer);
       callerDisconnected.removeEventListener('abort', onDisconnect);
--- a/packages/daemon/src/targets/target-stream.ts
+++ b/packages/daemon/src/targets/target-stream.ts
@@ -29,6 +29,8 @@
   readonly onFailure: (reason: string, hasStarted: boolean) => void;
 }
 
+const MAX_DISCARDED_BYTES = 65_536;
+const DISCARD_TIMEOUT_MS = 2_000;
 const SEND_NOT_ALLOWED = 'the request may no longer be sent';
 
 /** One call on a connection; implements undici's dispatch handler. */
@@ -100,9 +102,23 @@
     if (wasOpen) this.controller?.abort(new Error(reason));
   }
 
-  /** Reads and drops the remaining body, so that the connection can be reused. */
+  /**
+   * Reads and drops the remaining body, so that the connection can be reused;
+   * closes the connection if the body is long or does not end.
+   */
   discard(): void {
-    this.read({onData: () => undefined, onEnd: () => undefined});
+    let bytes = 0;
+    const timer = setTimeout(() => this.destroy(), DISCARD_TIMEOUT_MS);
+    timer.unref();
+    this.read({
+      onData: chunk => {
+        bytes += chunk.length;
+        if (bytes <= MAX_DISCARDED_BYTES) return;
+        clearTimeout(timer);
+        this.destroy();
+      },
+      onEnd: () => clearTimeout(timer),
+    });
   }
 
   private finish(isComplete: boolean, reason: string): void {
