--- a/packages/cluster/src/control/group-replica.ts
+++ b/packages/cluster/src/control/group-replica.ts
@@ -37,6 +37,8 @@
  */
 const INITIAL_GROUP = 'first';
 const SNAPSHOT_EVERY_ENTRIES = 400;
+/** Bounds the log on disk and in memory, whatever the size of changes. */
+const SNAPSHOT_EVERY_BYTES = 4_194_304;
 
 export interface GroupTiming {
   readonly heartbeatMs: number;
@@ -98,6 +100,7 @@
     maxEntriesPerMessage: 256,
     maxBytesPerMessage: 1_048_576,
     maxMessagesInFlight: 16,
+    maxBytesInFlight: 2_097_152,
     snapshotChunkBytes: 262_144,
     randomBelow: bound => randomInt(bound),
   };
@@ -158,6 +161,7 @@
       send: envelopes => group.send(envelopes),
       onFailure: options.onDiskFailure,
       snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+      snapshotEveryBytes: SNAPSHOT_EVERY_BYTES,
     });
     const group = new GroupReplica(options, stateMachine, node);
     if (isFirst && !node.hasJoinedGroup) {
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -2,7 +2,7 @@
  * Control and entry daemons on loopback; each control daemon has its own data
  * folder.
  */
-import {mkdtempSync, rmSync} from 'node:fs';
+import {mkdtempSync, readdirSync, rmSync, statSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -91,6 +91,8 @@
   private readonly disks = new Map<number, TestDisk>();
   /** For daemons that start later; undefined: the default. */
   replaceAfterMs: number | undefined;
+  /** For daemons that start later. */
+  targetSilentAfterMs = 600;
   /** Positions of the seeds of daemons that start later. */
   seeds: readonly number[] = [0, 1, 2];
   /** Receives the events of daemons that start later. */
@@ -139,7 +141,7 @@
       timing: TIMING,
       voters: this.voters,
       replaceAfterMs: this.replaceAfterMs,
-      targetSilentAfterMs: 600,
+      targetSilentAfterMs: this.targetSilentAfterMs,
       decodeConfig: this.decodeConfig,
       logger: this.logger,
       nowMs,
@@ -163,6 +165,15 @@
     await node?.stop();
   }
 
+  /** Bytes that daemon `i` holds on its disk. */
+  diskBytes(i: number): number {
+    const folder = this.folders[i]!;
+    const sizes = readdirSync(folder).map(
+      name => statSync(join(folder, name)).size,
+    );
+    return sizes.reduce((sum, size) => sum + size, 0);
+  }
+
   wipeDisk(i: number): void {
     rmSync(this.folders[i]!, {recursive: true, force: true});
   }
@@ -187,12 +198,12 @@
    * Sends a configuration to daemon `i` until it is accepted, as an operator
    * does.
    */
-  async putConfig(i: number, version: number): Promise<void> {
-    const command = {
-      kind: 'put_config' as const,
-      version,
-      document: String(version),
-    };
+  async putConfig(
+    i: number,
+    version: number,
+    document = String(version),
+  ): Promise<void> {
+    const command = {kind: 'put_config' as const, version, document};
     await until(`version ${version} is accepted`, async () => {
       return (await this.controls.get(i)!.change(command)) === 'accepted';
     });
--- a/packages/daemon/src/voter/voter-host.ts
+++ b/packages/daemon/src/voter/voter-host.ts
@@ -63,6 +63,7 @@
 const LEADER_TICK_MS = 200;
 const RAFT_HEARTBEATS_PER_TIMEOUT = 3;
 const SNAPSHOT_EVERY_ENTRIES = 20_000;
+const SNAPSHOT_EVERY_BYTES = 33_554_432;
 const TARGET_RETENTION_MS = 600_000;
 const DEFAULT_VOTERS = 3;
 const DEFAULT_REPLACE_AFTER_S = 60;
@@ -93,6 +94,7 @@
     maxEntriesPerMessage: 512,
     maxBytesPerMessage: 1_048_576,
     maxMessagesInFlight: 32,
+    maxBytesInFlight: 2_097_152,
     snapshotChunkBytes: 262_144,
     randomBelow: bound => randomInt(bound),
   };
@@ -165,6 +167,7 @@
         options.logger.error('voter_stopped', {reason: error.message});
       },
       snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+      snapshotEveryBytes: SNAPSHOT_EVERY_BYTES,
     });
   }
 
--- a/packages/replication/src/fuzz/cluster.ts
+++ b/packages/replication/src/fuzz/cluster.ts
@@ -290,6 +290,7 @@
       maxEntriesPerMessage: 3,
       maxBytesPerMessage: 200,
       maxMessagesInFlight: 4,
+      maxBytesInFlight: 2_097_152,
       snapshotChunkBytes: 10,
       randomBelow: this.random.below,
     };
--- a/packages/replication/src/node/replica-node.spec.ts
+++ b/packages/replication/src/node/replica-node.spec.ts
@@ -15,6 +15,7 @@
   maxEntriesPerMessage: 100,
   maxBytesPerMessage: 100_000,
   maxMessagesInFlight: 4,
+  maxBytesInFlight: 2_097_152,
   snapshotChunkBytes: 1_000,
   randomBelow: () => 0,
 };
@@ -47,7 +48,10 @@
   }
 }
 
-async function startSingleVoter(snapshotEveryEntries = 1_000_000) {
+async function startSingleVoter(
+  snapshotEveryEntries = 1_000_000,
+  snapshotEveryBytes = 1_000_000_000,
+) {
   const storage = new FakeStorage();
   const applied: string[] = [];
   const failures: string[] = [];
@@ -65,6 +69,7 @@
     nowMs: () => performance.now() - startedAtMs,
     onFailure: error => failures.push(error.message),
     snapshotEveryEntries,
+    snapshotEveryBytes,
   });
   const self = {
     id: CONFIG.id,
@@ -114,6 +119,16 @@
   await node.stop('test');
 });
 
+// Guards against a log that large commands grow without a bound.
+test('takes a snapshot after the configured bytes of log entries', async () => {
+  const {node, storage} = await startSingleVoter(1_000_000, 10_000);
+  for (let i = 0; i < 25; i += 1) await node.submit('x'.repeat(1_000));
+  expect(storage.snapshots).toEqual(2);
+  const kept = node.raft.log.entries.length;
+  expect(kept < 10).toEqual(true);
+  await node.stop('test');
+});
+
 test('calls settle when the node stops before it processes them', async () => {
   const {node, storage} = await startSingleVoter();
   storage.failsWrites = true;
--- a/packages/replication/src/node/replica-node.ts
+++ b/packages/replication/src/node/replica-node.ts
@@ -13,6 +13,7 @@
   compact,
   createRaft,
   currentMembership,
+  estimateEntryBytes,
   hasNoEffects,
   holdsLease,
   lastIndex,
@@ -42,6 +43,11 @@
 import type {StateMachine} from './state-machine.js';
 
 const CONFIRM_POLL_MS = 3;
+/**
+ * A leader waits with a snapshot for followers that still need the entries, but
+ * not beyond this multiple of the bytes after which one is due.
+ */
+const MAX_DELAY_FACTOR = 3;
 
 export type SubmitError =
   | ProposeError
@@ -65,6 +71,8 @@
   readonly onFailure: (error: Error) => void;
   /** Number of applied log entries after which a snapshot is taken. */
   readonly snapshotEveryEntries: number;
+  /** The same by the bytes of the entries stored since the last snapshot. */
+  readonly snapshotEveryBytes: number;
 }
 
 interface PendingCommand<CommandResult> {
@@ -77,6 +85,10 @@
   readonly resolve: (result: Result<CommandResult, SubmitError>) => void;
 }
 
+function bytesOf(entries: readonly LogEntry[]): number {
+  return entries.reduce((sum, entry) => sum + estimateEntryBytes(entry), 0);
+}
+
 export class ReplicaNode<CommandResult> {
   readonly raft: RaftState;
   private readonly inputs: Array<(nowMs: number) => void> = [];
@@ -90,10 +102,13 @@
   private isRunning = false;
   private stopReason: string | undefined;
   private idle: Promise<void> = Promise.resolve();
+  /** Bytes of the entries written to the log since the last snapshot. */
+  private storedBytes: number;
 
   constructor(private readonly options: ReplicaNodeOptions<CommandResult>) {
     const {config, stored, stateMachine, nowMs} = options;
     this.raft = createRaft(config, stored, nowMs());
+    this.storedBytes = bytesOf(stored.entries);
     if (stored.snapshot) stateMachine.restore(stored.snapshot.data);
   }
 
@@ -302,11 +317,13 @@
     const {storage} = this.options;
     const {log, term, votedFor} = this.raft;
     if (batch.snapshot) {
+      this.storedBytes = bytesOf(log.entries);
       await storage.replaceWithSnapshot(batch.snapshot, {term, votedFor}, [
         ...log.entries,
       ]);
       return;
     }
+    this.storedBytes += bytesOf(batch.entries);
     await storage.append({hardState: batch.hardState, entries: batch.entries});
   }
 
@@ -329,13 +346,33 @@
 
   private async compactIfDue(): Promise<void> {
     const {raft, options} = this;
-    const entriesSinceSnapshot = raft.appliedIndex - snapshotIndex(raft.log);
-    if (entriesSinceSnapshot < options.snapshotEveryEntries) return;
+    if (!this.isCompactionDue()) return;
     compact(raft, raft.appliedIndex, options.stateMachine.snapshot());
     const {persist} = takeEffects(raft);
     if (persist) await this.persist(persist);
   }
 
+  private isCompactionDue(): boolean {
+    const {raft, options, storedBytes} = this;
+    const {snapshotEveryEntries, snapshotEveryBytes} = options;
+    const entriesSinceSnapshot = raft.appliedIndex - snapshotIndex(raft.log);
+    if (entriesSinceSnapshot === 0) return false;
+    if (entriesSinceSnapshot >= snapshotEveryEntries) return true;
+    if (storedBytes < snapshotEveryBytes) return false;
+    const isOverdue = storedBytes >= snapshotEveryBytes * MAX_DELAY_FACTOR;
+    return isOverdue || !this.isEntryAwaited();
+  }
+
+  /** Whether a follower that responds lacks an entry that is applied here. */
+  private isEntryAwaited(): boolean {
+    const {raft, options} = this;
+    const activeSinceMs = options.nowMs() - raft.config.electionTimeoutMaxMs;
+    return [...raft.progress.values()].some(
+      ({lastContactAtMs, matchIndex}) =>
+        lastContactAtMs > activeSinceMs && matchIndex < raft.appliedIndex,
+    );
+  }
+
   private halt(reason: string): void {
     if (this.stopReason !== undefined) return;
     this.stopReason = reason;
--- a/packages/replication/src/raft/index.ts
+++ b/packages/replication/src/raft/index.ts
@@ -1,5 +1,5 @@
 export {holdsLease, leaseEndMs, quorumContactAtMs} from './lease.js';
-export {lastIndex, snapshotIndex} from './log.js';
+export {estimateEntryBytes, lastIndex, snapshotIndex} from './log.js';
 export {
   changeMembership,
   EMPTY_MEMBERSHIP,
--- a/packages/replication/src/raft/raft.spec.ts
+++ b/packages/replication/src/raft/raft.spec.ts
@@ -43,6 +43,7 @@
     maxEntriesPerMessage: 100,
     maxBytesPerMessage: 10_000,
     maxMessagesInFlight: 8,
+    maxBytesInFlight: 2_097_152,
     snapshotChunkBytes: 100,
     randomBelow: () => 0,
   };
--- a/packages/replication/src/raft/replication.ts
+++ b/packages/replication/src/raft/replication.ts
@@ -36,6 +36,7 @@
     matchIndex: 0,
     nextIndex: lastIndex(state.log) + 1,
     messagesInFlight: 0,
+    bytesInFlight: 0,
     ackedSentAtMs: Number.NEGATIVE_INFINITY,
     lastContactAtMs: nowMs,
     snapshotOffsetBytes: 0,
@@ -137,12 +138,15 @@
   }
   while (
     progress.nextIndex <= lastIndex(state.log) &&
-    progress.messagesInFlight < state.config.maxMessagesInFlight
+    progress.messagesInFlight < state.config.maxMessagesInFlight &&
+    progress.bytesInFlight < state.config.maxBytesInFlight
   ) {
     const entries = entriesToSend(state, progress);
     if (!sendAppend(state, to, progress, nowMs, entries)) return;
     progress.nextIndex += entries.length;
     progress.messagesInFlight += 1;
+    for (const entry of entries)
+      progress.bytesInFlight += estimateEntryBytes(entry);
   }
 }
 
@@ -159,6 +163,7 @@
   for (const [id, progress] of state.progress) {
     // Lost responses must not block further appends: resets the count.
     progress.messagesInFlight = 0;
+    progress.bytesInFlight = 0;
     if (progress.mode === 'snapshot') {
       sendSnapshotChunk(state, id, progress, nowMs);
     } else {
@@ -284,6 +289,7 @@
   nowMs: number,
 ): void {
   progress.messagesInFlight = Math.max(0, progress.messagesInFlight - 1);
+  if (progress.messagesInFlight === 0) progress.bytesInFlight = 0;
   progress.matchIndex = Math.max(progress.matchIndex, index);
   progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
   if (progress.mode === 'probe') progress.mode = 'replicate';
@@ -296,6 +302,7 @@
   progress.mode = 'probe';
   progress.probeSentAtMs = Number.NEGATIVE_INFINITY;
   progress.messagesInFlight = 0;
+  progress.bytesInFlight = 0;
   const retryIndex = Math.min(response.index + 1, response.rejectedPrevIndex);
   progress.nextIndex = Math.max(progress.matchIndex + 1, retryIndex, 1);
 }
--- a/packages/replication/src/raft/state.ts
+++ b/packages/replication/src/raft/state.ts
@@ -21,6 +21,7 @@
   matchIndex: number;
   nextIndex: number;
   messagesInFlight: number;
+  bytesInFlight: number;
   /** The latest send time of this leader that the replica has echoed. */
   ackedSentAtMs: number;
   /** When the replica last responded; initially when its progress was created. */
--- a/packages/replication/src/raft/types.ts
+++ b/packages/replication/src/raft/types.ts
@@ -160,6 +160,8 @@
   readonly maxEntriesPerMessage: number;
   readonly maxBytesPerMessage: number;
   readonly maxMessagesInFlight: number;
+  /** Bytes of entries on their way to a follower; one message may exceed it. */
+  readonly maxBytesInFlight: number;
   readonly snapshotChunkBytes: number;
   /** Returns a random integer from 0 up to but not including `bound`. */
   readonly randomBelow: (bound: number) => number;
