Send tables of targets in parts, after a short first message

Cause: the first message on a link was the whole table of workers, and the side that opened the link closes it when the first line is longer than 64 KiB; it opened the link again and got the same line.

Closed links say why, those closed for size are counted.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -23,6 +23,7 @@
   LinkSet,
   listenForLinks,
   type Address,
+  type CloseReason,
   type LinkListener,
   type Peer,
   type RpcHandlers,
@@ -62,6 +63,7 @@
 import {StatementKeeper} from './statement-keeper.js';
 import {StatusReporter} from './status-reporter.js';
 import {Subscribers} from './subscribers.js';
+import {targetLines} from './target-lines.js';
 
 const TICK_MS = 50;
 const JOIN_EVERY_MS = 500;
@@ -112,6 +114,7 @@
   private listener: LinkListener | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
   private isUpdateScheduled = false;
+  private oversizedLinks = 0;
   private decodedVersion = 0;
   private capacities: ServiceCapacity[] = [];
 
@@ -157,8 +160,12 @@
     });
     this.links = new LinkSet(this.handlers(), {
       onUp: (_address, peer) => this.sendHello(peer),
-      onDown: address => {
-        logger.warn('control_link_down', {peer: formatAddress(address)});
+      onDown: (address, reason) => {
+        logger.warn('control_link_down', {
+          peer: formatAddress(address),
+          reason,
+        });
+        this.countOversized(reason);
       },
     });
     this.status = new StatusReporter({
@@ -285,6 +292,7 @@
       members: this.group?.members.length ?? 0,
       targets: this.registry.size,
       subscribers: this.subscribers.count,
+      links_closed_for_size: this.oversizedLinks,
       places_waiting: this.reservations.pendingCount,
       places_held: this.reservations.heldCount,
     };
@@ -460,12 +468,13 @@
       // Reports go from the side that accepts a link to the one that opens it.
       this.linkTo([hello.address]);
     }
+    // The shortest message comes first: a long one of a sender that has sent
+    // none before is taken for noise.
+    peer.notify('status', this.status.current());
     // An entry has to know what binds it before it knows any target.
     if (hello.role === 'entry') this.sendBindings(peer);
-    if (hello.receivesTargets) {
-      peer.notify('targets', {items: this.registry.updates()});
-    }
-    peer.notify('status', this.status.current());
+    if (hello.receivesTargets)
+      void peer.notifyLines(targetLines(this.registry.updates()));
     this.options.logger.info('subscriber', {
       peer: hello.instance,
       role: hello.role,
@@ -479,8 +488,20 @@
       peer.notify('statements', {reports: this.statements.reports()});
   }
 
+  /** Counts links that were closed for the size of what they carried. */
+  private countOversized(reason: CloseReason | undefined): void {
+    const isOversized =
+      reason === 'line_too_long' || reason === 'reads_too_slowly';
+    if (isOversized) this.oversizedLinks += 1;
+  }
+
   private onPeerClosed(peer: Peer): void {
     const hello = this.subscribers.remove(peer);
+    this.countOversized(peer.closeReason);
+    if (peer.closeReason !== 'ended') {
+      const {closeReason: reason} = peer;
+      this.options.logger.warn('link_closed', {peer: hello?.instance, reason});
+    }
     if (hello?.role !== 'entry') return;
     setTimeout(() => {
       if (this.subscribers.has(hello.instance)) return;
--- a/packages/cluster/src/control/subscribers.ts
+++ b/packages/cluster/src/control/subscribers.ts
@@ -8,6 +8,7 @@
   StatementsMessage,
   TargetUpdate,
 } from './messages.js';
+import {targetLines} from './target-lines.js';
 
 export class Subscribers {
   private readonly hellos = new Map<Peer, Hello>();
@@ -59,10 +60,11 @@
   }
 
   sendTargets(role: Hello['role'], items: readonly TargetUpdate[]): void {
-    const line = serializeNotification('targets', {items});
+    const lines = [...targetLines(items)];
     for (const [peer, hello] of this.hellos) {
       const isReceiver = hello.role === role && hello.receivesTargets;
-      if (isReceiver) peer.notifyLine(line);
+      if (!isReceiver) continue;
+      for (const line of lines) peer.notifyLine(line);
     }
   }
 }
--- a/packages/cluster/src/control/target-registry.ts
+++ b/packages/cluster/src/control/target-registry.ts
@@ -91,8 +91,9 @@
     }
   }
 
-  updates(): TargetUpdate[] {
-    return [...this.table.values()].map(record => this.toUpdate(record));
+  /** All targets, each as it is when the iteration reaches it. */
+  *updates(): Generator<TargetUpdate, void, void> {
+    for (const record of this.table.values()) yield this.toUpdate(record);
   }
 
   toUpdate(record: TargetRecord): TargetUpdate {
--- a/packages/cluster/src/entry/control-links.ts
+++ b/packages/cluster/src/entry/control-links.ts
@@ -20,6 +20,7 @@
   PROMPT_KEEPALIVE,
   RELAXED_KEEPALIVE,
   type Address,
+  type CloseReason,
   type Peer,
 } from '../link/index.js';
 import {
@@ -91,7 +92,7 @@
       },
       {
         onUp: (address, peer) => this.onUp(address, peer),
-        onDown: address => this.onDown(address),
+        onDown: (address, reason) => this.onDown(address, reason),
       },
     );
   }
@@ -262,7 +263,7 @@
     if (this.isLeader(address)) this.options.onLeader(peer);
   }
 
-  private onDown(address: Address): void {
+  private onDown(address: Address, reason: CloseReason | undefined): void {
     const key = formatAddress(address);
     const control = this.controls.get(key)!;
     const wasInformant = control.isInformant;
@@ -271,7 +272,7 @@
     control.isInformant = false;
     control.uninformedSinceMs = isKept ? this.options.nowMs() : undefined;
     const event = isKept ? 'control_link_down' : 'control_link_closed';
-    this.options.logger.info(event, {control: key});
+    this.options.logger.info(event, {control: key, reason});
     this.chooseLeader();
     if (isKept) this.select();
     if (wasInformant) this.options.onInformantsChanged();
--- a/packages/cluster/src/link/links.ts
+++ b/packages/cluster/src/link/links.ts
@@ -3,7 +3,12 @@
  */
 import {connect, createServer} from 'node:net';
 import {listenWhenFree, type Logger} from '@samphirefield/core';
-import {Peer, PROMPT_KEEPALIVE, type RpcHandlers} from './peer.js';
+import {
+  Peer,
+  PROMPT_KEEPALIVE,
+  type CloseReason,
+  type RpcHandlers,
+} from './peer.js';
 
 const CONNECT_TIMEOUT_MS = 800;
 const RECONNECT_MIN_MS = 50;
@@ -19,7 +24,7 @@
 
 export interface LinkEvents {
   onUp(address: Address, peer: Peer): void;
-  onDown(address: Address): void;
+  onDown(address: Address, reason: CloseReason | undefined): void;
 }
 
 interface Link {
@@ -102,9 +107,9 @@
       const peer = new Peer(
         socket,
         this.handlers,
-        () => {
+        closed => {
           link.peer = undefined;
-          this.events.onDown(link.address);
+          this.events.onDown(link.address, closed.closeReason);
           this.retry(link);
         },
         PROMPT_KEEPALIVE,
--- a/packages/cluster/src/link/peer.ts
+++ b/packages/cluster/src/link/peer.ts
@@ -21,10 +21,12 @@
 /** A keepalive is not returned when other data was sent this recently. */
 const RECENTLY_SENT_MS = 100;
 /** A peer that reads too slowly is disconnected instead of buffering more. */
-const MAX_UNSENT_BYTES = 8_388_608;
+const MAX_UNSENT_BYTES = 33_554_432;
 const MAX_LINE_BYTES = 33_554_432;
-/** Longest line of a sender that has sent no valid message yet. */
+/** Longest line of somebody who opened a connection and sent no message yet. */
 const MAX_FIRST_LINE_BYTES = 65_536;
+/** The same of a daemon to which this one opened the connection. */
+const MAX_FIRST_ANSWER_BYTES = 4_194_304;
 const KEEPALIVE_LINE = '\n';
 
 /** How the side that opened a connection finds out that it went silent. */
@@ -71,6 +73,15 @@
   Record<string, (params: never, peer: Peer) => unknown>
 >;
 
+/** Why a connection was closed by this side; `ended`: it was not. */
+export type CloseReason =
+  | 'ended'
+  | 'closed'
+  | 'silent'
+  | 'line_too_long'
+  | 'reads_too_slowly'
+  | 'invalid';
+
 export class Peer {
   private readonly rpc: JSONRPCServerAndClient;
   private lastReceivedAtMs = performance.now();
@@ -79,6 +90,7 @@
   private readonly partial = new ByteCollector();
   private hasValidMessage = false;
   isClosed = false;
+  closeReason: CloseReason | undefined;
   /** Undefined on the side that accepted the connection. */
   keepalive: KeepaliveTiming | undefined;
   /** Label for the remote side; set and read by the owner only. */
@@ -102,8 +114,8 @@
     );
     socket.setNoDelay(true);
     socket.on('data', data => this.onData(data));
-    socket.on('error', () => this.close());
-    socket.on('close', () => this.close());
+    socket.on('error', () => this.close('ended'));
+    socket.on('close', () => this.close('ended'));
     watchPeer(this);
   }
 
@@ -143,9 +155,22 @@
     if (!this.isClosed) this.write(line);
   }
 
-  close(): void {
+  /**
+   * Sends lines one by one, each once the ones before have left, so that a
+   * large table never stands before other messages.
+   */
+  async notifyLines(lines: Iterable<string>): Promise<void> {
+    for (const line of lines) {
+      if (this.isClosed) return;
+      this.write(line);
+      await this.untilSent();
+    }
+  }
+
+  close(reason: CloseReason = 'closed'): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.closeReason = reason;
     unwatchPeer(this);
     this.socket.destroy();
     this.rpc.rejectAllPendingRequests('the connection closed');
@@ -156,7 +181,26 @@
     if (this.isClosed) throw new Error('the connection closed');
     this.socket.write(text);
     this.lastSentAtMs = performance.now();
-    if (this.socket.writableLength > MAX_UNSENT_BYTES) this.close();
+    if (this.socket.writableLength > MAX_UNSENT_BYTES)
+      this.close('reads_too_slowly');
+  }
+
+  /** Resolves once all that was written has left, or the connection closed. */
+  private untilSent(): Promise<void> {
+    const {socket} = this;
+    return new Promise(resolve => {
+      if (socket.writableLength === 0 || this.isClosed) {
+        setImmediate(resolve);
+        return;
+      }
+      const done = () => {
+        socket.off('close', done);
+        resolve();
+      };
+      // An empty write ends when the ones before have left.
+      socket.write('', done);
+      socket.on('close', done);
+    });
   }
 
   /** Closes a silent connection; sends a keepalive on a quiet one. */
@@ -164,7 +208,7 @@
     const {keepalive} = this;
     const maxSilenceMs = keepalive?.maxSilenceMs ?? ACCEPTED_MAX_SILENCE_MS;
     if (nowMs - this.lastReceivedAtMs > maxSilenceMs) {
-      this.close();
+      this.close('silent');
       return;
     }
     if (keepalive === undefined) return;
@@ -197,10 +241,13 @@
     }
     if (remaining.length === 0) return;
     this.partial.push(remaining);
-    const maxBytes = this.hasValidMessage
-      ? MAX_LINE_BYTES
-      : MAX_FIRST_LINE_BYTES;
-    if (this.partial.length > maxBytes) this.close();
+    if (this.partial.length > this.maxLineBytes) this.close('line_too_long');
+  }
+
+  private get maxLineBytes(): number {
+    if (this.hasValidMessage) return MAX_LINE_BYTES;
+    const hasOpened = this.keepalive !== undefined;
+    return hasOpened ? MAX_FIRST_ANSWER_BYTES : MAX_FIRST_LINE_BYTES;
   }
 
   /** The line that ends with these bytes. */
@@ -215,7 +262,7 @@
     try {
       message = JSON.parse(line);
     } catch {
-      this.close();
+      this.close('invalid');
       return;
     }
     this.hasValidMessage = true;
