Stop the timer of a head that ends together with its body

Cause: the timer for a head without an end was stopped only when a read left the response unfinished; if the rest of the head came with the whole body, it ran on and failed the next request on the kept connection.

Change: the end of a response stops the timer. Evidence: kept-connection.spec fails before (200, 502) and passes after.

--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -136,6 +136,7 @@
     const {handlers} = this;
     this.handlers = undefined;
     this.isMatchingResponse = false;
+    this.stopHeadTimer();
     const isBodySent = this.socket.writableLength === 0;
     const mayKeep =
       this.isKeptAlive && isBodySent && !this.parser.hasTrailingBytes();
@@ -190,8 +191,7 @@
       return;
     }
     if (!this.parser.isInHead()) {
-      clearTimeout(this.headTimer);
-      this.headTimer = undefined;
+      this.stopHeadTimer();
       return;
     }
     this.headTimer ??= setTimeout(() => {
@@ -199,6 +199,11 @@
     }, MAX_HEAD_MS);
   }
 
+  private stopHeadTimer(): void {
+    clearTimeout(this.headTimer);
+    this.headTimer = undefined;
+  }
+
   private onSocketEnd(): void {
     const endsHere = this.head?.endsWithConnection && this.isMatchingResponse;
     if (endsHere) {
@@ -224,7 +229,7 @@
   private close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    clearTimeout(this.headTimer);
+    this.stopHeadTimer();
     this.socket.destroy();
     this.events.onClosed(this);
   }
