Read a connection again that was paused until the end of its response

Cause: if a response ends in the same read that fills the buffer, the connection was paused and went back to the pool so: nobody resumed it.

Change: a connection that becomes idle is resumed; without a response there is nothing to pause. Evidence: kept-connection.spec fails before (504) and passes after.

--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -104,8 +104,9 @@
     this.socket.write(data);
   }
 
+  /** Stops reading until {@link resume} or the end of the response. */
   pause(): void {
-    this.socket.pause();
+    if (this.handlers !== undefined) this.socket.pause();
   }
 
   resume(): void {
@@ -151,8 +152,12 @@
     );
     const idleMs = timeout ? Number(timeout[1]) * MS_PER_S : DEFAULT_IDLE_MS;
     this.idleUntilMs = performance.now() + idleMs - IDLE_MARGIN_MS;
-    if (idleMs <= IDLE_MARGIN_MS) this.close();
-    else this.events.onIdle(this);
+    if (idleMs <= IDLE_MARGIN_MS) {
+      this.close();
+      return;
+    }
+    this.socket.resume();
+    this.events.onIdle(this);
   }
 
   private onSocketData(data: Buffer): void {
--- a/packages/gateway/src/upstream/kept-connection.spec.ts
+++ b/packages/gateway/src/upstream/kept-connection.spec.ts
@@ -46,3 +46,17 @@
   );
   expect([first.status, second.status, connections]).toEqual([200, 200, 1]);
 });
+
+// Guards against a request whose answer is never read.
+test('a connection that was paused until its last byte is read again', async t => {
+  const event = (id: number) => `id: ${id}\ndata: ${'x'.repeat(1_000)}\n\n`;
+  const body = Array.from({length: 60}, (_, i) => event(i + 1)).join('');
+  const {first, second, connections} = await callTwice(
+    t,
+    'stream',
+    socket => socket.write(completeResponse(body)),
+    0,
+  );
+  expect([first.status, first.body.length]).toEqual([200, body.length]);
+  expect([second.status, connections]).toEqual([200, 1]);
+});
