Resumable streams: run a stream again after its last event

Cause: a stream whose target died was cut even where targets can send the rest of it, and a caller's Last-Event-Id reached targets of all routes.

Change: routes have `isResumable` (`Resumable` in the configuration, only for streams). Such a stream that is lost is sent to another target within the runs of its route, the retry budget and the deadline: before its first event like a safe request, after it within the same response and with the id of the last whole event. The head of the first target stays; the head of the next one is checked and not forwarded. The relay checks that the events continue without gap or repeat. A caller's own Last-Event-Id goes to targets of resumable routes only. A stream that may have run ends with 502, never with 503; one that has started is broken off.

--- a/packages/cluster/src/testing/gateways.ts
+++ b/packages/cluster/src/testing/gateways.ts
@@ -26,6 +26,10 @@
   readonly kind: RequestKind;
   readonly services: readonly ServiceId[];
   readonly isEngine: boolean;
+  /** Default: false. */
+  readonly isResumable?: boolean;
+  /** Default: 2. */
+  readonly maxRuns?: number;
 }
 
 /** Decodes a number into a table of that version, with one route to all services. */
@@ -45,9 +49,10 @@
           objectiveMs: 1_000,
           priority: 0,
           services: routed.services.map(service => ({service, weight: 1})),
-          maxRuns: 2,
+          maxRuns: routed.maxRuns ?? 2,
           isPublic: false,
           eventGapMs: 100,
+          isResumable: routed.isResumable ?? false,
         },
       ],
       services: routed.services.map(name => ({
--- a/packages/gateway/src/exchange/classify-result.ts
+++ b/packages/gateway/src/exchange/classify-result.ts
@@ -3,7 +3,7 @@
  * what happens next to the request.
  */
 import type {RunOutcome} from '../dispatch/index.js';
-import {KIND_TRAITS, type Route} from '../routes/index.js';
+import {mayRepeat, type Route} from '../routes/index.js';
 import type {ResponseSink} from './response-sink.js';
 import type {AttemptResult} from './target-attempt.js';
 import type {LocalResponse} from './types.js';
@@ -20,6 +20,8 @@
       readonly responseIfFinal: LocalResponse;
       /** A target's failure response, sent if no later attempt succeeds. */
       readonly failureResponse?: ResponseSink;
+      /** A started stream, which the next attempt continues. */
+      readonly startedSink?: ResponseSink;
       /** Whether the next attempt consumes a retry of the budget. */
       readonly usesRetryBudget: boolean;
     }
@@ -46,8 +48,7 @@
   route: Route,
   runCount: number,
 ): Classification {
-  const mayRunAgain =
-    KIND_TRAITS[route.kind].mayRepeat && runCount < route.maxRuns;
+  const mayRunAgain = mayRepeat(route) && runCount < route.maxRuns;
   switch (result.kind) {
     case 'passed_on':
       return {outcome: 'served', step: {kind: 'done', status: result.status}};
@@ -74,13 +75,19 @@
       return {outcome: 'failed', step: {kind: 'done', status: result.status}};
     }
     case 'lost': {
-      if (result.hasStarted) {
-        return {outcome: 'failed', step: {kind: 'broken_off'}};
-      }
+      const {error, startedSink} = result;
       const response: LocalResponse = {
         kind: 'outcome_unknown',
-        reason: result.error.reason,
+        reason: error.reason,
       };
+      if (startedSink) {
+        const mayResume =
+          route.isResumable && mayRunAgain && startedSink.canResume;
+        const step: NextStep = mayResume
+          ? {...retry(response), startedSink}
+          : {kind: 'broken_off'};
+        return {outcome: 'failed', step};
+      }
       const step: NextStep = mayRunAgain
         ? retry(response)
         : {kind: 'own', response};
--- a/packages/gateway/src/exchange/event-relay.spec.ts
+++ b/packages/gateway/src/exchange/event-relay.spec.ts
@@ -47,6 +47,24 @@
   expect(text()).toEqual(events(1, 3));
 });
 
+test('repeats events that the caller has when a target sends all', () => {
+  const {relay, push, text} = setUp();
+  relay.startAfter(2);
+  push(events(1, 4));
+  expect(text()).toEqual(events(3, 4));
+  const other = setUp();
+  other.relay.startAfter(2);
+  expect(other.push(event(4))).toEqual('gap');
+});
+
+test('repeats an event without a number when a stream resumes', () => {
+  const {relay, push} = setUp();
+  push(`: comment\n\n${event(1)}`);
+  expect(relay.canResume).toEqual(true);
+  push('data: end\n\n');
+  expect(relay.canResume).toEqual(false);
+});
+
 test('forwards the same text for any split and any time of a move', () => {
   const cuts = fc.array(fc.integer({min: 1, max: 200}), {maxLength: 8});
   const moveOffsets = fc.integer({min: 0, max: 150});
--- a/packages/gateway/src/exchange/event-relay.ts
+++ b/packages/gateway/src/exchange/event-relay.ts
@@ -1,10 +1,11 @@
 /**
- * Forwards the events of a stream, each once and in order, even if the
- * generation moves to another target midway. Only complete events are
- * forwarded; a partial event of a target whose stream broke off is dropped.
+ * Forwards the events of a stream, each once and in order, even if another
+ * target continues it midway. Only complete events are forwarded; a partial
+ * event of a target whose stream broke off is dropped.
  */
 
 const EVENT_END = Buffer.from('\n\n');
+const DATA_FIELD = /(?:^|\n)data(?=[:\r\n]|$)/;
 const ID_FIELD = /(?:^|\n)id: ?(\d+)(?=\r?\n|$)/;
 
 /**
@@ -20,8 +21,10 @@
 }
 
 export class EventRelay {
-  /** Id of the last event that was forwarded; undefined before the first. */
+  /** Id of the last event that the caller has; undefined before the first. */
   lastEventId: number | undefined;
+  /** Whether an event was forwarded after which no source can continue. */
+  private hasUnnumberedEvent = false;
   /** Number of events received, also those that were not forwarded. */
   eventCount = 0;
   private partial: Buffer | undefined;
@@ -29,6 +32,20 @@
 
   constructor(private readonly options: EventRelayOptions) {}
 
+  /** Call first when the caller asked for the events after this one. */
+  startAfter(lastEventId: number): void {
+    this.lastEventId = lastEventId;
+    this.isDroppingRepeats = true;
+  }
+
+  /**
+   * Whether a source that sends only the events after `lastEventId` continues
+   * the stream without a gap or a repeat.
+   */
+  get canResume(): boolean {
+    return !this.hasUnnumberedEvent;
+  }
+
   /**
    * Call when another target continues the stream. Events that it repeats are
    * dropped.
@@ -75,6 +92,11 @@
     return this.partial !== undefined;
   }
 
+  /** The same, except for empty lines. */
+  get hasCutEvent(): boolean {
+    return /[^\r\n]/.test(this.partial?.toString('latin1') ?? '');
+  }
+
   /** Returns the bytes after the last complete event of a stream that ended. */
   takePartialEvent(): Buffer | undefined {
     const partialEvent = this.partial;
@@ -87,8 +109,12 @@
   }
 
   private classify(event: Buffer): 'pass' | 'repeat' | 'gap' {
-    const match = ID_FIELD.exec(event.toString('latin1'));
-    if (match === null) return 'pass';
+    const text = event.toString('latin1');
+    const match = ID_FIELD.exec(text);
+    if (match === null) {
+      this.hasUnnumberedEvent ||= DATA_FIELD.test(text);
+      return 'pass';
+    }
     const id = Number(match[1]);
     const last = this.lastEventId;
     if (last !== undefined && id <= last) {
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -30,6 +30,7 @@
   type Classification,
 } from './classify-result.js';
 import {
+  afterRun,
   retryAfterMs,
   statusOfLocalResponse,
   writeLocalResponse,
@@ -81,7 +82,11 @@
     {request: RequestId; service: ServiceId} | undefined;
   private readonly excluded: TargetId[] = [];
   private runCount = 0;
+  /** Whether a resumable stream may have run already. */
+  private hasStreamRun = false;
   private failureResponse: ResponseSink | undefined;
+  /** A started stream that the next attempt continues. */
+  private startedSink: ResponseSink | undefined;
 
   constructor(
     private readonly deps: GatewayDependencies,
@@ -212,9 +217,16 @@
    * Ends the request with the failure response of an earlier attempt, if there
    * is one, otherwise with the gateway's own response.
    */
-  private refuse(response: LocalResponse): undefined {
+  private refuse(wanted: LocalResponse): undefined {
     if (this.isOver) return undefined;
     this.isOver = true;
+    const response = this.hasStreamRun ? afterRun(wanted) : wanted;
+    const reason = 'reason' in response ? response.reason : undefined;
+    if (this.res.headersSent) {
+      this.log('broken_off', 0, reason);
+      breakOffResponse(this.res);
+      return undefined;
+    }
     if (this.failureResponse) {
       this.failureResponse.end();
       this.log('served', this.failureResponse.status);
@@ -226,7 +238,6 @@
       response,
       retryAfterMs(response, this.remainingMs()),
     );
-    const reason = 'reason' in response ? response.reason : undefined;
     this.log(response.kind, statusOfLocalResponse(response), reason);
     return undefined;
   }
@@ -242,6 +253,7 @@
         return;
       }
       this.failureResponse = nextStep.failureResponse ?? this.failureResponse;
+      this.startedSink = nextStep.startedSink ?? this.startedSink;
       const isExhausted =
         this.record.attempts >= MAX_ATTEMPTS ||
         (nextStep.usesRetryBudget && !budget.tryConsume(admitted.service));
@@ -365,7 +377,13 @@
       connection.destroy();
       return {outcome: 'abandoned', step: {kind: 'broken_off'}};
     }
-    const attempt = this.startAttempt(connection, admitted, reservation);
+    const sink = this.startedSink;
+    const attempt = this.startAttempt(
+      connection,
+      admitted,
+      reservation,
+      sink && {sink, resume: undefined},
+    );
     let current = reservation;
     const supervisor = new RunSupervisor({
       deps: this.deps,
@@ -381,6 +399,7 @@
         ),
       onMoved: moved => {
         this.record.moves += 1;
+        this.excluded.push(moved.target);
         this.record.lastTarget = moved.target;
         current = moved;
       },
@@ -389,7 +408,10 @@
     this.record.responseStartedAtMs = attempt.sink()?.headSentAtMs;
     const observed = this.observeEnd(admitted, current, result);
     this.attempt = undefined;
-    if (mayHaveRun(result)) this.runCount += 1;
+    if (mayHaveRun(result)) {
+      this.runCount += 1;
+      this.hasStreamRun = admitted.route.isResumable;
+    }
     const classified = classifyResult(result, admitted.route, this.runCount);
     // A crash has to be known before the request is sent to another target.
     if (classified.step.kind === 'retry') await observed;
@@ -418,12 +440,17 @@
     const {target, bornMs} = reservation;
     const start = {target, bornMs};
     const sentAtMs = this.deps.nowMs();
+    const callerLastEventId = admitted.route.isResumable
+      ? this.metadata.lastEventId
+      : undefined;
     const gatewayHeaders = protocol.writeGatewayHeaders({
       target: reservation.target,
       workspace: admitted.workspace,
       remainingMs: Math.max(MIN_REMAINING_MS, Math.floor(this.remainingMs())),
       resume: continuation?.resume,
-      lastEventId: continuation?.sink.events?.lastEventId,
+      lastEventId: continuation
+        ? continuation.sink.events?.lastEventId
+        : callerLastEventId,
     });
     const attempt = startTargetAttempt({
       connection,
@@ -437,7 +464,10 @@
       res: this.res,
       protocol,
       isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
+      isResumable: admitted.route.isResumable,
       continuedSink: continuation?.sink,
+      continuesRun: continuation?.resume !== undefined,
+      callerLastEventId,
       onProven: () => admitted.quarantine.recordAnswer(),
       onHead: metadata =>
         this.deps.statements.hear(start, metadata.stated, sentAtMs),
@@ -456,7 +486,7 @@
   private onTimeout(): void {
     if (this.isOver) return;
     const {attempt} = this;
-    if (attempt?.hasStarted()) {
+    if (this.res.headersSent) {
       this.isOver = true;
       this.log('timed_out_midway', 0);
       breakOffResponse(this.res);
--- a/packages/gateway/src/exchange/local-response.ts
+++ b/packages/gateway/src/exchange/local-response.ts
@@ -35,6 +35,12 @@
   return STATUS[response.kind];
 }
 
+/** The response to a request that may have run, where it was to be "not run". */
+export function afterRun(response: LocalResponse): LocalResponse {
+  if (response.kind !== 'not_run') return response;
+  return {kind: 'outcome_unknown', reason: response.reason};
+}
+
 export function writeLocalResponse(
   res: ServerResponse,
   response: LocalResponse,
--- a/packages/gateway/src/exchange/response-sink.ts
+++ b/packages/gateway/src/exchange/response-sink.ts
@@ -49,6 +49,11 @@
     return this.isHeadSent;
   }
 
+  /** Whether another target can send the rest of this response. */
+  get canResume(): boolean {
+    return this.events?.canResume ?? false;
+  }
+
   /** Adds a part of the body; returns the reason if it cannot be valid. */
   push(data: Buffer): SinkFault {
     if (this.events) return this.events.push(data);
--- a/packages/gateway/src/exchange/run-supervisor.ts
+++ b/packages/gateway/src/exchange/run-supervisor.ts
@@ -35,10 +35,11 @@
 const SILENCE_EVENT_GAPS = 5;
 const SILENCE_CHECK_MS = 250;
 
-/** A started stream, and the point from which its run resumes. */
+/** A started stream that another target continues. */
 export interface StreamContinuation {
   readonly sink: ResponseSink;
-  readonly resume: ResumePoint;
+  /** The KV cache from which its run resumes; undefined: it runs again. */
+  readonly resume: ResumePoint | undefined;
 }
 
 export interface RunSupervisorOptions {
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -26,12 +26,13 @@
       readonly status: number;
     }
   /**
-   * The response is lost; `hasStarted`: a part of it was sent to the caller.
+   * The response is lost; `startedSink`: the response, if a part of it was sent
+   * to the caller.
    */
   | {
       readonly kind: 'lost';
       readonly error: UpstreamError;
-      readonly hasStarted: boolean;
+      readonly startedSink: ResponseSink | undefined;
     }
   /** The attempt was cancelled. */
   | {readonly kind: 'ended'};
@@ -40,7 +41,7 @@
   readonly result: Promise<AttemptResult>;
   /** Closes the connection to the target; the result becomes `ended`. */
   cancel(): void;
-  /** Whether any part of the response was sent to the caller. */
+  /** Whether the caller was sent a part of the response by this run. */
   hasStarted(): boolean;
   /** Ends the attempt as if its connection had broken. */
   breakOff(reason: string): void;
@@ -66,8 +67,14 @@
   readonly res: ServerResponse;
   readonly protocol: GatewayProtocol;
   readonly isStreamed: boolean;
+  /** Whether another target can send the rest of the stream. */
+  readonly isResumable: boolean;
   /** The stream that the response continues; undefined for a new response. */
   readonly continuedSink: ResponseSink | undefined;
+  /** Whether the run continues from the KV cache of an earlier target. */
+  readonly continuesRun: boolean;
+  /** The caller has the events of the stream up to this one. */
+  readonly callerLastEventId: number | undefined;
   /** Called once when the target has answered, or goes on answering. */
   readonly onProven: () => void;
   /** Called with the head of a response that names this request. */
@@ -92,8 +99,8 @@
   let metadata: ResponseMetadata | undefined;
   let head: ResponseHead | undefined;
   let lastProgressAtMs = performance.now();
-  // A continued stream began on an earlier target.
-  let firstProgressAtMs = options.continuedSink && lastProgressAtMs;
+  // A continued run began on an earlier target.
+  let firstProgressAtMs = options.continuesRun ? lastProgressAtMs : undefined;
   let settle: (result: AttemptResult) => void = () => undefined;
   const result = new Promise<AttemptResult>(resolve => (settle = resolve));
   let isProven = false;
@@ -108,9 +115,13 @@
     settle(value);
   };
   res.on('drain', onDrain);
+  const finishLost = (error: UpstreamError) => {
+    const startedSink = sink?.hasStarted ? sink : undefined;
+    finish({kind: 'lost', error, startedSink});
+  };
   const breakOff = (error: UpstreamError) => {
     connection.destroy();
-    finish({kind: 'lost', error, hasStarted: sink?.hasStarted ?? false});
+    finishLost(error);
   };
 
   connection.send(options.request, {
@@ -135,6 +146,8 @@
       sink = new ResponseSink(res, response, mayStream, () =>
         connection.pause(),
       );
+      if (options.callerLastEventId !== undefined)
+        sink.events?.startAfter(options.callerLastEventId);
     },
     onData: data => {
       const eventsBefore = sink?.events?.eventCount;
@@ -154,15 +167,16 @@
       if (fault) breakOff({kind: 'malformed', reason: `${fault} in the body`});
     },
     onEnd: () => {
-      // The run started on an earlier target, so it counts as run even if this
-      // target rejects it.
-      if (options.continuedSink && !isSuccess(head!.status)) {
+      const isRejected = metadata!.isNotRun || metadata!.isMisdirected;
+      // A continued run started on an earlier target, so it counts as run even
+      // if this target rejects it.
+      const isLost = options.continuesRun || !isRejected;
+      if (options.continuedSink && !isSuccess(head!.status) && isLost) {
         const reason = `status ${head!.status} instead of the rest of the stream`;
-        const hasStarted = sink!.hasStarted;
-        finish({kind: 'lost', error: {kind: 'broken', reason}, hasStarted});
+        finishLost({kind: 'broken', reason});
         return;
       }
-      if (metadata!.isNotRun || metadata!.isMisdirected) {
+      if (isRejected) {
         // It may be a refusal of an earlier request, written once more.
         if (metadata!.attemptId !== attemptId) {
           breakOff({
@@ -178,7 +192,10 @@
         finish({kind: 'failed', sink: sink!, status: head!.status});
         return;
       }
-      if (head!.endsWithConnection && sink!.events?.hasPartialEvent) {
+      const isCut = options.isResumable
+        ? sink!.events?.hasCutEvent
+        : head!.endsWithConnection && sink!.events?.hasPartialEvent;
+      if (isCut) {
         breakOff({kind: 'broken', reason: 'the stream ended inside an event'});
         return;
       }
@@ -186,9 +203,7 @@
       if (isSuccess(head!.status)) prove();
       finish({kind: 'passed_on', status: head!.status});
     },
-    onError: error => {
-      finish({kind: 'lost', error, hasStarted: sink?.hasStarted ?? false});
-    },
+    onError: finishLost,
   });
 
   return {
@@ -197,7 +212,9 @@
     lastProgressAtMs: () => lastProgressAtMs,
     answeringForMs: () =>
       firstProgressAtMs && performance.now() - firstProgressAtMs,
-    hasStarted: () => sink?.hasStarted ?? false,
+    hasStarted: () =>
+      (sink?.hasStarted ?? false) &&
+      (!options.continuedSink || firstProgressAtMs !== undefined),
     sink: () => sink,
     cancel: () => {
       connection.destroy();
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -37,6 +37,8 @@
    * The caller's estimate of the output tokens; accurate only at the median.
    */
   readonly hintedOutputTokens: number | undefined;
+  /** The caller has the events of its stream up to this one. */
+  readonly lastEventId: number | undefined;
   /**
    * Ids of the parts of the prompt that other requests may share, in order; the
    * part of the request's own is left out.
@@ -54,7 +56,10 @@
   readonly remainingMs: number;
   /** Set when a generation resumes from a KV cache that was copied. */
   readonly resume: ResumePoint | undefined;
-  /** Id of the last event sent to the caller; undefined before the first. */
+  /**
+   * Id of the last event that the caller has; the target sends those after it.
+   * Undefined: it sends all.
+   */
   readonly lastEventId: number | undefined;
 }
 
--- a/packages/gateway/src/routes/routes.spec.ts
+++ b/packages/gateway/src/routes/routes.spec.ts
@@ -18,6 +18,7 @@
   maxRuns: 1,
   isPublic: false,
   eventGapMs: 0,
+  isResumable: false,
 };
 
 const table: RouteTable = {
@@ -91,6 +92,10 @@
     'route r has service weights that add up to 0',
   );
   expect(withRoute({timeoutMs: 0})).toEqual('route r has no positive timeout');
+  expect(withRoute({isResumable: true})).toEqual(
+    'route r is resumable and no stream',
+  );
+  expect(withRoute({kind: 'stream', isResumable: true})).toEqual(undefined);
   expect(reasonOf({routes: [route, {...route, name: 'twin'}]})).toEqual(
     'two routes have the same host and path prefix: a.example /x/',
   );
--- a/packages/gateway/src/routes/types.ts
+++ b/packages/gateway/src/routes/types.ts
@@ -6,12 +6,15 @@
 
 /**
  * How often a request may run: `safe` requests any number of times, `unsafe`
- * requests and streams at most once.
+ * requests at most once, streams at most once unless their route is resumable.
  */
 export type RequestKind = 'safe' | 'unsafe' | 'stream';
 
 export interface KindTraits {
-  /** Whether a request that may have run can be sent to another target. */
+  /**
+   * Whether every request of the kind that may have run can be sent to another
+   * target; see {@link mayRepeat} for a route.
+   */
   readonly mayRepeat: boolean;
   /** Whether the response is forwarded event by event. */
   readonly isStreamed: boolean;
@@ -50,6 +53,19 @@
   readonly isPublic: boolean;
   /** The longest pause between two events of a stream that is on time. */
   readonly eventGapMs: number;
+  /**
+   * Whether a target can send a stream's events after a given one, so that the
+   * stream may run again. Only routes of kind `stream`.
+   */
+  readonly isResumable: boolean;
+}
+
+/** Whether a request that may have run can be sent to another target. */
+export function mayRepeat({
+  kind,
+  isResumable,
+}: Pick<Route, 'kind' | 'isResumable'>): boolean {
+  return KIND_TRAITS[kind].mayRepeat || isResumable;
 }
 
 /** The engines behind a service of model targets. */
--- a/packages/gateway/src/routes/validate.ts
+++ b/packages/gateway/src/routes/validate.ts
@@ -1,6 +1,6 @@
 /** The rules that a route table has to meet before it is accepted. */
 import {err, ok, type Result} from 'neverthrow';
-import type {Route, RouteTable} from './types.js';
+import {KIND_TRAITS, type Route, type RouteTable} from './types.js';
 
 export interface InvalidTable {
   readonly kind: 'invalid_table';
@@ -29,6 +29,8 @@
   if (totalWeight <= 0)
     return `route ${name} has service weights that add up to 0`;
   if (route.timeoutMs <= 0) return `route ${name} has no positive timeout`;
+  if (route.isResumable && !KIND_TRAITS[route.kind].isStreamed)
+    return `route ${name} is resumable and no stream`;
   const isPrefix =
     route.pathPrefix.startsWith('/') && route.pathPrefix.endsWith('/');
   if (!isPrefix)
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -37,6 +37,9 @@
     promptTokens: 100,
     maxOutputTokens: Number(headers['output'] ?? 100),
     hintedOutputTokens: undefined,
+    lastEventId: headers['last-event-id']
+      ? Number(headers['last-event-id'])
+      : undefined,
     sharedPromptParts: String(headers['parts'] ?? '')
       .split(' ')
       .filter(part => part !== ''),
@@ -54,13 +57,14 @@
         : [],
     },
   }),
-  isForwardedHeader: name => name !== 'internal',
+  isForwardedHeader: name => name !== 'internal' && name !== 'last-event-id',
   writeGatewayHeaders: ({target, remainingMs, resume, lastEventId}) => [
     'Internal',
     target,
     'Left-Ms',
     String(remainingMs),
-    ...(resume ? ['Resume', resume.handle, 'Last', String(lastEventId)] : []),
+    ...(resume ? ['Resume', resume.handle] : []),
+    ...(lastEventId === undefined ? [] : ['Last', String(lastEventId)]),
   ],
 };
 
@@ -205,6 +209,7 @@
         maxRuns: 2,
         isPublic: true,
         eventGapMs: 100,
+        isResumable: false,
         ...options.route,
       },
     ],
