Move admission and reservation out of the exchange of a request

Change: `admitRequest` finds the route and reads the body, `TargetPlacer` reserves the targets of a request. No behavior changes.

--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -1,27 +1,15 @@
 /**
- * Handles one request from its head to its end: finds the route and the
- * workspace, reads the body, reserves a target and sends the request to it, and
- * retries on another target if the kind of the request allows it.
+ * Handles one request from its head to its end: admits it, reserves a
+ * target and sends the request to it, and retries on another target if its route
+ * allows it.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {setTimeout as delay} from 'node:timers/promises';
-import type {
-  RequestId,
-  ServiceId,
-  TargetId,
-  WorkspaceId,
-} from '@samphirefield/core';
-import {traitsOf, type RequestContent} from '@samphirefield/policy/quarantine';
 import type {RunOutcome} from '../dispatch/index.js';
-import {shortDigest} from '../quarantine/index.js';
-import {KIND_TRAITS, pickService, type Route} from '../routes/index.js';
+import {KIND_TRAITS} from '../routes/index.js';
 import type {UpstreamConnection} from '../upstream/index.js';
-import {findAccess} from './access.js';
+import {admitRequest, refuseBeforeStop} from './admission.js';
 import type {ResponseSink} from './response-sink.js';
-import {readBody} from './body.js';
 import {breakOffResponse} from './break-off.js';
-import {canFinishBeforeStop} from './planned-stop.js';
-import {QuarantineGuard} from './quarantine-guard.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
 import {
   classifyResult,
@@ -36,8 +24,6 @@
   writeLocalResponse,
 } from './local-response.js';
 import {
-  newRunId,
-  buildStartDemand,
   reservationOn,
   type AdmittedRequest,
   type Reservation,
@@ -54,9 +40,9 @@
   type AttemptResult,
   type TargetAttempt,
 } from './target-attempt.js';
+import {TargetPlacer} from './target-placer.js';
 import type {
   GatewayDependencies,
-  ActiveConfig,
   LocalResponse,
   RequestMetadata,
 } from './types.js';
@@ -64,10 +50,6 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Attempts of one request, including those that a target rejected. */
 const MAX_ATTEMPTS = 4;
-const CONFIG_WAIT_MAX_MS = 1_500;
-/** Share of its remaining time that a request waits for a configuration. */
-const CONFIG_WAIT_SHARE = 0.6;
-const CONFIG_POLL_MS = 25;
 const DEFAULT_DEADLINE_MS = 60_000;
 const MIN_REMAINING_MS = 1;
 
@@ -78,9 +60,7 @@
   private endsAtMs: number;
   private isOver = false;
   private attempt: TargetAttempt | undefined;
-  private pendingReservation:
-    {request: RequestId; service: ServiceId} | undefined;
-  private readonly excluded: TargetId[] = [];
+  private readonly placer: TargetPlacer;
   private runCount = 0;
   /** Whether a resumable stream may have run already. */
   private hasStreamRun = false;
@@ -95,6 +75,9 @@
   ) {
     this.metadata = deps.protocol.readRequest(req.headers);
     this.record = createRequestRecord(this.metadata.attemptId, deps.nowMs());
+    this.placer = new TargetPlacer(deps, this.metadata, () =>
+      this.remainingMs(),
+    );
     this.endsAtMs =
       this.record.startedAtMs +
       (this.metadata.deadlineMs ?? DEFAULT_DEADLINE_MS);
@@ -102,7 +85,16 @@
 
   async run(): Promise<void> {
     this.res.on('close', () => this.onClose());
-    const admitted = await this.admit();
+    const {deps, req, metadata, endsAtMs} = this;
+    const admitted = await admitRequest({
+      deps,
+      req,
+      metadata,
+      startedAtMs: this.record.startedAtMs,
+      endsAtMs,
+      isOver: () => this.isOver,
+      refuse: response => this.refuse(response),
+    });
     if (admitted === undefined) return;
     this.record.service = admitted.service;
     const timeoutAtMs = this.record.startedAtMs + admitted.route.timeoutMs;
@@ -119,100 +111,6 @@
     return this.endsAtMs - this.deps.nowMs();
   }
 
-  /**
-   * Waits because a process receives its configuration shortly after its start.
-   */
-  private async waitForConfiguration(): Promise<ActiveConfig | undefined> {
-    const {deps} = this;
-    const untilMs =
-      this.record.startedAtMs +
-      Math.min(CONFIG_WAIT_MAX_MS, this.remainingMs() * CONFIG_WAIT_SHARE);
-    while (deps.activeConfig() === undefined && deps.nowMs() < untilMs) {
-      await delay(CONFIG_POLL_MS);
-    }
-    return deps.activeConfig();
-  }
-
-  private async admit(): Promise<AdmittedRequest | undefined> {
-    const activeConfig = await this.waitForConfiguration();
-    if (this.isOver) return undefined;
-    if (activeConfig === undefined)
-      return this.refuse({kind: 'not_configured'});
-    const {routeIndex, view} = activeConfig;
-    const access = findAccess(routeIndex, this.req, this.metadata.apiKey);
-    if (access.isErr()) return this.refuse(access.error);
-    const {route, workspace} = access.value;
-    const body = await this.readBodyInTime(view.table.limits.maxBodyBytes);
-    if (this.isOver) return undefined;
-    if (body.isErr()) {
-      if (body.error === 'too_large') this.refuse({kind: 'body_too_large'});
-      return undefined;
-    }
-    const stopRefusal = this.refuseBeforeStop(route);
-    if (stopRefusal) return this.refuse(stopRefusal);
-    const service = pickService(route, this.deps.random());
-    const quarantine = this.createQuarantineGuard(
-      service,
-      workspace?.name,
-      body.value,
-    );
-    const refusal = quarantine.refuse();
-    if (refusal) return this.refuse(refusal);
-    return {
-      route,
-      service,
-      workspace: workspace?.name,
-      priority: workspace?.priority ?? route.priority,
-      body: body.value,
-      quarantine,
-    };
-  }
-
-  private createQuarantineGuard(
-    service: ServiceId,
-    workspace: WorkspaceId | undefined,
-    body: Buffer,
-  ): QuarantineGuard {
-    const {deps, metadata, req} = this;
-    const content: RequestContent = {
-      service,
-      method: req.method ?? '',
-      url: req.url ?? '',
-      workspace,
-      bodyDigest: shortDigest(body),
-      sharedPromptParts: metadata.sharedPromptParts,
-    };
-    const traits = traitsOf(content, shortDigest);
-    return new QuarantineGuard(deps, metadata, {service, traits});
-  }
-
-  private async readBodyInTime(maxBytes: number) {
-    const timer = setTimeout(
-      () => this.refuse({kind: 'request_timeout'}),
-      this.remainingMs(),
-    );
-    const body = await readBody(this.req, maxBytes);
-    clearTimeout(timer);
-    return body;
-  }
-
-  /** Undefined if a run can end before this process does. */
-  private refuseBeforeStop(route: Route): LocalResponse | undefined {
-    const {objectiveMs, timeoutMs} = route;
-    const {maxOutputTokens} = this.metadata;
-    const endsAtMs = Math.min(
-      this.endsAtMs,
-      this.record.startedAtMs + timeoutMs,
-    );
-    const run = {objectiveMs, maxOutputTokens, endsAtMs};
-    const {plannedStop, nowMs} = this.deps;
-    if (canFinishBeforeStop(run, plannedStop(), nowMs())) return undefined;
-    return {
-      kind: 'not_run',
-      reason: 'would not finish before this process stops',
-    };
-  }
-
   /**
    * Ends the request with the failure response of an earlier attempt, if there
    * is one, otherwise with the gateway's own response.
@@ -280,55 +178,27 @@
 
   /** Reserves one target, sends the request to it and classifies the result. */
   private async attemptOnce(admitted: AdmittedRequest): Promise<NextStep> {
-    const {deps, metadata, excluded} = this;
+    const {deps, placer} = this;
     const {service} = admitted;
-    const run = newRunId(deps);
-    this.pendingReservation = {request: run, service};
-    const requestedAtMs = deps.nowMs();
-    const paused = deps.statements.pausedTargets();
-    const result = await deps.reservations.reserve(
-      buildStartDemand(
-        deps,
-        admitted,
-        metadata,
-        run,
-        [...excluded, ...paused],
-        this.remainingMs(),
-      ),
-    );
-    this.pendingReservation = undefined;
-    this.record.waitedMs += deps.nowMs() - requestedAtMs;
+    const place = await placer.place(admitted);
+    this.record.waitedMs = placer.waitedMs;
+    if (place.kind === 'refused')
+      return {kind: 'own', response: place.response};
+    const {run, target} = place;
     const release = (outcome: RunOutcome) =>
-      deps.reservations.release(run, service, outcome);
-    if (result.kind === 'refused') {
-      return {
-        kind: 'own',
-        response: {
-          kind: 'not_run',
-          reason: result.reason,
-          retryAfterMs:
-            result.retryAfterMs ?? deps.statements.pauseLeftMs(paused),
-        },
-      };
-    }
-    if (!this.mayUse(result.target)) {
-      // It has said so since; another one costs the caller no attempt.
-      release('abandoned');
-      excluded.push(result.target);
-      return this.attemptOnce(admitted);
-    }
+      placer.release(run, service, outcome);
     const refusal =
-      this.refuseBeforeStop(admitted.route) ??
+      refuseBeforeStop(deps, this.metadata, admitted.route, this.endsAtMs) ??
       (await admitted.quarantine.refuseRun(this.remainingMs()));
     if (refusal || this.isOver) {
       admitted.quarantine.endRun();
       release('abandoned');
       return refusal ? {kind: 'own', response: refusal} : {kind: 'broken_off'};
     }
-    this.record.lastTarget = result.target;
+    this.record.lastTarget = target;
     this.record.lastRun = run;
-    excluded.push(result.target);
-    const reservation = reservationOn(deps.reservations, result.target, run);
+    placer.exclude(target);
+    const reservation = reservationOn(deps.reservations, target, run);
     const {outcome, step: nextStep} = await this.sendToTarget(
       reservation,
       admitted,
@@ -340,12 +210,6 @@
     return nextStep;
   }
 
-  private mayUse(target: TargetId): boolean {
-    const {reservations, statements} = this.deps;
-    const bornMs = reservations.findTarget(target)?.announcement.bornMs;
-    return bornMs === undefined || statements.mayUse({target, bornMs});
-  }
-
   private async sendToTarget(
     reservation: Reservation | undefined,
     admitted: AdmittedRequest,
@@ -399,7 +263,7 @@
         ),
       onMoved: moved => {
         this.record.moves += 1;
-        this.excluded.push(moved.target);
+        this.placer.exclude(moved.target);
         this.record.lastTarget = moved.target;
         current = moved;
       },
@@ -500,10 +364,7 @@
 
   private abandon(): void {
     this.attempt?.cancel();
-    const {pendingReservation} = this;
-    if (pendingReservation === undefined) return;
-    const {request, service} = pendingReservation;
-    this.deps.reservations.release(request, service, 'abandoned');
+    this.placer.withdraw();
   }
 
   private log(outcome: string, status: number, reason?: string): void {
--- /dev/null
+++ b/packages/gateway/src/exchange/target-placer.ts
@@ -0,0 +1,102 @@
+/**
+ * Reserves the targets of one request, one after another, each at most once.
+ */
+import type {RequestId, ServiceId, TargetId} from '@samphirefield/core';
+import type {RunOutcome} from '../dispatch/index.js';
+import {
+  buildStartDemand,
+  newRunId,
+  type AdmittedRequest,
+} from './reservation.js';
+import type {
+  GatewayDependencies,
+  LocalResponse,
+  RequestMetadata,
+} from './types.js';
+
+/** A reserved target, or why there is none. */
+export type Place =
+  | {
+      readonly kind: 'reserved';
+      readonly target: TargetId;
+      readonly run: RequestId;
+    }
+  | {readonly kind: 'refused'; readonly response: LocalResponse};
+
+export class TargetPlacer {
+  /** Time spent waiting for targets. */
+  waitedMs = 0;
+  private readonly excluded: TargetId[] = [];
+  private pending: {run: RequestId; service: ServiceId} | undefined;
+
+  constructor(
+    private readonly deps: GatewayDependencies,
+    private readonly metadata: RequestMetadata,
+    private readonly remainingMs: () => number,
+  ) {}
+
+  /** Keeps the request from this target. */
+  exclude(target: TargetId): void {
+    this.excluded.push(target);
+  }
+
+  /**
+   * Asks again for a target that must not be used any more since it was
+   * reserved; that costs the caller no attempt.
+   */
+  async place(admitted: AdmittedRequest): Promise<Place> {
+    for (;;) {
+      const place = await this.reserve(admitted);
+      if (place.kind === 'refused' || this.mayUse(place.target)) return place;
+      this.release(place.run, admitted.service, 'abandoned');
+      this.exclude(place.target);
+    }
+  }
+
+  release(run: RequestId, service: ServiceId, outcome: RunOutcome): void {
+    this.deps.reservations.release(run, service, outcome);
+  }
+
+  /** Withdraws the demand that waits. */
+  withdraw(): void {
+    if (this.pending === undefined) return;
+    const {run, service} = this.pending;
+    this.release(run, service, 'abandoned');
+  }
+
+  private async reserve(admitted: AdmittedRequest): Promise<Place> {
+    const {deps, metadata, excluded} = this;
+    const {service} = admitted;
+    const run = newRunId(deps);
+    this.pending = {run, service};
+    const requestedAtMs = deps.nowMs();
+    const paused = deps.statements.pausedTargets();
+    const result = await deps.reservations.reserve(
+      buildStartDemand(
+        deps,
+        admitted,
+        metadata,
+        run,
+        [...excluded, ...paused],
+        this.remainingMs(),
+      ),
+    );
+    this.pending = undefined;
+    this.waitedMs += deps.nowMs() - requestedAtMs;
+    if (result.kind === 'granted')
+      return {kind: 'reserved', target: result.target, run};
+    const retryAfterMs =
+      result.retryAfterMs ?? deps.statements.pauseLeftMs(paused);
+    const {reason} = result;
+    return {
+      kind: 'refused',
+      response: {kind: 'not_run', reason, retryAfterMs},
+    };
+  }
+
+  private mayUse(target: TargetId): boolean {
+    const {reservations, statements} = this.deps;
+    const bornMs = reservations.findTarget(target)?.announcement.bornMs;
+    return bornMs === undefined || statements.mayUse({target, bornMs});
+  }
+}
