Resume streams before a target that leaves or stalls ends them

Cause: a stream whose target leaves and cannot hand over its KV cache went on until the target ended, and one whose target hangs until its deadline.

It stays where it is if its runs, the budget, the deadline or the targets allow no other run. No run starts that would begin after the deadline even on the fastest target. The demand of a resumed stream counts the events that the caller has as prefill, and is not late for a first event any more. Log events `resume` and `replacement`, metric `resumes_total`.

--- a/packages/gateway/src/dispatch/demands.ts
+++ b/packages/gateway/src/dispatch/demands.ts
@@ -98,6 +98,31 @@
   };
 }
 
+/**
+ * Changes the demand of a request that starts into that of a stream that runs
+ * again: its target prefills the tokens that the caller has beside the prompt. A
+ * stream whose response has started would be lost with its work, and is not late
+ * for its first event any more. `sentTokens` may come from the caller, so it is
+ * bounded.
+ */
+export function resumeDemand(
+  demand: Demand,
+  {promptTokens, maxOutputTokens}: TokenCounts,
+  sentTokens: number,
+  hasStarted: boolean,
+): Demand {
+  const prefillTokens = promptTokens + Math.min(sentTokens, maxOutputTokens);
+  const kvTokens = Math.max(demand.kvTokens, prefillTokens);
+  const resumed = {...demand, kvTokens, prefillTokens};
+  if (!hasStarted) return resumed;
+  return {
+    ...resumed,
+    isRunning: true,
+    inTimeMs: demand.maxWaitMs,
+    noTargetWaitMs: demand.maxWaitMs,
+  };
+}
+
 /**
  * Builds the demand for a target to which a running generation moves. The
  * demand is granted at once or refused. The requester's zone is that of the
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -5,15 +5,14 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RunOutcome} from '../dispatch/index.js';
-import {KIND_TRAITS} from '../routes/index.js';
 import type {UpstreamConnection} from '../upstream/index.js';
-import {admitRequest, refuseBeforeStop} from './admission.js';
+import {admitRequest} from './admission.js';
 import type {ResponseSink} from './response-sink.js';
 import {breakOffResponse} from './break-off.js';
+import {RunAllowance} from './run-allowance.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
 import {
   classifyResult,
-  mayHaveRun,
   type NextStep,
   type Classification,
 } from './classify-result.js';
@@ -27,19 +26,17 @@
   reservationOn,
   type AdmittedRequest,
   type Reservation,
+  type StreamProgress,
 } from './reservation.js';
 import {
   createRequestRecord,
   logFailedAttempt,
   recordEnd,
+  recordResume,
   type RequestRecord,
 } from './request-record.js';
-import {serializeRequest} from './http-message.js';
-import {
-  startTargetAttempt,
-  type AttemptResult,
-  type TargetAttempt,
-} from './target-attempt.js';
+import {startRun} from './start-run.js';
+import {type AttemptResult, type TargetAttempt} from './target-attempt.js';
 import {TargetPlacer} from './target-placer.js';
 import type {
   GatewayDependencies,
@@ -51,7 +48,6 @@
 /** Attempts of one request, including those that a target rejected. */
 const MAX_ATTEMPTS = 4;
 const DEFAULT_DEADLINE_MS = 60_000;
-const MIN_REMAINING_MS = 1;
 
 /** One caller's request and its response. */
 export class Exchange {
@@ -61,9 +57,9 @@
   private isOver = false;
   private attempt: TargetAttempt | undefined;
   private readonly placer: TargetPlacer;
-  private runCount = 0;
-  /** Whether a resumable stream may have run already. */
-  private hasStreamRun = false;
+  private readonly allowance: RunAllowance;
+  /** The caller has the events of its resumable stream up to this one. */
+  private callerLastEventId: number | undefined;
   private failureResponse: ResponseSink | undefined;
   /** A started stream that the next attempt continues. */
   private startedSink: ResponseSink | undefined;
@@ -75,7 +71,13 @@
   ) {
     this.metadata = deps.protocol.readRequest(req.headers);
     this.record = createRequestRecord(this.metadata.attemptId, deps.nowMs());
-    this.placer = new TargetPlacer(deps, this.metadata, () =>
+    this.placer = new TargetPlacer(
+      deps,
+      this.metadata,
+      () => this.remainingMs(),
+      () => this.streamProgress(),
+    );
+    this.allowance = new RunAllowance(deps, this.metadata, () =>
       this.remainingMs(),
     );
     this.endsAtMs =
@@ -97,6 +99,8 @@
     });
     if (admitted === undefined) return;
     this.record.service = admitted.service;
+    if (admitted.route.isResumable)
+      this.callerLastEventId = metadata.lastEventId;
     const timeoutAtMs = this.record.startedAtMs + admitted.route.timeoutMs;
     this.endsAtMs = Math.min(this.endsAtMs, timeoutAtMs);
     const timer = setTimeout(() => this.onTimeout(), this.remainingMs());
@@ -104,6 +108,7 @@
       await this.serve(admitted);
     } finally {
       clearTimeout(timer);
+      this.placer.close(admitted.service);
     }
   }
 
@@ -118,7 +123,7 @@
   private refuse(wanted: LocalResponse): undefined {
     if (this.isOver) return undefined;
     this.isOver = true;
-    const response = this.hasStreamRun ? afterRun(wanted) : wanted;
+    const response = this.allowance.hasStreamRun ? afterRun(wanted) : wanted;
     const reason = 'reason' in response ? response.reason : undefined;
     if (this.res.headersSent) {
       this.log('broken_off', 0, reason);
@@ -141,6 +146,7 @@
   }
 
   private async serve(admitted: AdmittedRequest): Promise<void> {
+    const {allowance} = this;
     const {budget} = this.deps;
     budget.recordRequest(admitted.service);
     for (;;) {
@@ -152,9 +158,17 @@
       }
       this.failureResponse = nextStep.failureResponse ?? this.failureResponse;
       this.startedSink = nextStep.startedSink ?? this.startedSink;
+      if (allowance.isTooLate()) {
+        this.refuse({kind: 'timed_out'});
+        return;
+      }
+      // The budget was consumed when the next target was reserved in advance.
+      const isPaid =
+        !nextStep.usesRetryBudget || (await this.placer.isPrepared());
+      if (this.isOver) return;
       const isExhausted =
         this.record.attempts >= MAX_ATTEMPTS ||
-        (nextStep.usesRetryBudget && !budget.tryConsume(admitted.service));
+        (!isPaid && !budget.tryConsume(admitted.service));
       if (isExhausted) {
         this.refuse(nextStep.responseIfFinal);
         return;
@@ -178,9 +192,9 @@
 
   /** Reserves one target, sends the request to it and classifies the result. */
   private async attemptOnce(admitted: AdmittedRequest): Promise<NextStep> {
-    const {deps, placer} = this;
+    const {deps, placer, allowance} = this;
     const {service} = admitted;
-    const place = await placer.place(admitted);
+    const place = await placer.next(admitted);
     this.record.waitedMs = placer.waitedMs;
     if (place.kind === 'refused')
       return {kind: 'own', response: place.response};
@@ -188,7 +202,7 @@
     const release = (outcome: RunOutcome) =>
       placer.release(run, service, outcome);
     const refusal =
-      refuseBeforeStop(deps, this.metadata, admitted.route, this.endsAtMs) ??
+      allowance.refuseLateRun(admitted.route) ??
       (await admitted.quarantine.refuseRun(this.remainingMs()));
     if (refusal || this.isOver) {
       admitted.quarantine.endRun();
@@ -210,6 +224,30 @@
     return nextStep;
   }
 
+  /** Reserves the target of a stream's next run while this one goes on. */
+  private async prepareNextRun(
+    admitted: AdmittedRequest,
+    running: TargetAttempt,
+  ): Promise<boolean> {
+    const {service, route} = admitted;
+    const mayRun = () =>
+      !this.isOver &&
+      this.record.attempts < MAX_ATTEMPTS &&
+      this.allowance.mayReplace(route, running);
+    if (!mayRun()) return false;
+    return this.placer.prepare(
+      admitted,
+      () => mayRun() && this.deps.budget.tryConsume(service),
+    );
+  }
+
+  private streamProgress(): StreamProgress {
+    const sink = this.startedSink ?? this.attempt?.sink();
+    const lastEventId = sink?.events?.lastEventId ?? this.callerLastEventId;
+    const hasStarted = sink?.hasStarted ?? false;
+    return {hasStarted, lastEventId: lastEventId ?? 0};
+  }
+
   private async sendToTarget(
     reservation: Reservation | undefined,
     admitted: AdmittedRequest,
@@ -242,6 +280,7 @@
       return {outcome: 'abandoned', step: {kind: 'broken_off'}};
     }
     const sink = this.startedSink;
+    if (sink) recordResume(this.deps, this.record, sink.events?.lastEventId);
     const attempt = this.startAttempt(
       connection,
       admitted,
@@ -267,16 +306,19 @@
         this.record.lastTarget = moved.target;
         current = moved;
       },
+      prepareNextRun: running => this.prepareNextRun(admitted, running),
+      dropPrepared: () => void this.placer.dropPrepared(admitted.service),
     });
     const result = await supervisor.supervise(attempt, reservation);
     this.record.responseStartedAtMs = attempt.sink()?.headSentAtMs;
     const observed = this.observeEnd(admitted, current, result);
     this.attempt = undefined;
-    if (mayHaveRun(result)) {
-      this.runCount += 1;
-      this.hasStreamRun = admitted.route.isResumable;
-    }
-    const classified = classifyResult(result, admitted.route, this.runCount);
+    this.allowance.record(result, admitted.route, attempt);
+    const classified = classifyResult(
+      result,
+      admitted.route,
+      this.allowance.runCount,
+    );
     // A crash has to be known before the request is sent to another target.
     if (classified.step.kind === 'retry') await observed;
     return classified;
@@ -300,42 +342,14 @@
     reservation: Reservation,
     continuation?: StreamContinuation,
   ): TargetAttempt {
-    const {protocol} = this.deps;
-    const {target, bornMs} = reservation;
-    const start = {target, bornMs};
-    const sentAtMs = this.deps.nowMs();
-    const callerLastEventId = admitted.route.isResumable
-      ? this.metadata.lastEventId
-      : undefined;
-    const gatewayHeaders = protocol.writeGatewayHeaders({
-      target: reservation.target,
-      workspace: admitted.workspace,
-      remainingMs: Math.max(MIN_REMAINING_MS, Math.floor(this.remainingMs())),
-      resume: continuation?.resume,
-      lastEventId: continuation
-        ? continuation.sink.events?.lastEventId
-        : callerLastEventId,
-    });
-    const attempt = startTargetAttempt({
+    const {deps, req, res, metadata, callerLastEventId} = this;
+    const remainingMs = this.remainingMs();
+    const attempt = startRun(
+      {deps, req, res, metadata, admitted, callerLastEventId, remainingMs},
       connection,
-      request: serializeRequest(
-        this.req,
-        admitted.body,
-        name => protocol.isForwardedHeader(name),
-        gatewayHeaders,
-      ),
-      attemptId: this.metadata.attemptId,
-      res: this.res,
-      protocol,
-      isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
-      isResumable: admitted.route.isResumable,
-      continuedSink: continuation?.sink,
-      continuesRun: continuation?.resume !== undefined,
-      callerLastEventId,
-      onProven: () => admitted.quarantine.recordAnswer(),
-      onHead: metadata =>
-        this.deps.statements.hear(start, metadata.stated, sentAtMs),
-    });
+      reservation,
+      continuation,
+    );
     this.attempt = attempt;
     return attempt;
   }
--- a/packages/gateway/src/exchange/request-record.ts
+++ b/packages/gateway/src/exchange/request-record.ts
@@ -13,6 +13,8 @@
   /** Attempts, including those that a target rejected. */
   attempts: number;
   moves: number;
+  /** Runs that continued a started stream without its KV cache. */
+  resumes: number;
   /** Time spent waiting for targets. */
   waitedMs: number;
   responseStartedAtMs: number | undefined;
@@ -30,6 +32,7 @@
     lastRun: undefined,
     attempts: 0,
     moves: 0,
+    resumes: 0,
     waitedMs: 0,
     responseStartedAtMs: undefined,
   };
@@ -56,6 +59,22 @@
   });
 }
 
+/** Logs and counts a run that continues a started stream. */
+export function recordResume(
+  deps: GatewayDependencies,
+  record: RequestRecord,
+  lastEventId: number | undefined,
+): void {
+  record.resumes += 1;
+  deps.logger.info('resume', {
+    request: record.attemptId,
+    run: record.lastRun,
+    target: record.lastTarget,
+    after_event: lastEventId,
+    resumes: record.resumes,
+  });
+}
+
 /** Logs the end of the request and counts it in the metrics. */
 export function recordEnd(
   deps: GatewayDependencies,
@@ -64,7 +83,8 @@
   status: number,
   reason?: string,
 ): void {
-  const {service, attempts, moves, startedAtMs, responseStartedAtMs} = record;
+  const {service, attempts, moves, resumes} = record;
+  const {startedAtMs, responseStartedAtMs} = record;
   const waitedMs = Math.round(record.waitedMs);
   const durationMs = Math.round(deps.nowMs() - startedAtMs);
   deps.logger.info('request', {
@@ -77,6 +97,7 @@
     target: record.lastTarget,
     sendings: attempts,
     moves,
+    resumes: resumes || undefined,
     waited_ms: waitedMs,
     first_ms:
       responseStartedAtMs && Math.round(responseStartedAtMs - startedAtMs),
@@ -91,5 +112,6 @@
     waitedMs,
     attempts,
     moves,
+    resumes,
   });
 }
--- a/packages/gateway/src/exchange/reservation.ts
+++ b/packages/gateway/src/exchange/reservation.ts
@@ -7,7 +7,12 @@
   type TargetId,
   type WorkspaceId,
 } from '@samphirefield/core';
-import {moveDemand, startDemand, type Demand} from '../dispatch/index.js';
+import {
+  moveDemand,
+  resumeDemand,
+  startDemand,
+  type Demand,
+} from '../dispatch/index.js';
 import type {TargetEndpoint} from '../moves/index.js';
 import type {Route} from '../routes/index.js';
 import type {QuarantineGuard} from './quarantine-guard.js';
@@ -69,7 +74,15 @@
   return endpoint && {...endpoint, run, bornMs};
 }
 
-/** Builds the demand for a target on which a request starts. */
+/** How far a resumable stream has come. */
+export interface StreamProgress {
+  /** Whether the caller has a part of its response. */
+  readonly hasStarted: boolean;
+  /** Number of the last event that the caller has; 0 before the first. */
+  readonly lastEventId: number;
+}
+
+/** Builds the demand for a target on which a request starts or resumes. */
 export function buildStartDemand(
   deps: GatewayDependencies,
   admitted: AdmittedRequest,
@@ -77,15 +90,21 @@
   run: RequestId,
   excluded: readonly TargetId[],
   remainingMs: number,
+  {hasStarted, lastEventId}: StreamProgress,
 ): Demand {
   const {instance: entry, zone} = deps;
   const {service, priority, workspace} = admitted;
-  return startDemand(
+  const demand = startDemand(
     {request: run, service, entry, zone, priority, workspace, excluded},
     metadata,
     admitted.route.objectiveMs,
     remainingMs,
   );
+  if (lastEventId === 0 && !hasStarted) return demand;
+  const {routeIndex} = deps.activeConfig() ?? {};
+  const {tokensPerEvent = 0} = routeIndex?.findService(service)?.engine ?? {};
+  const sentTokens = lastEventId * tokensPerEvent;
+  return resumeDemand(demand, metadata, sentTokens, hasStarted);
 }
 
 /**
--- a/packages/gateway/src/exchange/resume.spec.ts
+++ b/packages/gateway/src/exchange/resume.spec.ts
@@ -13,6 +13,15 @@
   startScriptedTarget,
   type ReceivedRequest,
 } from '../testing/scripted-target.js';
+import {
+  chunk,
+  event,
+  events,
+  STREAM_END,
+  streamHead,
+  unsignedStreamHead,
+  wholeStream,
+} from '../testing/streams.js';
 
 type Script = (request: ReceivedRequest) => void;
 type Options = Omit<TestGatewayOptions, 'targets' | 'kind'>;
@@ -42,17 +51,6 @@
   return {targets, gateway, runs, lastIds};
 }
 
-const streamHead = (...extra: string[]) =>
-  ['HTTP/1.1 200 OK', ...extra, 'Transfer-Encoding: chunked', '', ''].join(
-    '\r\n',
-  );
-const signedHead = streamHead('Signed: yes');
-const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
-const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
-const events = (from: number, to: number) =>
-  Array.from({length: to - from + 1}, (_, i) => event(from + i)).join('');
-const STREAM_END = '0\r\n\r\n';
-
 const send =
   (text: string): Script =>
   ({socket}) =>
@@ -62,8 +60,8 @@
   ({socket}) =>
     socket.end(text);
 const die: Script = ({socket}) => socket.destroy();
-const whole = (from: number, to: number) =>
-  send(signedHead + chunk(events(from, to)) + STREAM_END);
+const whole = (from: number, to: number) => send(wholeStream(from, to));
+const signedHead = streamHead();
 const rejected = completeResponse(
   '',
   ['Not-Run: 1', 'Attempt: a1'],
@@ -71,7 +69,7 @@
 );
 
 test('cuts a resumable stream whose target dies inside an event', async t => {
-  const head = streamHead('Signed: yes', 'Own: first');
+  const head = streamHead('Own: first');
   const {gateway, lastIds} = await setUp(t, [
     sendAndDie(head + chunk(events(1, 2) + 'id: 3\nda')),
     sendAndDie(signedHead + chunk(events(3, 4) + 'id')),
@@ -159,7 +157,7 @@
 
 test('forwards a head or a failure of the next target into the stream', async t => {
   const failures = [
-    streamHead('Unsigned: yes') + chunk(event(2)) + STREAM_END,
+    unsignedStreamHead() + chunk(event(2)) + STREAM_END,
     completeResponse('broken', [], '500 Failed'),
     completeResponse('missing', [], '404 Missing'),
     completeResponse('', ['Not-Run: 1'], '503 Busy'),
@@ -186,6 +184,20 @@
   expect((await call(gateway.port)).status).toEqual(503);
 });
 
+test('runs a stream again that cannot reach its deadline any more', async t => {
+  const {gateway, runs} = await setUp(t, [
+    ({socket}) => {
+      setTimeout(() => socket.write(streamHead() + chunk(event(1))), 400);
+      setTimeout(() => socket.destroy(), 500);
+    },
+    whole(2, 3),
+  ]);
+  const headers = {'deadline-ms': '600'};
+  const response = await call(gateway.port, {headers});
+  expect(response.isComplete).toEqual(false);
+  expect(runs()).toEqual([1, 0]);
+});
+
 test('leaves a started stream open when no target is left', async t => {
   const {gateway} = await setUp(t, [sendAndDie(signedHead + chunk(event(1)))]);
   const response = await call(gateway.port);
--- /dev/null
+++ b/packages/gateway/src/exchange/run-allowance.ts
@@ -0,0 +1,65 @@
+/**
+ * Counts the runs of one request, and decides whether it may run once more as
+ * far as its route, its stream and its time go.
+ */
+import {canRunInTime} from '@samphirefield/policy/retries';
+import type {Route} from '../routes/index.js';
+import {refuseBeforeStop} from './admission.js';
+import {mayHaveRun} from './classify-result.js';
+import type {AttemptResult, TargetAttempt} from './target-attempt.js';
+import type {
+  GatewayDependencies,
+  LocalResponse,
+  RequestMetadata,
+} from './types.js';
+
+export class RunAllowance {
+  /** Number of targets that may have run the request. */
+  runCount = 0;
+  /** Whether a resumable stream may have run. */
+  hasStreamRun = false;
+  /** Time in which its fastest run had its first event. */
+  private firstEventMs: number | undefined;
+
+  constructor(
+    private readonly deps: GatewayDependencies,
+    private readonly metadata: RequestMetadata,
+    private readonly remainingMs: () => number,
+  ) {}
+
+  /** Counts an attempt that has ended. */
+  record(
+    result: AttemptResult,
+    {isResumable}: Route,
+    attempt: TargetAttempt,
+  ): void {
+    if (!mayHaveRun(result)) return;
+    this.runCount += 1;
+    this.hasStreamRun = isResumable;
+    const firstEventMs = attempt.firstProgressAfterMs();
+    if (firstEventMs === undefined) return;
+    this.firstEventMs = Math.min(this.firstEventMs ?? Infinity, firstEventMs);
+  }
+
+  /** Whether a stream that has run cannot run again before its deadline. */
+  isTooLate(): boolean {
+    const remainingMs = this.remainingMs();
+    const {hasStreamRun, firstEventMs} = this;
+    return hasStreamRun && !canRunInTime({remainingMs, firstEventMs});
+  }
+
+  /** Undefined if a run that starts now can end in time. */
+  refuseLateRun(route: Route): LocalResponse | undefined {
+    if (this.isTooLate()) return {kind: 'timed_out'};
+    const {deps, metadata} = this;
+    const endsAtMs = deps.nowMs() + this.remainingMs();
+    return refuseBeforeStop(deps, metadata, route, endsAtMs);
+  }
+
+  /** Whether a stream may run once more beside the run in progress. */
+  mayReplace(route: Route, running: TargetAttempt): boolean {
+    const mayRun = this.runCount + 1 < route.maxRuns;
+    const canResume = running.sink()?.canResume ?? false;
+    return mayRun && canResume && this.refuseLateRun(route) === undefined;
+  }
+}
--- a/packages/gateway/src/exchange/run-supervisor.ts
+++ b/packages/gateway/src/exchange/run-supervisor.ts
@@ -1,8 +1,8 @@
 /**
  * Supervises one run until its response ends, even if the generation continues
  * on another target: a run moves (with its KV cache) off a target that drains
- * or whose stream is stuck, and resumes from its KV cache after its connection
- * broke.
+ * or whose stream is silent, and resumes from its KV cache after its connection
+ * broke. A resumable stream that cannot move is prepared to run again.
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import type {TargetId} from '@samphirefield/core';
@@ -24,16 +24,14 @@
   type AdmittedRequest,
   type Reservation,
 } from './reservation.js';
+import {StreamReplacement} from './stream-replacement.js';
+import {watchStream} from './stream-watch.js';
 import type {TargetAttempt, AttemptResult} from './target-attempt.js';
 import type {GatewayDependencies, RequestMetadata} from './types.js';
 
 const CONNECT_TIMEOUT_MS = 400;
 /** The last events of a stopped run may still be in transit for this long. */
 const FINAL_EVENTS_WAIT_MS = 120;
-const SILENCE_MIN_MS = 1_000;
-/** A stream is stuck after a silence of this many event gaps of its route. */
-const SILENCE_EVENT_GAPS = 5;
-const SILENCE_CHECK_MS = 250;
 
 /** A started stream that another target continues. */
 export interface StreamContinuation {
@@ -55,11 +53,16 @@
   ) => TargetAttempt;
   /** Called when the run was resumed, with where it continues. */
   readonly onMoved: (reservation: Reservation) => void;
+  /** Reserves the target of the stream's next run while this one goes on. */
+  readonly prepareNextRun: (attempt: TargetAttempt) => Promise<boolean>;
+  readonly dropPrepared: () => void;
 }
 
-interface MoveWatch {
+interface RunWatch {
   /** Stops watching when the attempt has ended; returns a move in progress. */
   stop(): Promise<MoveResult | undefined> | undefined;
+  /** Whether the attempt was broken off to run the stream elsewhere. */
+  hasReplaced(): boolean;
 }
 
 interface ResumedAttempt {
@@ -67,7 +70,7 @@
   readonly reservation: Reservation;
 }
 
-const NO_WATCH: MoveWatch = {stop: () => undefined};
+const NO_WATCH: RunWatch = {stop: () => undefined, hasReplaced: () => false};
 
 /** Supervises the run of one request that was sent to a target. */
 export class RunSupervisor {
@@ -95,7 +98,7 @@
     let reservation = firstReservation;
     let heldDestination: Destination | undefined;
     for (;;) {
-      const watcher = this.watchForMove(reservation, attempt);
+      const watcher = this.watch(reservation, attempt);
       const result = await attempt.result;
       const pendingMove = watcher.stop();
       if (result.kind !== 'lost' || isOver()) {
@@ -104,7 +107,10 @@
         return result;
       }
       const moved =
-        (await pendingMove) ?? (await this.recover(reservation, attempt));
+        (await pendingMove) ??
+        (watcher.hasReplaced()
+          ? undefined
+          : await this.recover(reservation, attempt));
       const resumed =
         moved && (await this.resumeStream(moved, attempt, reservation));
       heldDestination?.release(true);
@@ -116,37 +122,72 @@
     }
   }
 
-  /** Starts a move when the target drains or the stream is stuck. */
-  private watchForMove(
-    reservation: Reservation,
-    attempt: TargetAttempt,
-  ): MoveWatch {
+  /**
+   * Starts a move when the target drains or the stream is silent, and replaces
+   * the run of a resumable stream that is not moved.
+   */
+  private watch(reservation: Reservation, attempt: TargetAttempt): RunWatch {
     const {movableAttemptId: attemptId} = this;
-    if (attemptId === undefined) return NO_WATCH;
-    const {reservations} = this.options.deps;
+    const {deps, admitted} = this.options;
+    const {eventGapMs, isResumable} = admitted.route;
+    if (attemptId === undefined && !isResumable) return NO_WATCH;
     let pendingMove: Promise<MoveResult | undefined> | undefined;
     let hasEnded = false;
     const startMove = () => {
-      if (pendingMove || hasEnded) return;
-      pendingMove = this.move(attemptId, reservation, attempt, () => hasEnded);
+      if (attemptId === undefined || hasEnded) return;
+      pendingMove ??= this.move(
+        attemptId,
+        reservation,
+        attempt,
+        () => hasEnded,
+      );
     };
-    const stopWatching = reservations.onDraining(reservation.target, startMove);
-    const {eventGapMs} = this.options.admitted.route;
-    const silenceMs = Math.max(SILENCE_MIN_MS, eventGapMs * SILENCE_EVENT_GAPS);
-    const timer = setInterval(() => {
-      const silentMs = performance.now() - attempt.lastProgressAtMs();
-      if (attempt.hasStarted() && silentMs > silenceMs) startMove();
-    }, SILENCE_CHECK_MS);
+    const replacement = isResumable
+      ? this.createReplacement(reservation, attempt, () => hasEnded)
+      : undefined;
+    const stopWatching = watchStream({
+      reservations: deps.reservations,
+      target: reservation.target,
+      attempt,
+      eventGapMs,
+      onLeaving: () => {
+        startMove();
+        void replacement?.start('leaving', pendingMove);
+      },
+      onSilent: startMove,
+      onStalled: () => void replacement?.start('stalled', pendingMove),
+    });
     return {
       stop: () => {
         hasEnded = true;
-        clearInterval(timer);
         stopWatching();
         return pendingMove;
       },
+      hasReplaced: () => replacement?.hasReplaced ?? false,
     };
   }
 
+  private createReplacement(
+    {target}: Reservation,
+    attempt: TargetAttempt,
+    hasEnded: () => boolean,
+  ): StreamReplacement {
+    const {deps, metadata, isOver} = this.options;
+    return new StreamReplacement({
+      attempt,
+      prepare: () => this.options.prepareNextRun(attempt),
+      dropPrepared: this.options.dropPrepared,
+      hasEnded: () => hasEnded() || isOver(),
+      log: (reason, step) =>
+        deps.logger.info('replacement', {
+          request: metadata.attemptId,
+          target,
+          reason,
+          step,
+        }),
+    });
+  }
+
   private async move(
     attemptId: string,
     reservation: Reservation,
--- /dev/null
+++ b/packages/gateway/src/exchange/start-run.ts
@@ -0,0 +1,62 @@
+/** Starts an attempt for a request: writes the request to a target. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {KIND_TRAITS} from '../routes/index.js';
+import type {UpstreamConnection} from '../upstream/index.js';
+import {serializeRequest} from './http-message.js';
+import type {AdmittedRequest, Reservation} from './reservation.js';
+import type {StreamContinuation} from './run-supervisor.js';
+import {startTargetAttempt, type TargetAttempt} from './target-attempt.js';
+import type {GatewayDependencies, RequestMetadata} from './types.js';
+
+const MIN_REMAINING_MS = 1;
+
+export interface RunRequest {
+  readonly deps: GatewayDependencies;
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly metadata: RequestMetadata;
+  readonly admitted: AdmittedRequest;
+  /** The caller has the events of its resumable stream up to this one. */
+  readonly callerLastEventId: number | undefined;
+  readonly remainingMs: number;
+}
+
+export function startRun(
+  request: RunRequest,
+  connection: UpstreamConnection,
+  {target, bornMs}: Reservation,
+  continuation: StreamContinuation | undefined,
+): TargetAttempt {
+  const {deps, req, res, metadata, admitted, callerLastEventId} = request;
+  const {protocol, statements} = deps;
+  const {route, workspace, body, quarantine} = admitted;
+  const sentAtMs = deps.nowMs();
+  const gatewayHeaders = protocol.writeGatewayHeaders({
+    target,
+    workspace,
+    remainingMs: Math.max(MIN_REMAINING_MS, Math.floor(request.remainingMs)),
+    resume: continuation?.resume,
+    lastEventId: continuation
+      ? continuation.sink.events?.lastEventId
+      : callerLastEventId,
+  });
+  return startTargetAttempt({
+    connection,
+    request: serializeRequest(
+      req,
+      body,
+      name => protocol.isForwardedHeader(name),
+      gatewayHeaders,
+    ),
+    attemptId: metadata.attemptId,
+    res,
+    protocol,
+    isStreamed: KIND_TRAITS[route.kind].isStreamed,
+    isResumable: route.isResumable,
+    continuedSink: continuation?.sink,
+    continuesRun: continuation?.resume !== undefined,
+    callerLastEventId,
+    onProven: () => quarantine.recordAnswer(),
+    onHead: ({stated}) => statements.hear({target, bornMs}, stated, sentAtMs),
+  });
+}
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -51,6 +51,13 @@
    * `performance.now`.
    */
   lastProgressAtMs(): number;
+  /**
+   * How long no progress was made although the caller has read everything; 0
+   * while it has not.
+   */
+  stalledMs(): number;
+  /** Time from the request to the first progress; undefined before it. */
+  firstProgressAfterMs(): number | undefined;
   /**
    * How long ago the first part of the body (of a stream: its first event)
    * came; undefined before it.
@@ -95,10 +102,17 @@
   const {connection, res, protocol, attemptId, isStreamed} = options;
   let sink = options.continuedSink;
   sink?.events?.startNextSource();
-  if (sink) sink.onBackpressure = () => connection.pause();
+  let isPaused = false;
+  let resumedAtMs = 0;
+  const pause = () => {
+    isPaused = true;
+    connection.pause();
+  };
+  if (sink) sink.onBackpressure = pause;
   let metadata: ResponseMetadata | undefined;
   let head: ResponseHead | undefined;
-  let lastProgressAtMs = performance.now();
+  const startedAtMs = performance.now();
+  let lastProgressAtMs = startedAtMs;
   // A continued run began on an earlier target.
   let firstProgressAtMs = options.continuesRun ? lastProgressAtMs : undefined;
   let settle: (result: AttemptResult) => void = () => undefined;
@@ -109,7 +123,11 @@
     isProven = true;
     options.onProven();
   };
-  const onDrain = () => connection.resume();
+  const onDrain = () => {
+    isPaused = false;
+    resumedAtMs = performance.now();
+    connection.resume();
+  };
   const finish = (value: AttemptResult) => {
     res.off('drain', onDrain);
     settle(value);
@@ -143,9 +161,7 @@
       }
       if (options.continuedSink) return;
       const mayStream = isStreamed && isSuccess(response.status);
-      sink = new ResponseSink(res, response, mayStream, () =>
-        connection.pause(),
-      );
+      sink = new ResponseSink(res, response, mayStream, pause);
       if (options.callerLastEventId !== undefined)
         sink.events?.startAfter(options.callerLastEventId);
     },
@@ -210,6 +226,12 @@
     result,
     breakOff: reason => breakOff({kind: 'broken', reason}),
     lastProgressAtMs: () => lastProgressAtMs,
+    stalledMs: () => {
+      const sinceMs = Math.max(lastProgressAtMs, resumedAtMs);
+      return isPaused ? 0 : performance.now() - sinceMs;
+    },
+    firstProgressAfterMs: () =>
+      firstProgressAtMs && firstProgressAtMs - startedAtMs,
     answeringForMs: () =>
       firstProgressAtMs && performance.now() - firstProgressAtMs,
     hasStarted: () =>
--- a/packages/gateway/src/exchange/target-placer.ts
+++ b/packages/gateway/src/exchange/target-placer.ts
@@ -7,6 +7,7 @@
   buildStartDemand,
   newRunId,
   type AdmittedRequest,
+  type StreamProgress,
 } from './reservation.js';
 import type {
   GatewayDependencies,
@@ -14,25 +15,31 @@
   RequestMetadata,
 } from './types.js';
 
+/** A reserved target, and the run that holds the reservation. */
+export interface ReservedPlace {
+  readonly kind: 'reserved';
+  readonly target: TargetId;
+  readonly run: RequestId;
+}
+
 /** A reserved target, or why there is none. */
 export type Place =
-  | {
-      readonly kind: 'reserved';
-      readonly target: TargetId;
-      readonly run: RequestId;
-    }
-  | {readonly kind: 'refused'; readonly response: LocalResponse};
+  ReservedPlace | {readonly kind: 'refused'; readonly response: LocalResponse};
 
 export class TargetPlacer {
   /** Time spent waiting for targets. */
   waitedMs = 0;
   private readonly excluded: TargetId[] = [];
+  /** A target that is or will be reserved in advance. */
+  private preparing: Promise<ReservedPlace | undefined> | undefined;
   private pending: {run: RequestId; service: ServiceId} | undefined;
 
   constructor(
     private readonly deps: GatewayDependencies,
     private readonly metadata: RequestMetadata,
     private readonly remainingMs: () => number,
+    /** How far the stream of the request has come. */
+    private readonly progress: () => StreamProgress,
   ) {}
 
   /** Keeps the request from this target. */
@@ -44,7 +51,7 @@
    * Asks again for a target that must not be used any more since it was
    * reserved; that costs the caller no attempt.
    */
-  async place(admitted: AdmittedRequest): Promise<Place> {
+  private async place(admitted: AdmittedRequest): Promise<Place> {
     for (;;) {
       const place = await this.reserve(admitted);
       if (place.kind === 'refused' || this.mayUse(place.target)) return place;
@@ -53,6 +60,52 @@
     }
   }
 
+  /**
+   * Reserves a target in advance; keeps it if `mayRun` holds then. Resolves with
+   * whether it is kept.
+   */
+  async prepare(
+    admitted: AdmittedRequest,
+    mayRun: () => boolean,
+  ): Promise<boolean> {
+    const prepare = async () => {
+      const place = await this.place(admitted);
+      if (place.kind === 'refused') return undefined;
+      if (mayRun()) return place;
+      this.release(place.run, admitted.service, 'abandoned');
+      return undefined;
+    };
+    this.preparing = prepare();
+    return (await this.preparing) !== undefined;
+  }
+
+  /** Whether a target is reserved in advance; waits for a demand that waits. */
+  async isPrepared(): Promise<boolean> {
+    return (await this.preparing) !== undefined;
+  }
+
+  /** The target that was reserved in advance, otherwise another one. */
+  async next(admitted: AdmittedRequest): Promise<Place> {
+    return (await this.takePrepared()) ?? (await this.place(admitted));
+  }
+
+  async dropPrepared(service: ServiceId): Promise<void> {
+    const place = await this.takePrepared();
+    if (place) this.release(place.run, service, 'abandoned');
+  }
+
+  private async takePrepared(): Promise<ReservedPlace | undefined> {
+    const {preparing} = this;
+    this.preparing = undefined;
+    return preparing;
+  }
+
+  /** Ends what waits or is reserved in advance. */
+  close(service: ServiceId): void {
+    this.withdraw();
+    void this.dropPrepared(service);
+  }
+
   release(run: RequestId, service: ServiceId, outcome: RunOutcome): void {
     this.deps.reservations.release(run, service, outcome);
   }
@@ -79,6 +132,7 @@
         run,
         [...excluded, ...paused],
         this.remainingMs(),
+        this.progress(),
       ),
     );
     this.pending = undefined;
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -16,6 +16,7 @@
   readonly waitedMs: number;
   readonly attempts: number;
   readonly moves: number;
+  readonly resumes: number;
 }
 
 /** Called with the summary of a request that has ended. */
@@ -53,6 +54,11 @@
     help: 'Times that a generation resumed after a move or a broken connection',
     registers,
   });
+  const resumes = new Counter({
+    name: `${PREFIX}resumes_total`,
+    help: 'Times that a started stream ran again from its last event',
+    registers,
+  });
   return summary => {
     const service = summary.service ?? 'none';
     requests.inc({outcome: summary.outcome, status: summary.status});
@@ -60,6 +66,7 @@
     waiting.observe({service}, summary.waitedMs / MS_PER_S);
     attempts.inc(summary.attempts);
     moves.inc(summary.moves);
+    resumes.inc(summary.resumes);
   };
 }
 
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -85,6 +85,8 @@
   readonly targets: readonly ScriptedTarget[];
   readonly route?: Partial<Route>;
   readonly mover?: KvCacheMover;
+  /** Whether running generations can be moved; default: true. */
+  readonly canMove?: boolean;
   readonly statements?: Partial<StatementListener>;
   /** Retries that the budget allows; default: any number. */
   readonly retries?: number;
@@ -224,7 +226,7 @@
           kvTokens: 100_000,
           bytesPerKvToken: 1,
           linkMbps: 1,
-          canMove: true,
+          canMove: options.canMove ?? true,
           tokensPerEvent: 1,
         },
       },
--- a/packages/policy/src/retries/index.ts
+++ b/packages/policy/src/retries/index.ts
@@ -4,6 +4,7 @@
   earnRetry,
   spendRetry,
 } from './logic.js';
+export {canRunInTime, type RepeatedRun} from './repeated-run.js';
 export type {
   RetryDecision,
   RetryBudget,
