--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -1,61 +1,45 @@
 /**
- * Handles one request from its head to its end: finds the route and the
- * workspace, reads the body, reserves a target and sends the request to it, and
- * retries on another target if the kind of the request allows it.
+ * Handles one request from its head to its end: admits it, reserves a
+ * target and sends the request to it, and retries on another target if its route
+ * allows it.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {setTimeout as delay} from 'node:timers/promises';
-import type {
-  RequestId,
-  ServiceId,
-  TargetId,
-  WorkspaceId,
-} from '@samphirefield/core';
-import {traitsOf, type RequestContent} from '@samphirefield/policy/quarantine';
 import type {RunOutcome} from '../dispatch/index.js';
-import {shortDigest} from '../quarantine/index.js';
-import {KIND_TRAITS, pickService, type Route} from '../routes/index.js';
 import type {UpstreamConnection} from '../upstream/index.js';
-import {findAccess} from './access.js';
+import {admitRequest} from './admission.js';
 import type {ResponseSink} from './response-sink.js';
-import {readBody} from './body.js';
 import {breakOffResponse} from './break-off.js';
-import {canFinishBeforeStop} from './planned-stop.js';
-import {QuarantineGuard} from './quarantine-guard.js';
+import {RunAllowance} from './run-allowance.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
 import {
   classifyResult,
-  mayHaveRun,
   type NextStep,
   type Classification,
 } from './classify-result.js';
 import {
+  afterRun,
   retryAfterMs,
   statusOfLocalResponse,
   writeLocalResponse,
 } from './local-response.js';
 import {
-  newRunId,
-  buildStartDemand,
   reservationOn,
   type AdmittedRequest,
   type Reservation,
+  type StreamProgress,
 } from './reservation.js';
 import {
   createRequestRecord,
   logFailedAttempt,
   recordEnd,
+  recordResume,
   type RequestRecord,
 } from './request-record.js';
-import {serializeRequest} from './http-message.js';
-import {
-  startTargetAttempt,
-  type AttemptResult,
-  type TargetAttempt,
-} from './target-attempt.js';
+import {startRun} from './start-run.js';
+import {type AttemptResult, type TargetAttempt} from './target-attempt.js';
+import {TargetPlacer} from './target-placer.js';
 import type {
   GatewayDependencies,
-  ActiveConfig,
   LocalResponse,
   RequestMetadata,
 } from './types.js';
@@ -63,12 +47,7 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Attempts of one request, including those that a target rejected. */
 const MAX_ATTEMPTS = 4;
-const CONFIG_WAIT_MAX_MS = 1_500;
-/** Share of its remaining time that a request waits for a configuration. */
-const CONFIG_WAIT_SHARE = 0.6;
-const CONFIG_POLL_MS = 25;
 const DEFAULT_DEADLINE_MS = 60_000;
-const MIN_REMAINING_MS = 1;
 
 /** One caller's request and its response. */
 export class Exchange {
@@ -77,11 +56,13 @@
   private endsAtMs: number;
   private isOver = false;
   private attempt: TargetAttempt | undefined;
-  private pendingReservation:
-    {request: RequestId; service: ServiceId} | undefined;
-  private readonly excluded: TargetId[] = [];
-  private runCount = 0;
+  private readonly placer: TargetPlacer;
+  private readonly allowance: RunAllowance;
+  /** The caller has the events of its resumable stream up to this one. */
+  private callerLastEventId: number | undefined;
   private failureResponse: ResponseSink | undefined;
+  /** A started stream that the next attempt continues. */
+  private startedSink: ResponseSink | undefined;
 
   constructor(
     private readonly deps: GatewayDependencies,
@@ -90,6 +71,15 @@
   ) {
     this.metadata = deps.protocol.readRequest(req.headers);
     this.record = createRequestRecord(this.metadata.attemptId, deps.nowMs());
+    this.placer = new TargetPlacer(
+      deps,
+      this.metadata,
+      () => this.remainingMs(),
+      () => this.streamProgress(),
+    );
+    this.allowance = new RunAllowance(deps, this.metadata, () =>
+      this.remainingMs(),
+    );
     this.endsAtMs =
       this.record.startedAtMs +
       (this.metadata.deadlineMs ?? DEFAULT_DEADLINE_MS);
@@ -97,9 +87,20 @@
 
   async run(): Promise<void> {
     this.res.on('close', () => this.onClose());
-    const admitted = await this.admit();
+    const {deps, req, metadata, endsAtMs} = this;
+    const admitted = await admitRequest({
+      deps,
+      req,
+      metadata,
+      startedAtMs: this.record.startedAtMs,
+      endsAtMs,
+      isOver: () => this.isOver,
+      refuse: response => this.refuse(response),
+    });
     if (admitted === undefined) return;
     this.record.service = admitted.service;
+    if (admitted.route.isResumable)
+      this.callerLastEventId = metadata.lastEventId;
     const timeoutAtMs = this.record.startedAtMs + admitted.route.timeoutMs;
     this.endsAtMs = Math.min(this.endsAtMs, timeoutAtMs);
     const timer = setTimeout(() => this.onTimeout(), this.remainingMs());
@@ -107,6 +108,7 @@
       await this.serve(admitted);
     } finally {
       clearTimeout(timer);
+      this.placer.close(admitted.service);
     }
   }
 
@@ -114,107 +116,20 @@
     return this.endsAtMs - this.deps.nowMs();
   }
 
-  /**
-   * Waits because a process receives its configuration shortly after its start.
-   */
-  private async waitForConfiguration(): Promise<ActiveConfig | undefined> {
-    const {deps} = this;
-    const untilMs =
-      this.record.startedAtMs +
-      Math.min(CONFIG_WAIT_MAX_MS, this.remainingMs() * CONFIG_WAIT_SHARE);
-    while (deps.activeConfig() === undefined && deps.nowMs() < untilMs) {
-      await delay(CONFIG_POLL_MS);
-    }
-    return deps.activeConfig();
-  }
-
-  private async admit(): Promise<AdmittedRequest | undefined> {
-    const activeConfig = await this.waitForConfiguration();
-    if (this.isOver) return undefined;
-    if (activeConfig === undefined)
-      return this.refuse({kind: 'not_configured'});
-    const {routeIndex, view} = activeConfig;
-    const access = findAccess(routeIndex, this.req, this.metadata.apiKey);
-    if (access.isErr()) return this.refuse(access.error);
-    const {route, workspace} = access.value;
-    const body = await this.readBodyInTime(view.table.limits.maxBodyBytes);
-    if (this.isOver) return undefined;
-    if (body.isErr()) {
-      if (body.error === 'too_large') this.refuse({kind: 'body_too_large'});
-      return undefined;
-    }
-    const stopRefusal = this.refuseBeforeStop(route);
-    if (stopRefusal) return this.refuse(stopRefusal);
-    const service = pickService(route, this.deps.random());
-    const quarantine = this.createQuarantineGuard(
-      service,
-      workspace?.name,
-      body.value,
-    );
-    const refusal = quarantine.refuse();
-    if (refusal) return this.refuse(refusal);
-    return {
-      route,
-      service,
-      workspace: workspace?.name,
-      priority: workspace?.priority ?? route.priority,
-      body: body.value,
-      quarantine,
-    };
-  }
-
-  private createQuarantineGuard(
-    service: ServiceId,
-    workspace: WorkspaceId | undefined,
-    body: Buffer,
-  ): QuarantineGuard {
-    const {deps, metadata, req} = this;
-    const content: RequestContent = {
-      service,
-      method: req.method ?? '',
-      url: req.url ?? '',
-      workspace,
-      bodyDigest: shortDigest(body),
-      sharedPromptParts: metadata.sharedPromptParts,
-    };
-    const traits = traitsOf(content, shortDigest);
-    return new QuarantineGuard(deps, metadata, {service, traits});
-  }
-
-  private async readBodyInTime(maxBytes: number) {
-    const timer = setTimeout(
-      () => this.refuse({kind: 'request_timeout'}),
-      this.remainingMs(),
-    );
-    const body = await readBody(this.req, maxBytes);
-    clearTimeout(timer);
-    return body;
-  }
-
-  /** Undefined if a run can end before this process does. */
-  private refuseBeforeStop(route: Route): LocalResponse | undefined {
-    const {objectiveMs, timeoutMs} = route;
-    const {maxOutputTokens} = this.metadata;
-    const endsAtMs = Math.min(
-      this.endsAtMs,
-      this.record.startedAtMs + timeoutMs,
-    );
-    const run = {objectiveMs, maxOutputTokens, endsAtMs};
-    const {plannedStop, nowMs} = this.deps;
-    if (canFinishBeforeStop(run, plannedStop(), nowMs())) return undefined;
-    return {
-      kind: 'not_run',
-      reason: 'would not finish before this process stops',
-    };
-  }
-
   /**
    * Ends the request with the failure response of an earlier attempt, if there
    * is one, otherwise with the gateway's own response.
    */
-  private refuse(response: LocalResponse): undefined {
+  private refuse(wanted: LocalResponse): undefined {
     if (this.isOver) return undefined;
     this.isOver = true;
+    const response = this.allowance.hasStreamRun ? afterRun(wanted) : wanted;
+    const reason = 'reason' in response ? response.reason : undefined;
+    if (this.res.headersSent) {
+      this.log('broken_off', 0, reason);
+      breakOffResponse(this.res);
+      return undefined;
+    }
     if (this.failureResponse) {
       this.failureResponse.end();
       this.log('served', this.failureResponse.status);
@@ -226,12 +141,12 @@
       response,
       retryAfterMs(response, this.remainingMs()),
     );
-    const reason = 'reason' in response ? response.reason : undefined;
     this.log(response.kind, statusOfLocalResponse(response), reason);
     return undefined;
   }
 
   private async serve(admitted: AdmittedRequest): Promise<void> {
+    const {allowance} = this;
     const {budget} = this.deps;
     budget.recordRequest(admitted.service);
     for (;;) {
@@ -242,9 +157,18 @@
         return;
       }
       this.failureResponse = nextStep.failureResponse ?? this.failureResponse;
+      this.startedSink = nextStep.startedSink ?? this.startedSink;
+      if (allowance.isTooLate()) {
+        this.refuse({kind: 'timed_out'});
+        return;
+      }
+      // The budget was consumed when the next target was reserved in advance.
+      const isPaid =
+        !nextStep.usesRetryBudget || (await this.placer.isPrepared());
+      if (this.isOver) return;
       const isExhausted =
         this.record.attempts >= MAX_ATTEMPTS ||
-        (nextStep.usesRetryBudget && !budget.tryConsume(admitted.service));
+        (!isPaid && !budget.tryConsume(admitted.service));
       if (isExhausted) {
         this.refuse(nextStep.responseIfFinal);
         return;
@@ -268,55 +192,27 @@
 
   /** Reserves one target, sends the request to it and classifies the result. */
   private async attemptOnce(admitted: AdmittedRequest): Promise<NextStep> {
-    const {deps, metadata, excluded} = this;
+    const {deps, placer, allowance} = this;
     const {service} = admitted;
-    const run = newRunId(deps);
-    this.pendingReservation = {request: run, service};
-    const requestedAtMs = deps.nowMs();
-    const paused = deps.statements.pausedTargets();
-    const result = await deps.reservations.reserve(
-      buildStartDemand(
-        deps,
-        admitted,
-        metadata,
-        run,
-        [...excluded, ...paused],
-        this.remainingMs(),
-      ),
-    );
-    this.pendingReservation = undefined;
-    this.record.waitedMs += deps.nowMs() - requestedAtMs;
+    const place = await placer.next(admitted);
+    this.record.waitedMs = placer.waitedMs;
+    if (place.kind === 'refused')
+      return {kind: 'own', response: place.response};
+    const {run, target} = place;
     const release = (outcome: RunOutcome) =>
-      deps.reservations.release(run, service, outcome);
-    if (result.kind === 'refused') {
-      return {
-        kind: 'own',
-        response: {
-          kind: 'not_run',
-          reason: result.reason,
-          retryAfterMs:
-            result.retryAfterMs ?? deps.statements.pauseLeftMs(paused),
-        },
-      };
-    }
-    if (!this.mayUse(result.target)) {
-      // It has said so since; another one costs the caller no attempt.
-      release('abandoned');
-      excluded.push(result.target);
-      return this.attemptOnce(admitted);
-    }
+      placer.release(run, service, outcome);
     const refusal =
-      this.refuseBeforeStop(admitted.route) ??
+      allowance.refuseLateRun(admitted.route) ??
       (await admitted.quarantine.refuseRun(this.remainingMs()));
     if (refusal || this.isOver) {
       admitted.quarantine.endRun();
       release('abandoned');
       return refusal ? {kind: 'own', response: refusal} : {kind: 'broken_off'};
     }
-    this.record.lastTarget = result.target;
+    this.record.lastTarget = target;
     this.record.lastRun = run;
-    excluded.push(result.target);
-    const reservation = reservationOn(deps.reservations, result.target, run);
+    placer.exclude(target);
+    const reservation = reservationOn(deps.reservations, target, run);
     const {outcome, step: nextStep} = await this.sendToTarget(
       reservation,
       admitted,
@@ -328,10 +224,28 @@
     return nextStep;
   }
 
-  private mayUse(target: TargetId): boolean {
-    const {reservations, statements} = this.deps;
-    const bornMs = reservations.findTarget(target)?.announcement.bornMs;
-    return bornMs === undefined || statements.mayUse({target, bornMs});
+  /** Reserves the target of a stream's next run while this one goes on. */
+  private async prepareNextRun(
+    admitted: AdmittedRequest,
+    running: TargetAttempt,
+  ): Promise<boolean> {
+    const {service, route} = admitted;
+    const mayRun = () =>
+      !this.isOver &&
+      this.record.attempts < MAX_ATTEMPTS &&
+      this.allowance.mayReplace(route, running);
+    if (!mayRun()) return false;
+    return this.placer.prepare(
+      admitted,
+      () => mayRun() && this.deps.budget.tryConsume(service),
+    );
+  }
+
+  private streamProgress(): StreamProgress {
+    const sink = this.startedSink ?? this.attempt?.sink();
+    const lastEventId = sink?.events?.lastEventId ?? this.callerLastEventId;
+    const hasStarted = sink?.hasStarted ?? false;
+    return {hasStarted, lastEventId: lastEventId ?? 0};
   }
 
   private async sendToTarget(
@@ -365,7 +279,14 @@
       connection.destroy();
       return {outcome: 'abandoned', step: {kind: 'broken_off'}};
     }
-    const attempt = this.startAttempt(connection, admitted, reservation);
+    const sink = this.startedSink;
+    if (sink) recordResume(this.deps, this.record, sink.events?.lastEventId);
+    const attempt = this.startAttempt(
+      connection,
+      admitted,
+      reservation,
+      sink && {sink, resume: undefined},
+    );
     let current = reservation;
     const supervisor = new RunSupervisor({
       deps: this.deps,
@@ -381,16 +302,23 @@
         ),
       onMoved: moved => {
         this.record.moves += 1;
+        this.placer.exclude(moved.target);
         this.record.lastTarget = moved.target;
         current = moved;
       },
+      prepareNextRun: running => this.prepareNextRun(admitted, running),
+      dropPrepared: () => void this.placer.dropPrepared(admitted.service),
     });
     const result = await supervisor.supervise(attempt, reservation);
     this.record.responseStartedAtMs = attempt.sink()?.headSentAtMs;
     const observed = this.observeEnd(admitted, current, result);
     this.attempt = undefined;
-    if (mayHaveRun(result)) this.runCount += 1;
-    const classified = classifyResult(result, admitted.route, this.runCount);
+    this.allowance.record(result, admitted.route, attempt);
+    const classified = classifyResult(
+      result,
+      admitted.route,
+      this.allowance.runCount,
+    );
     // A crash has to be known before the request is sent to another target.
     if (classified.step.kind === 'retry') await observed;
     return classified;
@@ -414,34 +342,14 @@
     reservation: Reservation,
     continuation?: StreamContinuation,
   ): TargetAttempt {
-    const {protocol} = this.deps;
-    const {target, bornMs} = reservation;
-    const start = {target, bornMs};
-    const sentAtMs = this.deps.nowMs();
-    const gatewayHeaders = protocol.writeGatewayHeaders({
-      target: reservation.target,
-      workspace: admitted.workspace,
-      remainingMs: Math.max(MIN_REMAINING_MS, Math.floor(this.remainingMs())),
-      resume: continuation?.resume,
-      lastEventId: continuation?.sink.events?.lastEventId,
-    });
-    const attempt = startTargetAttempt({
+    const {deps, req, res, metadata, callerLastEventId} = this;
+    const remainingMs = this.remainingMs();
+    const attempt = startRun(
+      {deps, req, res, metadata, admitted, callerLastEventId, remainingMs},
       connection,
-      request: serializeRequest(
-        this.req,
-        admitted.body,
-        name => protocol.isForwardedHeader(name),
-        gatewayHeaders,
-      ),
-      attemptId: this.metadata.attemptId,
-      res: this.res,
-      protocol,
-      isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
-      continuedSink: continuation?.sink,
-      onProven: () => admitted.quarantine.recordAnswer(),
-      onHead: metadata =>
-        this.deps.statements.hear(start, metadata.stated, sentAtMs),
-    });
+      reservation,
+      continuation,
+    );
     this.attempt = attempt;
     return attempt;
   }
@@ -456,7 +364,7 @@
   private onTimeout(): void {
     if (this.isOver) return;
     const {attempt} = this;
-    if (attempt?.hasStarted()) {
+    if (this.res.headersSent) {
       this.isOver = true;
       this.log('timed_out_midway', 0);
       breakOffResponse(this.res);
@@ -470,10 +378,7 @@
 
   private abandon(): void {
     this.attempt?.cancel();
-    const {pendingReservation} = this;
-    if (pendingReservation === undefined) return;
-    const {request, service} = pendingReservation;
-    this.deps.reservations.release(request, service, 'abandoned');
+    this.placer.withdraw();
   }
 
   private log(outcome: string, status: number, reason?: string): void {
