Policy: a table of what targets state and what was measured of their load and pace

Cause: targets of one service differ in speed and slow down for short times; nothing in the product knows of it.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -12,3 +12,4 @@
 export * from './routing/index.js';
 export * from './sequence/index.js';
 export * from './statements/index.js';
+export * from './target-load/index.js';
