Use the load and pace that targets state in the choice of a target

Cause: the dispatcher takes a target that works 2.5 times as slowly for as good as any other. Change: the platform decodes X-Samphirefield-Server-Load; entries hear it, measure responses and report changes of engines to the leader (target_loads); both dispatchers add to the cost of a target how much longer the demand takes there, and scale its prefill backlog. Without a stated fourth value costs are the same sums.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -54,6 +54,7 @@
   StatementsMessage,
   StateUpdate,
   SuspectsMessage,
+  TargetLoadsMessage,
   TargetUpdate,
   TargetsMessage,
 } from './messages.js';
@@ -61,6 +62,7 @@
 import {ReservationManager} from './reservations.js';
 import {TargetRegistry} from './target-registry.js';
 import {StatementKeeper} from './statement-keeper.js';
+import {TargetLoadKeeper} from './target-load-keeper.js';
 import {StatusReporter} from './status-reporter.js';
 import {Subscribers} from './subscribers.js';
 import {targetLines} from './target-lines.js';
@@ -107,6 +109,7 @@
   private readonly status: StatusReporter;
   private readonly quarantine: QuarantineKeeper;
   private readonly statements: StatementKeeper;
+  private readonly targetLoads: TargetLoadKeeper;
   /** Zones of control daemons, by address; of this one too. */
   private readonly zones = new Map<string, ZoneId>();
   private readonly entryIncarnations = new Map<InstanceId, string>();
@@ -137,6 +140,7 @@
       onRemoved: id => {
         this.reservations.removeTarget(id);
         this.statements.forget(id);
+        this.targetLoads.forget(id);
       },
       onDirectAnnouncement: (record, isChange) => {
         const update = this.registry.toUpdate(record);
@@ -153,10 +157,16 @@
       },
       spread: reports => this.subscribers.sendStatements({reports}),
     });
+    this.targetLoads = new TargetLoadKeeper({
+      logger,
+      nowMs,
+      serviceOf: id => this.registry.find(id)?.announcement.service,
+    });
     this.reservations = new ReservationManager({
       logger,
       nowMs,
       limiter: this.statements,
+      speeds: this.targetLoads,
     });
     this.links = new LinkSet(this.handlers(), {
       onUp: (_address, peer) => this.sendHello(peer),
@@ -295,6 +305,7 @@
       links_closed_for_size: this.oversizedLinks,
       places_waiting: this.reservations.pendingCount,
       places_held: this.reservations.heldCount,
+      ...this.targetLoads.metrics(),
     };
   }
 
@@ -410,6 +421,9 @@
         if (!this.isLeader) return;
         for (const report of reports) this.statements.learn(report);
       },
+      target_loads: ({rows}: TargetLoadsMessage) => {
+        if (this.isLeader) this.targetLoads.learn(rows);
+      },
       take_send: (request: SendRequest) =>
         this.isLeader
           ? this.statements.takeSend(request)
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -9,6 +9,7 @@
 import type {TargetAnnouncement} from '@samphirefield/gateway';
 import type {CrashEvidence} from '@samphirefield/policy/quarantine';
 import type {StatementReport} from '@samphirefield/policy/statements';
+import type {EncodedReport} from '@samphirefield/policy/target-load';
 import type {Envelope, ReplicaId} from '@samphirefield/replication';
 import type {Address} from '../link/index.js';
 import type {ClusterState} from './state-machine.js';
@@ -129,6 +130,11 @@
   readonly reports: readonly StatementReport[];
 }
 
+/** How busy and how fast targets are, to the leader. */
+export interface TargetLoadsMessage {
+  readonly rows: readonly EncodedReport[];
+}
+
 /** Asks the leader for one sending to a target with a limit. */
 export interface SendRequest {
   readonly entry: InstanceId;
--- a/packages/cluster/src/control/reservations.ts
+++ b/packages/cluster/src/control/reservations.ts
@@ -18,11 +18,13 @@
   type ServiceCapacity,
   type TargetLimiter,
   type TargetRecord,
+  type TargetSpeeds,
 } from '@samphirefield/gateway';
 import type {FinishMessage, HeldRuns, MovePermitMessage} from './messages.js';
 
 export interface ReservationManagerOptions {
   readonly limiter: TargetLimiter;
+  readonly speeds: TargetSpeeds;
   readonly logger: Logger;
   readonly nowMs: () => number;
 }
@@ -44,6 +46,7 @@
       share: () => 1,
       random: Math.random,
       limiter: options.limiter,
+      speeds: options.speeds,
     });
     this.permits = new MovePermits(options.nowMs);
   }
--- /dev/null
+++ b/packages/cluster/src/control/target-load-keeper.ts
@@ -0,0 +1,81 @@
+/**
+ * The leader's part of the load and speed of targets: keeps what entries report
+ * and tells its dispatcher how long requests will take.
+ */
+import type {Logger, ServiceId, TargetId} from '@samphirefield/core';
+import type {TargetSpeeds} from '@samphirefield/gateway';
+import type {TargetStart} from '@samphirefield/policy/quarantine';
+import {
+  createTargetLoads,
+  durationFactor,
+  forgetTargetLoad,
+  isPaced,
+  learnReport,
+  otherLoadOf,
+  summarizeLoads,
+} from '@samphirefield/policy/target-load';
+
+const LOG_EVERY_MS = 5_000;
+
+export interface TargetLoadKeeperOptions {
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** Undefined if the target is not known. */
+  readonly serviceOf: (target: TargetId) => ServiceId | undefined;
+}
+
+export class TargetLoadKeeper implements TargetSpeeds {
+  private readonly table = createTargetLoads();
+  private rowsLearned = 0;
+  private loggedAtMs = 0;
+
+  constructor(private readonly options: TargetLoadKeeperOptions) {}
+
+  learn(rows: readonly unknown[]): void {
+    const {serviceOf, nowMs} = this.options;
+    for (const row of rows) {
+      if (learnReport(this.table, row, serviceOf, nowMs()))
+        this.rowsLearned += 1;
+    }
+    this.logSummary();
+  }
+
+  isPaced(service: ServiceId, nowMs: number): boolean {
+    return isPaced(this.table, service, nowMs);
+  }
+
+  durationFactor(start: TargetStart, workMs: number, nowMs: number): number {
+    return durationFactor(this.table, start, workMs, nowMs);
+  }
+
+  otherLoad(start: TargetStart, nowMs: number): number {
+    return otherLoadOf(this.table, start, nowMs);
+  }
+
+  forget(target: TargetId): void {
+    forgetTargetLoad(this.table, target);
+  }
+
+  metrics(): Record<string, number> {
+    const {targets, slow} = summarizeLoads(this.table, this.options.nowMs());
+    return {
+      target_load_rows: targets,
+      targets_slow: slow,
+      target_load_reports: this.rowsLearned,
+    };
+  }
+
+  private logSummary(): void {
+    const nowMs = this.options.nowMs();
+    if (nowMs - this.loggedAtMs < LOG_EVERY_MS) return;
+    this.loggedAtMs = nowMs;
+    const {targets, slow, slowest, factor} = summarizeLoads(this.table, nowMs);
+    this.options.logger.info('target_loads', {
+      targets,
+      slow,
+      slowest,
+      slowest_pct: Math.round(factor * 100),
+      reports: this.rowsLearned,
+    });
+  }
+}
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -40,6 +40,7 @@
 import {ControlLinks} from './control-links.js';
 import {EntryQuarantine} from './entry-quarantine.js';
 import {EntryStatements} from './entry-statements.js';
+import {EntryTargetLoads} from './entry-target-loads.js';
 
 const PULL_TIMEOUT_MS = 2_000;
 const DISPATCH_EVERY_MS = 100;
@@ -48,6 +49,7 @@
  * it does not know what the others leave free.
  */
 const LOCAL_PATIENCE_MS = 500;
+const REPORT_LOADS_EVERY_MS = 100;
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
 const MOVE_PERMIT_TIMEOUT_MS = 2_500;
@@ -70,6 +72,7 @@
   private readonly table: TargetTable = new Map();
   readonly quarantine: EntryQuarantine;
   readonly statements: EntryStatements;
+  readonly targetLoads: EntryTargetLoads;
   private readonly controls: ControlLinks;
   private readonly localDispatcher: Dispatcher;
   private readonly localResolvers = new Map<
@@ -98,8 +101,17 @@
       onGrant: () => this.localDispatcher.dispatchPending(options.nowMs()),
       onLeaving: id => this.callDrainListeners(id),
     });
+    this.targetLoads = new EntryTargetLoads({
+      logger: options.logger,
+      nowMs: options.nowMs,
+      leader: () => this.controls.leaderPeer,
+      hasEngine: service => this.hasEngine(service),
+      serviceOf: id => this.table.get(id)?.announcement.service,
+      runsOn: id => this.localDispatcher.runsOn(id),
+    });
     this.localDispatcher = new Dispatcher({
       limiter: this.statements,
+      speeds: this.targetLoads,
       onResult: (demand, result) => this.resolveLocally(demand, result),
       // Reservations on engines are granted here only without a leader, when
       // all entries do so: each uses an equal share.
@@ -118,6 +130,7 @@
       onLeader: leader => {
         this.sendHeldRuns(leader);
         this.statements.reportAll(leader);
+        this.targetLoads.startReporting();
       },
       onStatements: reports => this.statements.learn(reports),
       onStatus: (status, peer) => {
@@ -130,6 +143,7 @@
     });
     this.timers.push(
       setInterval(() => this.removeExpiredTargets(), REMOVE_EXPIRED_EVERY_MS),
+      setInterval(() => this.targetLoads.report(), REPORT_LOADS_EVERY_MS),
     );
   }
 
@@ -238,6 +252,7 @@
       places_waiting_locally: this.localDispatcher.pendingCount,
       places_on_engines: this.engineRuns.size,
       quarantined: this.quarantine.quarantinedCount,
+      ...this.targetLoads.metrics(),
     };
   }
 
@@ -265,6 +280,7 @@
     for (const id of expired) {
       this.localDispatcher.removeTarget(id);
       this.statements.forget(id);
+      this.targetLoads.forget(id);
       this.controls.forgetTarget(id);
     }
   }
--- a/packages/cluster/src/testing/gateways.ts
+++ b/packages/cluster/src/testing/gateways.ts
@@ -92,6 +92,7 @@
     budget: {recordRequest: () => undefined, tryConsume: () => true},
     quarantine: entry.quarantine,
     statements: entry.statements,
+    targetLoads: entry.targetLoads,
     pool,
     mover: NO_MOVES,
     logger,
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -18,6 +18,7 @@
 import type {TargetRecord} from '../registry/index.js';
 import {DemandQueue} from './demand-queue.js';
 import {NO_LIMITS, type TargetLimiter} from './limiter.js';
+import {NO_SPEEDS, type TargetSpeeds} from './speeds.js';
 import {
   addRun,
   createTargetState,
@@ -27,6 +28,7 @@
   recordGrant,
   recordOutcome,
   removeRun,
+  slownessPenaltyOf,
   type TargetState,
 } from './target-state.js';
 import type {
@@ -59,6 +61,8 @@
   readonly random: () => number;
   /** Default: targets state no limits. */
   readonly limiter?: TargetLimiter;
+  /** Default: targets do not state how fast they work. */
+  readonly speeds?: TargetSpeeds;
 }
 
 /** Grants or refuses demands; keeps the runs and the pending demands. */
@@ -72,9 +76,11 @@
   private readonly estimate = new WaitEstimate();
 
   private readonly limiter: TargetLimiter;
+  private readonly speeds: TargetSpeeds;
 
   constructor(private readonly options: DispatcherOptions) {
     this.limiter = options.limiter ?? NO_LIMITS;
+    this.speeds = options.speeds ?? NO_SPEEDS;
   }
 
   get pendingCount(): number {
@@ -85,6 +91,11 @@
     return this.runs.size;
   }
 
+  /** Number of runs that this dispatcher has recorded on the target. */
+  runsOn(id: TargetId): number {
+    return this.targets.get(id)?.runs ?? 0;
+  }
+
   configure(
     capacities: readonly ServiceCapacity[],
     zonesOut: ReadonlySet<ZoneId>,
@@ -292,7 +303,7 @@
     const {id} = target.record.announcement;
     const {request, entry, kvTokens} = demand;
     addRun(target, kvTokens);
-    recordGrant(target, demand.prefillTokens, nowMs);
+    recordGrant(target, demand, this.speeds, nowMs);
     this.limiter.recordSend(id, nowMs);
     this.runs.set(request, {request, entry, target: id, kvTokens});
     this.estimate.recordGrant(demand.service, nowMs);
@@ -414,9 +425,14 @@
     demand: Demand,
     nowMs: number,
   ): number {
+    const {speeds} = this;
     const isOtherZone = target.record.announcement.zone !== demand.zone;
+    const slowness = speeds.isPaced(demand.service, nowMs)
+      ? slownessPenaltyOf(target, demand, speeds, nowMs)
+      : 0;
     return (
       load +
+      slowness +
       penaltyOf(target, nowMs) +
       (isOtherZone ? demand.otherZonePenalty : 0) +
       this.options.random() * TIE_BREAK_RANGE
--- a/packages/gateway/src/dispatch/target-state.ts
+++ b/packages/gateway/src/dispatch/target-state.ts
@@ -3,8 +3,10 @@
  * cold start and its prefill backlog, and what these add to the cost of placing
  * a demand there.
  */
+import type {TargetStart} from '@samphirefield/policy/quarantine';
 import type {TargetRecord} from '../registry/index.js';
-import type {RunOutcome} from './types.js';
+import type {TargetSpeeds} from './speeds.js';
+import type {Demand, RunOutcome} from './types.js';
 
 /** Weight of a target's recent failures relative to its load. */
 const FAILURE_PENALTY = 3;
@@ -23,7 +25,18 @@
  */
 const RECENT_START_MS = 4_500;
 const RECENT_START_PENALTY = 0.5;
+/** Time that one token takes on a busy engine of the usual speed. */
+const OUTPUT_TOKEN_MS = 10;
 const MS_PER_S = 1_000;
+/**
+ * A target on which a request takes twice as long as usual counts as fuller by
+ * this share of its capacity.
+ */
+const SLOWNESS_PENALTY = 0.5;
+/** Bounds what a target's own statements do to its cost. */
+const MAX_SLOWNESS_BONUS = 0.25;
+const MAX_SLOWNESS_PENALTY = 1;
+const OTHER_LOAD_PENALTY = 0.5;
 
 export interface TargetState {
   record: TargetRecord;
@@ -78,13 +91,47 @@
 /** Counts a granted demand against the prefill backlog and the cold start. */
 export function recordGrant(
   target: TargetState,
-  prefillTokens: number,
+  {service, prefillTokens}: Demand,
+  speeds: TargetSpeeds,
   nowMs: number,
 ): void {
   if (isCold(target, nowMs)) target.coldTokens -= 1;
+  const usualMs = prefillTokens / PREFILL_TOKENS_PER_MS;
+  const factor = speeds.isPaced(service, nowMs)
+    ? speeds.durationFactor(startOf(target), usualMs, nowMs)
+    : 1;
   target.prefillDoneAtMs =
-    Math.max(nowMs, target.prefillDoneAtMs) +
-    prefillTokens / PREFILL_TOKENS_PER_MS;
+    Math.max(nowMs, target.prefillDoneAtMs) + usualMs * factor;
+}
+
+function startOf({record}: TargetState): TargetStart {
+  const {id, bornMs} = record.announcement;
+  return {target: id, bornMs};
+}
+
+/** How long the demand's work takes at the usual speed; 0 if unknown. */
+function workMsOf({prefillTokens, kvTokens}: Demand): number {
+  const outputTokens = Math.max(0, kvTokens - prefillTokens);
+  return prefillTokens / PREFILL_TOKENS_PER_MS + outputTokens * OUTPUT_TOKEN_MS;
+}
+
+/**
+ * By how much a target counts as fuller, or emptier, because the demand takes
+ * longer there than usual, or less long.
+ */
+export function slownessPenaltyOf(
+  target: TargetState,
+  demand: Demand,
+  speeds: TargetSpeeds,
+  nowMs: number,
+): number {
+  const start = startOf(target);
+  const factor = speeds.durationFactor(start, workMsOf(demand), nowMs);
+  const slowness = (factor - 1) * SLOWNESS_PENALTY;
+  return (
+    Math.min(MAX_SLOWNESS_PENALTY, Math.max(-MAX_SLOWNESS_BONUS, slowness)) +
+    speeds.otherLoad(start, nowMs) * OTHER_LOAD_PENALTY
+  );
 }
 
 export function recordOutcome(
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -11,7 +11,11 @@
   TargetId,
   WorkspaceId,
 } from '@samphirefield/core';
-import {traitsOf, type RequestContent} from '@samphirefield/policy/quarantine';
+import {
+  traitsOf,
+  type RequestContent,
+  type TargetStart,
+} from '@samphirefield/policy/quarantine';
 import type {RunOutcome} from '../dispatch/index.js';
 import {shortDigest} from '../quarantine/index.js';
 import {KIND_TRAITS, pickService, type Route} from '../routes/index.js';
@@ -20,6 +24,7 @@
 import type {ResponseSink} from './response-sink.js';
 import {readBody} from './body.js';
 import {breakOffResponse} from './break-off.js';
+import {createPaceProbe, type PaceProbe} from './pace-probe.js';
 import {canFinishBeforeStop} from './planned-stop.js';
 import {QuarantineGuard} from './quarantine-guard.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
@@ -439,13 +444,32 @@
       isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
       continuedSink: continuation?.sink,
       onProven: () => admitted.quarantine.recordAnswer(),
-      onHead: metadata =>
-        this.deps.statements.hear(start, metadata.stated, sentAtMs),
+      onHead: metadata => {
+        this.deps.statements.hear(start, metadata.stated, sentAtMs);
+        this.deps.targetLoads.hearLoad(start, admitted.service, metadata.loads);
+      },
+      probe: this.createProbe(admitted, start, continuation !== undefined),
     });
     this.attempt = attempt;
     return attempt;
   }
 
+  private createProbe(
+    {route, service}: AdmittedRequest,
+    start: TargetStart,
+    isContinued: boolean,
+  ): PaceProbe {
+    const {targetLoads} = this.deps;
+    return createPaceProbe({
+      isStreamed: KIND_TRAITS[route.kind].isStreamed,
+      isContinued,
+      promptTokens: this.metadata.promptTokens,
+      sentAtMs: performance.now(),
+      record: sample =>
+        targetLoads.measure(start, {...sample, service, route: route.name}),
+    });
+  }
+
   private onClose(): void {
     if (this.res.writableFinished || this.isOver) return;
     this.isOver = true;
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -5,6 +5,7 @@
   UpstreamConnection,
   UpstreamError,
 } from '../upstream/index.js';
+import type {PaceProbe} from './pace-probe.js';
 import {PROVEN_AFTER_MS} from './quarantine-guard.js';
 import {ResponseSink} from './response-sink.js';
 import type {ResponseMetadata, GatewayProtocol} from './types.js';
@@ -72,6 +73,7 @@
   readonly onProven: () => void;
   /** Called with the head of a response that names this request. */
   readonly onHead: (metadata: ResponseMetadata) => void;
+  readonly probe: PaceProbe;
 }
 
 const FIRST_FAILURE_STATUS = 500;
@@ -85,10 +87,14 @@
 export function startTargetAttempt(
   options: TargetAttemptOptions,
 ): TargetAttempt {
-  const {connection, res, protocol, attemptId, isStreamed} = options;
+  const {connection, res, protocol, attemptId, isStreamed, probe} = options;
   let sink = options.continuedSink;
   sink?.events?.startNextSource();
-  if (sink) sink.onBackpressure = () => connection.pause();
+  const pause = () => {
+    probe.onPause();
+    connection.pause();
+  };
+  if (sink) sink.onBackpressure = pause;
   let metadata: ResponseMetadata | undefined;
   let head: ResponseHead | undefined;
   let lastProgressAtMs = performance.now();
@@ -132,9 +138,7 @@
       }
       if (options.continuedSink) return;
       const mayStream = isStreamed && isSuccess(response.status);
-      sink = new ResponseSink(res, response, mayStream, () =>
-        connection.pause(),
-      );
+      sink = new ResponseSink(res, response, mayStream, pause);
     },
     onData: data => {
       const eventsBefore = sink?.events?.eventCount;
@@ -147,6 +151,7 @@
       if (isProgress) {
         lastProgressAtMs = performance.now();
         firstProgressAtMs ??= lastProgressAtMs;
+        probe.onProgress(sink?.events?.eventCount, lastProgressAtMs);
         const isSound = isSuccess(head!.status);
         if (isSound && lastProgressAtMs - firstProgressAtMs > PROVEN_AFTER_MS)
           prove();
@@ -183,7 +188,10 @@
         return;
       }
       sink!.end();
-      if (isSuccess(head!.status)) prove();
+      if (isSuccess(head!.status)) {
+        prove();
+        probe.onPassedOn(performance.now());
+      }
       finish({kind: 'passed_on', status: head!.status});
     },
     onError: error => {
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -19,6 +19,10 @@
 import type {PlannedStop} from './planned-stop.js';
 import type {TargetStart} from '@samphirefield/policy/quarantine';
 import type {HeadValues} from '@samphirefield/policy/statements';
+import type {
+  DurationSample,
+  LoadFields,
+} from '@samphirefield/policy/target-load';
 import type {Quarantine} from '../quarantine/index.js';
 import type {TargetRecord} from '../registry/index.js';
 import type {GatewayView, RouteIndex} from '../routes/index.js';
@@ -72,6 +76,8 @@
   readonly isSigned: boolean;
   /** What the head says of the target itself. */
   readonly stated: HeadValues;
+  /** Every load that the head states of the target. */
+  readonly loads: readonly LoadFields[];
 }
 
 /** The adapter to the protocol that callers and targets use. */
@@ -118,6 +124,18 @@
   pauseLeftMs(targets: readonly TargetId[]): number | undefined;
 }
 
+/** Receives how busy and how fast targets are. */
+export interface TargetLoadListener {
+  /** A response of this start of a target of the service. */
+  hearLoad(
+    start: TargetStart,
+    service: ServiceId,
+    loads: readonly LoadFields[],
+  ): void;
+  /** How long work took on this start of a target. */
+  measure(start: TargetStart, sample: DurationSample): void;
+}
+
 export interface RetryBudget {
   /** Counts the first attempt of a request. */
   recordRequest(service: ServiceId): void;
@@ -139,6 +157,7 @@
   readonly budget: RetryBudget;
   readonly quarantine: Quarantine;
   readonly statements: StatementListener;
+  readonly targetLoads: TargetLoadListener;
   readonly pool: UpstreamPool;
   readonly mover: KvCacheMover;
   readonly logger: Logger;
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -53,6 +53,9 @@
         ? [Number(headers.get('retry-after') || 'none')]
         : [],
     },
+    loads: headers.has('load')
+      ? [headers.get('load')!.split(',').map(Number)]
+      : [],
   }),
   isForwardedHeader: name => name !== 'internal',
   writeGatewayHeaders: ({target, remainingMs, resume, lastEventId}) => [
@@ -247,6 +250,7 @@
     },
     quarantine: new LocalQuarantine(() => performance.now()),
     statements: {...NO_STATEMENTS, ...options.statements},
+    targetLoads: {hearLoad: () => undefined, measure: () => undefined},
     pool,
     mover: options.mover ?? NO_MOVES,
     logger: silentLogger,
