--- a/packages/replay/src/reservations/scenario.ts
+++ b/packages/replay/src/reservations/scenario.ts
@@ -39,6 +39,28 @@
   readonly burst: number;
   readonly burstFromMs: number;
   readonly burstToMs: number;
+  /** Default: all engines are equally fast, and all zones equally busy. */
+  readonly unevenness?: Unevenness;
+  /** Longest time between two events of a response in time; default 180. */
+  readonly maxGapMs?: number;
+}
+
+/** How engines differ in speed, and zones in demand. */
+export interface Unevenness {
+  /** Range of the engines' steady pace, in multiples of the usual. */
+  readonly minPace: number;
+  readonly maxPace: number;
+  /** Share of the time, mean duration and factor of slowdowns. */
+  readonly slowShare: number;
+  readonly slowMs: number;
+  readonly slowFactor: number;
+  /** Whether the pace that engines state includes their steady pace. */
+  readonly statesSteadyPace: boolean;
+  /** Amplitude of the zones' demand, as a share of its mean, and its period. */
+  readonly swing: number;
+  readonly swingMs: number;
+  /** Whether the dispatcher uses what engines state and entries measure. */
+  readonly usesTable: boolean;
 }
 
 const LISTING_DRAFT: RequestClass = {
@@ -148,3 +170,47 @@
     burstToMs: 30_000,
   },
 ];
+
+/**
+ * Long generations and short ones on engines that differ in speed, before zones
+ * whose demand swings out of phase.
+ */
+export const UNEVEN: Scenario = {
+  ...BOTENBEURS,
+  name: 'uneven',
+  durationMs: 60_000,
+  engines: 44,
+  kvTokens: 27_000,
+  classes: [
+    {
+      ...LISTING_DRAFT,
+      name: 'long',
+      perS: 15,
+      promptTokens: 3_000,
+      outputTokens: 750,
+      objectiveMs: 4_000,
+      priority: 2,
+    },
+    {
+      ...MODERATION_VERDICT,
+      name: 'short',
+      perS: 25,
+      promptTokens: 2_200,
+      outputTokens: 12,
+      objectiveMs: 1_500,
+      priority: 0,
+    },
+  ],
+  maxGapMs: 450,
+  unevenness: {
+    minPace: 0.7,
+    maxPace: 1.7,
+    slowShare: 0.15,
+    slowMs: 600,
+    slowFactor: 2.5,
+    statesSteadyPace: true,
+    swing: 0.5,
+    swingMs: 20_000,
+    usesTable: true,
+  },
+};
