--- a/packages/policy/src/target-load/report.ts
+++ b/packages/policy/src/target-load/report.ts
@@ -6,11 +6,10 @@
  * Load: 400 bytes a second an entry are about eight rows; twenty entries report
  * each change of thirty targets several times over.
  */
-import {targetId, type TargetId} from '@samphirefield/core';
+import {targetId, type ServiceId, type TargetId} from '@samphirefield/core';
 import {recordMeasured, recordStatedLoad} from './logic.js';
 import type {SampleTable} from './samples.js';
-import type {LoadReport, TargetLoadTable} from './types.js';
-import type {ServiceId} from '@samphirefield/core';
+import type {LoadReport, StatedLoad, TargetLoadTable} from './types.js';
 
 /** A report as it is sent; short, since each byte counts. */
 export type EncodedReport = readonly [
@@ -28,6 +27,8 @@
 const ENVELOPE_BYTES = 64;
 /** An older statement is not worth its bytes. */
 const MAX_AGE_MS = 1_000;
+/** Up to this age the steady pace is, to a leader that has no row of it. */
+const MAX_STEADY_AGE_MS = 10_000;
 /** Changes that are worth a row: of the pace (as a logarithm), and of the load. */
 const MIN_PACE_CHANGE = 0.15;
 const MIN_LOAD_CHANGE = 0.1;
@@ -80,7 +81,10 @@
       : 0;
   if (report.ageMs === undefined) return samplesValue;
   const isSameStart = sent?.bornMs === report.bornMs;
-  if (!isSameStart) return 1 + samplesValue;
+  if (!isSameStart) {
+    const isOld = report.ageMs > MAX_AGE_MS;
+    return samplesValue + (isOld ? REPEAT_VALUE : 1);
+  }
   const paceChange = Math.abs(Math.log(report.pace / sent.pace));
   const loadChange = Math.abs(report.otherLoad - sent.otherLoad);
   const isChange =
@@ -94,6 +98,23 @@
   return changeValue + samplesValue;
 }
 
+function isWorthSending(
+  {atMs}: StatedLoad,
+  bornMs: number,
+  sent: ReportState['sent'],
+  target: TargetId,
+  nowMs: number,
+): boolean {
+  const row = sent.get(target);
+  if (row?.bornMs !== bornMs) return nowMs - atMs <= MAX_STEADY_AGE_MS;
+  return nowMs - atMs <= MAX_AGE_MS && row.statedAtMs !== atMs;
+}
+
+/** A slowdown that was stated too long ago is over. */
+function reportedPace({atMs, pace, steadyPace}: StatedLoad, nowMs: number) {
+  return nowMs - atMs <= MAX_AGE_MS ? pace : steadyPace;
+}
+
 function reportsOf(
   {sent}: ReportState,
   table: TargetLoadTable,
@@ -106,17 +127,14 @@
     if (!isReported(target)) continue;
     const pending = samples.pending.get(target);
     const own = pending?.bornMs === bornMs ? pending : undefined;
-    const isNew =
-      stated !== undefined &&
-      nowMs - stated.atMs <= MAX_AGE_MS &&
-      sent.get(target)?.statedAtMs !== stated.atMs;
+    const isNew = stated && isWorthSending(stated, bornMs, sent, target, nowMs);
     if (!isNew && own === undefined) continue;
     reports.push({
       target,
       bornMs,
       ageMs: isNew ? nowMs - stated.atMs : undefined,
       otherLoad: stated?.otherLoad ?? 0,
-      pace: stated?.pace ?? 1,
+      pace: stated ? reportedPace(stated, nowMs) : 1,
       samples: own?.samples ?? 0,
       meanLog: own ? own.sumLog / own.samples : 0,
     });
--- a/packages/policy/src/target-load/target-load.spec.ts
+++ b/packages/policy/src/target-load/target-load.spec.ts
@@ -10,6 +10,7 @@
   createSamples,
   createTargetLoads,
   durationFactor,
+  forgetReported,
   isPaced,
   learnReport,
   otherLoadOf,
@@ -217,6 +218,22 @@
   expect(rowCount <= 3).toEqual(true);
 });
 
+test('a new leader hears nothing of steady paces, or takes a slowdown for one', () => {
+  const table = createTargetLoads();
+  const reports = createReports(400, 0);
+  const take = (nowMs: number) =>
+    takeReports(reports, table, createSamples(), () => true, nowMs);
+  stateFor(table, 1.7, 5_000);
+  state(table, 4, 5_050);
+  expect(take(5_060).map(row => row[4])).toEqual([400]);
+  forgetReported(reports);
+  const [row] = take(9_000);
+  expect(row![4]).toBeLessThan(190);
+  expect(take(9_100)).toEqual([]);
+  forgetReported(reports);
+  expect(take(20_000)).toEqual([]);
+});
+
 test('a report leads the leader to another estimate than the entry', () => {
   const entry = createTargetLoads();
   const samples = createSamples();
