--- a/packages/gateway/src/exchange/start-run.ts
+++ b/packages/gateway/src/exchange/start-run.ts
@@ -1,9 +1,11 @@
 /** Starts an attempt for a request: writes the request to a target. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {TargetStart} from '@samphirefield/policy/quarantine';
 import {KIND_TRAITS} from '../routes/index.js';
 import type {UpstreamConnection} from '../upstream/index.js';
 import {serializeRequest} from './http-message.js';
 import type {AdmittedRequest, Reservation} from './reservation.js';
+import {createPaceProbe, type PaceProbe} from './pace-probe.js';
 import type {StreamContinuation} from './run-supervisor.js';
 import {startTargetAttempt, type TargetAttempt} from './target-attempt.js';
 import type {GatewayDependencies, RequestMetadata} from './types.js';
@@ -28,8 +30,9 @@
   continuation: StreamContinuation | undefined,
 ): TargetAttempt {
   const {deps, req, res, metadata, admitted, callerLastEventId} = request;
-  const {protocol, statements} = deps;
-  const {route, workspace, body, quarantine} = admitted;
+  const {protocol, statements, targetLoads} = deps;
+  const {route, service, workspace, body, quarantine} = admitted;
+  const start = {target, bornMs};
   const sentAtMs = deps.nowMs();
   const gatewayHeaders = protocol.writeGatewayHeaders({
     target,
@@ -57,6 +60,25 @@
     continuesRun: continuation?.resume !== undefined,
     callerLastEventId,
     onProven: () => quarantine.recordAnswer(),
-    onHead: ({stated}) => statements.hear({target, bornMs}, stated, sentAtMs),
+    onHead: ({stated, loads}) => {
+      statements.hear(start, stated, sentAtMs);
+      targetLoads.hearLoad(start, service, loads);
+    },
+    probe: createProbe(request, start, continuation !== undefined),
+  });
+}
+
+function createProbe(
+  {deps, metadata, admitted: {route, service}}: RunRequest,
+  start: TargetStart,
+  isContinued: boolean,
+): PaceProbe {
+  return createPaceProbe({
+    isStreamed: KIND_TRAITS[route.kind].isStreamed,
+    isContinued,
+    promptTokens: metadata.promptTokens,
+    sentAtMs: performance.now(),
+    record: sample =>
+      deps.targetLoads.measure(start, {...sample, service, route: route.name}),
   });
 }
