Target load: play plain targets; a target that was not heard counts as the others

Cause: in a play of plain targets (24 of 8 slots, 20 entries) the load of others that targets state gained little: a target that was not heard for a while counted as idle, so all entries sent to it at once.

--- a/packages/cluster/src/control/target-load-keeper.ts
+++ b/packages/cluster/src/control/target-load-keeper.ts
@@ -11,7 +11,7 @@
   forgetTargetLoad,
   isPaced,
   learnReport,
-  otherLoadOf,
+  excessLoadOf,
   summarizeLoads,
 } from '@samphirefield/policy/target-load';
 
@@ -48,8 +48,8 @@
     return durationFactor(this.table, start, workMs, nowMs);
   }
 
-  otherLoad(start: TargetStart, nowMs: number): number {
-    return otherLoadOf(this.table, start, nowMs);
+  excessLoad(start: TargetStart, nowMs: number): number {
+    return excessLoadOf(this.table, start, nowMs);
   }
 
   forget(target: TargetId): void {
--- a/packages/cluster/src/entry/entry-target-loads.ts
+++ b/packages/cluster/src/entry/entry-target-loads.ts
@@ -16,7 +16,7 @@
   forgetReported,
   forgetTargetLoad,
   isPaced,
-  otherLoadOf,
+  excessLoadOf,
   readLoad,
   recordMeasured,
   recordStatedLoad,
@@ -121,8 +121,8 @@
     return durationFactor(this.table, start, workMs, nowMs);
   }
 
-  otherLoad(start: TargetStart, nowMs: number): number {
-    return otherLoadOf(this.table, start, nowMs);
+  excessLoad(start: TargetStart, nowMs: number): number {
+    return excessLoadOf(this.table, start, nowMs);
   }
 
   forget(target: TargetId): void {
--- a/packages/gateway/src/dispatch/speeds.ts
+++ b/packages/gateway/src/dispatch/speeds.ts
@@ -11,15 +11,15 @@
    */
   durationFactor(start: TargetStart, workMs: number, nowMs: number): number;
   /**
-   * Load by requests that the dispatcher has no record of, as a share of the
-   * target's slots.
+   * By how much the target is busier than the others of its service with
+   * requests that the dispatcher has no record of, as a share of its slots.
    */
-  otherLoad(start: TargetStart, nowMs: number): number;
+  excessLoad(start: TargetStart, nowMs: number): number;
 }
 
 /** For targets that state nothing: every decision is as without speeds. */
 export const NO_SPEEDS: TargetSpeeds = {
   isPaced: () => false,
   durationFactor: () => 1,
-  otherLoad: () => 0,
+  excessLoad: () => 0,
 };
--- a/packages/gateway/src/dispatch/target-state.ts
+++ b/packages/gateway/src/dispatch/target-state.ts
@@ -36,7 +36,7 @@
 /** Bounds what a target's own statements do to its cost. */
 const MAX_SLOWNESS_BONUS = 0.25;
 const MAX_SLOWNESS_PENALTY = 1;
-const OTHER_LOAD_PENALTY = 0.5;
+const EXCESS_LOAD_PENALTY = 0.25;
 
 export interface TargetState {
   record: TargetRecord;
@@ -130,7 +130,7 @@
   const slowness = (factor - 1) * SLOWNESS_PENALTY;
   return (
     Math.min(MAX_SLOWNESS_PENALTY, Math.max(-MAX_SLOWNESS_BONUS, slowness)) +
-    speeds.otherLoad(start, nowMs) * OTHER_LOAD_PENALTY
+    speeds.excessLoad(start, nowMs) * EXCESS_LOAD_PENALTY
   );
 }
 
--- a/packages/policy/src/target-load/logic.ts
+++ b/packages/policy/src/target-load/logic.ts
@@ -17,6 +17,7 @@
 import type {
   LoadStatement,
   MeasuredPace,
+  PacedService,
   StatedLoad,
   TargetLoadRow,
   TargetLoadTable,
@@ -48,10 +49,12 @@
 const MIN_PACE = 0.4;
 const MAX_PACE = 4;
 const MAX_OTHER_LOAD = 2;
+/** Part of the mean load that one statement replaces. */
+const MEAN_LOAD_STEP = 0.02;
 const PCT = 100;
 
 export function createTargetLoads(): TargetLoadTable {
-  return {rows: new Map(), pacedAtMs: new Map()};
+  return {rows: new Map(), services: new Map()};
 }
 
 function clampPace(pace: number): number {
@@ -100,25 +103,36 @@
   const current = known?.bornMs === bornMs ? known : undefined;
   const earlier = current?.stated;
   if (earlier && earlier.atMs > atMs) return false;
-  const bounded = clampPace(pace);
+  const boundedPace = clampPace(pace);
+  const boundedLoad = Math.min(MAX_OTHER_LOAD, Math.max(0, otherLoad));
+  const paced = pacedService(table, service, boundedLoad, atMs);
   const stated: StatedLoad = {
     atMs,
-    otherLoad: Math.min(MAX_OTHER_LOAD, Math.max(0, otherLoad)),
-    pace: bounded,
-    steadyPace: nextSteadyPace(earlier, bounded, atMs),
+    otherLoad: boundedLoad,
+    excessLoad: boundedLoad - paced.meanLoad,
+    pace: boundedPace,
+    steadyPace: nextSteadyPace(earlier, boundedPace, atMs),
   };
   setRow(table, target, {bornMs, stated, measured: current?.measured});
-  notePaced(table, service, atMs);
   return true;
 }
 
-function notePaced(
-  {pacedAtMs}: TargetLoadTable,
+/** Adds a statement to what is known of its service. */
+function pacedService(
+  {services}: TargetLoadTable,
   service: ServiceId,
+  otherLoad: number,
   atMs: number,
-): void {
-  if (!pacedAtMs.has(service) && pacedAtMs.size >= MAX_SERVICES) return;
-  pacedAtMs.set(service, Math.max(atMs, pacedAtMs.get(service) ?? atMs));
+): PacedService {
+  const known = services.get(service);
+  if (known === undefined) {
+    const first = {atMs, meanLoad: otherLoad};
+    if (services.size < MAX_SERVICES) services.set(service, first);
+    return first;
+  }
+  known.atMs = Math.max(atMs, known.atMs);
+  known.meanLoad += (otherLoad - known.meanLoad) * MEAN_LOAD_STEP;
+  return known;
 }
 
 /** Adds samples of how long work took, relative to the service's targets. */
@@ -170,7 +184,7 @@
   service: ServiceId,
   nowMs: number,
 ): boolean {
-  const atMs = table.pacedAtMs.get(service);
+  const atMs = table.services.get(service)?.atMs;
   return atMs !== undefined && nowMs - atMs <= PACED_FOR_MS;
 }
 
@@ -228,17 +242,21 @@
 }
 
 /**
- * Load of a target by requests that the dispatcher has no record of, as a share
- * of its slots; 0 if nothing is known.
+ * By how much a target is busier than the others of its service with requests
+ * that the dispatcher has no record of, as a share of its slots; 0 if nothing is
+ * known. A target that was not heard for a while counts as busy as the others:
+ * as an idle one it would get a burst from every entry.
  */
-export function otherLoadOf(
+export function excessLoadOf(
   table: TargetLoadTable,
   start: TargetStart,
   nowMs: number,
 ): number {
   const stated = rowOf(table, start)?.stated;
   if (stated === undefined) return 0;
-  return stated.otherLoad * halved(nowMs - stated.atMs, STATEMENT_HALF_LIFE_MS);
+  return (
+    stated.excessLoad * halved(nowMs - stated.atMs, STATEMENT_HALF_LIFE_MS)
+  );
 }
 
 export function forgetTargetLoad(
--- a/packages/policy/src/target-load/types.ts
+++ b/packages/policy/src/target-load/types.ts
@@ -24,6 +24,8 @@
    * the target's slots.
    */
   readonly otherLoad: number;
+  /** The same above the mean of the service's targets at that time. */
+  readonly excessLoad: number;
   /** Duration of work in multiples of the usual. */
   readonly pace: number;
   /** The pace without short slowdowns. */
@@ -54,10 +56,17 @@
   weight: number;
 }
 
+/** What the targets of a service stated. */
+export interface PacedService {
+  /** When one of them last stated its pace. */
+  atMs: number;
+  /** Decaying mean of what they stated as `otherLoad`. */
+  meanLoad: number;
+}
+
 export interface TargetLoadTable {
   readonly rows: Map<TargetId, TargetLoadRow>;
-  /** When a target of the service last stated its pace. */
-  readonly pacedAtMs: Map<ServiceId, number>;
+  readonly services: Map<ServiceId, PacedService>;
 }
 
 /** A row on its way from an entry to the leader. */
--- a/packages/replay/src/reservations/speeds.ts
+++ b/packages/replay/src/reservations/speeds.ts
@@ -14,15 +14,14 @@
   durationFactor,
   isPaced,
   learnReport,
-  otherLoadOf,
+  excessLoadOf,
   readLoad,
   recordStatedLoad,
   statedLoadOf,
   takeReports,
 } from '@samphirefield/policy/target-load';
-import {createRandom} from '@samphirefield/replication/fuzz';
-import {uniform} from './draw.js';
 import {SERVICE} from './fleet.js';
+import {EnginePaces} from './paces.js';
 import type {Scenario, Unevenness} from './scenario.js';
 
 const REPORT_BYTES_PER_S = 400;
@@ -31,13 +30,6 @@
 const BORN_MS = 1;
 const PCT = 100;
 
-interface Pace {
-  readonly steady: number;
-  /** The present slowdown, or the next one. */
-  slowFromMs: number;
-  slowToMs: number;
-}
-
 /** What this module needs of a running request. */
 export interface TimedRun {
   readonly run: string;
@@ -56,17 +48,14 @@
 }
 
 export class PlayedSpeeds implements TargetSpeeds {
-  private readonly random;
   private readonly unevenness: Unevenness | undefined;
-  private readonly paces = new Map<TargetId, Pace>();
+  private readonly paces: EnginePaces | undefined;
   private readonly entries: PlayedEntry[];
   private readonly table = createTargetLoads();
 
   constructor(scenario: Scenario, entryCount: number, seed: number) {
     this.unevenness = scenario.unevenness;
-    // Speeds have a generator of their own, so that plays with and without the
-    // table have the same requests.
-    this.random = createRandom(seed + 1_000_003);
+    this.paces = this.unevenness && new EnginePaces(this.unevenness, seed);
     this.entries = Array.from({length: entryCount}, () => ({
       table: createTargetLoads(),
       samples: createSamples(),
@@ -76,32 +65,7 @@
 
   /** Duration of work on the engine now, in multiples of the usual. */
   paceOf(id: TargetId, nowMs: number): number {
-    const {unevenness} = this;
-    if (unevenness === undefined) return 1;
-    const pace = this.paces.get(id) ?? this.addPace(id, unevenness, nowMs);
-    while (nowMs >= pace.slowToMs) this.drawSlowdown(pace, unevenness);
-    const isSlow = nowMs >= pace.slowFromMs;
-    return pace.steady * (isSlow ? unevenness.slowFactor : 1);
-  }
-
-  private addPace(
-    id: TargetId,
-    {minPace, maxPace}: Unevenness,
-    nowMs: number,
-  ): Pace {
-    const steady = minPace + uniform(this.random.below) * (maxPace - minPace);
-    const pace: Pace = {steady, slowFromMs: nowMs, slowToMs: nowMs};
-    this.paces.set(id, pace);
-    return pace;
-  }
-
-  private drawSlowdown(pace: Pace, {slowShare, slowMs}: Unevenness): void {
-    const exponential = (mean: number) =>
-      -Math.log(uniform(this.random.below)) * mean;
-    const usualMs = (slowMs * (1 - slowShare)) / slowShare;
-    pace.slowFromMs = pace.slowToMs + exponential(usualMs);
-    pace.slowToMs =
-      pace.slowFromMs + slowMs * (0.5 + uniform(this.random.below));
+    return this.paces?.paceOf(id, nowMs) ?? 1;
   }
 
   /** An entry receives an event; with the first one, the head of the response. */
@@ -135,9 +99,7 @@
     state: EngineState,
     nowMs: number,
   ): void {
-    const pace = this.paceOf(target, nowMs);
-    const steady = this.paces.get(target)!.steady;
-    const stated = this.unevenness!.statesSteadyPace ? pace : pace / steady;
+    const stated = this.paces!.statedPace(target, nowMs);
     const fields = [
       state.running.size,
       state.waiting.size,
@@ -183,8 +145,8 @@
     return durationFactor(this.table, ...args);
   }
 
-  otherLoad(...args: Parameters<TargetSpeeds['otherLoad']>): number {
-    return otherLoadOf(this.table, ...args);
+  excessLoad(...args: Parameters<TargetSpeeds['excessLoad']>): number {
+    return excessLoadOf(this.table, ...args);
   }
 }
 
