--- /dev/null
+++ b/packages/policy/src/admission/index.ts
@@ -0,0 +1,4 @@
+export * from './queue.js';
+export * from './service-admission.js';
+export * from './types.js';
+export * from './work.js';
--- /dev/null
+++ b/packages/policy/src/admission/queue.ts
@@ -0,0 +1,228 @@
+/**
+ * The requests that wait for an engine of one service, in the order in which
+ * they are served. Requests that can still be served in time go before overdue
+ * ones, then the most urgent priority, then the earliest due time; a workspace
+ * that asks for more than its part of the freed room goes behind the others.
+ *
+ * Adding, removing and finding the next request take logarithmic time in the
+ * number of requests.
+ */
+import type {RequestId} from '@samphirefield/core';
+import {Line, sizeClassOf} from './line.js';
+import {OrderedSet} from './ordered-set.js';
+import type {AdmissionRequest, Waiting} from './types.js';
+import {longestWaitMs} from './work.js';
+
+/** A workspace is put back by at most this time. */
+const MAX_PUT_BACK_MS = 1_500;
+const NO_WORKSPACE = '';
+
+interface PriorityLines<R extends AdmissionRequest> {
+  readonly priority: number;
+  readonly inTime: Line<R>;
+  readonly overdue: Line<R>;
+}
+
+/** What waits of one workspace, and the key after its last request. */
+interface WorkspaceFlow {
+  waiting: number;
+  nextKeyMs: number;
+}
+
+export class AdmissionQueue<R extends AdmissionRequest> {
+  private readonly items = new Map<RequestId, Waiting<R>>();
+  /** Sorted by priority. */
+  private lines: Array<PriorityLines<R>> = [];
+  private readonly byDue = new OrderedSet<Waiting<R>>(item => item.dueAtMs);
+  private readonly byEnd = new OrderedSet<Waiting<R>>(item => item.endsAtMs);
+  private readonly flows = new Map<string, WorkspaceFlow>();
+  private nextSequence = 0;
+
+  get size(): number {
+    return this.items.size;
+  }
+
+  has(request: RequestId): boolean {
+    return this.items.has(request);
+  }
+
+  /** `freedPerS`: KV tokens that become free each second, if known. */
+  add(request: R, nowMs: number, freedPerS: number | undefined): void {
+    const dueAtMs = nowMs + request.inTimeMs;
+    const item: Waiting<R> = {
+      request,
+      sequence: this.nextSequence,
+      sinceMs: nowMs,
+      dueAtMs,
+      endsAtMs: nowMs + longestWaitMs(request),
+      orderKey: this.stampOrder(request, dueAtMs, freedPerS),
+      isOverdue: false,
+    };
+    this.nextSequence += 1;
+    this.items.set(request.request, item);
+    this.linesOf(request.priority).inTime.add(item);
+    this.byDue.add(item);
+    this.byEnd.add(item);
+  }
+
+  remove(request: RequestId): R | undefined {
+    const item = this.items.get(request);
+    if (item === undefined) return undefined;
+    this.items.delete(request);
+    this.lineOf(item).remove(item);
+    this.byDue.remove(item);
+    this.byEnd.remove(item);
+    const name = item.request.workspace ?? NO_WORKSPACE;
+    const flow = this.flows.get(name);
+    if (flow) flow.waiting -= 1;
+    if (flow?.waiting === 0) this.flows.delete(name);
+    return item.request;
+  }
+
+  /** The requests whose wait is over while no engine is usable for them. */
+  endedWithoutTarget(
+    nowMs: number,
+    maxWaitMs: (request: R) => number,
+    hasNone: (request: R) => boolean,
+  ): R[] {
+    return [...this.items.values()]
+      .filter(
+        ({request, sinceMs, endsAtMs}) =>
+          endsAtMs <= nowMs ||
+          (nowMs - sinceMs >= maxWaitMs(request) && hasNone(request)),
+      )
+      .map(({request}) => request);
+  }
+
+  /** All requests that wait, in the order of their arrival. */
+  requests(): R[] {
+    return [...this.items.values()].map(({request}) => request);
+  }
+
+  /** The requests whose wait is over. */
+  ended(nowMs: number): R[] {
+    const ended: R[] = [];
+    for (const item of this.byEnd) {
+      if (item.endsAtMs > nowMs) break;
+      ended.push(item.request);
+    }
+    return ended;
+  }
+
+  /** Whether a request in time of at least this urgency waits. */
+  hasInTime(priority: number): boolean {
+    return this.lines.some(
+      line => line.priority <= priority && line.inTime.size > 0,
+    );
+  }
+
+  /** KV tokens of the requests that are served before one that arrives now. */
+  tokensAhead(priority: number): number {
+    let tokens = 0;
+    for (const line of this.lines) {
+      if (line.priority <= priority) tokens += line.inTime.kvTokens;
+    }
+    return tokens;
+  }
+
+  overdueTokens(): number {
+    return this.lines.reduce((sum, {overdue}) => sum + overdue.kvTokens, 0);
+  }
+
+  counts(): ReadonlyMap<number, number> {
+    return new Map(
+      this.lines.map(({priority, inTime, overdue}) => [
+        priority,
+        inTime.size + overdue.size,
+      ]),
+    );
+  }
+
+  /**
+   * Offers requests in their order: `tryStart` returns whether it started the
+   * request, which is then removed. Where one does not fit, smaller ones of its
+   * priority may.
+   */
+  offer(tryStart: (item: Waiting<R>) => boolean, nowMs: number): void {
+    this.moveOverdue(nowMs);
+    for (const {inTime} of this.lines) this.offerLine(inTime, tryStart);
+    for (const {overdue} of this.lines) this.offerLine(overdue, tryStart);
+  }
+
+  private offerLine(
+    line: Line<R>,
+    tryStart: (item: Waiting<R>) => boolean,
+  ): void {
+    let blockedClass = Number.POSITIVE_INFINITY;
+    while (line.size > 0) {
+      const next = this.tryHeads(line, blockedClass, tryStart);
+      if (next.started === undefined) return;
+      blockedClass = next.blockedClass;
+      this.remove(next.started.request.request);
+    }
+  }
+
+  private tryHeads(
+    line: Line<R>,
+    blockedBefore: number,
+    tryStart: (item: Waiting<R>) => boolean,
+  ): {started: Waiting<R> | undefined; blockedClass: number} {
+    let blockedClass = blockedBefore;
+    for (const item of line.heads()) {
+      const sizeClass = sizeClassOf(item.request);
+      if (sizeClass >= blockedClass) continue;
+      if (tryStart(item)) return {started: item, blockedClass};
+      blockedClass = sizeClass;
+    }
+    return {started: undefined, blockedClass};
+  }
+
+  private moveOverdue(nowMs: number): void {
+    for (;;) {
+      const item = this.byDue.first;
+      if (item === undefined || item.dueAtMs >= nowMs) return;
+      this.byDue.remove(item);
+      this.lineOf(item).remove(item);
+      item.isOverdue = true;
+      this.lineOf(item).add(item);
+    }
+  }
+
+  /**
+   * The due time, put back for a workspace whose earlier requests already use
+   * its part of the freed room.
+   */
+  private stampOrder(
+    {workspace, kvTokens}: R,
+    dueAtMs: number,
+    freedPerS: number | undefined,
+  ): number {
+    const name = workspace ?? NO_WORKSPACE;
+    const flow = this.flows.get(name) ?? {waiting: 0, nextKeyMs: dueAtMs};
+    this.flows.set(name, flow);
+    flow.waiting += 1;
+    const latestMs = dueAtMs + MAX_PUT_BACK_MS;
+    const key = Math.min(latestMs, Math.max(dueAtMs, flow.nextKeyMs));
+    const partPerMs = (freedPerS ?? 0) / 1_000 / this.flows.size;
+    const tokensMs = partPerMs > 0 ? kvTokens / partPerMs : 0;
+    flow.nextKeyMs = key + tokensMs;
+    return key;
+  }
+
+  private linesOf(priority: number): PriorityLines<R> {
+    const known = this.lines.find(line => line.priority === priority);
+    if (known) return known;
+    const added = {
+      priority,
+      inTime: new Line<R>(),
+      overdue: new Line<R>(),
+    };
+    this.lines = [...this.lines, added].sort((a, b) => a.priority - b.priority);
+    return added;
+  }
+
+  private lineOf({request, isOverdue}: Waiting<R>): Line<R> {
+    const {inTime, overdue} = this.linesOf(request.priority);
+    return isOverdue ? overdue : inTime;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/admission/rate.ts
@@ -0,0 +1,39 @@
+/** A rate of tokens over the last seconds, in constant time and memory. */
+
+const SLOT_MS = 250;
+const SLOTS = 20;
+const MS_PER_S = 1_000;
+
+export class TokenRate {
+  private readonly slots = new Array<number>(SLOTS).fill(0);
+  private current = 0;
+  private firstMs: number | undefined;
+
+  record(tokens: number, nowMs: number): void {
+    this.advance(nowMs);
+    this.slots[this.current % SLOTS]! += tokens;
+  }
+
+  /** Since the first record at least one second has to pass: else undefined. */
+  perS(nowMs: number): number | undefined {
+    this.advance(nowMs);
+    if (this.firstMs === undefined) return undefined;
+    const spanMs = Math.min(nowMs - this.firstMs, SLOT_MS * (SLOTS - 1));
+    if (spanMs < MS_PER_S) return undefined;
+    const sum = this.slots.reduce((total, tokens) => total + tokens, 0);
+    return (sum / spanMs) * MS_PER_S;
+  }
+
+  private advance(nowMs: number): void {
+    const slot = Math.floor(nowMs / SLOT_MS);
+    if (this.firstMs === undefined) {
+      this.firstMs = nowMs;
+      this.current = slot;
+    }
+    const cleared = Math.min(SLOTS, slot - this.current);
+    for (let i = 1; i <= cleared; i += 1) {
+      this.slots[(slot - cleared + i) % SLOTS] = 0;
+    }
+    this.current = Math.max(this.current, slot);
+  }
+}
