--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -91,6 +91,8 @@
   readonly decodeConfig: (document: string) => Result<RouteTable, unknown>;
   readonly logger: Logger;
   readonly nowMs: () => number;
+  /** Whether admission control decides for engines; default: no. */
+  readonly usesAdmission?: boolean;
   readonly openStorage?: GroupReplicaOptions['openStorage'];
 }
 
@@ -157,6 +159,7 @@
       logger,
       nowMs,
       limiter: this.statements,
+      usesAdmission: options.usesAdmission,
     });
     this.links = new LinkSet(this.handlers(), {
       onUp: (_address, peer) => this.sendHello(peer),
@@ -281,6 +284,14 @@
     }
   }
 
+  /** Demands that wait, or were refused, by priority. */
+  metricsByPriority(): Record<string, ReadonlyMap<number, number>> {
+    return {
+      places_waiting_by_priority: this.reservations.pendingByPriority,
+      places_refused_by_priority: this.reservations.refusedByPriority,
+    };
+  }
+
   metrics(): Record<string, number> {
     return {
       leader: this.isLeader ? 1 : 0,
--- a/packages/cluster/src/control/reservations.ts
+++ b/packages/cluster/src/control/reservations.ts
@@ -23,6 +23,8 @@
 
 export interface ReservationManagerOptions {
   readonly limiter: TargetLimiter;
+  /** Whether admission control decides for engines; default: no. */
+  readonly usesAdmission?: boolean | undefined;
   readonly logger: Logger;
   readonly nowMs: () => number;
 }
@@ -30,12 +32,15 @@
 interface WaitingDemand {
   readonly resolve: (result: DispatchResult) => void;
   readonly reject: (error: Error) => void;
+  readonly sinceMs: number;
 }
 
 export class ReservationManager {
   private readonly dispatcher: Dispatcher;
   private readonly permits: MovePermits;
   private readonly waiting = new Map<RequestId, WaitingDemand>();
+  /** Refused demands by priority. */
+  private readonly refused = new Map<number, number>();
   private term = 0;
 
   constructor(private readonly options: ReservationManagerOptions) {
@@ -44,6 +49,7 @@
       share: () => 1,
       random: Math.random,
       limiter: options.limiter,
+      usesAdmission: options.usesAdmission ?? false,
     });
     this.permits = new MovePermits(options.nowMs);
   }
@@ -52,6 +58,16 @@
     return this.dispatcher.pendingCount;
   }
 
+  /** Waiting demands by priority; empty without admission control. */
+  get pendingByPriority(): ReadonlyMap<number, number> {
+    return this.dispatcher.pendingByPriority;
+  }
+
+  /** Demands refused since the start, by priority. */
+  get refusedByPriority(): ReadonlyMap<number, number> {
+    return this.refused;
+  }
+
   get heldCount(): number {
     return this.dispatcher.runCount;
   }
@@ -90,8 +106,9 @@
 
   reserve(demand: Demand): Promise<DispatchResult> {
     return new Promise((resolve, reject) => {
-      this.waiting.set(demand.request, {resolve, reject});
-      this.dispatcher.acquire(demand, this.options.nowMs());
+      const sinceMs = this.options.nowMs();
+      this.waiting.set(demand.request, {resolve, reject, sinceMs});
+      this.dispatcher.acquire(demand, sinceMs);
     });
   }
 
@@ -143,11 +160,22 @@
     const waiting = this.waiting.get(demand.request);
     this.waiting.delete(demand.request);
     waiting?.resolve(result);
+    const {priority} = demand;
+    if (result.kind === 'refused') {
+      this.refused.set(priority, (this.refused.get(priority) ?? 0) + 1);
+    }
+    const waitedMs = this.options.nowMs() - (waiting?.sinceMs ?? 0);
     this.options.logger.info('placement', {
       run: demand.request,
       outcome: result.kind,
       target: result.kind === 'granted' ? result.target : undefined,
       reason: result.kind === 'refused' ? result.reason : undefined,
+      expected_wait_ms:
+        result.kind === 'refused' && result.retryAfterMs !== undefined
+          ? Math.round(result.retryAfterMs)
+          : undefined,
+      priority,
+      waited_ms: waiting && Math.round(waitedMs),
       kv_tokens: Math.round(demand.kvTokens),
       held: this.heldCount,
       waiting: this.pendingCount,
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -63,6 +63,8 @@
   readonly nowMs: () => number;
   readonly onRouteTable: (table: RouteTable) => void;
   readonly onTargetChange: (record: TargetRecord) => void;
+  /** Whether admission control decides for engines; default: no. */
+  readonly usesAdmission?: boolean;
 }
 
 export class EntryNode implements ReservationClient {
@@ -105,6 +107,7 @@
       // all entries do so: each uses an equal share.
       share: service => (this.hasEngine(service) ? 1 / this.entryCount : 1),
       random: Math.random,
+      usesAdmission: options.usesAdmission ?? false,
     });
     this.quarantine = new EntryQuarantine({
       leader: () => this.controls.leaderPeer,
--- a/packages/gateway/src/dispatch/demands.ts
+++ b/packages/gateway/src/dispatch/demands.ts
@@ -95,6 +95,7 @@
       : objectiveMs * SOFT_WAIT_SHARE,
     noTargetWaitMs: objectiveMs * NO_TARGET_WAIT_SHARE,
     maxWaitMs: Math.max(0, remainingMs) * MAX_WAIT_SHARE,
+    deadlineInMs: Math.max(0, remainingMs),
   };
 }
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -16,19 +16,17 @@
   ZoneId,
 } from '@samphirefield/core';
 import type {TargetRecord} from '../registry/index.js';
+import {AdmissionControl, PREFILL_TOKENS_PER_MS} from './admission-control.js';
 import {DemandQueue} from './demand-queue.js';
 import {NO_LIMITS, type TargetLimiter} from './limiter.js';
 import {
   addRun,
-  createTargetState,
-  hasColdToken,
-  isCold,
-  penaltyOf,
   recordGrant,
   recordOutcome,
   removeRun,
   type TargetState,
 } from './target-state.js';
+import {TargetTable} from './target-table.js';
 import type {
   Demand,
   DispatchRefusal,
@@ -38,8 +36,6 @@
 } from './types.js';
 import {WaitEstimate} from './wait-estimate.js';
 
-const FULL_LOAD = 1;
-const TIE_BREAK_RANGE = 0.02;
 const MS_PER_S = 1_000;
 
 export interface Run {
@@ -59,26 +55,36 @@
   readonly random: () => number;
   /** Default: targets state no limits. */
   readonly limiter?: TargetLimiter;
+  /** Whether admission control decides for engines; default: no. */
+  readonly usesAdmission?: boolean;
 }
 
 /** Grants or refuses demands; keeps the runs and the pending demands. */
 export class Dispatcher {
-  private readonly targets = new Map<TargetId, TargetState>();
-  private readonly byService = new Map<ServiceId, Set<TargetId>>();
+  private readonly table: TargetTable;
   private readonly runs = new Map<RequestId, Run>();
-  private readonly capacities = new Map<ServiceId, ServiceCapacity>();
-  private zonesOut: ReadonlySet<ZoneId> = new Set();
   private readonly queue = new DemandQueue();
   private readonly estimate = new WaitEstimate();
 
+  /** Undefined where every decision is by the order of arrival. */
+  private readonly admission: AdmissionControl | undefined;
   private readonly limiter: TargetLimiter;
 
   constructor(private readonly options: DispatcherOptions) {
     this.limiter = options.limiter ?? NO_LIMITS;
+    const {share, random, usesAdmission} = options;
+    this.table = new TargetTable({share, random, limiter: this.limiter});
+    if (usesAdmission !== true) return;
+    this.admission = new AdmissionControl({table: this.table, share});
   }
 
   get pendingCount(): number {
-    return this.queue.size;
+    return this.queue.size + (this.admission?.pendingCount ?? 0);
+  }
+
+  /** Waiting demands by priority; empty without admission control. */
+  get pendingByPriority(): ReadonlyMap<number, number> {
+    return this.admission?.pendingByPriority() ?? new Map();
   }
 
   get runCount(): number {
@@ -89,61 +95,51 @@
     capacities: readonly ServiceCapacity[],
     zonesOut: ReadonlySet<ZoneId>,
   ): void {
-    this.capacities.clear();
-    for (const capacity of capacities) {
-      this.capacities.set(capacity.service, capacity);
-    }
-    this.zonesOut = zonesOut;
+    this.table.configure(capacities, zonesOut);
+    this.admission?.refresh();
   }
 
   setTarget(record: TargetRecord, isSilent: boolean, nowMs: number): void {
-    const {id, service, bornMs} = record.announcement;
-    const known = this.targets.get(id);
-    const earlier = known?.record.announcement;
-    if (earlier) this.byService.get(earlier.service)?.delete(id);
-    if (known && earlier?.bornMs === bornMs) {
-      known.record = record;
-      known.isSilent = isSilent;
-    } else {
-      if (known) this.dropRunsOf(id);
-      this.addTarget(record, isSilent, nowMs);
+    const {id} = record.announcement;
+    const before = this.table.find(id);
+    const started = this.table.set(record, isSilent, nowMs);
+    if (started) {
+      if (before) this.dropRunsOf(id);
+      if (before) this.admission?.targetRemoved(before);
+      this.addRunsTo(started);
     }
-    const targets = this.byService.get(service) ?? new Set();
-    targets.add(id);
-    this.byService.set(service, targets);
+    const target = started ?? before!;
+    const newTokens = started ? this.table.freeTokensOf(target) : 0;
+    this.admission?.targetChanged(target, newTokens, nowMs);
   }
 
-  /** Adds a target; runs on it may have been recorded before. */
-  private addTarget(
-    record: TargetRecord,
-    isSilent: boolean,
-    nowMs: number,
-  ): void {
-    const {id} = record.announcement;
-    const state = createTargetState(record, isSilent, nowMs);
+  /** Adds runs that were recorded before their target was known. */
+  private addRunsTo(target: TargetState): void {
+    const {id} = target.record.announcement;
     for (const run of this.runs.values()) {
-      if (run.target === id) addRun(state, run.kvTokens);
+      if (run.target === id) addRun(target, run.kvTokens);
     }
-    this.targets.set(id, state);
   }
 
   removeTarget(id: TargetId): void {
-    const state = this.targets.get(id);
-    if (state === undefined) return;
-    this.byService.get(state.record.announcement.service)?.delete(id);
-    this.targets.delete(id);
+    const removed = this.table.remove(id);
+    if (removed) this.admission?.targetRemoved(removed);
   }
 
   acquire(demand: Demand, nowMs: number): void {
+    if (this.admission?.covers(demand.service)) {
+      this.acquireAdmitted(this.admission, demand, nowMs);
+      return;
+    }
     const target =
       demand.isRunning || this.isNextInLine(demand)
-        ? this.choose(demand, nowMs, demand.patienceMs === 0)
+        ? this.table.choose(demand, nowMs, demand.patienceMs === 0)
         : undefined;
     if (target) {
       this.grant(demand, target, nowMs);
       return;
     }
-    if (this.isEveryUsableExcluded(demand)) {
+    if (this.table.isEveryUsableExcluded(demand)) {
       this.refuse(demand, 'all_tried', undefined);
       return;
     }
@@ -157,15 +153,42 @@
     if (isPending && this.isWaitOver(demand, 0)) this.end(demand, nowMs);
   }
 
+  private acquireAdmitted(
+    admission: AdmissionControl,
+    demand: Demand,
+    nowMs: number,
+  ): void {
+    const target = admission.chooseNow(demand, nowMs);
+    if (target) {
+      this.grant(demand, target, nowMs);
+      return;
+    }
+    if (this.table.isEveryUsableExcluded(demand)) {
+      this.refuse(demand, 'all_tried', undefined);
+      return;
+    }
+    const decision = admission.decideArrival(demand, nowMs);
+    if (decision.kind === 'refuse' && this.table.hasUsable(demand)) {
+      this.refuse(demand, 'crowded', decision.retryAfterMs);
+      return;
+    }
+    admission.add(demand, nowMs);
+    this.offerAdmitted(demand.service, nowMs);
+    const isPending = admission.has(demand);
+    if (isPending && this.isWaitOver(demand, 0)) this.end(demand, nowMs);
+  }
+
   /**
    * Records a run granted by another dispatcher or before a restart. Its target
    * may become known later.
    */
   recordRun(run: Run): void {
     if (this.runs.has(run.request)) return;
-    const target = this.targets.get(run.target);
+    const target = this.table.find(run.target);
     this.runs.set(run.request, run);
-    if (target) addRun(target, run.kvTokens);
+    if (target === undefined) return;
+    addRun(target, run.kvTokens);
+    this.admission?.targetChanged(target, 0, 0);
   }
 
   /**
@@ -187,34 +210,41 @@
 
   /** Drops pending demands without a result: all, or those of an entry. */
   withdrawPending(entry?: InstanceId): Demand[] {
-    return this.queue.withdraw(entry);
+    const isOf = (demand: Demand) =>
+      entry === undefined || demand.entry === entry;
+    const admitted = this.admission?.withdraw(isOf) ?? [];
+    return [...this.queue.withdraw(entry), ...admitted];
   }
 
   /** Removes every run; the holders of runs have to report them again. */
   clearRuns(): void {
     this.runs.clear();
-    for (const target of this.targets.values()) {
+    for (const target of this.table.all()) {
       target.runs = 0;
       target.kvTokens = 0;
     }
+    this.admission?.refresh();
   }
 
   /** Ends a run, or withdraws a pending demand. */
   release(request: RequestId, outcome: RunOutcome, nowMs: number): void {
     this.queue.remove(request);
+    this.admission?.remove(request);
     const run = this.runs.get(request);
     if (run === undefined) return;
     this.runs.delete(request);
-    const target = this.targets.get(run.target);
+    const target = this.table.find(run.target);
     if (target === undefined) return;
     removeRun(target, run.kvTokens);
     recordOutcome(target, outcome, nowMs);
+    this.admission?.targetChanged(target, run.kvTokens, nowMs);
     this.grantPending(nowMs);
+    this.offerAdmitted(target.record.announcement.service, nowMs);
   }
 
   /** Releases the runs and drops the demands of a daemon that is gone. */
   releaseEntry(entry: InstanceId, nowMs: number): void {
-    this.queue.withdraw(entry);
+    this.withdrawPending(entry);
     const orphaned = [...this.runs.values()].filter(run => run.entry === entry);
     for (const run of orphaned) this.release(run.request, 'abandoned', nowMs);
   }
@@ -230,13 +260,31 @@
       nowMs,
     );
     for (const demand of ended) this.end(demand, nowMs);
+    if (this.admission) this.dispatchAdmitted(this.admission, nowMs);
+  }
+
+  private dispatchAdmitted(admission: AdmissionControl, nowMs: number): void {
+    admission.refresh();
+    for (const service of admission.coveredServices()) {
+      this.offerAdmitted(service, nowMs);
+    }
+    const ended = admission.ended(nowMs, demand =>
+      this.table.hasUsable(demand),
+    );
+    for (const demand of ended) this.end(demand, nowMs);
+  }
+
+  private offerAdmitted(service: ServiceId, nowMs: number): void {
+    this.admission?.offer(service, nowMs, (demand, target) =>
+      this.grant(demand, target, nowMs),
+    );
   }
 
   private grantPending(nowMs: number): void {
     if (this.queue.size === 0) return;
     this.queue.offer(({demand, sinceMs}) => {
       const isPatient = nowMs - sinceMs < demand.patienceMs;
-      const target = this.choose(demand, nowMs, !isPatient);
+      const target = this.table.choose(demand, nowMs, !isPatient);
       if (target) this.grant(demand, target, nowMs);
       return target !== undefined;
     }, nowMs);
@@ -245,7 +293,8 @@
   /** Refuses a pending demand. */
   private end(demand: Demand, nowMs: number): void {
     this.queue.remove(demand.request);
-    const isCrowded = this.hasUsable(demand);
+    this.admission?.remove(demand.request);
+    const isCrowded = this.table.hasUsable(demand);
     this.refuse(
       demand,
       isCrowded ? 'crowded' : 'no_target',
@@ -258,70 +307,48 @@
   }
 
   /** Undefined while there is no basis for an estimate. */
-  private expectedWaitMs(
-    {service, priority}: Demand,
-    nowMs: number,
-  ): number | undefined {
+  private expectedWaitMs(demand: Demand, nowMs: number): number | undefined {
+    const {service, priority} = demand;
+    if (this.admission?.covers(service)) {
+      return this.admission.expectedWaitMs(demand, nowMs);
+    }
     const ahead = this.queue.countAhead(service, priority);
     const estimateMs = this.estimate.waitMs(service, ahead, nowMs);
-    const statedPerS = this.statedPerS(service);
+    const statedPerS = this.table.statedPerS(service);
     if (statedPerS === undefined) return estimateMs;
     const statedMs = (ahead / statedPerS) * MS_PER_S;
     return Math.max(estimateMs ?? 0, statedMs);
   }
 
-  /** The sum of the limits, if each usable target of the service states one. */
-  private statedPerS(service: ServiceId): number | undefined {
-    let sum = 0;
-    for (const id of this.byService.get(service) ?? []) {
-      if (!this.isAvailable(this.targets.get(id)!)) continue;
-      const perS = this.limiter.expectedPerS(id);
-      if (perS === undefined) return undefined;
-      sum += perS;
-    }
-    return sum > 0 ? sum : undefined;
-  }
-
   /** Whether the demands ahead need more time than this one may wait. */
   private isHopeless(demand: Demand, nowMs: number): boolean {
     const waitMs = this.expectedWaitMs(demand, nowMs) ?? 0;
-    return waitMs > demand.maxWaitMs && this.hasUsable(demand);
+    return waitMs > demand.maxWaitMs && this.table.hasUsable(demand);
   }
 
   private grant(demand: Demand, target: TargetState, nowMs: number): void {
     const {id} = target.record.announcement;
     const {request, entry, kvTokens} = demand;
     addRun(target, kvTokens);
-    recordGrant(target, demand.prefillTokens, nowMs);
+    recordGrant(
+      target,
+      demand.prefillTokens,
+      nowMs,
+      this.admission?.covers(demand.service)
+        ? PREFILL_TOKENS_PER_MS
+        : undefined,
+    );
+    const takenTokens = demand.isRunning ? -kvTokens : 0;
+    this.admission?.targetChanged(target, takenTokens, nowMs);
     this.limiter.recordSend(id, nowMs);
     this.runs.set(request, {request, entry, target: id, kvTokens});
     this.estimate.recordGrant(demand.service, nowMs);
     this.options.onResult(demand, {kind: 'granted', target: id});
   }
 
-  private targetsOf(demand: Demand): TargetState[] {
-    const targets = this.byService.get(demand.service) ?? new Set();
-    return [...targets].map(id => this.targets.get(id)!);
-  }
-
-  private isEveryUsableExcluded(demand: Demand): boolean {
-    if (demand.excluded.length === 0) return false;
-    const usable = this.targetsOf(demand).filter(target =>
-      this.isUsable(target, {...demand, excluded: []}),
-    );
-    return (
-      usable.length > 0 &&
-      usable.every(target => !this.isUsable(target, demand))
-    );
-  }
-
-  private hasUsable(demand: Demand): boolean {
-    return this.targetsOf(demand).some(target => this.isUsable(target, demand));
-  }
-
   private isWaitOver(demand: Demand, waitedMs: number): boolean {
     if (waitedMs >= demand.maxWaitMs) return true;
-    return waitedMs >= demand.noTargetWaitMs && !this.hasUsable(demand);
+    return waitedMs >= demand.noTargetWaitMs && !this.table.hasUsable(demand);
   }
 
   private refuse(
@@ -332,97 +359,6 @@
     this.options.onResult(demand, {kind: 'refused', reason, retryAfterMs});
   }
 
-  private choose(
-    demand: Demand,
-    nowMs: number,
-    mayExceed: boolean,
-  ): TargetState | undefined {
-    const maxLoad = mayExceed
-      ? this.maxExceededLoad(demand.service)
-      : FULL_LOAD;
-    let best: TargetState | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    for (const id of this.byService.get(demand.service) ?? []) {
-      const target = this.targets.get(id)!;
-      if (!this.isUsable(target, demand)) continue;
-      if (isCold(target, nowMs) && !this.hasColdToken(target, nowMs)) {
-        continue;
-      }
-      const load = this.loadAfter(target, demand);
-      if (load > maxLoad) continue;
-      if (!this.limiter.maySend(id, nowMs)) {
-        this.limiter.want(id, nowMs);
-        continue;
-      }
-      const cost = this.costOf(target, load, demand, nowMs);
-      if (cost < bestCost) {
-        best = target;
-        bestCost = cost;
-      }
-    }
-    return best;
-  }
-
-  private isUsable(target: TargetState, demand: Demand): boolean {
-    const {id} = target.record.announcement;
-    return this.isAvailable(target) && !demand.excluded.includes(id);
-  }
-
-  private isAvailable({record, isSilent}: TargetState): boolean {
-    const {id, state, zone} = record.announcement;
-    if (state !== 'ready' || isSilent || this.zonesOut.has(zone)) return false;
-    return !this.limiter.isLeaving(id);
-  }
-
-  /**
-   * Load of the target with the demand added; above 1 it exceeds the capacity.
-   */
-  private loadAfter(target: TargetState, demand: Demand): number {
-    const share = this.options.share(demand.service);
-    const slots = Math.max(1, target.record.announcement.slots * share);
-    const slotLoad = (target.runs + 1) / slots;
-    const kvTokens = this.capacities.get(demand.service)?.kvTokens;
-    if (kvTokens === undefined) return slotLoad;
-    const capacityTokens = Math.max(demand.kvTokens, kvTokens * share);
-    return Math.max(
-      slotLoad,
-      (target.kvTokens + demand.kvTokens) / capacityTokens,
-    );
-  }
-
-  /**
-   * Plain targets queue what exceeds their capacity; engines preempt others. Of
-   * a share of a target nobody knows how much the others take.
-   */
-  private maxExceededLoad(service: ServiceId): number {
-    const isEngine = this.capacities.get(service)?.kvTokens !== undefined;
-    return isEngine && this.options.share(service) === 1
-      ? FULL_LOAD
-      : Number.POSITIVE_INFINITY;
-  }
-
-  private hasColdToken(target: TargetState, nowMs: number): boolean {
-    const {service} = target.record.announcement;
-    const perS = this.capacities.get(service)?.coldRequestsPerS ?? 0;
-    return hasColdToken(target, perS * this.options.share(service), nowMs);
-  }
-
-  /** Lower is better; above the load by what speaks against the target. */
-  private costOf(
-    target: TargetState,
-    load: number,
-    demand: Demand,
-    nowMs: number,
-  ): number {
-    const isOtherZone = target.record.announcement.zone !== demand.zone;
-    return (
-      load +
-      penaltyOf(target, nowMs) +
-      (isOtherZone ? demand.otherZonePenalty : 0) +
-      this.options.random() * TIE_BREAK_RANGE
-    );
-  }
-
   private dropRunsOf(id: TargetId): void {
     for (const run of this.runs.values()) {
       if (run.target === id) this.runs.delete(run.request);
--- a/packages/gateway/src/dispatch/target-state.ts
+++ b/packages/gateway/src/dispatch/target-state.ts
@@ -80,11 +80,12 @@
   target: TargetState,
   prefillTokens: number,
   nowMs: number,
+  prefillTokensPerMs = PREFILL_TOKENS_PER_MS,
 ): void {
   if (isCold(target, nowMs)) target.coldTokens -= 1;
   target.prefillDoneAtMs =
     Math.max(nowMs, target.prefillDoneAtMs) +
-    prefillTokens / PREFILL_TOKENS_PER_MS;
+    prefillTokens / prefillTokensPerMs;
 }
 
 export function recordOutcome(
--- /dev/null
+++ b/packages/gateway/src/dispatch/target-table.ts
@@ -0,0 +1,238 @@
+/**
+ * The targets that a dispatcher knows, and the choice of one for a demand: the
+ * least loaded that is usable, above what else speaks against it.
+ */
+import type {ServiceId, TargetId, ZoneId} from '@samphirefield/core';
+import type {TargetRecord} from '../registry/index.js';
+import type {TargetLimiter} from './limiter.js';
+import {
+  createTargetState,
+  hasColdToken,
+  isCold,
+  penaltyOf,
+  type TargetState,
+} from './target-state.js';
+import type {Demand, ServiceCapacity} from './types.js';
+
+export const FULL_LOAD = 1;
+const TIE_BREAK_RANGE = 0.02;
+
+export interface TargetTableOptions {
+  readonly share: (service: ServiceId) => number;
+  readonly random: () => number;
+  readonly limiter: TargetLimiter;
+}
+
+export class TargetTable {
+  private readonly targets = new Map<TargetId, TargetState>();
+  private readonly byService = new Map<ServiceId, Set<TargetId>>();
+  private readonly capacities = new Map<ServiceId, ServiceCapacity>();
+  private zonesOut: ReadonlySet<ZoneId> = new Set();
+
+  constructor(private readonly options: TargetTableOptions) {}
+
+  configure(
+    capacities: readonly ServiceCapacity[],
+    zonesOut: ReadonlySet<ZoneId>,
+  ): void {
+    this.capacities.clear();
+    for (const capacity of capacities) {
+      this.capacities.set(capacity.service, capacity);
+    }
+    this.zonesOut = zonesOut;
+  }
+
+  find(id: TargetId): TargetState | undefined {
+    return this.targets.get(id);
+  }
+
+  all(): Iterable<TargetState> {
+    return this.targets.values();
+  }
+
+  *ofService(service: ServiceId): Iterable<TargetState> {
+    for (const id of this.byService.get(service) ?? []) {
+      yield this.targets.get(id)!;
+    }
+  }
+
+  /** KV cache of one target; undefined on plain services. */
+  engineKvTokens(service: ServiceId): number | undefined {
+    return this.capacities.get(service)?.kvTokens;
+  }
+
+  /** Returns the state if this start of the target was not known. */
+  set(
+    record: TargetRecord,
+    isSilent: boolean,
+    nowMs: number,
+  ): TargetState | undefined {
+    const {id, service, bornMs} = record.announcement;
+    const known = this.targets.get(id);
+    const earlier = known?.record.announcement;
+    if (earlier) this.byService.get(earlier.service)?.delete(id);
+    const targets = this.byService.get(service) ?? new Set();
+    targets.add(id);
+    this.byService.set(service, targets);
+    if (known && earlier?.bornMs === bornMs) {
+      known.record = record;
+      known.isSilent = isSilent;
+      return undefined;
+    }
+    const state = createTargetState(record, isSilent, nowMs);
+    this.targets.set(id, state);
+    return state;
+  }
+
+  remove(id: TargetId): TargetState | undefined {
+    const state = this.targets.get(id);
+    if (state === undefined) return undefined;
+    this.byService.get(state.record.announcement.service)?.delete(id);
+    this.targets.delete(id);
+    return state;
+  }
+
+  isUsable(target: TargetState, demand: Demand): boolean {
+    const {id} = target.record.announcement;
+    return this.isAvailable(target) && !demand.excluded.includes(id);
+  }
+
+  isAvailable({record, isSilent}: TargetState): boolean {
+    const {id, state, zone} = record.announcement;
+    if (state !== 'ready' || isSilent || this.zonesOut.has(zone)) return false;
+    return !this.options.limiter.isLeaving(id);
+  }
+
+  hasUsable(demand: Demand): boolean {
+    for (const target of this.ofService(demand.service)) {
+      if (this.isUsable(target, demand)) return true;
+    }
+    return false;
+  }
+
+  isEveryUsableExcluded(demand: Demand): boolean {
+    if (demand.excluded.length === 0) return false;
+    let hasAvailable = false;
+    for (const target of this.ofService(demand.service)) {
+      if (!this.isAvailable(target)) continue;
+      if (this.isUsable(target, demand)) return false;
+      hasAvailable = true;
+    }
+    return hasAvailable;
+  }
+
+  /** The sum of the limits, if each usable target of the service states one. */
+  statedPerS(service: ServiceId): number | undefined {
+    let sum = 0;
+    for (const target of this.ofService(service)) {
+      if (!this.isAvailable(target)) continue;
+      const {id} = target.record.announcement;
+      const perS = this.options.limiter.expectedPerS(id);
+      if (perS === undefined) return undefined;
+      sum += perS;
+    }
+    return sum > 0 ? sum : undefined;
+  }
+
+  /** KV cache that the target has free. */
+  freeTokensOf(target: TargetState): number {
+    const {service} = target.record.announcement;
+    const kvTokens = this.engineKvTokens(service) ?? 0;
+    return Math.max(
+      0,
+      kvTokens * this.options.share(service) - target.kvTokens,
+    );
+  }
+
+  /** Undefined if no target can take the demand now. */
+  choose(
+    demand: Demand,
+    nowMs: number,
+    mayExceed: boolean,
+  ): TargetState | undefined {
+    const maxLoad = mayExceed
+      ? this.maxExceededLoad(demand.service)
+      : FULL_LOAD;
+    let best: TargetState | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const target of this.ofService(demand.service)) {
+      const load = this.loadIfAcceptable(target, demand, nowMs, maxLoad);
+      if (load === undefined) continue;
+      const cost = this.costOf(target, load, demand, nowMs);
+      if (cost < bestCost) {
+        best = target;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** The load with the demand; undefined if the target cannot take it now. */
+  loadIfAcceptable(
+    target: TargetState,
+    demand: Demand,
+    nowMs: number,
+    maxLoad: number,
+  ): number | undefined {
+    if (!this.isUsable(target, demand)) return undefined;
+    if (isCold(target, nowMs) && !this.hasColdToken(target, nowMs)) {
+      return undefined;
+    }
+    const load = this.loadAfter(target, demand);
+    if (load > maxLoad) return undefined;
+    const {id} = target.record.announcement;
+    const {limiter} = this.options;
+    if (limiter.maySend(id, nowMs)) return load;
+    limiter.want(id, nowMs);
+    return undefined;
+  }
+
+  /**
+   * Plain targets queue what exceeds their capacity; engines preempt others. Of
+   * a share of a target nobody knows how much the others take.
+   */
+  maxExceededLoad(service: ServiceId): number {
+    const isEngine = this.engineKvTokens(service) !== undefined;
+    return isEngine && this.options.share(service) === 1
+      ? FULL_LOAD
+      : Number.POSITIVE_INFINITY;
+  }
+
+  /** Lower is better; above the load by what speaks against the target. */
+  costOf(
+    target: TargetState,
+    load: number,
+    demand: Demand,
+    nowMs: number,
+  ): number {
+    const isOtherZone = target.record.announcement.zone !== demand.zone;
+    return (
+      load +
+      penaltyOf(target, nowMs) +
+      (isOtherZone ? demand.otherZonePenalty : 0) +
+      this.options.random() * TIE_BREAK_RANGE
+    );
+  }
+
+  /**
+   * Load of the target with the demand added; above 1 it exceeds the capacity.
+   */
+  private loadAfter(target: TargetState, demand: Demand): number {
+    const share = this.options.share(demand.service);
+    const slots = Math.max(1, target.record.announcement.slots * share);
+    const slotLoad = (target.runs + 1) / slots;
+    const kvTokens = this.engineKvTokens(demand.service);
+    if (kvTokens === undefined) return slotLoad;
+    const capacityTokens = Math.max(demand.kvTokens, kvTokens * share);
+    return Math.max(
+      slotLoad,
+      (target.kvTokens + demand.kvTokens) / capacityTokens,
+    );
+  }
+
+  private hasColdToken(target: TargetState, nowMs: number): boolean {
+    const {service} = target.record.announcement;
+    const perS = this.capacities.get(service)?.coldRequestsPerS ?? 0;
+    return hasColdToken(target, perS * this.options.share(service), nowMs);
+  }
+}
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -44,6 +44,11 @@
   readonly noTargetWaitMs: number;
   /** How long the demand may wait for any reservation. */
   readonly maxWaitMs: number;
+  /**
+   * Time until the caller's deadline; undefined: not known. Older daemons do
+   * not send it.
+   */
+  readonly deadlineInMs?: number;
   readonly excluded: readonly TargetId[];
 }
 
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -79,3 +79,24 @@
     });
   }
 }
+
+/** Registers gauges with a value for each priority, read at each scrape. */
+export function registerPriorityGauges(
+  registry: Registry,
+  read: () => Readonly<Record<string, ReadonlyMap<number, number>>>,
+): void {
+  for (const name of Object.keys(read())) {
+    new Gauge({
+      name: PREFIX + name,
+      help: name.replaceAll('_', ' '),
+      labelNames: ['priority'],
+      registers: [registry],
+      collect() {
+        this.reset();
+        for (const [priority, value] of read()[name] ?? []) {
+          this.set({priority}, value);
+        }
+      },
+    });
+  }
+}
--- a/packages/replay/src/reservations/fleet.ts
+++ b/packages/replay/src/reservations/fleet.ts
@@ -46,6 +46,7 @@
   const {slots, kvTokens} = scenario;
   const config: EngineConfig = {
     ...STEP,
+    stepBaseMs: scenario.stepBaseMs ?? STEP.stepBaseMs,
     slots,
     coldSlots: slots,
     kvTokens,
--- a/packages/replay/src/reservations/play.ts
+++ b/packages/replay/src/reservations/play.ts
@@ -5,8 +5,10 @@
 import {
   instanceId,
   requestId,
+  workspaceId,
   zoneId,
   type TargetId,
+  type WorkspaceId,
 } from '@samphirefield/core';
 import {step, submit} from '@samphirefield/fakes';
 import {
@@ -75,6 +77,7 @@
   constructor(
     private readonly scenario: Scenario,
     seed: number,
+    usesAdmission: boolean,
   ) {
     this.random = createRandom(seed);
     this.dispatcher = new Dispatcher({
@@ -83,6 +86,7 @@
         this.waiting.delete(demand.request);
         resolve?.(result);
       },
+      usesAdmission,
       share: () => 1,
       random: () => this.random.below(1_000) / 1_000,
     });
@@ -156,7 +160,9 @@
       false,
       events.nowMs,
     );
-    events.schedule(events.nowMs + scenario.noticeMs, () => this.end(engine));
+    const {noticeMs, noticeSpreadMs} = scenario;
+    const extraMs = noticeSpreadMs ? this.random.below(noticeSpreadMs) : 0;
+    events.schedule(events.nowMs + noticeMs + extraMs, () => this.end(engine));
     this.moveNext(engine);
   }
 
@@ -174,7 +180,7 @@
     next.isMoving = true;
     const run = this.newRun();
     const demand = moveDemand(
-      this.requester(run, next.played.requestClass, [engine.id]),
+      this.requester(run, next.played, [engine.id]),
       next.tokens,
     );
     this.acquire(demand, result => {
@@ -232,7 +238,8 @@
     const {scenario, events} = this;
     const isBurst =
       events.nowMs >= scenario.burstFromMs && events.nowMs < scenario.burstToMs;
-    const perS = requestClass.perS * (isBurst ? scenario.burst : 1);
+    const factor = scenario.rateFactor?.(requestClass, events.nowMs) ?? 1;
+    const perS = requestClass.perS * (isBurst ? scenario.burst : 1) * factor;
     const gapS = -Math.log(uniform(this.random.below)) / perS;
     const atMs = events.nowMs + gapS * MS_PER_S;
     if (atMs > scenario.durationMs) return;
@@ -245,17 +252,29 @@
   private arrive(requestClass: RequestClass): void {
     const played: PlayedRequest = {
       requestClass,
+      workspace: this.drawWorkspace(),
+      tokens: 0,
       askedAtMs: this.events.nowMs,
       outcome: 'refused',
       firstAtMs: undefined,
+      grantedAfterMs: undefined,
       attempts: 1,
       refusedAfterMs: undefined,
     };
     this.requests.push(played);
     const {tokens, outputTokens} = drawRequest(requestClass, this.random.below);
+    played.tokens = tokens.promptTokens + outputTokens;
     this.ask(played, tokens, outputTokens);
   }
 
+  /** The first workspace sends the most, each next one a little less. */
+  private drawWorkspace(): WorkspaceId | undefined {
+    const {workspaces} = this.scenario;
+    if (workspaces === undefined) return undefined;
+    const position = uniform(this.random.below) ** 2;
+    return workspaceId(`w${Math.floor(position * workspaces)}`);
+  }
+
   private ask(
     played: PlayedRequest,
     tokens: TokenCounts,
@@ -266,13 +285,14 @@
     const run = this.newRun();
     const remainingMs = askedAtMs + requestClass.deadlineMs - events.nowMs;
     const demand = startDemand(
-      this.requester(run, requestClass, []),
+      this.requester(run, played, []),
       tokens,
       requestClass.objectiveMs,
       remainingMs,
     );
     this.acquire(demand, result => {
       if (result.kind === 'granted') {
+        played.grantedAfterMs = events.nowMs - askedAtMs;
         events.schedule(events.nowMs + HOP_MS, () =>
           this.start(played, tokens, outputTokens, run, result.target),
         );
@@ -379,7 +399,7 @@
 
   private requester(
     run: string,
-    requestClass: RequestClass,
+    {requestClass, workspace}: PlayedRequest,
     excluded: readonly TargetId[],
   ) {
     const {scenario, runCount} = this;
@@ -389,7 +409,7 @@
       entry: instanceId(`e${runCount % ENTRY_COUNT}`),
       zone: zoneId(`z${runCount % scenario.zones}`),
       priority: requestClass.priority,
-      workspace: undefined,
+      workspace,
       excluded,
     };
   }
@@ -403,6 +423,10 @@
   }
 }
 
-export function playScenario(scenario: Scenario, seed: number): PlayFigures {
-  return new Play(scenario, seed).run();
+export function playScenario(
+  scenario: Scenario,
+  seed: number,
+  usesAdmission = false,
+): PlayFigures {
+  return new Play(scenario, seed, usesAdmission).run();
 }
--- a/packages/replay/src/reservations/scenario.ts
+++ b/packages/replay/src/reservations/scenario.ts
@@ -39,6 +39,14 @@
   readonly burst: number;
   readonly burstFromMs: number;
   readonly burstToMs: number;
+  /** Factor of the arrivals of a class at a time; default: none. */
+  readonly rateFactor?: (requestClass: RequestClass, atMs: number) => number;
+  /** Range of notices; default: always `noticeMs`. */
+  readonly noticeSpreadMs?: number;
+  /** Shortest time of a decoding step; default: that of the emulator. */
+  readonly stepBaseMs?: number;
+  /** Workspaces among which requests are divided unevenly; default: none. */
+  readonly workspaces?: number;
 }
 
 const LISTING_DRAFT: RequestClass = {
