Admission control: late requests leave room, returns, corrected reservations

Change: requests that return after a refusal are known by what they ask for and count as overdue; overdue ones leave a quarter of all room free, and are refused once no room is expected for them; an engine gets a prompt when its prefill backlog is short; reservations grow as runs do, and start smaller; short runs go to fuller engines; a large demand gets an engine held after half of its time.

--- a/packages/gateway/src/dispatch/admission-control.ts
+++ b/packages/gateway/src/dispatch/admission-control.ts
@@ -1,27 +1,29 @@
 /**
- * Runs the admission control of `policy` for the services of engines: keeps the
- * index of their room, and chooses engines from it. Answers overload for hours;
- * without the option the dispatcher does not use it.
+ * Runs the admission control of `policy` for the services of engines, and keeps
+ * the index of their room. Answers overload that lasts for hours; without the
+ * option the dispatcher does not use it.
  */
-import type {ServiceId} from '@samphirefield/core';
+import type {RequestId, ServiceId} from '@samphirefield/core';
 import {
-  PREFILL_TOKENS_PER_MS,
   ServiceAdmission,
   type ArrivalDecision,
 } from '@samphirefield/policy/admission';
+import {chooseEngine, chooseHold, type EngineHold} from './engine-choice.js';
 import {RoomIndex} from './room-index.js';
 import type {TargetState} from './target-state.js';
-import {FULL_LOAD, type TargetTable} from './target-table.js';
+import type {TargetTable} from './target-table.js';
 import type {Demand} from './types.js';
 
-/** Usable engines that are compared for a demand, in its zone and in all. */
-const COMPARED = 16;
-/** Engines that are looked at for these; the others are cold or excluded. */
-const MAX_LOOKED_AT = 192;
+/**
+ * After this share of its time in line the first demand that does not fit gets
+ * an engine on which no other long run starts.
+ */
+const HOLD_AFTER_SHARE = 0.5;
 
 interface ServiceState {
   readonly admission: ServiceAdmission<Demand>;
   index: RoomIndex;
+  hold: EngineHold | undefined;
 }
 
 export interface AdmissionControlOptions {
@@ -29,6 +31,13 @@
   readonly share: (service: ServiceId) => number;
 }
 
+/** A demand whose caller may have been refused before. */
+export interface Arrival {
+  readonly firstAskedAtMs: number;
+  /** Undefined: it has to wait or be refused. */
+  readonly target: TargetState | undefined;
+}
+
 export class AdmissionControl {
   private readonly services = new Map<ServiceId, ServiceState>();
 
@@ -58,35 +67,59 @@
     return sums;
   }
 
-  /** A target for the demand if its turn has come and there is room. */
-  chooseNow(demand: Demand, nowMs: number): TargetState | undefined {
-    const {admission, index} = this.stateOf(demand.service);
-    if (!demand.isRunning) {
-      admission.recordArrival(demand, nowMs);
-      if (admission.queue.hasInTime(demand.priority)) return undefined;
-      if (!admission.mayTakeRoom(demand, index, nowMs)) return undefined;
+  /** Chooses a target if the demand's turn has come and there is room. */
+  arrive(demand: Demand, nowMs: number): Arrival {
+    const state = this.stateOf(demand.service);
+    const {admission, index} = state;
+    const mayExceed = demand.patienceMs === 0;
+    if (demand.isRunning) {
+      const target = this.choose(state, demand, mayExceed, nowMs);
+      return {firstAskedAtMs: nowMs, target};
     }
-    return this.choose(demand, nowMs, 0, demand.patienceMs === 0);
+    const firstAskedAtMs = admission.recordArrival(demand, nowMs);
+    const mayStart =
+      firstAskedAtMs === nowMs &&
+      !admission.queue.hasInTime(demand.priority) &&
+      (mayExceed || admission.mayTakeRoom(demand, false, index, nowMs));
+    const target = mayStart
+      ? this.choose(state, demand, mayExceed, nowMs)
+      : undefined;
+    return {firstAskedAtMs, target};
   }
 
-  decideArrival(demand: Demand, nowMs: number): ArrivalDecision {
+  decideArrival(
+    demand: Demand,
+    firstAskedAtMs: number,
+    nowMs: number,
+  ): ArrivalDecision {
+    if (demand.isRunning) return {kind: 'wait', expectedWaitMs: undefined};
     const {admission} = this.stateOf(demand.service);
-    return admission.decideArrival(demand, nowMs);
+    return admission.decideArrival(demand, firstAskedAtMs, nowMs);
   }
 
-  expectedWaitMs(demand: Demand, nowMs: number): number | undefined {
-    return this.stateOf(demand.service).admission.expectedWaitMs(demand, nowMs);
-  }
-
-  add(demand: Demand, nowMs: number): void {
-    this.stateOf(demand.service).admission.add(demand, nowMs);
+  add(demand: Demand, firstAskedAtMs: number, nowMs: number): void {
+    this.stateOf(demand.service).admission.add(demand, firstAskedAtMs, nowMs);
   }
 
   has({service, request}: Demand): boolean {
     return this.services.get(service)?.admission.queue.has(request) ?? false;
   }
 
-  remove(request: Demand['request']): void {
+  /** Remembers the refused demand; returns when its caller should return. */
+  refuse(
+    demand: Demand,
+    firstAskedAtMs: number,
+    nowMs: number,
+  ): number | undefined {
+    if (demand.isRunning) return undefined;
+    const {admission} = this.stateOf(demand.service);
+    const known = admission.queue.find(demand.request);
+    const askedAtMs = known?.firstAskedAtMs ?? firstAskedAtMs;
+    admission.recordRefusal(demand, askedAtMs);
+    return admission.retryAfterMs(demand, nowMs);
+  }
+
+  remove(request: RequestId): void {
     for (const {admission} of this.services.values()) {
       admission.queue.remove(request);
     }
@@ -96,7 +129,7 @@
   withdraw(isWithdrawn: (demand: Demand) => boolean): Demand[] {
     const withdrawn: Demand[] = [];
     for (const {admission} of this.services.values()) {
-      withdrawn.push(...admission.queue.requests().filter(isWithdrawn));
+      withdrawn.push(...[...admission.queue.requests()].filter(isWithdrawn));
     }
     for (const {request} of withdrawn) this.remove(request);
     return withdrawn;
@@ -106,17 +139,27 @@
     return [...this.services.keys()].filter(service => this.covers(service));
   }
 
-  /** Demands whose wait is over. Without a usable target it is shorter. */
-  ended(nowMs: number, hasUsable: (demand: Demand) => boolean): Demand[] {
-    return [...this.services.values()].flatMap(({admission: {queue}}) => {
-      const [first] = queue.requests();
-      if (first === undefined || hasUsable(first)) return queue.ended(nowMs);
+  /** Demands that are refused now. */
+  ended(nowMs: number): Demand[] {
+    const ended = [...this.services.values()].flatMap(({admission}) => [
+      ...admission.giveUpOverdue(nowMs),
+      ...this.overWait(admission, nowMs),
+    ]);
+    return [...new Set(ended)];
+  }
+
+  /** Demands whose wait is over; it is shorter without a usable target. */
+  private overWait({queue}: ServiceAdmission<Demand>, nowMs: number): Demand[] {
+    const {table} = this.options;
+    for (const first of queue.requests()) {
+      if (table.hasUsable(first)) return queue.ended(nowMs);
       return queue.endedWithoutTarget(
         nowMs,
         demand => demand.noTargetWaitMs,
-        demand => !hasUsable(demand),
+        demand => !table.hasUsable(demand),
       );
-    });
+    }
+    return [];
   }
 
   /** Takes in a change of a target; `freedTokens`: what a run gave back. */
@@ -152,62 +195,57 @@
     const state = this.services.get(service);
     if (state === undefined || state.admission.queue.size === 0) return;
     const {admission} = state;
-    admission.queue.offer(({request: demand, sinceMs}) => {
-      const waitedMs = nowMs - sinceMs;
-      const mayExceed = waitedMs >= demand.patienceMs;
+    this.updateHold(state, nowMs);
+    admission.queue.offer(item => {
+      const {request: demand, sinceMs, isOverdue} = item;
+      const mayExceed = nowMs - sinceMs >= demand.patienceMs;
       const mayTake =
-        mayExceed || admission.mayTakeRoom(demand, state.index, nowMs);
+        mayExceed ||
+        admission.mayTakeRoom(demand, isOverdue, state.index, nowMs);
       if (!mayTake) return false;
-      const target = this.choose(demand, nowMs, waitedMs, mayExceed);
-      if (target) start(demand, target);
-      return target !== undefined;
+      const target = this.choose(state, demand, mayExceed, nowMs, isOverdue);
+      if (target === undefined) return false;
+      admission.recordStart(item, nowMs);
+      start(demand, target);
+      return true;
     }, nowMs);
   }
 
+  private updateHold(state: ServiceState, nowMs: number): void {
+    const {table} = this.options;
+    const {admission, index, hold} = state;
+    const isValid =
+      hold !== undefined &&
+      admission.queue.find(hold.request)?.isOverdue === false &&
+      table.isAvailable(hold.target);
+    if (isValid) return;
+    const item = admission.queue.longestHeld(HOLD_AFTER_SHARE, nowMs);
+    state.hold = item && chooseHold(table, index, item.request);
+  }
+
   private choose(
+    {admission, index, hold}: ServiceState,
     demand: Demand,
-    nowMs: number,
-    waitedMs: number,
     mayExceed: boolean,
+    nowMs: number,
+    isOverdue = false,
   ): TargetState | undefined {
-    const {table} = this.options;
-    const {service, zone, kvTokens} = demand;
-    const {index, admission} = this.stateOf(service);
-    const maxLoad = mayExceed ? table.maxExceededLoad(service) : FULL_LOAD;
-    const needTokens = maxLoad > FULL_LOAD ? 0 : kvTokens;
-    const isLate = waitedMs > demand.inTimeMs;
     const maxBacklogMs =
-      demand.isRunning || isLate
+      demand.isRunning || isOverdue
         ? Number.POSITIVE_INFINITY
         : admission.maxBacklogMs(demand);
-    let best: TargetState | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    const compare = (targets: Iterable<TargetState>) => {
-      let compared = 0;
-      let lookedAt = 0;
-      for (const target of targets) {
-        lookedAt += 1;
-        if (compared >= COMPARED || lookedAt > MAX_LOOKED_AT) return;
-        if (target.prefillDoneAtMs - nowMs > maxBacklogMs) continue;
-        const load = table.loadIfAcceptable(target, demand, nowMs, maxLoad);
-        if (load === undefined) continue;
-        compared += 1;
-        const cost = table.costOf(target, load, demand, nowMs);
-        if (cost >= bestCost) continue;
-        best = target;
-        bestCost = cost;
-      }
-    };
-    compare(index.withRoomIn(zone, needTokens));
-    compare(index.withRoom(needTokens));
-    return best;
+    const options = {mayExceed, maxBacklogMs, hold};
+    return chooseEngine(this.options.table, index, demand, options, nowMs);
   }
 
   private stateOf(service: ServiceId): ServiceState {
     let state = this.services.get(service);
     if (state === undefined) {
-      const index = this.buildIndex(service);
-      state = {admission: new ServiceAdmission<Demand>(), index};
+      state = {
+        admission: new ServiceAdmission<Demand>(),
+        index: this.buildIndex(service),
+        hold: undefined,
+      };
       this.services.set(service, state);
     }
     return state;
@@ -223,5 +261,3 @@
     return index;
   }
 }
-
-export {PREFILL_TOKENS_PER_MS};
--- a/packages/gateway/src/dispatch/demands.ts
+++ b/packages/gateway/src/dispatch/demands.ts
@@ -96,6 +96,8 @@
     noTargetWaitMs: objectiveMs * NO_TARGET_WAIT_SHARE,
     maxWaitMs: Math.max(0, remainingMs) * MAX_WAIT_SHARE,
     deadlineInMs: Math.max(0, remainingMs),
+    promptTokens: tokens.promptTokens,
+    maxKvTokens: tokens.promptTokens + tokens.maxOutputTokens,
   };
 }
 
@@ -104,13 +106,20 @@
  * demand is granted at once or refused. The requester's zone is that of the
  * target that the generation leaves.
  */
-export function moveDemand(requester: Requester, tokens: TokenCounts): Demand {
+export function moveDemand(
+  requester: Requester,
+  tokens: TokenCounts,
+  ranForMs: number,
+): Demand {
   return {
     ...requester,
     isRunning: true,
     otherZonePenalty: MOVE_ZONE_PENALTY,
     kvTokens: expectedKvTokens(tokens),
     prefillTokens: 0,
+    promptTokens: tokens.promptTokens,
+    maxKvTokens: tokens.promptTokens + tokens.maxOutputTokens,
+    ranForMs,
     inTimeMs: 0,
     patienceMs: 0,
     noTargetWaitMs: 0,
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -15,17 +15,23 @@
   TargetId,
   ZoneId,
 } from '@samphirefield/core';
+import {
+  PREFILL_TOKENS_PER_MS,
+  reservedKvTokens,
+} from '@samphirefield/policy/admission';
 import type {TargetRecord} from '../registry/index.js';
-import {AdmissionControl, PREFILL_TOKENS_PER_MS} from './admission-control.js';
+import {AdmissionControl} from './admission-control.js';
 import {DemandQueue} from './demand-queue.js';
 import {NO_LIMITS, type TargetLimiter} from './limiter.js';
 import {
   addRun,
+  growRun,
   recordGrant,
   recordOutcome,
   removeRun,
   type TargetState,
 } from './target-state.js';
+import {correctableRunOf, grownRun, runOf, type Run} from './runs.js';
 import {TargetTable} from './target-table.js';
 import type {
   Demand,
@@ -38,13 +44,6 @@
 
 const MS_PER_S = 1_000;
 
-export interface Run {
-  readonly request: RequestId;
-  readonly entry: InstanceId;
-  readonly target: TargetId;
-  readonly kvTokens: number;
-}
-
 export interface DispatcherOptions {
   readonly onResult: (demand: Demand, result: DispatchResult) => void;
   /**
@@ -155,10 +154,13 @@
 
   private acquireAdmitted(
     admission: AdmissionControl,
-    demand: Demand,
+    asked: Demand,
     nowMs: number,
   ): void {
-    const target = admission.chooseNow(demand, nowMs);
+    const {kvTokens, promptTokens = kvTokens} = asked;
+    const reserved = reservedKvTokens(kvTokens, promptTokens);
+    const demand = {...asked, kvTokens: reserved};
+    const {target, firstAskedAtMs} = admission.arrive(demand, nowMs);
     if (target) {
       this.grant(demand, target, nowMs);
       return;
@@ -167,12 +169,13 @@
       this.refuse(demand, 'all_tried', undefined);
       return;
     }
-    const decision = admission.decideArrival(demand, nowMs);
+    const decision = admission.decideArrival(demand, firstAskedAtMs, nowMs);
     if (decision.kind === 'refuse' && this.table.hasUsable(demand)) {
+      admission.refuse(demand, firstAskedAtMs, nowMs);
       this.refuse(demand, 'crowded', decision.retryAfterMs);
       return;
     }
-    admission.add(demand, nowMs);
+    admission.add(demand, firstAskedAtMs, nowMs);
     this.offerAdmitted(demand.service, nowMs);
     const isPending = admission.has(demand);
     if (isPending && this.isWaitOver(demand, 0)) this.end(demand, nowMs);
@@ -264,14 +267,23 @@
   }
 
   private dispatchAdmitted(admission: AdmissionControl, nowMs: number): void {
+    this.correctRuns(nowMs);
     admission.refresh();
     for (const service of admission.coveredServices()) {
       this.offerAdmitted(service, nowMs);
     }
-    const ended = admission.ended(nowMs, demand =>
-      this.table.hasUsable(demand),
-    );
-    for (const demand of ended) this.end(demand, nowMs);
+    for (const demand of admission.ended(nowMs)) this.end(demand, nowMs);
+  }
+
+  /** Reserves more for runs that outgrow their reservations. */
+  private correctRuns(nowMs: number): void {
+    for (const [request, run] of this.runs) {
+      const target = this.table.find(run.target);
+      const grown = grownRun(run, nowMs);
+      if (target === undefined || grown === undefined) continue;
+      growRun(target, grown.kvTokens - run.kvTokens);
+      this.runs.set(request, grown);
+    }
   }
 
   private offerAdmitted(service: ServiceId, nowMs: number): void {
@@ -292,16 +304,27 @@
 
   /** Refuses a pending demand. */
   private end(demand: Demand, nowMs: number): void {
-    this.queue.remove(demand.request);
-    this.admission?.remove(demand.request);
+    const waitMs = this.removePending(demand, nowMs);
     const isCrowded = this.table.hasUsable(demand);
     this.refuse(
       demand,
       isCrowded ? 'crowded' : 'no_target',
-      isCrowded ? this.expectedWaitMs(demand, nowMs) : undefined,
+      isCrowded ? waitMs : undefined,
     );
   }
 
+  /** Returns when a place is expected; undefined if that is not known. */
+  private removePending(demand: Demand, nowMs: number): number | undefined {
+    const {admission} = this;
+    if (admission?.covers(demand.service)) {
+      const waitMs = admission.refuse(demand, nowMs, nowMs);
+      admission.remove(demand.request);
+      return waitMs;
+    }
+    this.queue.remove(demand.request);
+    return this.expectedWaitMs(demand, nowMs);
+  }
+
   private isNextInLine({service, priority}: Demand): boolean {
     return !this.queue.hasInTime(service, priority);
   }
@@ -309,9 +332,6 @@
   /** Undefined while there is no basis for an estimate. */
   private expectedWaitMs(demand: Demand, nowMs: number): number | undefined {
     const {service, priority} = demand;
-    if (this.admission?.covers(service)) {
-      return this.admission.expectedWaitMs(demand, nowMs);
-    }
     const ahead = this.queue.countAhead(service, priority);
     const estimateMs = this.estimate.waitMs(service, ahead, nowMs);
     const statedPerS = this.table.statedPerS(service);
@@ -328,20 +348,17 @@
 
   private grant(demand: Demand, target: TargetState, nowMs: number): void {
     const {id} = target.record.announcement;
-    const {request, entry, kvTokens} = demand;
-    addRun(target, kvTokens);
-    recordGrant(
-      target,
-      demand.prefillTokens,
-      nowMs,
-      this.admission?.covers(demand.service)
-        ? PREFILL_TOKENS_PER_MS
-        : undefined,
-    );
-    const takenTokens = demand.isRunning ? -kvTokens : 0;
+    const isAdmitted = this.admission?.covers(demand.service) ?? false;
+    addRun(target, demand.kvTokens);
+    const prefillPerMs = isAdmitted ? PREFILL_TOKENS_PER_MS : undefined;
+    recordGrant(target, demand.prefillTokens, nowMs, prefillPerMs);
+    const takenTokens = demand.isRunning ? -demand.kvTokens : 0;
     this.admission?.targetChanged(target, takenTokens, nowMs);
     this.limiter.recordSend(id, nowMs);
-    this.runs.set(request, {request, entry, target: id, kvTokens});
+    const run = isAdmitted
+      ? correctableRunOf(demand, id, nowMs)
+      : runOf(demand, id);
+    this.runs.set(demand.request, run);
     this.estimate.recordGrant(demand.service, nowMs);
     this.options.onResult(demand, {kind: 'granted', target: id});
   }
--- a/packages/gateway/src/dispatch/index.ts
+++ b/packages/gateway/src/dispatch/index.ts
@@ -1,4 +1,5 @@
 export * from './demands.js';
 export * from './dispatcher.js';
 export * from './limiter.js';
+export type {Run} from './runs.js';
 export * from './types.js';
--- a/packages/gateway/src/dispatch/room-index.ts
+++ b/packages/gateway/src/dispatch/room-index.ts
@@ -18,6 +18,7 @@
   readonly zone: ZoneId;
   readonly freeTokens: number;
   readonly leavingTokens: number;
+  readonly totalTokens: number;
 }
 
 class Levels {
@@ -46,6 +47,7 @@
   private readonly byZone = new Map<ZoneId, Levels>();
   freeTokens = 0;
   leavingTokens = 0;
+  totalTokens = 0;
 
   /** `kvTokens` and `share`: the engines' capacity, and how much is ours. */
   constructor(
@@ -65,10 +67,12 @@
       zone,
       freeTokens: Math.floor(free / pieceTokens) * pieceTokens,
       leavingTokens: isLeaving ? target.kvTokens : 0,
+      totalTokens: isAvailable ? this.kvTokens * this.share : 0,
     };
     this.entries.set(target, entry);
     this.freeTokens += entry.freeTokens;
     this.leavingTokens += entry.leavingTokens;
+    this.totalTokens += entry.totalTokens;
     if (!isAvailable) return;
     this.all.add(target, entry.level);
     this.levelsOf(zone).add(target, entry.level);
@@ -80,6 +84,7 @@
     this.entries.delete(target);
     this.freeTokens -= entry.freeTokens;
     this.leavingTokens -= entry.leavingTokens;
+    this.totalTokens -= entry.totalTokens;
     this.all.delete(target, entry.level);
     this.levelsOf(entry.zone).delete(target, entry.level);
   }
--- /dev/null
+++ b/packages/gateway/src/dispatch/runs.ts
@@ -0,0 +1,48 @@
+/**
+ * The runs that a dispatcher granted. Under admission control their reservations
+ * are corrected as they run.
+ */
+import type {InstanceId, RequestId, TargetId} from '@samphirefield/core';
+import {
+  correctedKvTokens,
+  type ReservedRun,
+} from '@samphirefield/policy/admission';
+import type {Demand} from './types.js';
+
+export interface Run {
+  readonly request: RequestId;
+  readonly entry: InstanceId;
+  readonly target: TargetId;
+  readonly kvTokens: number;
+  /** Of a run that may outgrow what is reserved; undefined: not corrected. */
+  readonly reservation?: ReservedRun;
+}
+
+/** The run of a demand that is granted now. */
+export function runOf(demand: Demand, target: TargetId): Run {
+  const {request, entry, kvTokens} = demand;
+  return {request, entry, target, kvTokens};
+}
+
+/** The same, with what corrects its reservation if the demand says enough. */
+export function correctableRunOf(
+  demand: Demand,
+  target: TargetId,
+  nowMs: number,
+): Run {
+  const run = runOf(demand, target);
+  const {kvTokens, promptTokens, maxKvTokens, ranForMs = 0} = demand;
+  if (promptTokens === undefined || maxKvTokens === undefined) return run;
+  const startedAtMs = nowMs - ranForMs;
+  const reservation = {promptTokens, maxKvTokens, kvTokens, startedAtMs};
+  return {...run, reservation};
+}
+
+/** The run with a larger reservation; undefined if it has not outgrown it. */
+export function grownRun(run: Run, nowMs: number): Run | undefined {
+  const {reservation} = run;
+  if (reservation === undefined) return undefined;
+  const kvTokens = correctedKvTokens(reservation, nowMs);
+  if (kvTokens <= run.kvTokens) return undefined;
+  return {...run, kvTokens, reservation: {...reservation, kvTokens}};
+}
--- a/packages/gateway/src/dispatch/target-state.ts
+++ b/packages/gateway/src/dispatch/target-state.ts
@@ -70,6 +70,10 @@
   target.kvTokens += kvTokens;
 }
 
+export function growRun(target: TargetState, kvTokens: number): void {
+  target.kvTokens += kvTokens;
+}
+
 export function removeRun(target: TargetState, kvTokens: number): void {
   target.runs = Math.max(0, target.runs - 1);
   target.kvTokens = Math.max(0, target.kvTokens - kvTokens);
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -45,10 +45,14 @@
   /** How long the demand may wait for any reservation. */
   readonly maxWaitMs: number;
   /**
-   * Time until the caller's deadline; undefined: not known. Older daemons do
-   * not send it.
+   * For admission control; older daemons do not send these. Time until the
+   * caller's deadline; the prompt; KV cache with the longest output that the
+   * caller allows; how long the run has been on engines.
    */
   readonly deadlineInMs?: number;
+  readonly promptTokens?: number;
+  readonly maxKvTokens?: number;
+  readonly ranForMs?: number;
   readonly excluded: readonly TargetId[];
 }
 
--- a/packages/gateway/src/exchange/reservation.ts
+++ b/packages/gateway/src/exchange/reservation.ts
@@ -98,6 +98,7 @@
   metadata: RequestMetadata,
   run: RequestId,
   excluded: readonly TargetId[],
+  ranForMs: number,
 ): Demand {
   const [source] = excluded;
   const record = source && deps.reservations.findTarget(source);
@@ -107,5 +108,6 @@
   return moveDemand(
     {request: run, service, entry, zone, priority, workspace, excluded},
     metadata,
+    ranForMs,
   );
 }
--- a/packages/gateway/src/exchange/run-supervisor.ts
+++ b/packages/gateway/src/exchange/run-supervisor.ts
@@ -72,9 +72,11 @@
 export class RunSupervisor {
   /** Undefined when the run of this request cannot be moved. */
   private readonly movableAttemptId: string | undefined;
+  private readonly startedAtMs: number;
 
   constructor(private readonly options: RunSupervisorOptions) {
     const {deps, admitted, metadata} = options;
+    this.startedAtMs = deps.nowMs();
     const index = deps.activeConfig()?.routeIndex;
     const engine = index?.findService(admitted.service)?.engine;
     const {isStreamed} = KIND_TRAITS[admitted.route.kind];
@@ -205,10 +207,14 @@
     const {reservations} = deps;
     const run = newRunId(deps);
     const result = await reservations.reserve(
-      buildMoveDemand(deps, admitted, metadata, run, [
-        ...excluded,
-        ...deps.statements.pausedTargets(),
-      ]),
+      buildMoveDemand(
+        deps,
+        admitted,
+        metadata,
+        run,
+        [...excluded, ...deps.statements.pausedTargets()],
+        deps.nowMs() - this.startedAtMs,
+      ),
     );
     if (result.kind === 'refused') return undefined;
     const release = (isUsed: boolean) =>
--- a/packages/policy/src/admission/index.ts
+++ b/packages/policy/src/admission/index.ts
@@ -1,3 +1,4 @@
+export * from './growth.js';
 export * from './queue.js';
 export * from './service-admission.js';
 export * from './types.js';
--- a/packages/policy/src/admission/queue.ts
+++ b/packages/policy/src/admission/queue.ts
@@ -15,6 +15,12 @@
 
 /** A workspace is put back by at most this time. */
 const MAX_PUT_BACK_MS = 1_500;
+/**
+ * Among requests of about the same due time the smaller goes first, as more of
+ * them are served; 1 ms a token served the largest tenth half as often.
+ */
+const PUT_BACK_MS_PER_TOKEN = 0.2;
+const MS_PER_S = 1_000;
 const NO_WORKSPACE = '';
 
 interface PriorityLines<R extends AdmissionRequest> {
@@ -47,24 +53,34 @@
   }
 
   /** `freedPerS`: KV tokens that become free each second, if known. */
-  add(request: R, nowMs: number, freedPerS: number | undefined): void {
-    const dueAtMs = nowMs + request.inTimeMs;
+  add(
+    request: R,
+    firstAskedAtMs: number,
+    nowMs: number,
+    freedPerS: number | undefined,
+  ): void {
+    const dueAtMs = firstAskedAtMs + request.inTimeMs;
     const item: Waiting<R> = {
       request,
       sequence: this.nextSequence,
       sinceMs: nowMs,
+      firstAskedAtMs,
       dueAtMs,
       endsAtMs: nowMs + longestWaitMs(request),
       orderKey: this.stampOrder(request, dueAtMs, freedPerS),
-      isOverdue: false,
+      isOverdue: dueAtMs < nowMs,
     };
     this.nextSequence += 1;
     this.items.set(request.request, item);
-    this.linesOf(request.priority).inTime.add(item);
-    this.byDue.add(item);
+    this.lineOf(item).add(item);
+    if (!item.isOverdue) this.byDue.add(item);
     this.byEnd.add(item);
   }
 
+  find(request: RequestId): Waiting<R> | undefined {
+    return this.items.get(request);
+  }
+
   remove(request: RequestId): R | undefined {
     const item = this.items.get(request);
     if (item === undefined) return undefined;
@@ -95,8 +111,16 @@
   }
 
   /** All requests that wait, in the order of their arrival. */
-  requests(): R[] {
-    return [...this.items.values()].map(({request}) => request);
+  *requests(): Iterable<R> {
+    for (const {request} of this.items.values()) yield request;
+  }
+
+  /** The first request in time that has waited for this share of its time. */
+  longestHeld(share: number, nowMs: number): Waiting<R> | undefined {
+    const item = this.byDue.first;
+    if (item === undefined) return undefined;
+    const waitedMs = nowMs - item.firstAskedAtMs;
+    return waitedMs >= item.request.inTimeMs * share ? item : undefined;
   }
 
   /** The requests whose wait is over. */
@@ -125,8 +149,14 @@
     return tokens;
   }
 
-  overdueTokens(): number {
-    return this.lines.reduce((sum, {overdue}) => sum + overdue.kvTokens, 0);
+  /** The same for one that is overdue already. */
+  overdueTokensAhead(priority: number): number {
+    let tokens = 0;
+    for (const line of this.lines) {
+      tokens += line.inTime.kvTokens;
+      if (line.priority <= priority) tokens += line.overdue.kvTokens;
+    }
+    return tokens;
   }
 
   counts(): ReadonlyMap<number, number> {
@@ -177,10 +207,13 @@
     return {started: undefined, blockedClass};
   }
 
-  private moveOverdue(nowMs: number): void {
+  /** Puts the requests whose due time has passed behind the others. */
+  moveOverdue(nowMs: number): Array<Waiting<R>> {
+    const moved: Array<Waiting<R>> = [];
     for (;;) {
       const item = this.byDue.first;
-      if (item === undefined || item.dueAtMs >= nowMs) return;
+      if (item === undefined || item.dueAtMs >= nowMs) return moved;
+      moved.push(item);
       this.byDue.remove(item);
       this.lineOf(item).remove(item);
       item.isOverdue = true;
@@ -201,9 +234,10 @@
     const flow = this.flows.get(name) ?? {waiting: 0, nextKeyMs: dueAtMs};
     this.flows.set(name, flow);
     flow.waiting += 1;
-    const latestMs = dueAtMs + MAX_PUT_BACK_MS;
-    const key = Math.min(latestMs, Math.max(dueAtMs, flow.nextKeyMs));
-    const partPerMs = (freedPerS ?? 0) / 1_000 / this.flows.size;
+    const orderMs = dueAtMs + kvTokens * PUT_BACK_MS_PER_TOKEN;
+    const latestMs = orderMs + MAX_PUT_BACK_MS;
+    const key = Math.min(latestMs, Math.max(orderMs, flow.nextKeyMs));
+    const partPerMs = (freedPerS ?? 0) / MS_PER_S / this.flows.size;
     const tokensMs = partPerMs > 0 ? kvTokens / partPerMs : 0;
     flow.nextKeyMs = key + tokensMs;
     return key;
--- a/packages/policy/src/admission/rate.ts
+++ b/packages/policy/src/admission/rate.ts
@@ -1,6 +1,6 @@
 /** A rate of tokens over the last seconds, in constant time and memory. */
 
-const SLOT_MS = 250;
+const DEFAULT_SLOT_MS = 250;
 const SLOTS = 20;
 const MS_PER_S = 1_000;
 
@@ -9,6 +9,8 @@
   private current = 0;
   private firstMs: number | undefined;
 
+  constructor(private readonly slotMs = DEFAULT_SLOT_MS) {}
+
   record(tokens: number, nowMs: number): void {
     this.advance(nowMs);
     this.slots[this.current % SLOTS]! += tokens;
@@ -18,14 +20,14 @@
   perS(nowMs: number): number | undefined {
     this.advance(nowMs);
     if (this.firstMs === undefined) return undefined;
-    const spanMs = Math.min(nowMs - this.firstMs, SLOT_MS * (SLOTS - 1));
+    const spanMs = Math.min(nowMs - this.firstMs, this.slotMs * (SLOTS - 1));
     if (spanMs < MS_PER_S) return undefined;
     const sum = this.slots.reduce((total, tokens) => total + tokens, 0);
     return (sum / spanMs) * MS_PER_S;
   }
 
   private advance(nowMs: number): void {
-    const slot = Math.floor(nowMs / SLOT_MS);
+    const slot = Math.floor(nowMs / this.slotMs);
     if (this.firstMs === undefined) {
       this.firstMs = nowMs;
       this.current = slot;
--- a/packages/policy/src/admission/service-admission.ts
+++ b/packages/policy/src/admission/service-admission.ts
@@ -6,29 +6,39 @@
  */
 import {AdmissionQueue} from './queue.js';
 import {TokenRate} from './rate.js';
-import type {AdmissionRequest, ArrivalDecision} from './types.js';
-import {expectedRunMs, longestWaitMs} from './work.js';
+import {Returns} from './returns.js';
+import type {AdmissionRequest, ArrivalDecision, Waiting} from './types.js';
+import {endsInNotice, longestWaitMs} from './work.js';
 
 const MS_PER_S = 1_000;
-/**
- * A run that ends within this time gives its room back before an engine that
- * leaves now has stopped: the shortest notice is 1.5 s.
- */
-const NOTICE_MS = 1_500;
 /**
  * Room for this much time of the urgent arrivals stays free, which bridges the
  * time between two ends of long runs.
  */
-const URGENT_ROOM_MS = 250;
+const URGENT_ROOM_MS = 200;
+/**
+ * Overdue requests leave this share of all room free: a late response is worth
+ * a tenth to a quarter of one in time, and would hold its room for 10 s.
+ */
+const OVERDUE_ROOM_SHARE = 0.25;
 /** Urgent arrivals leave at least this share of the freed room to others. */
 const LEAST_RATE_SHARE = 0.15;
-/** Share of the time until a request is due that engines may still prefill. */
-const BACKLOG_SHARE = 0.5;
+/** Overdue requests are expected to get at least this share of freed room. */
+const LEAST_SLACK_SHARE = 0.05;
+/** Waves of overload last some seconds, so slack is counted over more. */
+const SLACK_SLOT_MS = 1_000;
+/**
+ * Share of the shortest wait in time that an engine may still prefill when it
+ * gets another prompt. Engines prefill in the order of arrival, so what waits
+ * there cannot be ordered by urgency any more.
+ */
+const BACKLOG_SHARE = 0.12;
 
-/** The load of the engines, as the dispatcher counts it. */
+/** The load of the engines of a service, as the dispatcher counts it. */
 export interface EngineLoad {
   /** Free KV cache in pieces of a usual request's size. */
   readonly freeTokens: number;
+  readonly totalTokens: number;
   /** KV cache of the runs on engines that are leaving. */
   readonly leavingTokens: number;
 }
@@ -36,18 +46,22 @@
 export class ServiceAdmission<R extends AdmissionRequest> {
   readonly queue = new AdmissionQueue<R>();
   private readonly freed = new TokenRate();
+  /** Room that overdue requests took. */
+  private readonly takenLate = new TokenRate(SLACK_SLOT_MS);
+  private readonly returns = new Returns();
   private readonly arrived = new Map<number, TokenRate>();
   /** The shortest time in which requests of a priority are due. */
   private readonly dueInMs = new Map<number, number>();
 
-  recordArrival({priority, kvTokens, inTimeMs}: R, nowMs: number): void {
+  /** Returns when the caller asked first: earlier if it was refused then. */
+  recordArrival(request: R, nowMs: number): number {
+    const {priority, kvTokens, inTimeMs} = request;
     const rate = this.arrived.get(priority) ?? new TokenRate();
     this.arrived.set(priority, rate);
     rate.record(kvTokens, nowMs);
-    this.dueInMs.set(
-      priority,
-      Math.min(inTimeMs, this.dueInMs.get(priority) ?? inTimeMs),
-    );
+    const knownMs = this.dueInMs.get(priority) ?? inTimeMs;
+    this.dueInMs.set(priority, Math.min(inTimeMs, knownMs));
+    return this.returns.takeFirstAsked(request, nowMs);
   }
 
   /** Room that became free for requests; negative: runs that moved took it. */
@@ -55,38 +69,70 @@
     this.freed.record(kvTokens, nowMs);
   }
 
-  add(request: R, nowMs: number): void {
-    this.queue.add(request, nowMs, this.freed.perS(nowMs));
+  /** Room that a request took; overdue ones show how much is left for them. */
+  recordStart({request, isOverdue}: Waiting<R>, nowMs: number): void {
+    this.takenLate.record(isOverdue ? request.kvTokens : 0, nowMs);
+  }
+
+  /** Remembers a refused request, whose caller may return. */
+  recordRefusal(request: R, firstAskedAtMs: number): void {
+    this.returns.recordRefusal(request, firstAskedAtMs);
+  }
+
+  add(request: R, firstAskedAtMs: number, nowMs: number): void {
+    this.queue.add(request, firstAskedAtMs, nowMs, this.freed.perS(nowMs));
   }
 
   /** Decides on a request that cannot start now. */
-  decideArrival(request: R, nowMs: number): ArrivalDecision {
-    const waitMs = this.expectedWaitMs(request, nowMs);
-    if (waitMs === undefined || waitMs <= longestWaitMs(request)) {
+  decideArrival(
+    request: R,
+    firstAskedAtMs: number,
+    nowMs: number,
+  ): ArrivalDecision {
+    const waitMs = this.waitInTimeMs(request.priority, nowMs);
+    const leftInTimeMs = firstAskedAtMs + request.inTimeMs - nowMs;
+    if (waitMs === undefined || waitMs <= leftInTimeMs) {
       return {kind: 'wait', expectedWaitMs: waitMs};
     }
-    return {kind: 'refuse', expectedWaitMs: waitMs, retryAfterMs: waitMs};
+    return this.decideLate(request, longestWaitMs(request), nowMs);
   }
 
-  /** Undefined while there is no basis for an estimate. */
-  expectedWaitMs({priority}: R, nowMs: number): number | undefined {
-    const freedPerS = this.freed.perS(nowMs);
-    if (freedPerS === undefined || freedPerS <= 0) return undefined;
-    const urgentPerS = this.urgentPerS(priority, nowMs);
-    const usablePerS = Math.max(
-      freedPerS - urgentPerS,
-      freedPerS * LEAST_RATE_SHARE,
-    );
-    return (this.queue.tokensAhead(priority) / usablePerS) * MS_PER_S;
+  /** Requests that are overdue now and are not expected to be served. */
+  giveUpOverdue(nowMs: number): R[] {
+    return this.queue
+      .moveOverdue(nowMs)
+      .filter(({request, endsAtMs}) => {
+        const decision = this.decideLate(request, endsAtMs - nowMs, nowMs);
+        return decision.kind === 'refuse';
+      })
+      .map(({request}) => request);
+  }
+
+  /**
+   * When a request that is refused now would be served; undefined while there
+   * is no basis for an estimate.
+   */
+  retryAfterMs({priority}: R, nowMs: number): number | undefined {
+    return this.lateWaitMs(priority, nowMs);
   }
 
   /** Whether the request may take room now, so that enough stays free. */
-  mayTakeRoom(request: R, load: EngineLoad, nowMs: number): boolean {
-    const keptTokens = this.keptTokens(request, load, nowMs);
+  mayTakeRoom(
+    request: R,
+    isOverdue: boolean,
+    load: EngineLoad,
+    nowMs: number,
+  ): boolean {
+    const leavingTokens = endsInNotice(request) ? 0 : load.leavingTokens;
+    const urgentPerS = this.urgentPerS(request.priority, nowMs);
+    const keptTokens =
+      leavingTokens +
+      (urgentPerS * URGENT_ROOM_MS) / MS_PER_S +
+      (isOverdue ? load.totalTokens * OVERDUE_ROOM_SHARE : 0);
     return keptTokens === 0 || load.freeTokens - request.kvTokens >= keptTokens;
   }
 
-  /** An engine with more prompts than this to prefill gets no request. */
+  /** An engine with more prompts than this to prefill gets no request in time. */
   maxBacklogMs({priority}: R): number {
     let dueInMs = Number.POSITIVE_INFINITY;
     for (const [other, inMs] of this.dueInMs) {
@@ -95,11 +141,38 @@
     return dueInMs * BACKLOG_SHARE;
   }
 
-  private keptTokens(request: R, load: EngineLoad, nowMs: number): number {
-    const endsInNotice = expectedRunMs(request) <= NOTICE_MS;
-    const leavingTokens = endsInNotice ? 0 : load.leavingTokens;
-    const urgentPerS = this.urgentPerS(request.priority, nowMs);
-    return leavingTokens + (urgentPerS * URGENT_ROOM_MS) / MS_PER_S;
+  private decideLate(
+    request: R,
+    longestMs: number,
+    nowMs: number,
+  ): ArrivalDecision {
+    const waitMs = this.lateWaitMs(request.priority, nowMs);
+    if (waitMs === undefined || waitMs <= longestMs) {
+      return {kind: 'wait', expectedWaitMs: waitMs};
+    }
+    return {kind: 'refuse', retryAfterMs: waitMs};
+  }
+
+  /** The wait of a request that is in time. */
+  private waitInTimeMs(priority: number, nowMs: number): number | undefined {
+    const freedPerS = this.freed.perS(nowMs);
+    if (freedPerS === undefined || freedPerS <= 0) return undefined;
+    const usablePerS = Math.max(
+      freedPerS - this.urgentPerS(priority, nowMs),
+      freedPerS * LEAST_RATE_SHARE,
+    );
+    return (this.queue.tokensAhead(priority) / usablePerS) * MS_PER_S;
+  }
+
+  /** The wait of a request that is overdue. */
+  private lateWaitMs(priority: number, nowMs: number): number | undefined {
+    const freedPerS = this.freed.perS(nowMs);
+    if (freedPerS === undefined || freedPerS <= 0) return undefined;
+    const slackPerS = Math.max(
+      this.takenLate.perS(nowMs) ?? 0,
+      freedPerS * LEAST_SLACK_SHARE,
+    );
+    return (this.queue.overdueTokensAhead(priority) / slackPerS) * MS_PER_S;
   }
 
   /** KV tokens a second that more urgent requests ask for. */
--- a/packages/policy/src/admission/types.ts
+++ b/packages/policy/src/admission/types.ts
@@ -28,6 +28,8 @@
   readonly request: R;
   readonly sequence: number;
   readonly sinceMs: number;
+  /** When the caller asked first; earlier if it returned after a refusal. */
+  readonly firstAskedAtMs: number;
   /** When the request can no longer be served in time. */
   readonly dueAtMs: number;
   /** When the request is refused. */
@@ -42,7 +44,6 @@
   | {readonly kind: 'wait'; readonly expectedWaitMs: number | undefined}
   | {
       readonly kind: 'refuse';
-      readonly expectedWaitMs: number;
       /** When a request like this one is expected to be served. */
       readonly retryAfterMs: number;
     };
--- a/packages/replay/src/reservations/play.ts
+++ b/packages/replay/src/reservations/play.ts
@@ -46,12 +46,14 @@
 const DRAIN_MS = 45_000;
 const COLD_MS = 1_000;
 const MS_PER_S = 1_000;
+const CHOICES_SEED = 1_000_003;
 
 interface Running {
   readonly played: PlayedRequest;
   readonly tokens: TokenCounts;
   readonly outputTokens: number;
   readonly run: string;
+  readonly startedAtMs: number;
   generated: number;
   lastEventAtMs: number | undefined;
   worstGapMs: number;
@@ -80,6 +82,7 @@
     usesAdmission: boolean,
   ) {
     this.random = createRandom(seed);
+    const choices = createRandom(seed + CHOICES_SEED);
     this.dispatcher = new Dispatcher({
       onResult: (demand, result) => {
         const resolve = this.waiting.get(demand.request);
@@ -88,7 +91,8 @@
       },
       usesAdmission,
       share: () => 1,
-      random: () => this.random.below(1_000) / 1_000,
+      // Its own generator, so that the arrivals of a seed are the same.
+      random: () => choices.below(1_000) / 1_000,
     });
     this.dispatcher.configure(
       [
@@ -182,6 +186,7 @@
     const demand = moveDemand(
       this.requester(run, next.played, [engine.id]),
       next.tokens,
+      events.nowMs - next.startedAtMs,
     );
     this.acquire(demand, result => {
       if (result.kind === 'refused') {
@@ -330,6 +335,7 @@
       tokens,
       outputTokens,
       run,
+      startedAtMs: this.events.nowMs,
       generated: 0,
       lastEventAtMs: undefined,
       worstGapMs: 0,
