Admission control: learn the prefill pace; overdue requests keep to it too

Change: the pace is learned from the time of runs with short outputs; the limit holds for overdue ones; a late request is expected to wait for the line in time and then for what is left to overdue ones.

--- a/packages/bench/src/dispatcher.ts
+++ b/packages/bench/src/dispatcher.ts
@@ -48,8 +48,13 @@
   };
 }
 
-function createFilled(targets: number, share: number): Dispatcher {
+function createFilled(
+  targets: number,
+  share: number,
+  usesAdmission: boolean,
+): Dispatcher {
   const dispatcher = new Dispatcher({
+    usesAdmission,
     onResult: () => undefined,
     share: () => 1,
     random: Math.random,
@@ -93,10 +98,14 @@
   return Number(micros.toFixed(1));
 }
 
-function measure(targets: number, waiting: number): object {
-  const free = createFilled(targets, 0.5);
+function measure(
+  targets: number,
+  waiting: number,
+  usesAdmission: boolean,
+): object {
+  const free = createFilled(targets, 0.5, usesAdmission);
   const placed = microsPerCall(call => free.acquire(demand(call), call));
-  const full = createFilled(targets, 1);
+  const full = createFilled(targets, 1, usesAdmission);
   for (let i = 0; i < waiting; i += 1) full.acquire(demand(i), 0);
   const queued = microsPerCall(call =>
     full.acquire(demand(waiting + call), call),
@@ -105,6 +114,7 @@
     full.release(requestId(`held-${call % targets}-0`), 'served', call),
   );
   return {
+    order: usesAdmission ? 'admission' : 'arrival',
     targets,
     waiting,
     placed_us: placed,
@@ -113,4 +123,8 @@
   };
 }
 
-console.table(SIZES.map(([targets, waiting]) => measure(targets, waiting)));
+console.table(
+  [false, true].flatMap(usesAdmission =>
+    SIZES.map(([targets, waiting]) => measure(targets, waiting, usesAdmission)),
+  ),
+);
--- a/packages/gateway/src/dispatch/admission-control.ts
+++ b/packages/gateway/src/dispatch/admission-control.ts
@@ -10,6 +10,7 @@
 } from '@samphirefield/policy/admission';
 import {chooseEngine, chooseHold, type EngineHold} from './engine-choice.js';
 import {RoomIndex} from './room-index.js';
+import type {Run} from './runs.js';
 import type {TargetState} from './target-state.js';
 import type {TargetTable} from './target-table.js';
 import type {Demand} from './types.js';
@@ -101,6 +102,15 @@
     this.stateOf(demand.service).admission.add(demand, firstAskedAtMs, nowMs);
   }
 
+  prefillTokensPerMs(service: ServiceId): number {
+    return this.stateOf(service).admission.prefill.tokensPerMs;
+  }
+
+  recordServed(service: ServiceId, run: Run, nowMs: number): void {
+    if (run.prefill === undefined || !this.covers(service)) return;
+    this.stateOf(service).admission.prefill.recordServed(run.prefill, nowMs);
+  }
+
   has({service, request}: Demand): boolean {
     return this.services.get(service)?.admission.queue.has(request) ?? false;
   }
@@ -203,7 +213,7 @@
         mayExceed ||
         admission.mayTakeRoom(demand, isOverdue, state.index, nowMs);
       if (!mayTake) return false;
-      const target = this.choose(state, demand, mayExceed, nowMs, isOverdue);
+      const target = this.choose(state, demand, mayExceed, nowMs);
       if (target === undefined) return false;
       admission.recordStart(item, nowMs);
       start(demand, target);
@@ -228,12 +238,10 @@
     demand: Demand,
     mayExceed: boolean,
     nowMs: number,
-    isOverdue = false,
   ): TargetState | undefined {
-    const maxBacklogMs =
-      demand.isRunning || isOverdue
-        ? Number.POSITIVE_INFINITY
-        : admission.maxBacklogMs(demand);
+    const maxBacklogMs = demand.isRunning
+      ? Number.POSITIVE_INFINITY
+      : admission.maxBacklogMs(demand);
     const options = {mayExceed, maxBacklogMs, hold};
     return chooseEngine(this.options.table, index, demand, options, nowMs);
   }
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -15,10 +15,7 @@
   TargetId,
   ZoneId,
 } from '@samphirefield/core';
-import {
-  PREFILL_TOKENS_PER_MS,
-  reservedKvTokens,
-} from '@samphirefield/policy/admission';
+import {reservedKvTokens} from '@samphirefield/policy/admission';
 import type {TargetRecord} from '../registry/index.js';
 import {AdmissionControl} from './admission-control.js';
 import {DemandQueue} from './demand-queue.js';
@@ -240,9 +237,11 @@
     if (target === undefined) return;
     removeRun(target, run.kvTokens);
     recordOutcome(target, outcome, nowMs);
+    const {service} = target.record.announcement;
+    if (outcome === 'served') this.admission?.recordServed(service, run, nowMs);
     this.admission?.targetChanged(target, run.kvTokens, nowMs);
     this.grantPending(nowMs);
-    this.offerAdmitted(target.record.announcement.service, nowMs);
+    this.offerAdmitted(service, nowMs);
   }
 
   /** Releases the runs and drops the demands of a daemon that is gone. */
@@ -350,13 +349,17 @@
     const {id} = target.record.announcement;
     const isAdmitted = this.admission?.covers(demand.service) ?? false;
     addRun(target, demand.kvTokens);
-    const prefillPerMs = isAdmitted ? PREFILL_TOKENS_PER_MS : undefined;
+    const prefillPerMs = isAdmitted
+      ? this.admission?.prefillTokensPerMs(demand.service)
+      : undefined;
+    const backlogMs = Math.max(0, target.prefillDoneAtMs - nowMs);
+    const tokensAhead = backlogMs * (prefillPerMs ?? 0);
     recordGrant(target, demand.prefillTokens, nowMs, prefillPerMs);
     const takenTokens = demand.isRunning ? -demand.kvTokens : 0;
     this.admission?.targetChanged(target, takenTokens, nowMs);
     this.limiter.recordSend(id, nowMs);
     const run = isAdmitted
-      ? correctableRunOf(demand, id, nowMs)
+      ? correctableRunOf(demand, id, tokensAhead, nowMs)
       : runOf(demand, id);
     this.runs.set(demand.request, run);
     this.estimate.recordGrant(demand.service, nowMs);
--- a/packages/gateway/src/dispatch/runs.ts
+++ b/packages/gateway/src/dispatch/runs.ts
@@ -5,6 +5,8 @@
 import type {InstanceId, RequestId, TargetId} from '@samphirefield/core';
 import {
   correctedKvTokens,
+  prefillSample,
+  type PrefillSample,
   type ReservedRun,
 } from '@samphirefield/policy/admission';
 import type {Demand} from './types.js';
@@ -16,6 +18,8 @@
   readonly kvTokens: number;
   /** Of a run that may outgrow what is reserved; undefined: not corrected. */
   readonly reservation?: ReservedRun;
+  /** Of a run that says how fast its engine prefills. */
+  readonly prefill?: PrefillSample | undefined;
 }
 
 /** The run of a demand that is granted now. */
@@ -28,9 +32,17 @@
 export function correctableRunOf(
   demand: Demand,
   target: TargetId,
+  tokensAhead: number,
   nowMs: number,
 ): Run {
-  const run = runOf(demand, target);
+  const {prefillTokens} = demand;
+  const prefill = prefillSample(
+    demand.kvTokens,
+    prefillTokens,
+    tokensAhead,
+    nowMs,
+  );
+  const run = {...runOf(demand, target), prefill};
   const {kvTokens, promptTokens, maxKvTokens, ranForMs = 0} = demand;
   if (promptTokens === undefined || maxKvTokens === undefined) return run;
   const startedAtMs = nowMs - ranForMs;
--- a/packages/policy/src/admission/queue.ts
+++ b/packages/policy/src/admission/queue.ts
@@ -149,11 +149,10 @@
     return tokens;
   }
 
-  /** The same for one that is overdue already. */
+  /** KV tokens of the overdue requests of at least this urgency. */
   overdueTokensAhead(priority: number): number {
     let tokens = 0;
     for (const line of this.lines) {
-      tokens += line.inTime.kvTokens;
       if (line.priority <= priority) tokens += line.overdue.kvTokens;
     }
     return tokens;
--- a/packages/policy/src/admission/service-admission.ts
+++ b/packages/policy/src/admission/service-admission.ts
@@ -4,6 +4,7 @@
  * stays free for runs that have to leave their engine and for urgent requests.
  * It takes the time as a parameter and learns only from what it is told.
  */
+import {PrefillPace} from './pace.js';
 import {AdmissionQueue} from './queue.js';
 import {TokenRate} from './rate.js';
 import {Returns} from './returns.js';
@@ -32,7 +33,7 @@
  * gets another prompt. Engines prefill in the order of arrival, so what waits
  * there cannot be ordered by urgency any more.
  */
-const BACKLOG_SHARE = 0.12;
+const BACKLOG_SHARE = 0.6;
 
 /** The load of the engines of a service, as the dispatcher counts it. */
 export interface EngineLoad {
@@ -45,6 +46,7 @@
 
 export class ServiceAdmission<R extends AdmissionRequest> {
   readonly queue = new AdmissionQueue<R>();
+  readonly prefill = new PrefillPace();
   private readonly freed = new TokenRate();
   /** Room that overdue requests took. */
   private readonly takenLate = new TokenRate(SLACK_SLOT_MS);
@@ -164,15 +166,17 @@
     return (this.queue.tokensAhead(priority) / usablePerS) * MS_PER_S;
   }
 
-  /** The wait of a request that is overdue. */
+  /** The wait of a request that is or will be overdue. */
   private lateWaitMs(priority: number, nowMs: number): number | undefined {
     const freedPerS = this.freed.perS(nowMs);
-    if (freedPerS === undefined || freedPerS <= 0) return undefined;
+    const inTimeMs = this.waitInTimeMs(priority, nowMs);
+    if (freedPerS === undefined || inTimeMs === undefined) return undefined;
     const slackPerS = Math.max(
       this.takenLate.perS(nowMs) ?? 0,
       freedPerS * LEAST_SLACK_SHARE,
     );
-    return (this.queue.overdueTokensAhead(priority) / slackPerS) * MS_PER_S;
+    const overdueTokens = this.queue.overdueTokensAhead(priority);
+    return inTimeMs + (overdueTokens / slackPerS) * MS_PER_S;
   }
 
   /** KV tokens a second that more urgent requests ask for. */
--- a/packages/policy/src/admission/work.ts
+++ b/packages/policy/src/admission/work.ts
@@ -1,10 +1,10 @@
 /** The work that a request needs, as far as it is known before it runs. */
 import type {AdmissionRequest} from './types.js';
 
-/** Rate at which an engine prefills prompts beside its running requests. */
+/** Rate of prefill beside running requests, until it is learned. */
 export const PREFILL_TOKENS_PER_MS = 6;
 /** Time between output tokens on a full engine. */
-const MS_PER_OUTPUT_TOKEN = 14;
+export const MS_PER_OUTPUT_TOKEN = 14;
 /**
  * A run that ends within this time gives its room back before an engine that
  * leaves now has stopped: the shortest notice is 1.5 s.
--- a/packages/replay/src/reservations/pressure.ts
+++ b/packages/replay/src/reservations/pressure.ts
@@ -82,9 +82,24 @@
   classes: scenario.classes.map(item => ({...item, perS: item.perS * factor})),
 });
 
+/** Engines that prefill and decode faster or slower, with their load. */
+function atPace(scenario: Scenario, stepBaseMs: number, rates: number) {
+  const paced = {...withRates(scenario, rates), stepBaseMs};
+  return {...paced, name: `${scenario.name}-${rates > 1 ? 'fast' : 'slow'}`};
+}
+
+const BURST: Scenario = {
+  ...PRESSURE,
+  name: 'pressure-burst',
+  rateFactor: burstFactor,
+};
+
 export const PRESSURE_SCENARIOS: readonly Scenario[] = [
   PRESSURE,
-  {...PRESSURE, name: 'pressure-burst', rateFactor: burstFactor},
+  BURST,
+  atPace(BURST, 7, 1.5),
+  atPace(BURST, 20, 0.7),
+  {...withRates(BURST, 0.7), name: 'pressure-light'},
   {...PRESSURE, name: 'pressure-swing', rateFactor: swingFactor},
   {...withRates(PRESSURE, 1.5), name: 'pressure-flood'},
   {
