--- /dev/null
+++ b/packages/gateway/src/dispatch/admission-control.ts
@@ -0,0 +1,271 @@
+/**
+ * Runs the admission control of `policy` for the services of engines, and keeps
+ * the index of their room. Answers overload that lasts for hours; without the
+ * option the dispatcher does not use it.
+ */
+import type {RequestId, ServiceId} from '@samphirefield/core';
+import {
+  ServiceAdmission,
+  type ArrivalDecision,
+} from '@samphirefield/policy/admission';
+import {chooseEngine, chooseHold, type EngineHold} from './engine-choice.js';
+import {RoomIndex} from './room-index.js';
+import type {Run} from './runs.js';
+import type {TargetState} from './target-state.js';
+import type {TargetTable} from './target-table.js';
+import type {Demand} from './types.js';
+
+/**
+ * After this share of its time in line the first demand that does not fit gets
+ * an engine on which no other long run starts.
+ */
+const HOLD_AFTER_SHARE = 0.5;
+
+interface ServiceState {
+  readonly admission: ServiceAdmission<Demand>;
+  index: RoomIndex;
+  hold: EngineHold | undefined;
+}
+
+export interface AdmissionControlOptions {
+  readonly table: TargetTable;
+  readonly share: (service: ServiceId) => number;
+}
+
+/** A demand whose caller may have been refused before. */
+export interface Arrival {
+  readonly firstAskedAtMs: number;
+  /** Undefined: it has to wait or be refused. */
+  readonly target: TargetState | undefined;
+}
+
+export class AdmissionControl {
+  private readonly services = new Map<ServiceId, ServiceState>();
+
+  constructor(private readonly options: AdmissionControlOptions) {}
+
+  /** Whether the demands of the service are subject to it. */
+  covers(service: ServiceId): boolean {
+    return this.options.table.engineKvTokens(service) !== undefined;
+  }
+
+  get pendingCount(): number {
+    let count = 0;
+    for (const {admission} of this.services.values()) {
+      count += admission.queue.size;
+    }
+    return count;
+  }
+
+  /** Waiting demands by priority. */
+  pendingByPriority(): ReadonlyMap<number, number> {
+    const sums = new Map<number, number>();
+    for (const {admission} of this.services.values()) {
+      for (const [priority, count] of admission.queue.counts()) {
+        sums.set(priority, (sums.get(priority) ?? 0) + count);
+      }
+    }
+    return sums;
+  }
+
+  /** Chooses a target if the demand's turn has come and there is room. */
+  arrive(demand: Demand, nowMs: number): Arrival {
+    const state = this.stateOf(demand.service);
+    const {admission, index} = state;
+    const mayExceed = demand.patienceMs === 0;
+    if (demand.isRunning) {
+      const target = this.choose(state, demand, mayExceed, nowMs);
+      return {firstAskedAtMs: nowMs, target};
+    }
+    const firstAskedAtMs = admission.recordArrival(demand, nowMs);
+    const mayStart =
+      firstAskedAtMs === nowMs &&
+      !admission.queue.hasInTime(demand.priority) &&
+      (mayExceed || admission.mayTakeRoom(demand, false, index, nowMs));
+    const target = mayStart
+      ? this.choose(state, demand, mayExceed, nowMs)
+      : undefined;
+    return {firstAskedAtMs, target};
+  }
+
+  decideArrival(
+    demand: Demand,
+    firstAskedAtMs: number,
+    nowMs: number,
+  ): ArrivalDecision {
+    if (demand.isRunning) return {kind: 'wait', expectedWaitMs: undefined};
+    const {admission} = this.stateOf(demand.service);
+    return admission.decideArrival(demand, firstAskedAtMs, nowMs);
+  }
+
+  add(demand: Demand, firstAskedAtMs: number, nowMs: number): void {
+    this.stateOf(demand.service).admission.add(demand, firstAskedAtMs, nowMs);
+  }
+
+  prefillTokensPerMs(service: ServiceId): number {
+    return this.stateOf(service).admission.prefill.tokensPerMs;
+  }
+
+  recordServed(service: ServiceId, run: Run, nowMs: number): void {
+    if (run.prefill === undefined || !this.covers(service)) return;
+    this.stateOf(service).admission.prefill.recordServed(run.prefill, nowMs);
+  }
+
+  has({service, request}: Demand): boolean {
+    return this.services.get(service)?.admission.queue.has(request) ?? false;
+  }
+
+  /** Remembers the refused demand; returns when its caller should return. */
+  refuse(
+    demand: Demand,
+    firstAskedAtMs: number,
+    nowMs: number,
+  ): number | undefined {
+    if (demand.isRunning) return undefined;
+    const {admission} = this.stateOf(demand.service);
+    const known = admission.queue.find(demand.request);
+    const askedAtMs = known?.firstAskedAtMs ?? firstAskedAtMs;
+    admission.recordRefusal(demand, askedAtMs);
+    return admission.retryAfterMs(demand, nowMs);
+  }
+
+  remove(request: RequestId): void {
+    for (const {admission} of this.services.values()) {
+      admission.queue.remove(request);
+    }
+  }
+
+  /** Removes and returns the demands that `isWithdrawn` selects. */
+  withdraw(isWithdrawn: (demand: Demand) => boolean): Demand[] {
+    const withdrawn: Demand[] = [];
+    for (const {admission} of this.services.values()) {
+      withdrawn.push(...[...admission.queue.requests()].filter(isWithdrawn));
+    }
+    for (const {request} of withdrawn) this.remove(request);
+    return withdrawn;
+  }
+
+  coveredServices(): ServiceId[] {
+    return [...this.services.keys()].filter(service => this.covers(service));
+  }
+
+  /** Demands that are refused now. */
+  ended(nowMs: number): Demand[] {
+    const ended = [...this.services.values()].flatMap(({admission}) => [
+      ...admission.giveUpOverdue(nowMs),
+      ...this.overWait(admission, nowMs),
+    ]);
+    return [...new Set(ended)];
+  }
+
+  /** Demands whose wait is over; it is shorter without a usable target. */
+  private overWait({queue}: ServiceAdmission<Demand>, nowMs: number): Demand[] {
+    const {table} = this.options;
+    for (const first of queue.requests()) {
+      if (table.hasUsable(first)) return queue.ended(nowMs);
+      return queue.endedWithoutTarget(
+        nowMs,
+        demand => demand.noTargetWaitMs,
+        demand => !table.hasUsable(demand),
+      );
+    }
+    return [];
+  }
+
+  /** Takes in a change of a target; `freedTokens`: what a run gave back. */
+  targetChanged(target: TargetState, freedTokens: number, nowMs: number): void {
+    const {service} = target.record.announcement;
+    if (!this.covers(service)) return;
+    const {admission, index} = this.stateOf(service);
+    const isAvailable = this.options.table.isAvailable(target);
+    index.update(target, isAvailable);
+    if (isAvailable && freedTokens !== 0) {
+      admission.recordFreed(freedTokens, nowMs);
+    }
+  }
+
+  targetRemoved(target: TargetState): void {
+    const {service} = target.record.announcement;
+    this.services.get(service)?.index.remove(target);
+  }
+
+  /** Rebuilds the indexes, as time and statements change what is available. */
+  refresh(): void {
+    for (const [service, state] of this.services) {
+      if (this.covers(service)) state.index = this.buildIndex(service);
+    }
+  }
+
+  /** Offers room to waiting demands; `start` has to take it. */
+  offer(
+    service: ServiceId,
+    nowMs: number,
+    start: (demand: Demand, target: TargetState) => void,
+  ): void {
+    const state = this.services.get(service);
+    if (state === undefined || state.admission.queue.size === 0) return;
+    const {admission} = state;
+    this.updateHold(state, nowMs);
+    admission.queue.offer(item => {
+      const {request: demand, sinceMs, isOverdue} = item;
+      const mayExceed = nowMs - sinceMs >= demand.patienceMs;
+      const mayTake =
+        mayExceed ||
+        admission.mayTakeRoom(demand, isOverdue, state.index, nowMs);
+      if (!mayTake) return false;
+      const target = this.choose(state, demand, mayExceed, nowMs);
+      if (target === undefined) return false;
+      admission.recordStart(item, nowMs);
+      start(demand, target);
+      return true;
+    }, nowMs);
+  }
+
+  private updateHold(state: ServiceState, nowMs: number): void {
+    const {table} = this.options;
+    const {admission, index, hold} = state;
+    const isValid =
+      hold !== undefined &&
+      admission.queue.find(hold.request)?.isOverdue === false &&
+      table.isAvailable(hold.target);
+    if (isValid) return;
+    const item = admission.queue.longestHeld(HOLD_AFTER_SHARE, nowMs);
+    state.hold = item && chooseHold(table, index, item.request);
+  }
+
+  private choose(
+    {admission, index, hold}: ServiceState,
+    demand: Demand,
+    mayExceed: boolean,
+    nowMs: number,
+  ): TargetState | undefined {
+    const maxBacklogMs = demand.isRunning
+      ? Number.POSITIVE_INFINITY
+      : admission.maxBacklogMs(demand);
+    const options = {mayExceed, maxBacklogMs, hold};
+    return chooseEngine(this.options.table, index, demand, options, nowMs);
+  }
+
+  private stateOf(service: ServiceId): ServiceState {
+    let state = this.services.get(service);
+    if (state === undefined) {
+      state = {
+        admission: new ServiceAdmission<Demand>(),
+        index: this.buildIndex(service),
+        hold: undefined,
+      };
+      this.services.set(service, state);
+    }
+    return state;
+  }
+
+  private buildIndex(service: ServiceId): RoomIndex {
+    const {table, share} = this.options;
+    const kvTokens = table.engineKvTokens(service) ?? 1;
+    const index = new RoomIndex(kvTokens, share(service));
+    for (const target of table.ofService(service)) {
+      index.update(target, table.isAvailable(target));
+    }
+    return index;
+  }
+}
--- a/packages/gateway/src/dispatch/demands.ts
+++ b/packages/gateway/src/dispatch/demands.ts
@@ -95,6 +95,9 @@
       : objectiveMs * SOFT_WAIT_SHARE,
     noTargetWaitMs: objectiveMs * NO_TARGET_WAIT_SHARE,
     maxWaitMs: Math.max(0, remainingMs) * MAX_WAIT_SHARE,
+    deadlineInMs: Math.max(0, remainingMs),
+    promptTokens: tokens.promptTokens,
+    maxKvTokens: tokens.promptTokens + tokens.maxOutputTokens,
   };
 }
 
@@ -128,13 +131,20 @@
  * demand is granted at once or refused. The requester's zone is that of the
  * target that the generation leaves.
  */
-export function moveDemand(requester: Requester, tokens: TokenCounts): Demand {
+export function moveDemand(
+  requester: Requester,
+  tokens: TokenCounts,
+  ranForMs: number,
+): Demand {
   return {
     ...requester,
     isRunning: true,
     otherZonePenalty: MOVE_ZONE_PENALTY,
     kvTokens: expectedKvTokens(tokens),
     prefillTokens: 0,
+    promptTokens: tokens.promptTokens,
+    maxKvTokens: tokens.promptTokens + tokens.maxOutputTokens,
+    ranForMs,
     inTimeMs: 0,
     patienceMs: 0,
     noTargetWaitMs: 0,
--- a/packages/gateway/src/dispatch/target-state.ts
+++ b/packages/gateway/src/dispatch/target-state.ts
@@ -83,6 +83,10 @@
   target.kvTokens += kvTokens;
 }
 
+export function growRun(target: TargetState, kvTokens: number): void {
+  target.kvTokens += kvTokens;
+}
+
 export function removeRun(target: TargetState, kvTokens: number): void {
   target.runs = Math.max(0, target.runs - 1);
   target.kvTokens = Math.max(0, target.kvTokens - kvTokens);
@@ -94,9 +98,10 @@
   {service, prefillTokens}: Demand,
   speeds: TargetSpeeds,
   nowMs: number,
+  prefillTokensPerMs = PREFILL_TOKENS_PER_MS,
 ): void {
   if (isCold(target, nowMs)) target.coldTokens -= 1;
-  const usualMs = prefillTokens / PREFILL_TOKENS_PER_MS;
+  const usualMs = prefillTokens / prefillTokensPerMs;
   const factor = speeds.isPaced(service, nowMs)
     ? speeds.durationFactor(startOf(target), usualMs, nowMs)
     : 1;
--- a/packages/gateway/src/exchange/reservation.ts
+++ b/packages/gateway/src/exchange/reservation.ts
@@ -117,6 +117,7 @@
   metadata: RequestMetadata,
   run: RequestId,
   excluded: readonly TargetId[],
+  ranForMs: number,
 ): Demand {
   const [source] = excluded;
   const record = source && deps.reservations.findTarget(source);
@@ -126,5 +127,6 @@
   return moveDemand(
     {request: run, service, entry, zone, priority, workspace, excluded},
     metadata,
+    ranForMs,
   );
 }
--- a/packages/replay/src/reservations/play.ts
+++ b/packages/replay/src/reservations/play.ts
@@ -5,8 +5,10 @@
 import {
   instanceId,
   requestId,
+  workspaceId,
   zoneId,
   type TargetId,
+  type WorkspaceId,
 } from '@samphirefield/core';
 import {step, submit} from '@samphirefield/fakes';
 import {
@@ -46,12 +48,14 @@
 const DRAIN_MS = 45_000;
 const COLD_MS = 1_000;
 const MS_PER_S = 1_000;
+const CHOICES_SEED = 1_000_003;
 
 interface Running {
   readonly played: PlayedRequest;
   readonly tokens: TokenCounts;
   readonly outputTokens: number;
   readonly run: string;
+  readonly startedAtMs: number;
   generated: number;
   lastEventAtMs: number | undefined;
   worstGapMs: number;
@@ -82,18 +86,22 @@
   constructor(
     private readonly scenario: Scenario,
     seed: number,
+    usesAdmission: boolean,
   ) {
     this.random = createRandom(seed);
     this.speeds = new PlayedSpeeds(scenario, ENTRY_COUNT, seed);
+    const choices = createRandom(seed + CHOICES_SEED);
     this.dispatcher = new Dispatcher({
       onResult: (demand, result) => {
         const resolve = this.waiting.get(demand.request);
         this.waiting.delete(demand.request);
         resolve?.(result);
       },
+      usesAdmission,
       share: () => 1,
       speeds: this.speeds,
-      random: () => this.random.below(1_000) / 1_000,
+      // Its own generator, so that the arrivals of a seed are the same.
+      random: () => choices.below(1_000) / 1_000,
     });
     this.dispatcher.configure(
       [
@@ -168,7 +176,9 @@
       false,
       events.nowMs,
     );
-    events.schedule(events.nowMs + scenario.noticeMs, () => this.end(engine));
+    const {noticeMs, noticeSpreadMs} = scenario;
+    const extraMs = noticeSpreadMs ? this.random.below(noticeSpreadMs) : 0;
+    events.schedule(events.nowMs + noticeMs + extraMs, () => this.end(engine));
     this.moveNext(engine);
   }
 
@@ -186,8 +196,9 @@
     next.isMoving = true;
     const run = this.newRun();
     const demand = moveDemand(
-      this.requester(run, next.played.requestClass, [engine.id]),
+      this.requester(run, next.played, [engine.id]),
       next.tokens,
+      events.nowMs - next.startedAtMs,
     );
     this.acquire(demand, result => {
       if (result.kind === 'refused') {
@@ -249,7 +260,8 @@
     const {scenario, events} = this;
     const isBurst =
       events.nowMs >= scenario.burstFromMs && events.nowMs < scenario.burstToMs;
-    const perS = requestClass.perS * (isBurst ? scenario.burst : 1);
+    const factor = scenario.rateFactor?.(requestClass, events.nowMs) ?? 1;
+    const perS = requestClass.perS * (isBurst ? scenario.burst : 1) * factor;
     const gapS = -Math.log(uniform(this.random.below)) / perS;
     const atMs = events.nowMs + gapS * MS_PER_S;
     if (atMs > scenario.durationMs) return;
@@ -262,17 +274,29 @@
   private arrive(requestClass: RequestClass): void {
     const played: PlayedRequest = {
       requestClass,
+      workspace: this.drawWorkspace(),
+      tokens: 0,
       askedAtMs: this.events.nowMs,
       outcome: 'refused',
       firstAtMs: undefined,
+      grantedAfterMs: undefined,
       attempts: 1,
       refusedAfterMs: undefined,
     };
     this.requests.push(played);
     const {tokens, outputTokens} = drawRequest(requestClass, this.random.below);
+    played.tokens = tokens.promptTokens + outputTokens;
     this.ask(played, tokens, outputTokens);
   }
 
+  /** The first workspace sends the most, each next one a little less. */
+  private drawWorkspace(): WorkspaceId | undefined {
+    const {workspaces} = this.scenario;
+    if (workspaces === undefined) return undefined;
+    const position = uniform(this.random.below) ** 2;
+    return workspaceId(`w${Math.floor(position * workspaces)}`);
+  }
+
   private ask(
     played: PlayedRequest,
     tokens: TokenCounts,
@@ -283,13 +307,14 @@
     const run = this.newRun();
     const remainingMs = askedAtMs + requestClass.deadlineMs - events.nowMs;
     const demand = startDemand(
-      this.requester(run, requestClass, []),
+      this.requester(run, played, []),
       tokens,
       requestClass.objectiveMs,
       remainingMs,
     );
     this.acquire(demand, result => {
       if (result.kind === 'granted') {
+        played.grantedAfterMs = events.nowMs - askedAtMs;
         events.schedule(events.nowMs + HOP_MS, () =>
           this.start(played, tokens, outputTokens, run, result.target),
         );
@@ -327,6 +352,7 @@
       tokens,
       outputTokens,
       run,
+      startedAtMs: this.events.nowMs,
       generated: 0,
       lastEventAtMs: undefined,
       worstGapMs: 0,
@@ -405,7 +431,7 @@
 
   private requester(
     run: string,
-    requestClass: RequestClass,
+    {requestClass, workspace}: PlayedRequest,
     excluded: readonly TargetId[],
   ) {
     const {runCount} = this;
@@ -415,7 +441,7 @@
       entry: instanceId(`e${runCount % ENTRY_COUNT}`),
       zone: zoneId(`z${this.zoneOf(runCount)}`),
       priority: requestClass.priority,
-      workspace: undefined,
+      workspace,
       excluded,
     };
   }
@@ -442,6 +468,10 @@
   }
 }
 
-export function playScenario(scenario: Scenario, seed: number): PlayFigures {
-  return new Play(scenario, seed).run();
+export function playScenario(
+  scenario: Scenario,
+  seed: number,
+  usesAdmission = false,
+): PlayFigures {
+  return new Play(scenario, seed, usesAdmission).run();
 }
--- a/packages/replay/src/reservations/scenario.ts
+++ b/packages/replay/src/reservations/scenario.ts
@@ -43,6 +43,14 @@
   readonly unevenness?: Unevenness;
   /** Longest time between two events of a response in time; default 180. */
   readonly maxGapMs?: number;
+  /** Factor of the arrivals of a class at a time; default: none. */
+  readonly rateFactor?: (requestClass: RequestClass, atMs: number) => number;
+  /** Range of notices; default: always `noticeMs`. */
+  readonly noticeSpreadMs?: number;
+  /** Shortest time of a decoding step; default: that of the emulator. */
+  readonly stepBaseMs?: number;
+  /** Workspaces among which requests are divided unevenly; default: none. */
+  readonly workspaces?: number;
 }
 
 /** How engines differ in speed, and zones in demand. */
