Count the attempts of a stream since its last event; crashes under load

Change: the limit of four attempts counts from the last run of a resumable stream that had an event.

--- a/packages/cluster/src/testing/test-targets.ts
+++ b/packages/cluster/src/testing/test-targets.ts
@@ -38,6 +38,8 @@
   readonly onRun?: (position: number, attempt: string) => void;
   /** How long a target runs a request. Default: it answers at once. */
   readonly runMs?: number;
+  /** Answers a request in place of the target. */
+  readonly respond?: (position: number, head: string, socket: Socket) => void;
   /** A line of the head with which the target rejects; undefined: it runs. */
   readonly rejectionOf?: (position: number) => string | undefined;
   /** Further lines of the head of a response of the target at a position. */
@@ -143,6 +145,10 @@
     const position = this.places.indexOf(place);
     const attempt = /^attempt: (.*)$/im.exec(head)?.[1]?.trim() ?? '';
     onRun?.(position, attempt);
+    if (this.options.respond) {
+      this.options.respond(position, head, socket);
+      return;
+    }
     const lines = [`Attempt: ${attempt}`, ...(headOf?.(position) ?? [])];
     const rejection = this.options.rejectionOf?.(position);
     if (rejection === undefined) {
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -45,8 +45,6 @@
 } from './types.js';
 
 const CONNECT_TIMEOUT_MS = 400;
-/** Attempts of one request, including those that a target rejected. */
-const MAX_ATTEMPTS = 4;
 const DEFAULT_DEADLINE_MS = 60_000;
 
 /** One caller's request and its response. */
@@ -167,7 +165,7 @@
         !nextStep.usesRetryBudget || (await this.placer.isPrepared());
       if (this.isOver) return;
       const isExhausted =
-        this.record.attempts >= MAX_ATTEMPTS ||
+        !allowance.hasAttemptLeft ||
         (!isPaid && !budget.tryConsume(admitted.service));
       if (isExhausted) {
         this.refuse(nextStep.responseIfFinal);
@@ -231,9 +229,7 @@
   ): Promise<boolean> {
     const {service, route} = admitted;
     const mayRun = () =>
-      !this.isOver &&
-      this.record.attempts < MAX_ATTEMPTS &&
-      this.allowance.mayReplace(route, running);
+      !this.isOver && this.allowance.mayReplace(route, running);
     if (!mayRun()) return false;
     return this.placer.prepare(
       admitted,
@@ -267,6 +263,7 @@
       );
     }
     this.record.attempts += 1;
+    this.allowance.countAttempt();
     const timeoutMs = Math.min(CONNECT_TIMEOUT_MS, this.remainingMs());
     const connection = await this.deps.pool.acquire(
       reservation.address,
--- a/packages/gateway/src/exchange/resume.spec.ts
+++ b/packages/gateway/src/exchange/resume.spec.ts
@@ -155,6 +155,20 @@
   expect(runs()).toEqual([1, 1, 1]);
 });
 
+test('cuts a stream whose earlier events took many attempts', async t => {
+  const busy = send(rejected);
+  const {gateway, runs} = await setUp(t, [
+    busy,
+    sendAndDie(signedHead + chunk(event(1))),
+    busy,
+    busy,
+    whole(2, 3),
+  ]);
+  const response = await call(gateway.port);
+  expect(response.body).toEqual(events(1, 3));
+  expect(runs()).toEqual([1, 1, 1, 1, 1]);
+});
+
 test('forwards a head or a failure of the next target into the stream', async t => {
   const failures = [
     unsignedStreamHead() + chunk(event(2)) + STREAM_END,
--- a/packages/gateway/src/exchange/run-allowance.ts
+++ b/packages/gateway/src/exchange/run-allowance.ts
@@ -13,7 +13,12 @@
   RequestMetadata,
 } from './types.js';
 
+/** Attempts of one request, including those that a target rejected. */
+const MAX_ATTEMPTS = 4;
+
 export class RunAllowance {
+  /** Attempts since a run of a resumable stream last had an event. */
+  private attempts = 0;
   /** Number of targets that may have run the request. */
   runCount = 0;
   /** Whether a resumable stream may have run. */
@@ -27,6 +32,14 @@
     private readonly remainingMs: () => number,
   ) {}
 
+  get hasAttemptLeft(): boolean {
+    return this.attempts < MAX_ATTEMPTS;
+  }
+
+  countAttempt(): void {
+    this.attempts += 1;
+  }
+
   /** Counts an attempt that has ended. */
   record(
     result: AttemptResult,
@@ -38,6 +51,7 @@
     this.hasStreamRun = isResumable;
     const firstEventMs = attempt.firstProgressAfterMs();
     if (firstEventMs === undefined) return;
+    if (isResumable) this.attempts = 0;
     this.firstEventMs = Math.min(this.firstEventMs ?? Infinity, firstEventMs);
   }
 
@@ -58,7 +72,7 @@
 
   /** Whether a stream may run once more beside the run in progress. */
   mayReplace(route: Route, running: TargetAttempt): boolean {
-    const mayRun = this.runCount + 1 < route.maxRuns;
+    const mayRun = this.hasAttemptLeft && this.runCount + 1 < route.maxRuns;
     const canResume = running.sink()?.canResume ?? false;
     return mayRun && canResume && this.refuseLateRun(route) === undefined;
   }
