Replace a stream before its first event too; callers that read slowly

Cause: a resumable stream whose target leaves before it has answered was kept until the target ended, since its response had no head yet.

Change: such a run is replaced as one that has started. A caller that does not read for longer than a stalled target's silence has a test.

--- a/packages/gateway/src/exchange/run-allowance.ts
+++ b/packages/gateway/src/exchange/run-allowance.ts
@@ -72,8 +72,9 @@
 
   /** Whether a stream may run once more beside the run in progress. */
   mayReplace(route: Route, running: TargetAttempt): boolean {
-    const mayRun = this.hasAttemptLeft && this.runCount + 1 < route.maxRuns;
-    const canResume = running.sink()?.canResume ?? false;
+    const hasAttempt = running.hasStarted() || this.hasAttemptLeft;
+    const mayRun = hasAttempt && this.runCount + 1 < route.maxRuns;
+    const canResume = running.sink()?.canResume ?? true;
     return mayRun && canResume && this.refuseLateRun(route) === undefined;
   }
 }
--- a/packages/gateway/src/exchange/stream-replacement.spec.ts
+++ b/packages/gateway/src/exchange/stream-replacement.spec.ts
@@ -1,5 +1,6 @@
 /** Resumable streams whose targets leave or stall while no move is possible. */
 import {expect} from 'earl';
+import {request} from 'node:http';
 import {test, type TestContext} from 'node:test';
 import type {KvCacheMover} from '../moves/index.js';
 import {
@@ -20,6 +21,9 @@
   wholeStream,
 } from '../testing/streams.js';
 
+/** Longer than the silence after which a target has stalled. */
+const CALLER_PAUSE_MS = 4_000;
+
 type Script = (request: ReceivedRequest) => void;
 
 const UNREACHABLE: KvCacheMover = {
@@ -81,6 +85,26 @@
   }
 });
 
+test('waits for the first event of a target that leaves', async t => {
+  const started: {first?: () => void} = {};
+  const targets = await Promise.all([
+    startScriptedTarget(() => started.first?.()),
+    startScriptedTarget(({socket}) => socket.write(wholeStream(1, 3))),
+  ]);
+  const gateway = await startTestGateway({
+    kind: 'stream',
+    canMove: false,
+    route: {isResumable: true},
+    targets,
+  });
+  t.after(() => {
+    gateway.close();
+    for (const target of targets) target.close();
+  });
+  started.first = () => gateway.startDraining(0);
+  expect((await call(gateway.port)).body).toEqual(events(1, 3));
+});
+
 test('breaks off a stream that ends before its target has left', async t => {
   const scripts = [endsAfter(100), sendsTheRest];
   const {response, runs} = await play(t, {
@@ -141,6 +165,44 @@
   expect(runs).toEqual([1, 1]);
 });
 
+test('takes a caller that does not read for a target that has stalled', async t => {
+  const count = 200;
+  const data = 'x'.repeat(60_000);
+  const text = Array.from(
+    {length: count},
+    (_, i) => `id: ${i + 1}\ndata: ${data}\n\n`,
+  ).join('');
+  const targets = await Promise.all([
+    startScriptedTarget(({socket}) => {
+      socket.write(streamHead() + chunk(text) + STREAM_END);
+    }),
+    startScriptedTarget(sendsTheRest),
+  ]);
+  const gateway = await startTestGateway({
+    kind: 'stream',
+    canMove: false,
+    route: {isResumable: true, timeoutMs: 20_000},
+    targets,
+  });
+  t.after(() => {
+    gateway.close();
+    for (const target of targets) target.close();
+  });
+  const received = await new Promise<number>(resolve => {
+    const headers = {host: 'test', attempt: 'a1'};
+    const options = {host: '127.0.0.1', port: gateway.port, headers};
+    request({...options, agent: false}, res => {
+      let bytes = 0;
+      res.on('data', (part: Buffer) => (bytes += part.length));
+      res.on('end', () => resolve(bytes));
+      res.pause();
+      setTimeout(() => res.resume(), CALLER_PAUSE_MS);
+    }).end();
+  });
+  expect(received).toEqual(text.length);
+  expect(targets.map(target => target.received.length)).toEqual([1, 0]);
+});
+
 test('keeps a stream at a target that has stalled', async t => {
   const {response, runs} = await play(t, {
     canMove: false,
