--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -306,6 +306,7 @@
       places_waiting: this.reservations.pendingCount,
       places_held: this.reservations.heldCount,
       ...this.targetLoads.metrics(),
+      choices_by_speed: this.reservations.choicesBySpeed,
     };
   }
 
--- a/packages/cluster/src/control/reservations.ts
+++ b/packages/cluster/src/control/reservations.ts
@@ -29,6 +29,8 @@
   readonly nowMs: () => number;
 }
 
+const PCT = 100;
+
 interface WaitingDemand {
   readonly resolve: (result: DispatchResult) => void;
   readonly reject: (error: Error) => void;
@@ -59,6 +61,10 @@
     return this.dispatcher.runCount;
   }
 
+  get choicesBySpeed(): number {
+    return this.dispatcher.choicesBySpeed;
+  }
+
   configure(
     capacities: readonly ServiceCapacity[],
     zonesOut: ReadonlySet<ZoneId>,
@@ -142,6 +148,18 @@
     }
   }
 
+  /** How long prefill takes on the target now; undefined if it is not stated. */
+  private durationPct(
+    {service}: Demand,
+    result: DispatchResult,
+  ): number | undefined {
+    const {speeds, nowMs} = this.options;
+    if (result.kind !== 'granted' || !speeds.isPaced(service, nowMs()))
+      return undefined;
+    const start = this.dispatcher.startOf(result.target);
+    return start && Math.round(speeds.durationFactor(start, 0, nowMs()) * PCT);
+  }
+
   private onResult(demand: Demand, result: DispatchResult): void {
     const waiting = this.waiting.get(demand.request);
     this.waiting.delete(demand.request);
@@ -152,6 +170,7 @@
       target: result.kind === 'granted' ? result.target : undefined,
       reason: result.kind === 'refused' ? result.reason : undefined,
       kv_tokens: Math.round(demand.kvTokens),
+      duration_pct: this.durationPct(demand, result),
       held: this.heldCount,
       waiting: this.pendingCount,
     });
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -253,6 +253,7 @@
       places_on_engines: this.engineRuns.size,
       quarantined: this.quarantine.quarantinedCount,
       ...this.targetLoads.metrics(),
+      choices_by_speed: this.localDispatcher.choicesBySpeed,
     };
   }
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -15,6 +15,7 @@
   TargetId,
   ZoneId,
 } from '@samphirefield/core';
+import type {TargetStart} from '@samphirefield/policy/quarantine';
 import type {TargetRecord} from '../registry/index.js';
 import {DemandQueue} from './demand-queue.js';
 import {NO_LIMITS, type TargetLimiter} from './limiter.js';
@@ -77,6 +78,8 @@
 
   private readonly limiter: TargetLimiter;
   private readonly speeds: TargetSpeeds;
+  /** Choices that would have been others if all targets were equally fast. */
+  choicesBySpeed = 0;
 
   constructor(private readonly options: DispatcherOptions) {
     this.limiter = options.limiter ?? NO_LIMITS;
@@ -96,6 +99,12 @@
     return this.targets.get(id)?.runs ?? 0;
   }
 
+  /** The present start of a target; undefined if it is not known. */
+  startOf(id: TargetId): TargetStart | undefined {
+    const bornMs = this.targets.get(id)?.record.announcement.bornMs;
+    return bornMs === undefined ? undefined : {target: id, bornMs};
+  }
+
   configure(
     capacities: readonly ServiceCapacity[],
     zonesOut: ReadonlySet<ZoneId>,
@@ -353,6 +362,9 @@
       : FULL_LOAD;
     let best: TargetState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
+    let bestAtSameSpeed: TargetState | undefined;
+    let bestCostAtSameSpeed = Number.POSITIVE_INFINITY;
+    const isPaced = this.speeds.isPaced(demand.service, nowMs);
     for (const id of this.byService.get(demand.service) ?? []) {
       const target = this.targets.get(id)!;
       if (!this.isUsable(target, demand)) continue;
@@ -366,11 +378,19 @@
         continue;
       }
       const cost = this.costOf(target, load, demand, nowMs);
-      if (cost < bestCost) {
+      const slowness = isPaced
+        ? slownessPenaltyOf(target, demand, this.speeds, nowMs)
+        : 0;
+      if (cost + slowness < bestCost) {
         best = target;
-        bestCost = cost;
+        bestCost = cost + slowness;
+      }
+      if (cost < bestCostAtSameSpeed) {
+        bestAtSameSpeed = target;
+        bestCostAtSameSpeed = cost;
       }
     }
+    if (best !== bestAtSameSpeed) this.choicesBySpeed += 1;
     return best;
   }
 
@@ -425,14 +445,9 @@
     demand: Demand,
     nowMs: number,
   ): number {
-    const {speeds} = this;
     const isOtherZone = target.record.announcement.zone !== demand.zone;
-    const slowness = speeds.isPaced(demand.service, nowMs)
-      ? slownessPenaltyOf(target, demand, speeds, nowMs)
-      : 0;
     return (
       load +
-      slowness +
       penaltyOf(target, nowMs) +
       (isOtherZone ? demand.otherZonePenalty : 0) +
       this.options.random() * TIE_BREAK_RANGE
--- a/packages/gateway/src/dispatch/target-state.ts
+++ b/packages/gateway/src/dispatch/target-state.ts
@@ -33,6 +33,12 @@
  * this share of its capacity.
  */
 const SLOWNESS_PENALTY = 0.5;
+/**
+ * The same for long work, which has to go where memory is: fast targets that
+ * are filled to the brim preempt it.
+ */
+const LONG_SLOWNESS_PENALTY = 0.2;
+const LONG_WORK_MS = 2_000;
 /** Bounds what a target's own statements do to its cost. */
 const MAX_SLOWNESS_BONUS = 0.25;
 const MAX_SLOWNESS_PENALTY = 1;
@@ -126,8 +132,11 @@
   nowMs: number,
 ): number {
   const start = startOf(target);
-  const factor = speeds.durationFactor(start, workMsOf(demand), nowMs);
-  const slowness = (factor - 1) * SLOWNESS_PENALTY;
+  const workMs = workMsOf(demand);
+  const factor = speeds.durationFactor(start, workMs, nowMs);
+  const penalty =
+    workMs > LONG_WORK_MS ? LONG_SLOWNESS_PENALTY : SLOWNESS_PENALTY;
+  const slowness = (factor - 1) * penalty;
   return (
     Math.min(MAX_SLOWNESS_PENALTY, Math.max(-MAX_SLOWNESS_BONUS, slowness)) +
     speeds.excessLoad(start, nowMs) * EXCESS_LOAD_PENALTY
