Emulator: engines state their load and pace, and work at it

Cause: stand-ins could not show a target whose speed changes. Change: FakeEngine with pacePct states x-samphirefield-load and scales its steps. Result: builds; without pacePct nothing changes. No test uses it yet.

--- a/packages/fakes/src/engine-server.ts
+++ b/packages/fakes/src/engine-server.ts
@@ -52,6 +52,11 @@
   /** Age of the load figures in each announcement. */
   readonly loadLagMs?: number;
   readonly tokenBytes?: number;
+  /**
+   * How long work takes now, in per cent of the usual; it is stated in responses
+   * if set.
+   */
+  readonly pacePct?: () => number;
 }
 
 /** Faults that a test can switch on. */
@@ -91,6 +96,7 @@
   isSilenced: boolean;
 }
 
+const USUAL_PACE_PCT = 100;
 const KEEPALIVE_INTERVAL_MS = 500;
 const DETACHED_RETENTION_MS = 30_000;
 const DEFAULT_ANNOUNCE_INTERVAL_MS = 1_000;
@@ -260,6 +266,7 @@
     if (this.faults.isHung) return;
     const url = new URL(request.url ?? '/', 'http://fake');
     response.setHeader('x-samphirefield-incarnation', this.incarnation);
+    this.stateLoad(response);
     const generation = /^\/v1\/generations\/([^/]+)$/.exec(url.pathname)?.[1];
     if (generation !== undefined) {
       this.handleGeneration(
@@ -289,6 +296,14 @@
     response.end('{}');
   }
 
+  private stateLoad(response: ServerResponse): void {
+    const pacePct = this.options.pacePct?.();
+    if (pacePct === undefined) return;
+    const {running, waiting, config} = this.engine;
+    const fields = [running.size, waiting.size, config.slots, pacePct];
+    response.setHeader('x-samphirefield-load', fields.join(','));
+  }
+
   private async handleOrder(
     request: IncomingMessage,
     response: ServerResponse,
@@ -449,7 +464,9 @@
     if (!wasWarm && this.engine.isWarm) this.warmSinceMs = Date.now();
     for (const sequence of result.emitted)
       this.emit(sequence, result.finished.includes(sequence));
-    this.scheduleStep(result.durationMs / (this.options.speed ?? 1));
+    const {speed = 1, pacePct} = this.options;
+    const pace = (pacePct?.() ?? USUAL_PACE_PCT) / USUAL_PACE_PCT;
+    this.scheduleStep((result.durationMs * pace) / speed);
   }
 
   private emit(sequence: Sequence, isLast: boolean): void {
