--- a/packages/cluster/src/control/target-load-keeper.ts
+++ b/packages/cluster/src/control/target-load-keeper.ts
@@ -14,8 +14,7 @@
   excessLoadOf,
   summarizeLoads,
 } from '@samphirefield/policy/target-load';
-
-const LOG_EVERY_MS = 5_000;
+import {TargetLoadLog} from './target-load-log.js';
 
 export interface TargetLoadKeeperOptions {
   readonly logger: Logger;
@@ -27,9 +26,11 @@
 export class TargetLoadKeeper implements TargetSpeeds {
   private readonly table = createTargetLoads();
   private rowsLearned = 0;
-  private loggedAtMs = 0;
+  private readonly log;
 
-  constructor(private readonly options: TargetLoadKeeperOptions) {}
+  constructor(private readonly options: TargetLoadKeeperOptions) {
+    this.log = new TargetLoadLog(options);
+  }
 
   learn(rows: readonly unknown[]): void {
     const {serviceOf, nowMs} = this.options;
@@ -37,7 +38,7 @@
       if (learnReport(this.table, row, serviceOf, nowMs()))
         this.rowsLearned += 1;
     }
-    this.logSummary();
+    this.log.write(this.table, this.rowsLearned);
   }
 
   isPaced(service: ServiceId, nowMs: number): boolean {
@@ -64,18 +65,4 @@
       target_load_reports: this.rowsLearned,
     };
   }
-
-  private logSummary(): void {
-    const nowMs = this.options.nowMs();
-    if (nowMs - this.loggedAtMs < LOG_EVERY_MS) return;
-    this.loggedAtMs = nowMs;
-    const {targets, slow, slowest, factor} = summarizeLoads(this.table, nowMs);
-    this.options.logger.info('target_loads', {
-      targets,
-      slow,
-      slowest,
-      slowest_pct: Math.round(factor * 100),
-      reports: this.rowsLearned,
-    });
-  }
 }
--- a/packages/cluster/src/entry/entry-target-loads.ts
+++ b/packages/cluster/src/entry/entry-target-loads.ts
@@ -27,6 +27,7 @@
   type LoadFields,
 } from '@samphirefield/policy/target-load';
 import type {TargetLoadsMessage} from '../control/index.js';
+import {TargetLoadLog} from '../control/target-load-log.js';
 import type {Peer} from '../link/index.js';
 
 /** What reports to the leader may take of an entry's link. */
@@ -48,12 +49,14 @@
   private readonly table = createTargetLoads();
   private readonly samples = createSamples();
   private readonly reports;
+  private readonly log;
   private readonly loggedInvalid = new Set<string>();
   private invalidCount = 0;
   private rowsSent = 0;
 
   constructor(private readonly options: EntryTargetLoadsOptions) {
     this.reports = createReports(REPORT_BYTES_PER_S, options.nowMs());
+    this.log = new TargetLoadLog(options);
   }
 
   hearLoad(
@@ -90,6 +93,7 @@
   /** Sends the leader what changed, as far as the bound of bytes allows. */
   report(): void {
     const {leader, nowMs, serviceOf, hasEngine} = this.options;
+    this.log.write(this.table, this.rowsSent);
     const peer = leader();
     if (peer === undefined || this.table.rows.size === 0) return;
     const isReported = (target: TargetId) => {
