--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -16,6 +16,7 @@
   ZoneId,
 } from '@samphirefield/core';
 import {reservedKvTokens} from '@samphirefield/policy/admission';
+import type {TargetStart} from '@samphirefield/policy/quarantine';
 import type {TargetRecord} from '../registry/index.js';
 import {AdmissionControl} from './admission-control.js';
 import {DemandQueue} from './demand-queue.js';
@@ -97,11 +98,21 @@
     return this.runs.size;
   }
 
+  /** Choices that would have been others if all targets were equally fast. */
+  get choicesBySpeed(): number {
+    return this.table.choicesBySpeed;
+  }
+
   /** Number of runs that this dispatcher has recorded on the target. */
   runsOn(id: TargetId): number {
     return this.table.find(id)?.runs ?? 0;
   }
 
+  /** The present start of a target; undefined if it is not known. */
+  startOf(id: TargetId): TargetStart | undefined {
+    return this.table.find(id)?.start;
+  }
+
   configure(
     capacities: readonly ServiceCapacity[],
     zonesOut: ReadonlySet<ZoneId>,
--- a/packages/gateway/src/dispatch/target-state.ts
+++ b/packages/gateway/src/dispatch/target-state.ts
@@ -33,12 +33,19 @@
  * this share of its capacity.
  */
 const SLOWNESS_PENALTY = 0.5;
+/**
+ * The same for long work, which has to go where memory is: fast targets that
+ * are filled to the brim preempt it.
+ */
+const LONG_SLOWNESS_PENALTY = 0.2;
+const LONG_WORK_MS = 2_000;
 /** Bounds what a target's own statements do to its cost. */
 const MAX_SLOWNESS_BONUS = 0.25;
 const MAX_SLOWNESS_PENALTY = 1;
 const EXCESS_LOAD_PENALTY = 0.25;
 
 export interface TargetState {
+  readonly start: TargetStart;
   record: TargetRecord;
   isSilent: boolean;
   runs: number;
@@ -62,7 +69,9 @@
   isSilent: boolean,
   nowMs: number,
 ): TargetState {
+  const {id, bornMs} = record.announcement;
   return {
+    start: {target: id, bornMs},
     record,
     isSilent,
     runs: 0,
@@ -103,17 +112,12 @@
   if (isCold(target, nowMs)) target.coldTokens -= 1;
   const usualMs = prefillTokens / prefillTokensPerMs;
   const factor = speeds.isPaced(service, nowMs)
-    ? speeds.durationFactor(startOf(target), usualMs, nowMs)
+    ? speeds.durationFactor(target.start, usualMs, nowMs)
     : 1;
   target.prefillDoneAtMs =
     Math.max(nowMs, target.prefillDoneAtMs) + usualMs * factor;
 }
 
-function startOf({record}: TargetState): TargetStart {
-  const {id, bornMs} = record.announcement;
-  return {target: id, bornMs};
-}
-
 /** How long the demand's work takes at the usual speed; 0 if unknown. */
 function workMsOf({prefillTokens, kvTokens}: Demand): number {
   const outputTokens = Math.max(0, kvTokens - prefillTokens);
@@ -130,9 +134,12 @@
   speeds: TargetSpeeds,
   nowMs: number,
 ): number {
-  const start = startOf(target);
-  const factor = speeds.durationFactor(start, workMsOf(demand), nowMs);
-  const slowness = (factor - 1) * SLOWNESS_PENALTY;
+  const {start} = target;
+  const workMs = workMsOf(demand);
+  const factor = speeds.durationFactor(start, workMs, nowMs);
+  const penalty =
+    workMs > LONG_WORK_MS ? LONG_SLOWNESS_PENALTY : SLOWNESS_PENALTY;
+  const slowness = (factor - 1) * penalty;
   return (
     Math.min(MAX_SLOWNESS_PENALTY, Math.max(-MAX_SLOWNESS_BONUS, slowness)) +
     speeds.excessLoad(start, nowMs) * EXCESS_LOAD_PENALTY
--- a/packages/gateway/src/dispatch/target-table.ts
+++ b/packages/gateway/src/dispatch/target-table.ts
@@ -31,6 +31,8 @@
   private readonly byService = new Map<ServiceId, Set<TargetId>>();
   private readonly capacities = new Map<ServiceId, ServiceCapacity>();
   private zonesOut: ReadonlySet<ZoneId> = new Set();
+  /** Choices that would have been others if all targets were equally fast. */
+  choicesBySpeed = 0;
 
   constructor(private readonly options: TargetTableOptions) {}
 
@@ -158,15 +160,23 @@
       : FULL_LOAD;
     let best: TargetState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
+    let bestAtSameSpeed: TargetState | undefined;
+    let bestCostAtSameSpeed = Number.POSITIVE_INFINITY;
     for (const target of this.ofService(demand.service)) {
       const load = this.loadIfAcceptable(target, demand, nowMs, maxLoad);
       if (load === undefined) continue;
-      const cost = this.costOf(target, load, demand, nowMs);
+      const costAtSameSpeed = this.costAtSameSpeed(target, load, demand, nowMs);
+      const cost = costAtSameSpeed + this.slownessOf(target, demand, nowMs);
       if (cost < bestCost) {
         best = target;
         bestCost = cost;
       }
+      if (costAtSameSpeed < bestCostAtSameSpeed) {
+        bestAtSameSpeed = target;
+        bestCostAtSameSpeed = costAtSameSpeed;
+      }
     }
+    if (best !== bestAtSameSpeed) this.choicesBySpeed += 1;
     return best;
   }
 
@@ -208,20 +218,37 @@
     demand: Demand,
     nowMs: number,
   ): number {
-    const {random, speeds} = this.options;
+    return (
+      this.costAtSameSpeed(target, load, demand, nowMs) +
+      this.slownessOf(target, demand, nowMs)
+    );
+  }
+
+  private costAtSameSpeed(
+    target: TargetState,
+    load: number,
+    demand: Demand,
+    nowMs: number,
+  ): number {
     const isOtherZone = target.record.announcement.zone !== demand.zone;
-    const slowness = speeds.isPaced(demand.service, nowMs)
-      ? slownessPenaltyOf(target, demand, speeds, nowMs)
-      : 0;
     return (
       load +
-      slowness +
       penaltyOf(target, nowMs) +
       (isOtherZone ? demand.otherZonePenalty : 0) +
-      random() * TIE_BREAK_RANGE
+      this.options.random() * TIE_BREAK_RANGE
     );
   }
 
+  private slownessOf(
+    target: TargetState,
+    demand: Demand,
+    nowMs: number,
+  ): number {
+    const {speeds} = this.options;
+    if (!speeds.isPaced(demand.service, nowMs)) return 0;
+    return slownessPenaltyOf(target, demand, speeds, nowMs);
+  }
+
   /**
    * Load of the target with the demand added; above 1 it exceeds the capacity.
    */
