--- a/packages/policy/src/admission/queue.ts
+++ b/packages/policy/src/admission/queue.ts
@@ -21,7 +21,6 @@
  */
 const PUT_BACK_MS_PER_TOKEN = 0.2;
 const MS_PER_S = 1_000;
-const NO_WORKSPACE = '';
 
 interface PriorityLines<R extends AdmissionRequest> {
   readonly priority: number;
@@ -29,10 +28,15 @@
   readonly overdue: Line<R>;
 }
 
-/** What waits of one workspace, and the key after its last request. */
+/** What waits of one workspace and priority. */
 interface WorkspaceFlow {
   waiting: number;
-  nextKeyMs: number;
+  /** Until when its requests use its part of the freed room. */
+  usedUntilMs: number;
+}
+
+function flowOf({workspace, priority}: AdmissionRequest): string {
+  return `${priority}/${workspace ?? ''}`;
 }
 
 export class AdmissionQueue<R extends AdmissionRequest> {
@@ -67,7 +71,7 @@
       firstAskedAtMs,
       dueAtMs,
       endsAtMs: nowMs + longestWaitMs(request),
-      orderKey: this.stampOrder(request, dueAtMs, freedPerS),
+      orderKey: this.stampOrder(request, dueAtMs, nowMs, freedPerS),
       isOverdue: dueAtMs < nowMs,
     };
     this.nextSequence += 1;
@@ -88,7 +92,7 @@
     this.lineOf(item).remove(item);
     this.byDue.remove(item);
     this.byEnd.remove(item);
-    const name = item.request.workspace ?? NO_WORKSPACE;
+    const name = flowOf(item.request);
     const flow = this.flows.get(name);
     if (flow) flow.waiting -= 1;
     if (flow?.waiting === 0) this.flows.delete(name);
@@ -221,25 +225,28 @@
   }
 
   /**
-   * The due time, put back for a workspace whose earlier requests already use
-   * its part of the freed room.
+   * The due time, put back for a workspace whose earlier requests of the same
+   * priority already use its part of the freed room.
    */
   private stampOrder(
-    {workspace, kvTokens}: R,
+    request: R,
     dueAtMs: number,
+    nowMs: number,
     freedPerS: number | undefined,
   ): number {
-    const name = workspace ?? NO_WORKSPACE;
-    const flow = this.flows.get(name) ?? {waiting: 0, nextKeyMs: dueAtMs};
+    const name = flowOf(request);
+    const flow = this.flows.get(name) ?? {waiting: 0, usedUntilMs: nowMs};
     this.flows.set(name, flow);
     flow.waiting += 1;
-    const orderMs = dueAtMs + kvTokens * PUT_BACK_MS_PER_TOKEN;
-    const latestMs = orderMs + MAX_PUT_BACK_MS;
-    const key = Math.min(latestMs, Math.max(orderMs, flow.nextKeyMs));
+    const aheadMs = Math.max(0, flow.usedUntilMs - nowMs);
     const partPerMs = (freedPerS ?? 0) / MS_PER_S / this.flows.size;
-    const tokensMs = partPerMs > 0 ? kvTokens / partPerMs : 0;
-    flow.nextKeyMs = key + tokensMs;
-    return key;
+    const tokensMs = partPerMs > 0 ? request.kvTokens / partPerMs : 0;
+    flow.usedUntilMs = nowMs + aheadMs + tokensMs;
+    return (
+      dueAtMs +
+      request.kvTokens * PUT_BACK_MS_PER_TOKEN +
+      Math.min(MAX_PUT_BACK_MS, aheadMs)
+    );
   }
 
   private linesOf(priority: number): PriorityLines<R> {
