Entries send waiting demands again to the next leader

Cause: demands that waited at a lost leader were granted at their entries at once, from shares; under pressure the whole line would fill engines beyond their capacity. Change: with admission control an entry waits up to 1.5 s for another leader and sends the demand again, less the time that it waited. Without it the demand is granted locally, as before. leader-reservations.ts takes this code out of entry-node.ts.

--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -40,6 +40,7 @@
 import {ControlLinks} from './control-links.js';
 import {EntryQuarantine} from './entry-quarantine.js';
 import {EntryStatements} from './entry-statements.js';
+import {LeaderReservations} from './leader-reservations.js';
 
 const PULL_TIMEOUT_MS = 2_000;
 const DISPATCH_EVERY_MS = 100;
@@ -51,8 +52,6 @@
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
 const MOVE_PERMIT_TIMEOUT_MS = 2_500;
-/** Added to a request's maximum wait, for the round trip to the leader. */
-const RESERVATION_MARGIN_MS = 1_000;
 
 export interface EntryNodeOptions {
   readonly instance: InstanceId;
@@ -74,6 +73,7 @@
   readonly statements: EntryStatements;
   private readonly controls: ControlLinks;
   private readonly localDispatcher: Dispatcher;
+  private readonly atLeader: LeaderReservations;
   private readonly localResolvers = new Map<
     RequestId,
     (result: DispatchResult) => void
@@ -109,6 +109,12 @@
       random: Math.random,
       usesAdmission: options.usesAdmission ?? false,
     });
+    this.atLeader = new LeaderReservations({
+      leader: () => this.controls.leaderPeer,
+      logger: options.logger,
+      nowMs: options.nowMs,
+      sendsAgain: options.usesAdmission ?? false,
+    });
     this.quarantine = new EntryQuarantine({
       leader: () => this.controls.leaderPeer,
       logger: options.logger,
@@ -190,10 +196,8 @@
 
   async reserve(demand: Demand): Promise<DispatchResult> {
     const isEngine = this.hasEngine(demand.service);
-    const leader = isEngine ? this.controls.leaderPeer : undefined;
-    const result = leader
-      ? await this.reserveAtLeader(leader, demand)
-      : await this.reserveLocally(demand);
+    const granted = isEngine ? await this.atLeader.reserve(demand) : undefined;
+    const result = granted ?? (await this.reserveLocally(demand));
     if (isEngine && result.kind === 'granted') {
       const {request, kvTokens} = demand;
       this.engineRuns.set(request, {request, target: result.target, kvTokens});
@@ -201,28 +205,6 @@
     return result;
   }
 
-  private async reserveAtLeader(
-    leader: Peer,
-    demand: Demand,
-  ): Promise<DispatchResult> {
-    try {
-      return await leader.request<DispatchResult>(
-        'place',
-        demand,
-        demand.maxWaitMs + RESERVATION_MARGIN_MS,
-      );
-    } catch (error) {
-      // The leader may still grant the demand, which nobody would release.
-      const {request} = demand;
-      leader.notify('finish', {request, outcome: 'abandoned'});
-      this.options.logger.warn('leader_gave_no_place', {
-        run: demand.request,
-        reason: String(error),
-      });
-      return this.reserveLocally(demand);
-    }
-  }
-
   release(request: RequestId, service: ServiceId, outcome: RunOutcome): void {
     this.localDispatcher.release(request, outcome, this.options.nowMs());
     this.localResolvers.delete(request);
--- /dev/null
+++ b/packages/cluster/src/entry/leader-reservations.ts
@@ -0,0 +1,92 @@
+/**
+ * Requests reservations from the leader. With admission control a demand that
+ * waited at a leader which was lost is sent again to the next one, which
+ * rebuilds the line from them: granted here, the whole line would fill engines
+ * beyond their capacity at once.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Logger} from '@samphirefield/core';
+import type {Demand, DispatchResult} from '@samphirefield/gateway';
+import type {Peer} from '../link/index.js';
+
+/** Added to a request's maximum wait, for the round trip to the leader. */
+const RESERVATION_MARGIN_MS = 1_000;
+/** An election takes up to 0.64 s; a silent leader is noticed after 1.5 s. */
+const NEXT_LEADER_WAIT_MS = 1_500;
+const LEADER_POLL_MS = 50;
+
+export interface LeaderReservationsOptions {
+  readonly leader: () => Peer | undefined;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** Whether a demand is sent to the next leader when one is lost. */
+  readonly sendsAgain: boolean;
+}
+
+/** The demand after it has waited for some time. */
+function afterWait(demand: Demand, waitedMs: number): Demand {
+  const left = (timeMs: number) => Math.max(0, timeMs - waitedMs);
+  const {deadlineInMs} = demand;
+  return {
+    ...demand,
+    inTimeMs: left(demand.inTimeMs),
+    maxWaitMs: left(demand.maxWaitMs),
+    ...(deadlineInMs === undefined ? {} : {deadlineInMs: left(deadlineInMs)}),
+  };
+}
+
+export class LeaderReservations {
+  constructor(private readonly options: LeaderReservationsOptions) {}
+
+  /** Undefined if there is no leader, or none gave a result. */
+  async reserve(demand: Demand): Promise<DispatchResult | undefined> {
+    const {leader, nowMs, sendsAgain} = this.options;
+    const startedAtMs = nowMs();
+    let peer = leader();
+    while (peer !== undefined) {
+      const waitedMs = nowMs() - startedAtMs;
+      const result = await this.ask(peer, afterWait(demand, waitedMs));
+      if (result !== undefined || !sendsAgain) return result;
+      const untilMs = startedAtMs + demand.maxWaitMs;
+      peer = await this.nextLeader(peer, untilMs);
+    }
+    return undefined;
+  }
+
+  private async ask(
+    leader: Peer,
+    demand: Demand,
+  ): Promise<DispatchResult | undefined> {
+    try {
+      return await leader.request<DispatchResult>(
+        'place',
+        demand,
+        demand.maxWaitMs + RESERVATION_MARGIN_MS,
+      );
+    } catch (error) {
+      // The leader may still grant the demand, which nobody would release.
+      const {request} = demand;
+      leader.notify('finish', {request, outcome: 'abandoned'});
+      this.options.logger.warn('leader_gave_no_place', {
+        run: demand.request,
+        reason: String(error),
+      });
+      return undefined;
+    }
+  }
+
+  /** Another leader than the lost one; undefined if none is known in time. */
+  private async nextLeader(
+    lost: Peer,
+    untilMs: number,
+  ): Promise<Peer | undefined> {
+    const {leader, nowMs} = this.options;
+    const endsAtMs = Math.min(untilMs, nowMs() + NEXT_LEADER_WAIT_MS);
+    while (nowMs() < endsAtMs) {
+      const peer = leader();
+      if (peer !== undefined && peer !== lost) return peer;
+      await delay(LEADER_POLL_MS);
+    }
+    return undefined;
+  }
+}
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -93,6 +93,8 @@
   replaceAfterMs: number | undefined;
   /** For daemons that start later. */
   targetSilentAfterMs = 600;
+  /** For daemons that start later. */
+  usesAdmission = false;
   /** Positions of the seeds of daemons that start later. */
   seeds: readonly number[] = [0, 1, 2];
   /** Receives the events of daemons that start later. */
@@ -145,6 +147,7 @@
       decodeConfig: this.decodeConfig,
       logger: this.logger,
       nowMs,
+      usesAdmission: this.usesAdmission,
       openStorage: folder => this.disk(i).open(folder),
     });
     const started = await node.start();
@@ -188,6 +191,7 @@
       nowMs,
       onRouteTable: () => undefined,
       onTargetChange: () => undefined,
+      usesAdmission: this.usesAdmission,
     });
     this.entries.push(entry);
     entry.start();
