Exchange: a lost run is not reported as not run when its repeat is refused

Cause: a safe request whose first run was lost got 503 "not run" when its repeat got no target or was rejected, although it may have run. Refusals under pressure make this frequent. Both cases fail on the code before (503). Change: after a run that may have happened the response is 502, outcome unknown.

--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -212,8 +212,9 @@
    * Ends the request with the failure response of an earlier attempt, if there
    * is one, otherwise with the gateway's own response.
    */
-  private refuse(response: LocalResponse): undefined {
+  private refuse(proposed: LocalResponse): undefined {
     if (this.isOver) return undefined;
+    const response = this.afterEarlierRuns(proposed);
     this.isOver = true;
     if (this.failureResponse) {
       this.failureResponse.end();
@@ -231,6 +232,12 @@
     return undefined;
   }
 
+  /** "Not run" is no response to a request that an earlier target may have run. */
+  private afterEarlierRuns(response: LocalResponse): LocalResponse {
+    if (response.kind !== 'not_run' || this.runCount === 0) return response;
+    return {kind: 'outcome_unknown', reason: response.reason};
+  }
+
   private async serve(admitted: AdmittedRequest): Promise<void> {
     const {budget} = this.deps;
     budget.recordRequest(admitted.service);
