--- a/packages/cluster/src/capacities.ts
+++ b/packages/cluster/src/capacities.ts
@@ -5,6 +5,7 @@
   return table.services.map(({name, engine, coldRequestsPerS}) => ({
     service: name,
     kvTokens: engine?.kvTokens,
+    canMove: engine?.canMove ?? false,
     coldRequestsPerS,
   }));
 }
--- a/packages/gateway/src/dispatch/admission-control.ts
+++ b/packages/gateway/src/dispatch/admission-control.ts
@@ -20,6 +20,11 @@
  * an engine on which no other long run starts.
  */
 const HOLD_AFTER_SHARE = 0.5;
+/**
+ * The longest notice that targets give. Runs that are on a leaving engine after
+ * that will not move any more, and no room is kept for them.
+ */
+const MAX_NOTICE_MS = 6_000;
 
 interface ServiceState {
   readonly admission: ServiceAdmission<Demand>;
@@ -41,6 +46,9 @@
 
 export class AdmissionControl {
   private readonly services = new Map<ServiceId, ServiceState>();
+  /** When targets were first seen to leave. */
+  private readonly leavingSinceMs = new WeakMap<TargetState, number>();
+  private lastMs = 0;
 
   constructor(private readonly options: AdmissionControlOptions) {}
 
@@ -178,7 +186,8 @@
     if (!this.covers(service)) return;
     const {admission, index} = this.stateOf(service);
     const isAvailable = this.options.table.isAvailable(target);
-    index.update(target, isAvailable);
+    this.lastMs = Math.max(this.lastMs, nowMs);
+    this.updateIndex(index, target);
     if (isAvailable && freedTokens !== 0) {
       admission.recordFreed(freedTokens, nowMs);
     }
@@ -190,7 +199,8 @@
   }
 
   /** Rebuilds the indexes, as time and statements change what is available. */
-  refresh(): void {
+  refresh(nowMs = this.lastMs): void {
+    this.lastMs = nowMs;
     for (const [service, state] of this.services) {
       if (this.covers(service)) state.index = this.buildIndex(service);
     }
@@ -259,12 +269,21 @@
     return state;
   }
 
+  private updateIndex(index: RoomIndex, target: TargetState): void {
+    const {table} = this.options;
+    const isLeaving = table.isMovedOff(target);
+    const sinceMs = this.leavingSinceMs.get(target) ?? this.lastMs;
+    if (isLeaving) this.leavingSinceMs.set(target, sinceMs);
+    const isMovedOff = isLeaving && this.lastMs - sinceMs < MAX_NOTICE_MS;
+    index.update(target, table.isAvailable(target), isMovedOff);
+  }
+
   private buildIndex(service: ServiceId): RoomIndex {
     const {table, share} = this.options;
     const kvTokens = table.engineKvTokens(service) ?? 1;
     const index = new RoomIndex(kvTokens, share(service));
     for (const target of table.ofService(service)) {
-      index.update(target, table.isAvailable(target));
+      this.updateIndex(index, target);
     }
     return index;
   }
--- a/packages/gateway/src/dispatch/admission.spec.ts
+++ b/packages/gateway/src/dispatch/admission.spec.ts
@@ -157,6 +157,33 @@
   expect(targetOf('move')).toEqual(targetOf('r2'));
 });
 
+test('room is not kept for runs that stay where they are', () => {
+  const {dispatcher, targetOf, setTarget} = setUp(['t1', 't2']);
+  dispatcher.acquire(demand('r1', {kvTokens: 9_000}), 0);
+  dispatcher.acquire(demand('r2', {kvTokens: 9_000}), 0);
+  dispatcher.acquire(demand('long', {kvTokens: 8_000}), 1);
+  setTarget(targetOf('r1')!, 'draining', 2);
+  dispatcher.release(requestId('r2'), 'served', 10);
+  dispatcher.dispatchPending(6_500);
+  expect(targetOf('long') === undefined).toEqual(false);
+  const out = setUp(['t1', 't2']);
+  out.dispatcher.acquire(demand('r1', {kvTokens: 9_000}), 0);
+  out.dispatcher.configure(
+    [
+      {
+        service: SERVICE,
+        kvTokens: KV_TOKENS,
+        canMove: false,
+        coldRequestsPerS: 0,
+      },
+    ],
+    new Set(),
+  );
+  out.setTarget(out.targetOf('r1')!, 'draining', 1);
+  out.dispatcher.acquire(demand('long', {kvTokens: 8_000}), 2);
+  expect(out.targetOf('long') === undefined).toEqual(false);
+});
+
 test('an entry with a share exceeds it once its patience is over', () => {
   const {dispatcher, targetOf} = setUp(['t1'], 0.25);
   const patient = {kvTokens: 2_000, patienceMs: 500};
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -267,7 +267,7 @@
 
   private dispatchAdmitted(admission: AdmissionControl, nowMs: number): void {
     this.correctRuns(nowMs);
-    admission.refresh();
+    admission.refresh(nowMs);
     for (const service of admission.coveredServices()) {
       this.offerAdmitted(service, nowMs);
     }
--- a/packages/gateway/src/dispatch/room-index.ts
+++ b/packages/gateway/src/dispatch/room-index.ts
@@ -55,18 +55,17 @@
     readonly share: number,
   ) {}
 
-  /** Takes in what changed of a target. */
-  update(target: TargetState, isAvailable: boolean): void {
+  /** Takes in what changed of a target; `isMovedOff`: its runs need room. */
+  update(target: TargetState, isAvailable: boolean, isMovedOff: boolean): void {
     this.remove(target);
-    const {zone, state} = target.record.announcement;
-    const isLeaving = !isAvailable && state !== 'gone' && !target.isSilent;
+    const {zone} = target.record.announcement;
     const free = isAvailable ? this.freeOf(target) : 0;
     const pieceTokens = this.kvTokens * this.share * PIECE_SHARE;
     const entry: Entry = {
       level: this.levelOf(free),
       zone,
       freeTokens: Math.floor(free / pieceTokens) * pieceTokens,
-      leavingTokens: isLeaving ? target.kvTokens : 0,
+      leavingTokens: isMovedOff ? target.kvTokens : 0,
       totalTokens: isAvailable ? this.kvTokens * this.share : 0,
     };
     this.entries.set(target, entry);
--- a/packages/gateway/src/dispatch/target-table.ts
+++ b/packages/gateway/src/dispatch/target-table.ts
@@ -103,6 +103,14 @@
     return !this.options.limiter.isLeaving(id);
   }
 
+  /** Whether the target leaves and its runs have to move off it. */
+  isMovedOff({record}: TargetState): boolean {
+    const {id, service, state} = record.announcement;
+    if (this.capacities.get(service)?.canMove === false) return false;
+    if (state === 'ready') return this.options.limiter.isLeaving(id);
+    return state === 'draining';
+  }
+
   hasUsable(demand: Demand): boolean {
     for (const target of this.ofService(demand.service)) {
       if (this.isUsable(target, demand)) return true;
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -61,6 +61,8 @@
   readonly service: ServiceId;
   /** KV cache of one target in tokens; undefined on plain services. */
   readonly kvTokens: number | undefined;
+  /** Whether runs move off a leaving target; default: yes. */
+  readonly canMove?: boolean;
   /**
    * New requests per second that a cold target accepts; 0: it is never cold.
    */
