--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -121,7 +121,7 @@
   private refuse(wanted: LocalResponse): undefined {
     if (this.isOver) return undefined;
     this.isOver = true;
-    const response = this.allowance.hasStreamRun ? afterRun(wanted) : wanted;
+    const response = this.allowance.runCount > 0 ? afterRun(wanted) : wanted;
     const reason = 'reason' in response ? response.reason : undefined;
     if (this.res.headersSent) {
       this.log('broken_off', 0, reason);
