--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -3,21 +3,14 @@
  * and, while it is the leader, the reservations on engines.
  */
 import {randomUUID} from 'node:crypto';
-import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
 import type {InstanceId, Logger, TargetId, ZoneId} from '@samphirefield/core';
 import type {
-  Demand,
-  DispatchResult,
   RouteTable,
   ServiceCapacity,
   TargetAnnouncement,
 } from '@samphirefield/gateway';
-import {
-  viewOf,
-  type QuarantineTable,
-  type SuspectRequest,
-} from '@samphirefield/policy/quarantine';
+import {viewOf, type QuarantineTable} from '@samphirefield/policy/quarantine';
 import {
   formatAddress,
   LinkSet,
@@ -29,33 +22,22 @@
   type RpcHandlers,
 } from '../link/index.js';
 import {capacitiesOf} from '../capacities.js';
+import {GroupAccess} from './group-access.js';
 import {GroupHost} from './group-host.js';
 import type {
   GroupReplica,
   GroupReplicaOptions,
   GroupTiming,
-  SubmitOutcome,
 } from './group-replica.js';
 import {QuarantineKeeper} from './quarantine-keeper.js';
 import type {ClusterCommand, ClusterState} from './state-machine.js';
+import {leaveGroup} from './leaving.js';
+import {createLinkHandlers} from './link-handlers.js';
 import type {
-  CrashMessage,
-  FinishMessage,
   GroupStatus,
-  HeldRuns,
   Hello,
   JoinRequest,
-  LeaveOutcome,
-  LeaveRequest,
-  MovePermitMessage,
-  PullRequest,
-  RaftLinkMessage,
-  SendRequest,
-  StatementsMessage,
-  StateUpdate,
-  SuspectsMessage,
   TargetUpdate,
-  TargetsMessage,
 } from './messages.js';
 import {QuorumContact} from './quorum-contact.js';
 import {ReservationManager} from './reservations.js';
@@ -69,9 +51,6 @@
 const JOIN_EVERY_MS = 500;
 const SEND_RENEWALS_EVERY_MS = 300;
 const REGISTRY_TICK_MS = 250;
-const FORWARD_TIMEOUT_MS = 3_000;
-const READ_TIMEOUT_MS = 800;
-const LEAVE_RETRY_MS = 30;
 /** An entry whose link broke keeps its reservations this long. */
 const ENTRY_RECONNECT_GRACE_MS = 1_500;
 
@@ -104,6 +83,7 @@
   private readonly reservations: ReservationManager;
   private readonly subscribers = new Subscribers();
   private readonly contact: QuorumContact;
+  private readonly access: GroupAccess;
   private readonly status: StatusReporter;
   private readonly quarantine: QuarantineKeeper;
   private readonly statements: StatementKeeper;
@@ -158,15 +138,10 @@
       nowMs,
       limiter: this.statements,
     });
-    this.links = new LinkSet(this.handlers(), {
-      onUp: (_address, peer) => this.sendHello(peer),
-      onDown: (address, reason) => {
-        logger.warn('control_link_down', {
-          peer: formatAddress(address),
-          reason,
-        });
-        this.countOversized(reason);
-      },
+    this.access = new GroupAccess({
+      group: () => this.group,
+      leaderPeer: () => this.leaderPeer(),
+      logger,
     });
     this.status = new StatusReporter({
       self: options.address,
@@ -185,6 +160,16 @@
         return outcome?.kind === 'applied';
       },
     });
+    this.links = new LinkSet(this.handlers(), {
+      onUp: (_address, peer) => this.sendHello(peer),
+      onDown: (address, reason) => {
+        logger.warn('control_link_down', {
+          peer: formatAddress(address),
+          reason,
+        });
+        this.countOversized(reason);
+      },
+    });
     this.contact = new QuorumContact({
       self: options.address,
       links: this.links,
@@ -250,7 +235,7 @@
    */
   async change(command: ClusterCommand): Promise<ChangeOutcome> {
     const startedAtMs = this.options.nowMs();
-    const outcome = await this.submitOrForward(command);
+    const outcome = await this.access.submit(command);
     this.options.logger.info('change', {
       change: command.kind,
       version: command.kind === 'put_config' ? command.version : undefined,
@@ -267,18 +252,8 @@
    * Returns the newest accepted state; undefined if no reachable leader can
    * confirm it.
    */
-  async readNewest(): Promise<ClusterState | undefined> {
-    if (this.isLeader) return this.group!.readNewest(READ_TIMEOUT_MS);
-    try {
-      return await this.leaderPeer()?.request<ClusterState>(
-        'read_newest',
-        {},
-        READ_TIMEOUT_MS,
-      );
-    } catch (error) {
-      this.options.logger.warn('read_failed', {reason: String(error)});
-      return undefined;
-    }
+  readNewest(): Promise<ClusterState | undefined> {
+    return this.access.readNewest();
   }
 
   metrics(): Record<string, number> {
@@ -303,35 +278,17 @@
    * group bears as many losses after it as before. Resolves early if no daemon
    * can take the vote.
    */
-  async leave(timeoutMs: number): Promise<void> {
+  leave(timeoutMs: number): Promise<void> {
     const {logger, nowMs} = this.options;
-    const untilMs = nowMs() + timeoutMs;
-    let outcome: LeaveOutcome = 'not_leader';
-    while (outcome === 'not_leader' && nowMs() < untilMs) {
-      if (this.group === undefined) return;
-      outcome = await this.requestLeave(this.group, untilMs - nowMs());
-      if (outcome === 'not_leader') await delay(LEAVE_RETRY_MS);
-    }
-    logger.info('left_group', {outcome});
-  }
-
-  private async requestLeave(
-    group: GroupReplica,
-    timeoutMs: number,
-  ): Promise<LeaveOutcome> {
-    if (this.isLeader) {
-      if (group.voterCount === 1) return 'kept';
-      await group.transferLeadership();
-      return 'not_leader';
-    }
-    const request: LeaveRequest = {replica: group.node.id};
-    try {
-      const leader = this.leaderPeer();
-      if (leader === undefined) return 'not_leader';
-      return await leader.request<LeaveOutcome>('leave', request, timeoutMs);
-    } catch {
-      return 'not_leader';
-    }
+    return leaveGroup(
+      {
+        group: () => this.group,
+        leaderPeer: () => this.leaderPeer(),
+        logger,
+        nowMs,
+      },
+      timeoutMs,
+    );
   }
 
   async stop(): Promise<void> {
@@ -371,61 +328,25 @@
   }
 
   private handlers(): RpcHandlers {
-    return {
-      hello: (hello: Hello, peer: Peer) => this.onHello(hello, peer),
-      raft: (message: RaftLinkMessage) => {
-        this.linkTo([message.replyTo]);
-        this.group?.receive(message.envelope, message.replyTo);
-      },
-      join: (request: JoinRequest) => {
-        this.linkTo([request.address]);
-        this.noteZone(request.address, request.zone);
-        this.group?.membership.addCandidate(request);
-      },
-      leave: ({replica}: LeaveRequest): Promise<LeaveOutcome> | LeaveOutcome =>
-        this.group?.membership.release(replica) ?? 'not_leader',
-      targets: (message: TargetsMessage) => {
-        for (const item of message.items) this.registry.mergeUpdate(item);
-      },
-      status: (status: GroupStatus) => this.onStatus(status),
-      submit: (command: ClusterCommand) =>
-        this.group?.submit(command) ?? {kind: 'not_leader'},
-      read_newest: () => this.group?.readNewest(READ_TIMEOUT_MS),
-      pull_state: (request: PullRequest) => this.stateFor(request),
-      place: (demand: Demand) => this.reserve(demand),
-      finish: (message: FinishMessage) => this.reservations.release(message),
-      take_turn: (message: MovePermitMessage) =>
-        this.reservations.acquireMovePermit(message),
-      end_turn: (message: MovePermitMessage) =>
-        this.reservations.releaseMovePermit(message),
-      crash: (message: CrashMessage) => this.quarantine.recordCrash(message),
-      suspects_answered: ({fingerprints}: SuspectsMessage) =>
-        this.quarantine.clear(fingerprints),
-      admit_suspects: (request: SuspectRequest) =>
-        this.quarantine.admit(request),
-      suspects_ended: ({fingerprints}: SuspectsMessage) =>
-        this.quarantine.endRun(fingerprints),
-      statements: ({reports}: StatementsMessage) => {
-        this.startTermIfLeader();
-        if (!this.isLeader) return;
-        for (const report of reports) this.statements.learn(report);
-      },
-      take_send: (request: SendRequest) =>
-        this.isLeader
-          ? this.statements.takeSend(request)
-          : Promise.reject(new Error('not_leader')),
-      held_runs: (held: HeldRuns) => {
-        // Runs that arrive before this daemon knows its term would be cleared.
-        this.startTermIfLeader();
-        this.reservations.replaceRuns(held);
-      },
-    };
+    return createLinkHandlers({
+      group: () => this.group,
+      isLeader: () => this.isLeader,
+      startTermIfLeader: () => this.startTermIfLeader(),
+      registry: this.registry,
+      reservations: this.reservations,
+      quarantine: this.quarantine,
+      statements: this.statements,
+      linkTo: addresses => this.linkTo(addresses),
+      onHello: (hello, peer) => this.onHello(hello, peer),
+      onStatus: status => this.onStatus(status),
+      onJoin: request => this.onJoin(request),
+    });
   }
 
-  private stateFor({knownVersion}: PullRequest): StateUpdate | undefined {
-    const state = this.group?.state;
-    if (state === undefined || state.version !== knownVersion) return state;
-    return {...state, document: undefined};
+  private onJoin(request: JoinRequest): void {
+    this.linkTo([request.address]);
+    this.noteZone(request.address, request.zone);
+    this.group?.membership.addCandidate(request);
   }
 
   private noteZone(address: Address, zone: ZoneId): void {
@@ -599,27 +520,4 @@
     const {leader} = this.status;
     return leader && this.links.peerAt(leader);
   }
-
-  private async submitOrForward(
-    command: ClusterCommand,
-  ): Promise<SubmitOutcome> {
-    if (this.isLeader) return this.group!.submit(command);
-    const peer = this.leaderPeer();
-    if (peer === undefined) return {kind: 'not_leader'};
-    try {
-      return await peer.request<SubmitOutcome>(
-        'submit',
-        command,
-        FORWARD_TIMEOUT_MS,
-      );
-    } catch (error) {
-      return {kind: 'unknown', reason: String(error)};
-    }
-  }
-
-  private reserve(demand: Demand): Promise<DispatchResult> {
-    if (!this.isLeader) return Promise.reject(new Error('not_leader'));
-    this.startTermIfLeader();
-    return this.reservations.reserve(demand);
-  }
 }
--- /dev/null
+++ b/packages/cluster/src/control/group-access.ts
@@ -0,0 +1,63 @@
+/**
+ * Calls on the leader of the control group from any control daemon: commands
+ * are applied here if this daemon leads, and forwarded otherwise.
+ */
+import type {Logger} from '@samphirefield/core';
+import type {Peer} from '../link/index.js';
+import type {GroupReplica, SubmitOutcome} from './group-replica.js';
+import type {ClusterCommand, ClusterState} from './state-machine.js';
+
+const FORWARD_TIMEOUT_MS = 3_000;
+export const READ_TIMEOUT_MS = 800;
+
+export interface GroupAccessOptions {
+  /** Undefined while the disk refuses. */
+  readonly group: () => GroupReplica | undefined;
+  readonly leaderPeer: () => Peer | undefined;
+  readonly logger: Logger;
+}
+
+export class GroupAccess {
+  constructor(private readonly options: GroupAccessOptions) {}
+
+  async submit(command: ClusterCommand): Promise<SubmitOutcome> {
+    const group = this.options.group();
+    if (group?.isLeader) return group.submit(command);
+    return this.forward('submit', command);
+  }
+
+  /** Sends a command to the leader by the given method. */
+  async forward(method: string, params: object): Promise<SubmitOutcome> {
+    const peer = this.options.leaderPeer();
+    if (peer === undefined) return {kind: 'not_leader'};
+    try {
+      return await peer.request<SubmitOutcome>(
+        method,
+        params,
+        FORWARD_TIMEOUT_MS,
+      );
+    } catch (error) {
+      return {kind: 'unknown', reason: String(error)};
+    }
+  }
+
+  /**
+   * Returns the newest accepted state; undefined if no reachable leader can
+   * confirm it.
+   */
+  async readNewest(): Promise<ClusterState | undefined> {
+    const {group, leaderPeer, logger} = this.options;
+    const replica = group();
+    if (replica?.isLeader) return replica.readNewest(READ_TIMEOUT_MS);
+    try {
+      return await leaderPeer()?.request<ClusterState>(
+        'read_newest',
+        {},
+        READ_TIMEOUT_MS,
+      );
+    } catch (error) {
+      logger.warn('read_failed', {reason: String(error)});
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/control/link-handlers.ts
@@ -0,0 +1,117 @@
+/** What a control daemon does with each message that other daemons send it. */
+import type {Demand, DispatchResult} from '@samphirefield/gateway';
+import type {SuspectRequest} from '@samphirefield/policy/quarantine';
+import type {Address, Peer, RpcHandlers} from '../link/index.js';
+import {READ_TIMEOUT_MS} from './group-access.js';
+import type {GroupReplica} from './group-replica.js';
+import type {
+  CrashMessage,
+  FinishMessage,
+  GroupStatus,
+  HeldRuns,
+  Hello,
+  JoinRequest,
+  LeaveOutcome,
+  LeaveRequest,
+  MovePermitMessage,
+  PullRequest,
+  RaftLinkMessage,
+  SendRequest,
+  StatementsMessage,
+  StateUpdate,
+  SuspectsMessage,
+  TargetsMessage,
+} from './messages.js';
+import type {QuarantineKeeper} from './quarantine-keeper.js';
+import type {ReservationManager} from './reservations.js';
+import type {ClusterCommand} from './state-machine.js';
+import type {StatementKeeper} from './statement-keeper.js';
+import type {TargetRegistry} from './target-registry.js';
+
+export interface LinkHandlerOptions {
+  /** Undefined while the disk refuses. */
+  readonly group: () => GroupReplica | undefined;
+  readonly isLeader: () => boolean;
+  /** Begins a term that this daemon leads, if that has not been done. */
+  readonly startTermIfLeader: () => void;
+  readonly registry: TargetRegistry;
+  readonly reservations: ReservationManager;
+  readonly quarantine: QuarantineKeeper;
+  readonly statements: StatementKeeper;
+  readonly linkTo: (addresses: readonly Address[]) => void;
+  readonly onHello: (hello: Hello, peer: Peer) => void;
+  readonly onStatus: (status: GroupStatus) => void;
+  readonly onJoin: (request: JoinRequest) => void;
+}
+
+export function createLinkHandlers(options: LinkHandlerOptions): RpcHandlers {
+  return {...groupHandlers(options), ...entryHandlers(options)};
+}
+
+function groupHandlers(options: LinkHandlerOptions): RpcHandlers {
+  const {group, registry} = options;
+  return {
+    hello: (hello: Hello, peer: Peer) => options.onHello(hello, peer),
+    raft: (message: RaftLinkMessage) => {
+      options.linkTo([message.replyTo]);
+      group()?.receive(message.envelope, message.replyTo);
+    },
+    join: (request: JoinRequest) => options.onJoin(request),
+    leave: ({replica}: LeaveRequest): Promise<LeaveOutcome> | LeaveOutcome =>
+      group()?.membership.release(replica) ?? 'not_leader',
+    targets: (message: TargetsMessage) => {
+      for (const item of message.items) registry.mergeUpdate(item);
+    },
+    status: (status: GroupStatus) => options.onStatus(status),
+    submit: (command: ClusterCommand) =>
+      group()?.submit(command) ?? {kind: 'not_leader'},
+    read_newest: () => group()?.readNewest(READ_TIMEOUT_MS),
+    pull_state: (request: PullRequest) => stateFor(group(), request),
+  };
+}
+
+function stateFor(
+  group: GroupReplica | undefined,
+  {knownVersion}: PullRequest,
+): StateUpdate | undefined {
+  const state = group?.state;
+  if (state === undefined || state.version !== knownVersion) return state;
+  return {...state, document: undefined};
+}
+
+function entryHandlers(options: LinkHandlerOptions): RpcHandlers {
+  const {isLeader, startTermIfLeader} = options;
+  const {reservations, quarantine, statements} = options;
+  return {
+    place: (demand: Demand): Promise<DispatchResult> => {
+      if (!isLeader()) return Promise.reject(new Error('not_leader'));
+      startTermIfLeader();
+      return reservations.reserve(demand);
+    },
+    finish: (message: FinishMessage) => reservations.release(message),
+    take_turn: (message: MovePermitMessage) =>
+      reservations.acquireMovePermit(message),
+    end_turn: (message: MovePermitMessage) =>
+      reservations.releaseMovePermit(message),
+    crash: (message: CrashMessage) => quarantine.recordCrash(message),
+    suspects_answered: ({fingerprints}: SuspectsMessage) =>
+      quarantine.clear(fingerprints),
+    admit_suspects: (request: SuspectRequest) => quarantine.admit(request),
+    suspects_ended: ({fingerprints}: SuspectsMessage) =>
+      quarantine.endRun(fingerprints),
+    statements: ({reports}: StatementsMessage) => {
+      startTermIfLeader();
+      if (!isLeader()) return;
+      for (const report of reports) statements.learn(report);
+    },
+    take_send: (request: SendRequest) =>
+      isLeader()
+        ? statements.takeSend(request)
+        : Promise.reject(new Error('not_leader')),
+    held_runs: (held: HeldRuns) => {
+      // Runs that arrive before this daemon knows its term would be cleared.
+      startTermIfLeader();
+      reservations.replaceRuns(held);
+    },
+  };
+}
