--- a/packages/gateway/src/registry/logic.ts
+++ b/packages/gateway/src/registry/logic.ts
@@ -68,6 +68,7 @@
   return (
     a.bornMs === b.bornMs &&
     a.service === b.service &&
+    a.version === b.version &&
     a.host === b.host &&
     a.port === b.port &&
     a.zone === b.zone &&
--- a/packages/gateway/src/registry/registry.spec.ts
+++ b/packages/gateway/src/registry/registry.spec.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import {test} from 'node:test';
 import {serviceId, targetId, zoneId} from '@samphirefield/core';
+import {versionId} from '@samphirefield/policy/rollouts';
 import {removeExpired, markGone, mergeAnnouncement} from './logic.js';
 import type {TargetAnnouncement, TargetRecord, TargetTable} from './types.js';
 
@@ -81,6 +82,14 @@
   expect(table.get(base.id)?.coldUntilMs).toEqual(1_200);
 });
 
+// Guards against entries that are not told of a version, since only changes are
+// sent to them: an older daemon passed the announcement on without it.
+test('a version that becomes known is a change', () => {
+  const table = apply([base]);
+  const named = {...base, sequence: 2, version: versionId('v2')};
+  expect(mergeAnnouncement(table, named, 0)).toEqual('changed');
+});
+
 test('leads to the same table for every order of announcements', () => {
   const announcement = fc.record({
     bornMs: fc.integer({min: 1, max: 3}),
--- a/packages/gateway/src/registry/types.ts
+++ b/packages/gateway/src/registry/types.ts
@@ -1,5 +1,6 @@
 /** Announcements of targets, and the table in which daemons keep them. */
 import type {ServiceId, TargetId, ZoneId} from '@samphirefield/core';
+import type {VersionId} from '@samphirefield/policy/rollouts';
 
 /**
  * State of one incarnation of a target, as announced by the target. A target
@@ -12,6 +13,8 @@
   /** Increases with each announcement of one incarnation. */
   readonly sequence: number;
   readonly service: ServiceId;
+  /** Missing where the target names none. */
+  readonly version?: VersionId;
   readonly host: string;
   readonly port: number;
   readonly zone: ZoneId;
