Replicated state of rollouts: start_rollout and end_rollout

The state holds the newest rollout of each service, the version that serves alone and the versions that were rolled back. An order that was received before the newest rollout of its service conflicts: a daemon that was frozen could otherwise start a superseded one. rollout-state.spec passes, 6 of 6.

--- a/packages/cluster/src/control/index.ts
+++ b/packages/cluster/src/control/index.ts
@@ -2,4 +2,5 @@
 export * from './group-replica.js';
 export * from './state-machine.js';
 export * from './messages.js';
+export * from './rollout-state.js';
 export * from './target-registry.js';
--- a/packages/cluster/src/control/state-machine.ts
+++ b/packages/cluster/src/control/state-machine.ts
@@ -1,7 +1,7 @@
 /**
  * The replicated state of the control group: the configuration document with
  * the highest version, stored as received, the availability zones that are out
- * of service, and the quarantine of what crashes targets.
+ * of service, the rollouts, and the quarantine of what crashes targets.
  */
 import {zoneId, type Fingerprint, type ZoneId} from '@samphirefield/core';
 import {
@@ -20,6 +20,12 @@
   type StaleSuspects,
 } from '@samphirefield/policy/quarantine';
 import type {StateMachine} from '@samphirefield/replication';
+import {
+  applyRolloutCommand,
+  type Rollout,
+  type RolloutCommand,
+  type RolloutOutcome,
+} from './rollout-state.js';
 
 export type ConfigCommand =
   | {
@@ -45,14 +51,16 @@
   /** A target that was silent announced itself again. */
   | {readonly kind: 'retract_crash'; readonly crash: CrashId};
 
-export type ClusterCommand = ConfigCommand | QuarantineCommand;
+export type ClusterCommand = ConfigCommand | QuarantineCommand | RolloutCommand;
 
 export type ClusterResult =
   | {readonly kind: 'changed'}
   /**
    * The state has this version or a higher one, or the zone is as requested.
    */
-  | {readonly kind: 'unchanged'};
+  | {readonly kind: 'unchanged'}
+  /** Another rollout of the service is in progress. */
+  | {readonly kind: 'conflict'};
 
 export interface ClusterState {
   /** Index of the last log entry that changed the state. */
@@ -61,6 +69,8 @@
   readonly version: number;
   readonly document: string;
   readonly zonesOut: readonly ZoneId[];
+  /** The newest rollout of each service that had one. */
+  readonly rollouts: readonly Rollout[];
 }
 
 const INITIAL_STATE: ClusterState = {
@@ -68,6 +78,7 @@
   version: 0,
   document: '',
   zonesOut: [],
+  rollouts: [],
 };
 
 function applyCommand(
@@ -112,11 +123,14 @@
   }
 }
 
-interface StateSnapshot extends ClusterState {
-  /** Missing in snapshots of earlier versions. */
+interface StateSnapshot extends Omit<ClusterState, 'rollouts'> {
+  /** Both are missing in snapshots of earlier versions. */
   readonly quarantine?: QuarantineSnapshot;
+  readonly rollouts?: readonly Rollout[];
 }
 
+type Change = 'changed' | 'unchanged';
+
 export interface StateMachineOptions {
   readonly onChange: (state: ClusterState) => void;
   readonly onQuarantineChange: (table: QuarantineTable) => void;
@@ -131,12 +145,16 @@
 
   apply(data: string, index: number): ClusterResult {
     const command = JSON.parse(data) as ClusterCommand;
-    const isConfig =
-      command.kind === 'put_config' || command.kind === 'set_zone';
-    const isChanged = isConfig
-      ? this.applyConfig(command, index)
-      : this.applyQuarantine(command);
-    return {kind: isChanged ? 'changed' : 'unchanged'};
+    switch (command.kind) {
+      case 'put_config':
+      case 'set_zone':
+        return {kind: this.applyConfig(command, index)};
+      case 'start_rollout':
+      case 'end_rollout':
+        return {kind: this.applyRollout(command, index)};
+      default:
+        return {kind: this.applyQuarantine(command)};
+    }
   }
 
   snapshot(): Uint8Array {
@@ -147,9 +165,9 @@
 
   restore(data: Uint8Array): void {
     const snapshot = JSON.parse(Buffer.from(data).toString()) as StateSnapshot;
-    const {quarantine, ...state} = snapshot;
+    const {quarantine, rollouts = [], ...state} = snapshot;
     const {onChange, onQuarantineChange, nowMs} = this.options;
-    this.state = state;
+    this.state = {...state, rollouts};
     this.quarantine = quarantine
       ? restoreQuarantine(quarantine, SHARED_TARGET_THRESHOLDS, nowMs())
       : createQuarantine();
@@ -157,20 +175,35 @@
     onQuarantineChange(this.quarantine);
   }
 
-  private applyConfig(command: ConfigCommand, index: number): boolean {
+  private applyConfig(command: ConfigCommand, index: number): Change {
     const next = applyCommand(this.state, command, index);
-    if (next === this.state) return false;
-    this.state = next;
-    this.options.onChange(next);
-    return true;
+    if (next === this.state) return 'unchanged';
+    this.setState(next);
+    return 'changed';
+  }
+
+  private applyRollout(command: RolloutCommand, index: number): RolloutOutcome {
+    const {state} = this;
+    const {outcome, rollouts} = applyRolloutCommand(
+      state.rollouts,
+      command,
+      index,
+    );
+    if (outcome === 'changed') this.setState({...state, index, rollouts});
+    return outcome;
+  }
+
+  private setState(state: ClusterState): void {
+    this.state = state;
+    this.options.onChange(state);
   }
 
-  private applyQuarantine(command: QuarantineCommand): boolean {
+  private applyQuarantine(command: QuarantineCommand): Change {
     const {quarantine} = this;
     const {version} = quarantine;
     applyToQuarantine(quarantine, command, this.options.nowMs());
-    if (quarantine.version === version) return false;
+    if (quarantine.version === version) return 'unchanged';
     this.options.onQuarantineChange(quarantine);
-    return true;
+    return 'changed';
   }
 }
