Gateway: a gate of versions in the dispatcher, and an observer of attempts

The dispatcher asks mayPlaceOn(target, demand) before each placement; a demand that is meant for a version prefers its targets until they are full. Demands carry the route and, if granted, the side; both are optional on the link. The exchange tells an observer of each attempt: sent, when its body or first event began, and whether it ended sound, bad (failure, broken, no answer by the deadline) or void (not run, caller left). A target is checked again right before the request is sent. Without gate and observer nothing changes.

--- a/packages/gateway/src/dispatch/demands.ts
+++ b/packages/gateway/src/dispatch/demands.ts
@@ -61,6 +61,7 @@
   readonly priority: number;
   readonly workspace: WorkspaceId | undefined;
   readonly excluded: readonly TargetId[];
+  readonly route?: string;
 }
 
 function expectedKvTokens(tokens: TokenCounts): number {
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -36,10 +36,16 @@
   RunOutcome,
   ServiceCapacity,
 } from './types.js';
+import {ALL_VERSIONS, type VersionGate} from './version-gate.js';
 import {WaitEstimate} from './wait-estimate.js';
 
 const FULL_LOAD = 1;
 const TIE_BREAK_RANGE = 0.02;
+/**
+ * A demand that is meant for a version goes to it unless its targets are full:
+ * the load of a full target and more, so that others are no better.
+ */
+const MEANT_VERSION_BONUS = 2;
 const MS_PER_S = 1_000;
 
 export interface Run {
@@ -59,6 +65,8 @@
   readonly random: () => number;
   /** Default: targets state no limits. */
   readonly limiter?: TargetLimiter;
+  /** Default: all versions of a target may be used. */
+  readonly versions?: VersionGate;
 }
 
 /** Grants or refuses demands; keeps the runs and the pending demands. */
@@ -72,9 +80,11 @@
   private readonly estimate = new WaitEstimate();
 
   private readonly limiter: TargetLimiter;
+  private readonly versions: VersionGate;
 
   constructor(private readonly options: DispatcherOptions) {
     this.limiter = options.limiter ?? NO_LIMITS;
+    this.versions = options.versions ?? ALL_VERSIONS;
   }
 
   get pendingCount(): number {
@@ -364,8 +374,12 @@
   }
 
   private isUsable(target: TargetState, demand: Demand): boolean {
-    const {id} = target.record.announcement;
-    return this.isAvailable(target) && !demand.excluded.includes(id);
+    const {announcement} = target.record;
+    return (
+      this.isAvailable(target) &&
+      !demand.excluded.includes(announcement.id) &&
+      this.versions.mayPlaceOn(announcement, demand)
+    );
   }
 
   private isAvailable({record, isSilent}: TargetState): boolean {
@@ -414,10 +428,13 @@
     demand: Demand,
     nowMs: number,
   ): number {
-    const isOtherZone = target.record.announcement.zone !== demand.zone;
+    const {announcement} = target.record;
+    const isOtherZone = announcement.zone !== demand.zone;
+    const isMeant = this.versions.isMeantFor(announcement, demand);
     return (
       load +
-      penaltyOf(target, nowMs) +
+      penaltyOf(target, nowMs) -
+      (isMeant ? MEANT_VERSION_BONUS : 0) +
       (isOtherZone ? demand.otherZonePenalty : 0) +
       this.options.random() * TIE_BREAK_RANGE
     );
--- a/packages/gateway/src/dispatch/index.ts
+++ b/packages/gateway/src/dispatch/index.ts
@@ -2,3 +2,4 @@
 export * from './dispatcher.js';
 export * from './limiter.js';
 export * from './types.js';
+export * from './version-gate.js';
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -45,6 +45,13 @@
   /** How long the demand may wait for any reservation. */
   readonly maxWaitMs: number;
   readonly excluded: readonly TargetId[];
+  /** Name of the request's route; daemons of earlier builds leave it out. */
+  readonly route?: string;
+  /**
+   * Set by the entry that a rollout granted the request: it may go to the new
+   * version.
+   */
+  readonly rolloutSide?: 'new';
 }
 
 /** How much load the targets of a service accept. */
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -22,6 +22,7 @@
 import {breakOffResponse} from './break-off.js';
 import {canFinishBeforeStop} from './planned-stop.js';
 import {QuarantineGuard} from './quarantine-guard.js';
+import {NO_OBSERVER, observedEndOf, type ObservedRun} from './run-observer.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
 import {
   classifyResult,
@@ -76,6 +77,7 @@
   private readonly metadata: RequestMetadata;
   private endsAtMs: number;
   private isOver = false;
+  private hasTimedOut = false;
   private attempt: TargetAttempt | undefined;
   private pendingReservation:
     {request: RequestId; service: ServiceId} | undefined;
@@ -234,6 +236,7 @@
   private async serve(admitted: AdmittedRequest): Promise<void> {
     const {budget} = this.deps;
     budget.recordRequest(admitted.service);
+    this.runObserver.recordArrival(admitted.service);
     for (;;) {
       const nextStep = await this.attemptOnce(admitted);
       if (this.isOver) return;
@@ -328,7 +331,12 @@
     return nextStep;
   }
 
+  private get runObserver() {
+    return this.deps.runObserver ?? NO_OBSERVER;
+  }
+
   private mayUse(target: TargetId): boolean {
+    if (!this.runObserver.mayUse(target)) return false;
     const {reservations, statements} = this.deps;
     const bornMs = reservations.findTarget(target)?.announcement.bornMs;
     return bornMs === undefined || statements.mayUse({target, bornMs});
@@ -365,7 +373,22 @@
       connection.destroy();
       return {outcome: 'abandoned', step: {kind: 'broken_off'}};
     }
-    const attempt = this.startAttempt(connection, admitted, reservation);
+    // A version may have been closed, or a lease ended, while connecting.
+    if (!this.runObserver.mayUse(reservation.target)) {
+      connection.destroy();
+      return notSent('abandoned', 'the version of the target may not be used');
+    }
+    const observedRun = this.runObserver.startRun(
+      admitted.route.name,
+      admitted.service,
+      reservation.target,
+    );
+    const attempt = this.startAttempt(
+      connection,
+      admitted,
+      reservation,
+      observedRun,
+    );
     let current = reservation;
     const supervisor = new RunSupervisor({
       deps: this.deps,
@@ -377,11 +400,13 @@
           nextConnection,
           admitted,
           nextReservation,
+          undefined,
           continuation,
         ),
       onMoved: moved => {
         this.record.moves += 1;
         this.record.lastTarget = moved.target;
+        observedRun.noteMove(moved.target);
         current = moved;
       },
     });
@@ -391,6 +416,7 @@
     this.attempt = undefined;
     if (mayHaveRun(result)) this.runCount += 1;
     const classified = classifyResult(result, admitted.route, this.runCount);
+    observedRun.noteEnd(observedEndOf(result, classified, this.hasTimedOut));
     // A crash has to be known before the request is sent to another target.
     if (classified.step.kind === 'retry') await observed;
     return classified;
@@ -412,6 +438,7 @@
     connection: UpstreamConnection,
     admitted: AdmittedRequest,
     reservation: Reservation,
+    observedRun?: ObservedRun,
     continuation?: StreamContinuation,
   ): TargetAttempt {
     const {protocol} = this.deps;
@@ -439,6 +466,7 @@
       isStreamed: KIND_TRAITS[admitted.route.kind].isStreamed,
       continuedSink: continuation?.sink,
       onProven: () => admitted.quarantine.recordAnswer(),
+      onAnswer: () => observedRun?.noteAnswer(this.deps.nowMs() - sentAtMs),
       onHead: metadata =>
         this.deps.statements.hear(start, metadata.stated, sentAtMs),
     });
@@ -455,6 +483,7 @@
 
   private onTimeout(): void {
     if (this.isOver) return;
+    this.hasTimedOut = true;
     const {attempt} = this;
     if (attempt?.hasStarted()) {
       this.isOver = true;
--- a/packages/gateway/src/exchange/index.ts
+++ b/packages/gateway/src/exchange/index.ts
@@ -4,4 +4,5 @@
 export * from './local-response.js';
 export * from './http-message.js';
 export type {PlannedStop} from './planned-stop.js';
+export * from './run-observer.js';
 export * from './types.js';
--- a/packages/gateway/src/exchange/reservation.ts
+++ b/packages/gateway/src/exchange/reservation.ts
@@ -81,7 +81,16 @@
   const {instance: entry, zone} = deps;
   const {service, priority, workspace} = admitted;
   return startDemand(
-    {request: run, service, entry, zone, priority, workspace, excluded},
+    {
+      request: run,
+      service,
+      entry,
+      zone,
+      priority,
+      workspace,
+      excluded,
+      route: admitted.route.name,
+    },
     metadata,
     admitted.route.objectiveMs,
     remainingMs,
@@ -105,7 +114,16 @@
   const {service, priority, workspace} = admitted;
   const entry = deps.instance;
   return moveDemand(
-    {request: run, service, entry, zone, priority, workspace, excluded},
+    {
+      request: run,
+      service,
+      entry,
+      zone,
+      priority,
+      workspace,
+      excluded,
+      route: admitted.route.name,
+    },
     metadata,
   );
 }
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -72,6 +72,11 @@
   readonly onProven: () => void;
   /** Called with the head of a response that names this request. */
   readonly onHead: (metadata: ResponseMetadata) => void;
+  /**
+   * Called once when the body of a response that may be sound begins, of a
+   * stream its first event.
+   */
+  readonly onAnswer?: () => void;
 }
 
 const FIRST_FAILURE_STATUS = 500;
@@ -102,6 +107,10 @@
     isProven = true;
     options.onProven();
   };
+  const mayBeSound = () =>
+    head!.status < FIRST_FAILURE_STATUS &&
+    !metadata!.isNotRun &&
+    !metadata!.isMisdirected;
   const onDrain = () => connection.resume();
   const finish = (value: AttemptResult) => {
     res.off('drain', onDrain);
@@ -146,7 +155,10 @@
         sink?.events === undefined || sink.events.eventCount !== eventsBefore;
       if (isProgress) {
         lastProgressAtMs = performance.now();
-        firstProgressAtMs ??= lastProgressAtMs;
+        if (firstProgressAtMs === undefined) {
+          firstProgressAtMs = lastProgressAtMs;
+          if (mayBeSound()) options.onAnswer?.();
+        }
         const isSound = isSuccess(head!.status);
         if (isSound && lastProgressAtMs - firstProgressAtMs > PROVEN_AFTER_MS)
           prove();
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -17,6 +17,7 @@
 import type {RequestObserver} from '../metrics/index.js';
 import type {KvCacheMover, ResumePoint} from '../moves/index.js';
 import type {PlannedStop} from './planned-stop.js';
+import type {RunObserver} from './run-observer.js';
 import type {TargetStart} from '@samphirefield/policy/quarantine';
 import type {HeadValues} from '@samphirefield/policy/statements';
 import type {Quarantine} from '../quarantine/index.js';
@@ -139,6 +140,8 @@
   readonly budget: RetryBudget;
   readonly quarantine: Quarantine;
   readonly statements: StatementListener;
+  /** Default: nothing is observed. */
+  readonly runObserver?: RunObserver;
   readonly pool: UpstreamPool;
   readonly mover: KvCacheMover;
   readonly logger: Logger;
--- a/packages/gateway/src/metrics/metrics.ts
+++ b/packages/gateway/src/metrics/metrics.ts
@@ -63,6 +63,23 @@
   };
 }
 
+/** Called with the end of an attempt on a target of a version. */
+export type VersionEndObserver = (
+  service: string,
+  version: string | undefined,
+  end: string,
+) => void;
+
+export function createVersionObserver(registry: Registry): VersionEndObserver {
+  const runs = new Counter({
+    name: `${PREFIX}version_runs_total`,
+    help: 'Attempts on targets by service, version of the target and end: sound, bad or void',
+    labelNames: ['service', 'version', 'end'],
+    registers: [registry],
+  });
+  return (service, version = 'none', end) => runs.inc({service, version, end});
+}
+
 /** Registers gauges whose values are read at each scrape. */
 export function registerGauges(
   registry: Registry,
