Rollouts in the control group and the entries: keeper, leases, counts

The leader's keeper collects what entries count, asks the judge every 250 ms and answers each report with a lease. The lease counts from when the report was sent; a leader that lacks the Raft lease grants nothing, and a new one waits for the longest lease. Entries pace the granted requests and count sums by route, side and target. A version that completes is closed first: entries stop using old targets and their runs move, since old targets are stopped at once.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -11,6 +11,7 @@
   TargetAnnouncement,
 } from '@samphirefield/gateway';
 import {viewOf, type QuarantineTable} from '@samphirefield/policy/quarantine';
+import type {RolloutLimits} from '@samphirefield/policy/rollouts';
 import {
   formatAddress,
   LinkSet,
@@ -30,6 +31,9 @@
   GroupTiming,
 } from './group-replica.js';
 import {QuarantineKeeper} from './quarantine-keeper.js';
+import {RolloutKeeper} from './rollout-keeper.js';
+import {situationOf} from './rollout-situation.js';
+import type {RolloutRequest} from './rollout-state.js';
 import type {ClusterCommand, ClusterState} from './state-machine.js';
 import {leaveGroup} from './leaving.js';
 import {createLinkHandlers} from './link-handlers.js';
@@ -71,9 +75,23 @@
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly openStorage?: GroupReplicaOptions['openStorage'];
+  readonly rollouts?: {
+    readonly limits?: RolloutLimits;
+    /** Unix time; all daemons have about the same. Default: the clock. */
+    readonly wallMs?: () => number;
+  };
 }
 
 export type ChangeOutcome = 'accepted' | 'unavailable';
+/** `conflict`: another rollout of the service is in progress. */
+export type RolloutOrderOutcome = ChangeOutcome | 'conflict';
+
+/** What the product uses where a deployment sets nothing. */
+export const DEFAULT_ROLLOUT_LIMITS: RolloutLimits = {
+  exposeShare: 0.1,
+  exposeSlack: 50,
+  rollbackMs: 5_000,
+};
 
 export class ControlNode {
   private readonly incarnation = randomUUID();
@@ -87,6 +105,7 @@
   private readonly status: StatusReporter;
   private readonly quarantine: QuarantineKeeper;
   private readonly statements: StatementKeeper;
+  private readonly rollouts: RolloutKeeper;
   /** Zones of control daemons, by address; of this one too. */
   private readonly zones = new Map<string, ZoneId>();
   private readonly entryIncarnations = new Map<InstanceId, string>();
@@ -133,10 +152,12 @@
       },
       spread: reports => this.subscribers.sendStatements({reports}),
     });
+    this.rollouts = this.createRolloutKeeper();
     this.reservations = new ReservationManager({
       logger,
       nowMs,
       limiter: this.statements,
+      versions: this.rollouts.gate,
     });
     this.access = new GroupAccess({
       group: () => this.group,
@@ -195,6 +216,7 @@
       this.registry.tick();
       this.reservations.tick();
       this.quarantine.tick();
+      this.rollouts.decideAll();
     });
     return ok(undefined);
   }
@@ -248,6 +270,29 @@
     return outcome.kind === 'applied' ? 'accepted' : 'unavailable';
   }
 
+  /**
+   * Orders a rollout. Resolves to `accepted` once it is durable on a quorum, or
+   * if the same order was accepted before.
+   */
+  async startRollout(request: RolloutRequest): Promise<RolloutOrderOutcome> {
+    const {wallMs = Date.now} = this.options.rollouts ?? {};
+    const orderedAtMs = wallMs();
+    const command = {kind: 'start_rollout' as const, ...request, orderedAtMs};
+    const outcome = this.isLeader
+      ? await this.rollouts.start(command)
+      : await this.access.forward('start_rollout', command);
+    const answer = outcome.kind === 'applied' ? outcome.answer.kind : undefined;
+    this.options.logger.info('rollout_order', {
+      service: request.service,
+      target: request.target,
+      duration_ms: request.durationMs,
+      outcome: answer ?? outcome.kind,
+      reason: outcome.kind === 'unknown' ? outcome.reason : undefined,
+    });
+    if (answer === undefined) return 'unavailable';
+    return answer === 'conflict' ? 'conflict' : 'accepted';
+  }
+
   /**
    * Returns the newest accepted state; undefined if no reachable leader can
    * confirm it.
@@ -269,6 +314,7 @@
       subscribers: this.subscribers.count,
       links_closed_for_size: this.oversizedLinks,
       places_waiting: this.reservations.pendingCount,
+      rollouts_running: this.rollouts.runningCount,
       places_held: this.reservations.heldCount,
     };
   }
@@ -327,6 +373,31 @@
     });
   }
 
+  private createRolloutKeeper(): RolloutKeeper {
+    const {limits = DEFAULT_ROLLOUT_LIMITS, wallMs = Date.now} =
+      this.options.rollouts ?? {};
+    const {logger, nowMs} = this.options;
+    return new RolloutKeeper({
+      limits,
+      logger,
+      nowMs,
+      wallMs,
+      leadingTerm: () => (this.isLeader ? this.group!.term : undefined),
+      holdsLease: () => this.group?.holdsLease ?? false,
+      rollouts: () => this.group?.state.rollouts ?? [],
+      situationOf: rollout =>
+        situationOf(rollout, {
+          targets: this.registry.readyTargets(),
+          zonesOut: this.group?.state.zonesOut ?? [],
+          isLeaving: ({id}) => this.statements.isLeaving(id),
+        }),
+      entries: () => this.subscribers.entries,
+      areCommandsKnown: () => this.subscribers.doAllHandleRollouts,
+      submit: async command =>
+        (await this.group?.submit(command)) ?? {kind: 'not_leader'},
+    });
+  }
+
   private handlers(): RpcHandlers {
     return createLinkHandlers({
       group: () => this.group,
@@ -336,6 +407,7 @@
       reservations: this.reservations,
       quarantine: this.quarantine,
       statements: this.statements,
+      rollouts: this.rollouts,
       linkTo: addresses => this.linkTo(addresses),
       onHello: (hello, peer) => this.onHello(hello, peer),
       onStatus: status => this.onStatus(status),
@@ -377,6 +449,7 @@
       zone,
       receivesTargets: true,
       address,
+      handlesRollouts: true,
     };
     peer.notify('hello', hello);
   }
--- a/packages/cluster/src/control/group-replica.ts
+++ b/packages/cluster/src/control/group-replica.ts
@@ -186,6 +186,11 @@
     return this.node.isLeader;
   }
 
+  /** Whether no other daemon can have been elected by now. */
+  get holdsLease(): boolean {
+    return this.node.holdsLease();
+  }
+
   get term(): number {
     return this.node.raft.term;
   }
--- a/packages/cluster/src/control/link-handlers.ts
+++ b/packages/cluster/src/control/link-handlers.ts
@@ -24,6 +24,9 @@
 } from './messages.js';
 import type {QuarantineKeeper} from './quarantine-keeper.js';
 import type {ReservationManager} from './reservations.js';
+import type {RolloutKeeper} from './rollout-keeper.js';
+import type {RolloutReportMessage} from './rollout-messages.js';
+import type {StartRolloutCommand} from './rollout-state.js';
 import type {ClusterCommand} from './state-machine.js';
 import type {StatementKeeper} from './statement-keeper.js';
 import type {TargetRegistry} from './target-registry.js';
@@ -38,6 +41,7 @@
   readonly reservations: ReservationManager;
   readonly quarantine: QuarantineKeeper;
   readonly statements: StatementKeeper;
+  readonly rollouts: RolloutKeeper;
   readonly linkTo: (addresses: readonly Address[]) => void;
   readonly onHello: (hello: Hello, peer: Peer) => void;
   readonly onStatus: (status: GroupStatus) => void;
@@ -65,6 +69,8 @@
     status: (status: GroupStatus) => options.onStatus(status),
     submit: (command: ClusterCommand) =>
       group()?.submit(command) ?? {kind: 'not_leader'},
+    start_rollout: (command: StartRolloutCommand) =>
+      options.rollouts.start(command),
     read_newest: () => group()?.readNewest(READ_TIMEOUT_MS),
     pull_state: (request: PullRequest) => stateFor(group(), request),
   };
@@ -81,7 +87,7 @@
 
 function entryHandlers(options: LinkHandlerOptions): RpcHandlers {
   const {isLeader, startTermIfLeader} = options;
-  const {reservations, quarantine, statements} = options;
+  const {reservations, quarantine, statements, rollouts} = options;
   return {
     place: (demand: Demand): Promise<DispatchResult> => {
       if (!isLeader()) return Promise.reject(new Error('not_leader'));
@@ -108,6 +114,7 @@
       isLeader()
         ? statements.takeSend(request)
         : Promise.reject(new Error('not_leader')),
+    rollout_report: (message: RolloutReportMessage) => rollouts.report(message),
     held_runs: (held: HeldRuns) => {
       // Runs that arrive before this daemon knows its term would be cleared.
       startTermIfLeader();
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -26,6 +26,8 @@
   readonly receivesTargets: boolean;
   /** Where other daemons reach the sender; of control daemons only. */
   readonly address?: Address;
+  /** Whether the sender obeys rollouts; earlier builds leave it out. */
+  readonly handlesRollouts?: boolean;
 }
 
 /** Status of the control group, as known to the sender. */
--- a/packages/cluster/src/control/reservations.ts
+++ b/packages/cluster/src/control/reservations.ts
@@ -18,11 +18,13 @@
   type ServiceCapacity,
   type TargetLimiter,
   type TargetRecord,
+  type VersionGate,
 } from '@samphirefield/gateway';
 import type {FinishMessage, HeldRuns, MovePermitMessage} from './messages.js';
 
 export interface ReservationManagerOptions {
   readonly limiter: TargetLimiter;
+  readonly versions: VersionGate;
   readonly logger: Logger;
   readonly nowMs: () => number;
 }
@@ -44,6 +46,7 @@
       share: () => 1,
       random: Math.random,
       limiter: options.limiter,
+      versions: options.versions,
     });
     this.permits = new MovePermits(options.nowMs);
   }
--- /dev/null
+++ b/packages/cluster/src/control/rollout-gate.ts
@@ -0,0 +1,64 @@
+/**
+ * Decides which targets a dispatcher may use, by the rollouts in the state and by
+ * what is granted of a running one. The same rules apply on the leader, which
+ * places runs on engines, and on entries, which choose plain targets.
+ */
+import type {ServiceId, TargetId} from '@samphirefield/core';
+import type {
+  Demand,
+  TargetAnnouncement,
+  VersionGate,
+} from '@samphirefield/gateway';
+import {isStopped, useOfVersion, type Rollout} from './rollout-state.js';
+
+/** What is granted of a running rollout now. */
+export interface RolloutGrantView {
+  /** Targets of the new version that get the granted requests. */
+  readonly targets: ReadonlySet<TargetId>;
+  readonly isClosing: boolean;
+}
+
+export interface RolloutGateOptions {
+  /** The newest rollout of a service; undefined if it had none. */
+  readonly rolloutOf: (service: ServiceId) => Rollout | undefined;
+  /** Undefined while nothing is granted. */
+  readonly grantOf: (rollout: Rollout) => RolloutGrantView | undefined;
+}
+
+type Placed = Pick<Demand, 'rolloutSide'>;
+
+export class RolloutGate implements VersionGate {
+  constructor(private readonly options: RolloutGateOptions) {}
+
+  mayPlaceOn(target: TargetAnnouncement, {rolloutSide}: Placed): boolean {
+    const rollout = this.options.rolloutOf(target.service);
+    if (rollout === undefined) return true;
+    const use = useOfVersion(rollout, target.version);
+    if (use === 'closed') return false;
+    if (rollout.state !== 'running') return true;
+    const grant = this.options.grantOf(rollout);
+    const isClosing = grant?.isClosing ?? false;
+    if (use === 'open') return !isClosing;
+    if (isClosing) return true;
+    return rolloutSide === 'new' && (grant?.targets.has(target.id) ?? false);
+  }
+
+  isMeantFor(target: TargetAnnouncement, {rolloutSide}: Placed): boolean {
+    if (rolloutSide !== 'new') return false;
+    return this.options.rolloutOf(target.service)?.target === target.version;
+  }
+
+  /** Whether the target's version is stopped, now or as soon as possible. */
+  isLeaving({service, version}: TargetAnnouncement): boolean {
+    const rollout = this.options.rolloutOf(service);
+    if (rollout === undefined) return false;
+    if (isStopped(rollout, version)) return true;
+    const isOld = useOfVersion(rollout, version) !== 'granted';
+    const isRunning = rollout.state === 'running';
+    return isRunning && isOld && this.isClosing(rollout);
+  }
+
+  private isClosing(rollout: Rollout): boolean {
+    return this.options.grantOf(rollout)?.isClosing ?? false;
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/control/rollout-keeper.ts
@@ -0,0 +1,287 @@
+/**
+ * The leader's part of rollouts: collects what entries count, asks the judge,
+ * leases the granted requests to entries, and submits the end. A rollout that
+ * completes is closed first: entries use the new version only and their runs
+ * leave the old one, because the old targets are stopped at once afterwards.
+ */
+import type {InstanceId, Logger, ServiceId} from '@samphirefield/core';
+import type {VersionGate} from '@samphirefield/gateway';
+import {
+  createRolloutJudge,
+  decide,
+  describeReason,
+  recordEvidence,
+  rolloutLeaseMs,
+  type RolloutDecision,
+  type RolloutLimits,
+  type RolloutSituation,
+} from '@samphirefield/policy/rollouts';
+import type {SubmitOutcome} from './group-replica.js';
+import {RolloutGate, type RolloutGrantView} from './rollout-gate.js';
+import type {
+  RolloutLease,
+  RolloutLeases,
+  RolloutReport,
+  RolloutReportMessage,
+} from './rollout-messages.js';
+import {LeasedEntries} from './leased-entries.js';
+import {
+  findRollout,
+  type Rollout,
+  type RolloutCommand,
+  type RolloutEnd,
+  type StartRolloutCommand,
+} from './rollout-state.js';
+
+/** Time before the deadline at which the end is committed at the latest. */
+const COMMIT_PART = 0.1;
+const MAX_COMMIT_MS = 1_000;
+
+export interface RolloutKeeperOptions {
+  readonly limits: RolloutLimits;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** Unix time, which daemons share. */
+  readonly wallMs: () => number;
+  /** The term that this daemon leads; undefined: it does not lead. */
+  readonly leadingTerm: () => number | undefined;
+  /** Whether no other daemon can have taken over the leadership by now. */
+  readonly holdsLease: () => boolean;
+  /** Rollouts in the state of this daemon. */
+  readonly rollouts: () => readonly Rollout[];
+  readonly situationOf: (rollout: Rollout) => RolloutSituation;
+  /** Entries that are connected to this daemon. */
+  readonly entries: () => readonly InstanceId[];
+  /** Whether all connected daemons know the commands of rollouts. */
+  readonly areCommandsKnown: () => boolean;
+  readonly submit: (command: RolloutCommand) => Promise<SubmitOutcome>;
+}
+
+/** A rollout that runs while this daemon leads. */
+interface Watched {
+  readonly rollout: Rollout;
+  readonly judge: ReturnType<typeof createRolloutJudge>;
+  /** Until then, leases of an earlier leader may be in use. */
+  readonly grantsFromMs: number;
+  readonly deadlineMs: number;
+  readonly entries: LeasedEntries;
+  decision: RolloutDecision | undefined;
+  isEnding: boolean;
+  loggedStage: string;
+}
+
+export class RolloutKeeper {
+  private term: number | undefined;
+  private termSinceMs = 0;
+  private readonly watched = new Map<ServiceId, Watched>();
+  /** Which targets this daemon may place runs on while it leads. */
+  readonly gate: VersionGate;
+
+  constructor(private readonly options: RolloutKeeperOptions) {
+    this.gate = new RolloutGate({
+      rolloutOf: service => findRollout(options.rollouts(), service),
+      grantOf: rollout => this.grantOf(rollout),
+    });
+  }
+
+  get runningCount(): number {
+    const {rollouts} = this.options;
+    return rollouts().filter(({state}) => state === 'running').length;
+  }
+
+  /** Submits an order; refuses it while a daemon of an earlier build is there. */
+  async start(command: StartRolloutCommand): Promise<SubmitOutcome> {
+    const {leadingTerm, areCommandsKnown, logger, submit} = this.options;
+    if (leadingTerm() === undefined) return {kind: 'not_leader'};
+    if (!areCommandsKnown()) {
+      const reason = 'a daemon of an earlier build is connected';
+      logger.warn('rollout_refused', {service: command.service, reason});
+      return {kind: 'unknown', reason};
+    }
+    return submit(command);
+  }
+
+  /** Takes in what an entry counted, and answers what it may send. */
+  report(message: RolloutReportMessage): RolloutLeases {
+    this.follow();
+    const {term} = this;
+    if (term === undefined) throw new Error('not_leader');
+    const leases = message.reports.flatMap(report => {
+      const watched = this.watched.get(report.service);
+      if (watched?.rollout.startIndex !== report.startIndex) return [];
+      return this.leaseFor(watched, message, report) ?? [];
+    });
+    return {term, leases};
+  }
+
+  /** Follows the state and the leadership. */
+  private follow(): void {
+    const {leadingTerm, nowMs} = this.options;
+    const term = leadingTerm();
+    if (term !== this.term) {
+      this.term = term;
+      this.termSinceMs = nowMs();
+      this.watched.clear();
+    }
+    if (term === undefined) return;
+    this.watchRunning();
+  }
+
+  /** Decides on each running rollout; called every 250 ms. */
+  decideAll(): void {
+    this.follow();
+    for (const watched of this.watched.values()) this.decideOn(watched);
+  }
+
+  private watchRunning(): void {
+    const rollouts = this.options.rollouts();
+    for (const [service, {rollout}] of this.watched) {
+      const current = findRollout(rollouts, service);
+      const isRunning =
+        current?.state === 'running' &&
+        current.startIndex === rollout.startIndex;
+      if (!isRunning) this.watched.delete(service);
+    }
+    for (const rollout of rollouts) {
+      if (rollout.state !== 'running' || this.watched.has(rollout.service))
+        continue;
+      this.watched.set(rollout.service, this.watch(rollout));
+    }
+  }
+
+  private watch(rollout: Rollout): Watched {
+    const {limits, logger} = this.options;
+    const nowMs = this.options.nowMs();
+    const {service, target, durationMs} = rollout;
+    const ageMs = this.options.wallMs() - rollout.orderedAtMs;
+    const orderedAtMs = nowMs - Math.max(0, ageMs);
+    const deadlineMs = orderedAtMs + durationMs;
+    const order = {service, target, orderedAtMs, deadlineMs};
+    logger.info('rollout_watched', {
+      service,
+      target,
+      start_index: rollout.startIndex,
+      left_ms: Math.round(deadlineMs - nowMs),
+      term: this.term,
+    });
+    return {
+      rollout,
+      judge: createRolloutJudge(order, limits, nowMs),
+      grantsFromMs: this.termSinceMs + rolloutLeaseMs(limits),
+      deadlineMs,
+      entries: new LeasedEntries(rolloutLeaseMs(limits)),
+      decision: undefined,
+      isEnding: false,
+      loggedStage: '',
+    };
+  }
+
+  private decideOn(watched: Watched): void {
+    const {rollout, judge, entries} = watched;
+    const nowMs = this.options.nowMs();
+    const situation = this.options.situationOf(rollout);
+    const decision = decide(judge, situation, nowMs);
+    watched.decision = decision;
+    this.logDecision(watched, decision, situation);
+    if (decision.kind === 'continue') {
+      const mayGrant = nowMs >= watched.grantsFromMs;
+      entries.divide(mayGrant ? decision.allowedRequests : 0, nowMs);
+      return;
+    }
+    const reason = describeReason(decision.reason);
+    if (decision.kind === 'roll_back') this.end(watched, 'rolled_back', reason);
+    else if (this.isClosed(watched, nowMs))
+      this.end(watched, 'completed', reason);
+  }
+
+  /** Whether nothing runs on old targets, or the deadline doesn't wait for it. */
+  private isClosed(watched: Watched, nowMs: number): boolean {
+    const {rollout, deadlineMs, entries} = watched;
+    const commitMs = Math.min(MAX_COMMIT_MS, COMMIT_PART * rollout.durationMs);
+    if (nowMs >= deadlineMs - commitMs) return true;
+    return this.options.entries().every(entry => entries.hasClosed(entry));
+  }
+
+  private end(watched: Watched, outcome: RolloutEnd, reason: string): void {
+    if (watched.isEnding) return;
+    watched.isEnding = true;
+    const {service, startIndex, target} = watched.rollout;
+    const {logger, submit} = this.options;
+    void submit({kind: 'end_rollout', service, startIndex, outcome, reason})
+      .then(({kind}) => {
+        logger.info('rollout_end', {service, target, outcome, reason, kind});
+      })
+      .finally(() => (watched.isEnding = false));
+  }
+
+  private grantOf({
+    service,
+    startIndex,
+  }: Rollout): RolloutGrantView | undefined {
+    const watched = this.watched.get(service);
+    if (watched?.rollout.startIndex !== startIndex) return undefined;
+    const {leadingTerm, holdsLease} = this.options;
+    if (leadingTerm() !== this.term || !holdsLease()) return undefined;
+    const {decision} = watched;
+    switch (decision?.kind) {
+      case 'continue': {
+        const targets = new Set(decision.targets);
+        return {targets, isClosing: false};
+      }
+      case 'complete':
+        return {targets: new Set(), isClosing: true};
+      default:
+        return undefined;
+    }
+  }
+
+  private leaseFor(
+    watched: Watched,
+    {entry, incarnation}: RolloutReportMessage,
+    report: RolloutReport,
+  ): RolloutLease | undefined {
+    const nowMs = this.options.nowMs();
+    const {judge, decision, entries} = watched;
+    const {service, startIndex, seenRequests, rows} = report;
+    recordEvidence(judge, {entry, incarnation, seenRequests, rows});
+    entries.record(entry, incarnation, report, nowMs);
+    if (decision === undefined || decision.kind === 'roll_back')
+      return undefined;
+    if (!this.options.holdsLease()) return undefined;
+    const isClosing = decision.kind === 'complete';
+    if (!isClosing && nowMs < watched.grantsFromMs) return undefined;
+    return {
+      service,
+      startIndex,
+      leaseMs: rolloutLeaseMs(this.options.limits),
+      allowedRequests: entries.grant(entry, incarnation),
+      sendShare: isClosing ? 1 : decision.sendShare,
+      targets: isClosing ? [] : decision.targets,
+      focusRoutes: isClosing ? [] : decision.focusRoutes,
+      isClosing,
+    };
+  }
+
+  private logDecision(
+    watched: Watched,
+    decision: RolloutDecision,
+    {oldTargets, newTargets}: RolloutSituation,
+  ): void {
+    const {rollout, entries} = watched;
+    const isGrant = decision.kind === 'continue';
+    const stage = isGrant ? decision.stage : decision.kind;
+    if (stage === watched.loggedStage) return;
+    watched.loggedStage = stage;
+    this.options.logger.info('rollout_decision', {
+      service: rollout.service,
+      target: rollout.target,
+      decision: stage,
+      reason: isGrant ? undefined : describeReason(decision.reason),
+      allowed: isGrant ? Math.floor(decision.allowedRequests) : undefined,
+      used: entries.usedRequests,
+      seen: entries.seenRequests,
+      old_targets: oldTargets,
+      new_targets: newTargets.length,
+    });
+  }
+}
--- a/packages/cluster/src/control/rollout-state.ts
+++ b/packages/cluster/src/control/rollout-state.ts
@@ -141,3 +141,12 @@
   const isRefused = version !== undefined && refused.includes(version);
   return isRefused ? 'closed' : 'open';
 }
+
+/** Whether a completed rollout stopped the version. */
+export function isStopped(
+  rollout: Rollout,
+  version: VersionId | undefined,
+): boolean {
+  const hasStopped = rollout.only !== undefined;
+  return hasStopped && useOfVersion(rollout, version) === 'closed';
+}
--- a/packages/cluster/src/control/subscribers.ts
+++ b/packages/cluster/src/control/subscribers.ts
@@ -18,10 +18,19 @@
   }
 
   get entryCount(): number {
+    return this.entries.length;
+  }
+
+  get entries(): InstanceId[] {
     const entries = [...this.hellos.values()].filter(
       hello => hello.role === 'entry',
     );
-    return new Set(entries.map(hello => hello.instance)).size;
+    return [...new Set(entries.map(hello => hello.instance))];
+  }
+
+  /** Whether no subscriber is of a build without rollouts. */
+  get doAllHandleRollouts(): boolean {
+    return [...this.hellos.values()].every(hello => hello.handlesRollouts);
   }
 
   add(peer: Peer, hello: Hello): void {
--- a/packages/cluster/src/control/target-registry.ts
+++ b/packages/cluster/src/control/target-registry.ts
@@ -47,6 +47,14 @@
     return this.table.get(id);
   }
 
+  /** Targets that are ready and not silent. */
+  *readyTargets(): Generator<TargetAnnouncement, void, void> {
+    for (const {announcement} of this.table.values()) {
+      const isSilent = this.silentTargets.has(announcement.id);
+      if (announcement.state === 'ready' && !isSilent) yield announcement;
+    }
+  }
+
   /** Applies an announcement received from the target itself. */
   announce(announcement: TargetAnnouncement): void {
     this.merge(announcement, 0, true);
--- a/packages/cluster/src/entry/control-links.ts
+++ b/packages/cluster/src/entry/control-links.ts
@@ -246,6 +246,7 @@
       role: 'entry',
       zone,
       receivesTargets,
+      handlesRollouts: true,
     };
     peer.notify('hello', hello);
   }
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -7,7 +7,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Result} from 'neverthrow';
 import {
-  zoneId,
+  incarnation as toIncarnation,
   type InstanceId,
   type Logger,
   type RequestId,
@@ -16,7 +16,6 @@
   type ZoneId,
 } from '@samphirefield/core';
 import {
-  buildRouteIndex,
   Dispatcher,
   removeExpired,
   mergeAnnouncement,
@@ -26,6 +25,7 @@
   type ReservationClient,
   type RouteTable,
   type RunOutcome,
+  type TargetAnnouncement,
   type TargetRecord,
   type TargetTable,
 } from '@samphirefield/gateway';
@@ -38,7 +38,9 @@
 } from '../control/index.js';
 import type {Address, Peer} from '../link/index.js';
 import {ControlLinks} from './control-links.js';
+import {nextConfig} from './entry-config.js';
 import {EntryQuarantine} from './entry-quarantine.js';
+import {EntryRollouts, type VersionObserver} from './entry-rollouts.js';
 import {EntryStatements} from './entry-statements.js';
 
 const PULL_TIMEOUT_MS = 2_000;
@@ -63,6 +65,7 @@
   readonly nowMs: () => number;
   readonly onRouteTable: (table: RouteTable) => void;
   readonly onTargetChange: (record: TargetRecord) => void;
+  readonly observeVersion?: VersionObserver;
 }
 
 export class EntryNode implements ReservationClient {
@@ -70,6 +73,7 @@
   private readonly table: TargetTable = new Map();
   readonly quarantine: EntryQuarantine;
   readonly statements: EntryStatements;
+  readonly rollouts: EntryRollouts;
   private readonly controls: ControlLinks;
   private readonly localDispatcher: Dispatcher;
   private readonly localResolvers = new Map<
@@ -84,6 +88,7 @@
   private isPulling = false;
 
   constructor(private readonly options: EntryNodeOptions) {
+    const incarnation = toIncarnation(randomUUID());
     this.statements = new EntryStatements({
       instance: options.instance,
       logger: options.logger,
@@ -98,8 +103,20 @@
       onGrant: () => this.localDispatcher.dispatchPending(options.nowMs()),
       onLeaving: id => this.callDrainListeners(id),
     });
+    this.rollouts = new EntryRollouts({
+      instance: options.instance,
+      incarnation,
+      logger: options.logger,
+      nowMs: options.nowMs,
+      random: Math.random,
+      leader: () => this.controls.leaderPeer,
+      announcementOf: id => this.table.get(id)?.announcement,
+      onChange: service => this.onVersionsChanged(service),
+      observe: options.observeVersion,
+    });
     this.localDispatcher = new Dispatcher({
       limiter: this.statements,
+      versions: this.rollouts,
       onResult: (demand, result) => this.resolveLocally(demand, result),
       // Reservations on engines are granted here only without a leader, when
       // all entries do so: each uses an equal share.
@@ -113,11 +130,12 @@
     });
     this.controls = new ControlLinks({
       ...options,
-      incarnation: randomUUID(),
+      incarnation,
       onTarget: update => this.onTargetUpdate(update),
       onLeader: leader => {
         this.sendHeldRuns(leader);
         this.statements.reportAll(leader);
+        this.rollouts.onLeader();
       },
       onStatements: reports => this.statements.learn(reports),
       onStatus: (status, peer) => {
@@ -156,8 +174,8 @@
   }
 
   onDraining(id: TargetId, listener: () => void): () => void {
-    const state = this.table.get(id)?.announcement.state;
-    const hasLeft = state !== undefined && state !== 'ready';
+    const target = this.table.get(id)?.announcement;
+    const hasLeft = target !== undefined && this.hasLeft(target);
     if (hasLeft || this.statements.isLeaving(id)) {
       listener();
       return () => undefined;
@@ -171,6 +189,20 @@
     };
   }
 
+  private hasLeft(target: TargetAnnouncement): boolean {
+    return target.state !== 'ready' || this.rollouts.isLeaving(target);
+  }
+
+  /** Runs on targets of a version that is stopped move. */
+  private onVersionsChanged(service: ServiceId): void {
+    for (const {announcement} of this.table.values()) {
+      const isConcerned = announcement.service === service;
+      if (isConcerned && this.rollouts.isLeaving(announcement))
+        this.callDrainListeners(announcement.id);
+    }
+    this.localDispatcher.dispatchPending(this.options.nowMs());
+  }
+
   async acquireMovePermit(source: TargetId, holder: RequestId): Promise<void> {
     const peer = this.controls.leaderPeer;
     if (peer === undefined) return;
@@ -185,12 +217,14 @@
     this.controls.leaderPeer?.notify('end_turn', {source, holder});
   }
 
-  async reserve(demand: Demand): Promise<DispatchResult> {
+  async reserve(wanted: Demand): Promise<DispatchResult> {
+    const demand = this.rollouts.assign(wanted);
     const isEngine = this.hasEngine(demand.service);
     const leader = isEngine ? this.controls.leaderPeer : undefined;
     const result = leader
       ? await this.reserveAtLeader(leader, demand)
       : await this.reserveLocally(demand);
+    this.rollouts.settle(demand, result);
     if (isEngine && result.kind === 'granted') {
       const {request, kvTokens} = demand;
       this.engineRuns.set(request, {request, target: result.target, kvTokens});
@@ -224,6 +258,7 @@
     this.localDispatcher.release(request, outcome, this.options.nowMs());
     this.localResolvers.delete(request);
     this.engineRuns.delete(request);
+    this.rollouts.withdraw(request, service);
     if (!this.hasEngine(service)) return;
     this.controls.leaderPeer?.notify('finish', {request, outcome});
   }
@@ -245,6 +280,7 @@
     for (const timer of this.timers) clearInterval(timer);
     clearTimeout(this.dispatchTimer);
     this.quarantine.stop();
+    this.rollouts.stop();
     this.controls.close();
   }
 
@@ -336,38 +372,28 @@
 
   private applyState(state: StateUpdate): void {
     if (state.index <= this.stateIndex) return;
-    const {logger, nowMs} = this.options;
-    const currentView = this.current?.view;
-    const isSameTable =
-      currentView && currentView.table.version === state.version;
-    const zonesOut = new Set(state.zonesOut.map(zone => zoneId(zone)));
-    let table: RouteTable;
-    if (isSameTable) ({table} = currentView);
-    else {
-      if (state.version === 0 || state.document === undefined) return;
-      const decoded = this.options.decodeConfig(state.document);
-      if (decoded.isErr()) {
-        logger.error('config_unreadable', {version: state.version});
-        return;
-      }
-      table = decoded.value;
+    const {logger, nowMs, decodeConfig} = this.options;
+    const next = nextConfig(this.current, state, decodeConfig);
+    if (next.isErr()) {
+      const {version} = state;
+      if (next.error === 'unreadable')
+        logger.error('config_unreadable', {version});
+      return;
     }
-    const routeIndex = isSameTable
-      ? this.current!.routeIndex
-      : buildRouteIndex(table);
-    this.current = {
-      view: {index: state.index, table, zonesOut},
-      routeIndex,
-    };
+    const {config, hasNewTable} = next.value;
+    this.current = config;
+    const {table, zonesOut} = config.view;
     this.localDispatcher.configure(capacitiesOf(table), zonesOut);
     this.localDispatcher.dispatchPending(nowMs());
-    if (!isSameTable) this.options.onRouteTable(table);
+    if (hasNewTable) this.options.onRouteTable(table);
     logger.info('config_in_force', {
       index: state.index,
       version: table.version,
       routes: table.routes.length,
       zones_out: [...zonesOut].join(','),
     });
+    // Daemons of earlier builds send no rollouts.
+    this.rollouts.follow(state.rollouts ?? []);
   }
 
   private onTargetUpdate(update: TargetUpdate): void {
