--- a/packages/cluster/src/control/rollout-keeper.ts
+++ b/packages/cluster/src/control/rollout-keeper.ts
@@ -258,6 +258,7 @@
       sendShare: isClosing ? 1 : decision.sendShare,
       targets: isClosing ? [] : decision.targets,
       focusRoutes: isClosing ? [] : decision.focusRoutes,
+      focusShare: isClosing ? 1 : decision.focusShare,
       isClosing,
     };
   }
--- a/packages/cluster/src/control/rollout-messages.ts
+++ b/packages/cluster/src/control/rollout-messages.ts
@@ -47,6 +47,7 @@
   readonly sendShare: number;
   readonly targets: readonly TargetId[];
   readonly focusRoutes: readonly string[];
+  readonly focusShare: number;
   /**
    * Whether the rollout is about to complete: all requests go to the new
    * version, and runs on old targets move, before the old targets are stopped.
--- a/packages/cluster/src/entry/entry-rollouts.ts
+++ b/packages/cluster/src/entry/entry-rollouts.ts
@@ -88,7 +88,7 @@
     const {logger, nowMs, random, onChange} = this.options;
     this.running.delete(service);
     if (state === 'running') {
-      const running = new RunningRollout({rollout, nowMs, first: random()});
+      const running = new RunningRollout({rollout, nowMs, random});
       this.running.set(service, running);
     }
     const fields = {service, target, state, start_index: startIndex, reason};
--- a/packages/cluster/src/entry/running-rollout.ts
+++ b/packages/cluster/src/entry/running-rollout.ts
@@ -8,13 +8,11 @@
   RolloutReport,
 } from '../control/index.js';
 import {RolloutCounts} from './rollout-counts.js';
-import {RolloutPace} from './rollout-pace.js';
 
 export interface RunningRolloutOptions {
   readonly rollout: Rollout;
   readonly nowMs: () => number;
-  /** Where in [0, 1) the pace begins. */
-  readonly first: number;
+  readonly random: () => number;
 }
 
 interface HeldLease extends RolloutGrantView {
@@ -32,7 +30,6 @@
 export class RunningRollout {
   readonly rollout: Rollout;
   readonly counts = new RolloutCounts();
-  private readonly pace: RolloutPace;
   private held: HeldLease | undefined;
   private usedRequests = 0;
   /** Requests that were granted and have no target yet. */
@@ -41,7 +38,6 @@
 
   constructor(private readonly options: RunningRolloutOptions) {
     this.rollout = options.rollout;
-    this.pace = new RolloutPace(options.first);
   }
 
   /** Undefined without a valid lease. */
@@ -81,7 +77,7 @@
     const isRepeated = excluded.length > 0 && lease.sendShare < 1;
     if (isRunning || isRepeated) return false;
     if (this.usedRequests >= lease.allowedRequests) return false;
-    if (!this.pace.take(route, lease)) return false;
+    if (this.options.random() >= shareOf(route, lease)) return false;
     this.usedRequests += 1;
     this.waiting.add(request);
     return true;
@@ -95,7 +91,6 @@
   withdraw(request: RequestId): void {
     if (!this.waiting.delete(request)) return;
     this.usedRequests -= 1;
-    this.pace.giveBack();
   }
 
   startRun(
@@ -152,3 +147,12 @@
     };
   }
 }
+
+/** The probability with which a request goes to the new version. */
+function shareOf(
+  route: string | undefined,
+  {sendShare, focusShare, focusRoutes}: RolloutLease,
+): number {
+  const isFocus = route !== undefined && focusRoutes.includes(route);
+  return isFocus ? focusShare : sendShare;
+}
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -17,7 +17,7 @@
 } from '@samphirefield/core';
 import {findFreePort} from '@samphirefield/core/testing';
 import type {RouteTable, TargetAnnouncement} from '@samphirefield/gateway';
-import {ControlNode} from '../control/index.js';
+import {ControlNode, type ControlNodeOptions} from '../control/index.js';
 import {EntryNode} from '../entry/index.js';
 import type {Address} from '../link/index.js';
 import {TestDisk} from './disk.js';
@@ -95,6 +95,8 @@
   targetSilentAfterMs = 600;
   /** Positions of the seeds of daemons that start later. */
   seeds: readonly number[] = [0, 1, 2];
+  /** For daemons that start later. */
+  rollouts: ControlNodeOptions['rollouts'];
   /** Receives the events of daemons that start later. */
   logger: Logger = silentLogger;
 
@@ -145,6 +147,7 @@
       decodeConfig: this.decodeConfig,
       logger: this.logger,
       nowMs,
+      ...(this.rollouts && {rollouts: this.rollouts}),
       openStorage: folder => this.disk(i).open(folder),
     });
     const started = await node.start();
--- a/packages/cluster/src/testing/gateways.ts
+++ b/packages/cluster/src/testing/gateways.ts
@@ -3,6 +3,7 @@
 import {ok} from 'neverthrow';
 import {
   instanceId,
+  serviceId,
   workspaceId,
   zoneId,
   type Logger,
@@ -20,6 +21,7 @@
 import {decodeTestDocument, TestCluster, until} from './cluster.js';
 import type {TestTargets} from './test-targets.js';
 
+const MOVED = 'moved ';
 export const KEYS = ['k1', 'k2', 'k3'] as const;
 
 export interface RoutedServices {
@@ -28,10 +30,16 @@
   readonly isEngine: boolean;
 }
 
-/** Decodes a number into a table of that version, with one route to all services. */
+/**
+ * Decodes a number into a table of that version, with one route to all services;
+ * after `moved`, to a service without targets.
+ */
 export function decodeRouted(routed: RoutedServices) {
   return (document: string) => {
-    const base = decodeTestDocument(document)._unsafeUnwrap();
+    const isMoved = document.startsWith(MOVED);
+    const number = isMoved ? document.slice(MOVED.length) : document;
+    const services = isMoved ? [serviceId('elsewhere')] : routed.services;
+    const base = decodeTestDocument(number)._unsafeUnwrap();
     const [engine] = base.services;
     const table: RouteTable = {
       ...base,
@@ -44,13 +52,13 @@
           timeoutMs: 5_000,
           objectiveMs: 1_000,
           priority: 0,
-          services: routed.services.map(service => ({service, weight: 1})),
+          services: services.map(service => ({service, weight: 1})),
           maxRuns: 2,
           isPublic: false,
           eventGapMs: 100,
         },
       ],
-      services: routed.services.map(name => ({
+      services: services.map(name => ({
         ...engine!,
         name,
         engine: routed.isEngine ? {...engine!.engine!, slots: 8} : undefined,
@@ -92,6 +100,7 @@
     budget: {recordRequest: () => undefined, tryConsume: () => true},
     quarantine: entry.quarantine,
     statements: entry.statements,
+    runObserver: entry.rollouts,
     pool,
     mover: NO_MOVES,
     logger,
--- a/packages/cluster/src/testing/test-targets.ts
+++ b/packages/cluster/src/testing/test-targets.ts
@@ -9,7 +9,9 @@
   zoneId,
   type ServiceId,
   type TargetId,
+  type ZoneId,
 } from '@samphirefield/core';
+import type {VersionId} from '@samphirefield/gateway';
 import {findFreePort} from '@samphirefield/core/testing';
 import {
   completeResponse,
@@ -40,6 +42,11 @@
   readonly runMs?: number;
   /** A line of the head with which the target rejects; undefined: it runs. */
   readonly rejectionOf?: (position: number) => string | undefined;
+  /** The version that the target at a position announces. */
+  readonly versionOf?: (position: number) => VersionId | undefined;
+  readonly zoneOf?: (position: number) => ZoneId;
+  /** Whether the target at a position answers the next request with a failure. */
+  readonly isFailing?: (position: number) => boolean;
   /** Further lines of the head of a response of the target at a position. */
   readonly headOf?: (position: number) => readonly string[];
 }
@@ -101,6 +108,13 @@
     this.end(this.places[position]!);
   }
 
+  /** Ends the target at this position for good. */
+  leave(position: number): void {
+    const place = this.places[position]!;
+    place.server?.close();
+    place.server = undefined;
+  }
+
   /** Ends the target at this position and waits for its next start. */
   async restart(position: number): Promise<void> {
     this.crash(position);
@@ -146,7 +160,11 @@
     const lines = [`Attempt: ${attempt}`, ...(headOf?.(position) ?? [])];
     const rejection = this.options.rejectionOf?.(position);
     if (rejection === undefined) {
-      const respond = () => socket.write(completeResponse('done', lines));
+      const isFailing = this.options.isFailing?.(position) ?? false;
+      const response = isFailing
+        ? completeResponse('', lines, '500 Failure')
+        : completeResponse('done', lines);
+      const respond = () => socket.write(response);
       this.afterRun(respond);
       return;
     }
@@ -182,7 +200,10 @@
   }
 
   private announce(place: Place): void {
-    const [control] = this.options.cluster.controls.values();
+    const {cluster, versionOf, zoneOf} = this.options;
+    const [control] = cluster.controls.values();
+    const position = this.places.indexOf(place);
+    const version = versionOf?.(position);
     place.sequence += 1;
     control?.announce({
       id: place.id,
@@ -191,7 +212,8 @@
       service: place.service,
       host: HOST,
       port: place.port,
-      zone: zoneId('z0'),
+      zone: zoneOf?.(position) ?? zoneId('z0'),
+      ...(version !== undefined && {version}),
       slots: 8,
       state: 'ready',
       coldLeftMs: 0,
