--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -2,14 +2,9 @@
  * A control daemon: a replica of the control group, the registry of targets
  * and, while it is the leader, the reservations on engines.
  */
-import {randomUUID} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import type {InstanceId, Logger, TargetId, ZoneId} from '@samphirefield/core';
-import type {
-  RouteTable,
-  ServiceCapacity,
-  TargetAnnouncement,
-} from '@samphirefield/gateway';
+import type {RouteTable, TargetAnnouncement} from '@samphirefield/gateway';
 import {viewOf, type QuarantineTable} from '@samphirefield/policy/quarantine';
 import type {RolloutLimits} from '@samphirefield/policy/rollouts';
 import {
@@ -17,12 +12,11 @@
   LinkSet,
   listenForLinks,
   type Address,
-  type CloseReason,
   type LinkListener,
   type Peer,
   type RpcHandlers,
 } from '../link/index.js';
-import {capacitiesOf} from '../capacities.js';
+import {ActiveCapacities} from './active-capacities.js';
 import {GroupAccess} from './group-access.js';
 import {GroupHost} from './group-host.js';
 import type {
@@ -37,26 +31,24 @@
 import type {ClusterCommand, ClusterState} from './state-machine.js';
 import {leaveGroup} from './leaving.js';
 import {createLinkHandlers} from './link-handlers.js';
-import type {
-  GroupStatus,
-  Hello,
-  JoinRequest,
-  TargetUpdate,
-} from './messages.js';
+import type {GroupStatus, JoinRequest, TargetUpdate} from './messages.js';
+import {
+  OperatorChanges,
+  type ChangeOutcome,
+  type RolloutOrderOutcome,
+} from './operator-changes.js';
+import {PeerSessions} from './peer-sessions.js';
 import {QuorumContact} from './quorum-contact.js';
 import {ReservationManager} from './reservations.js';
 import {TargetRegistry} from './target-registry.js';
 import {StatementKeeper} from './statement-keeper.js';
 import {StatusReporter} from './status-reporter.js';
 import {Subscribers} from './subscribers.js';
-import {targetLines} from './target-lines.js';
 
 const TICK_MS = 50;
 const JOIN_EVERY_MS = 500;
 const SEND_RENEWALS_EVERY_MS = 300;
 const REGISTRY_TICK_MS = 250;
-/** An entry whose link broke keeps its reservations this long. */
-const ENTRY_RECONNECT_GRACE_MS = 1_500;
 
 export interface ControlNodeOptions {
   readonly instance: InstanceId;
@@ -82,10 +74,6 @@
   };
 }
 
-export type ChangeOutcome = 'accepted' | 'unavailable';
-/** `conflict`: another rollout of the service is in progress. */
-export type RolloutOrderOutcome = ChangeOutcome | 'conflict';
-
 /** What the product uses where a deployment sets nothing. */
 export const DEFAULT_ROLLOUT_LIMITS: RolloutLimits = {
   exposeShare: 0.1,
@@ -94,7 +82,6 @@
 };
 
 export class ControlNode {
-  private readonly incarnation = randomUUID();
   private readonly host: GroupHost;
   private readonly registry: TargetRegistry;
   private readonly links: LinkSet;
@@ -106,19 +93,19 @@
   private readonly quarantine: QuarantineKeeper;
   private readonly statements: StatementKeeper;
   private readonly rollouts: RolloutKeeper;
+  private readonly operators: OperatorChanges;
+  private readonly sessions: PeerSessions;
+  private readonly capacities: ActiveCapacities;
   /** Zones of control daemons, by address; of this one too. */
   private readonly zones = new Map<string, ZoneId>();
-  private readonly entryIncarnations = new Map<InstanceId, string>();
   private pendingRenewals = new Map<TargetId, TargetUpdate>();
   private listener: LinkListener | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
   private isUpdateScheduled = false;
-  private oversizedLinks = 0;
-  private decodedVersion = 0;
-  private capacities: ServiceCapacity[] = [];
 
   constructor(private readonly options: ControlNodeOptions) {
     const {logger, nowMs} = options;
+    this.capacities = new ActiveCapacities(options);
     this.noteZone(options.address, options.zone);
     this.host = this.createHost();
     this.registry = new TargetRegistry({
@@ -181,14 +168,33 @@
         return outcome?.kind === 'applied';
       },
     });
+    this.operators = new OperatorChanges({
+      access: this.access,
+      rollouts: this.rollouts,
+      isLeader: () => this.isLeader,
+      logger,
+      nowMs,
+      wallMs: this.wallMs,
+    });
+    this.sessions = new PeerSessions({
+      ...options,
+      group: () => this.group,
+      isLeader: () => this.isLeader,
+      subscribers: this.subscribers,
+      status: this.status,
+      registry: this.registry,
+      reservations: this.reservations,
+      statements: this.statements,
+      onControl: (address, zone) => this.onControl(address, zone),
+    });
     this.links = new LinkSet(this.handlers(), {
-      onUp: (_address, peer) => this.sendHello(peer),
+      onUp: (_address, peer) => this.sessions.sendHello(peer),
       onDown: (address, reason) => {
         logger.warn('control_link_down', {
           peer: formatAddress(address),
           reason,
         });
-        this.countOversized(reason);
+        this.sessions.countOversized(reason);
       },
     });
     this.contact = new QuorumContact({
@@ -205,7 +211,7 @@
     this.listener = await listenForLinks(
       address,
       this.handlers(),
-      peer => this.onPeerClosed(peer),
+      peer => this.sessions.onClosed(peer),
       this.options.logger,
     );
     this.linkTo(seeds);
@@ -255,42 +261,16 @@
    * Resolves to `accepted` once the change is durable on a quorum, or to
    * `unavailable` if that cannot be confirmed.
    */
-  async change(command: ClusterCommand): Promise<ChangeOutcome> {
-    const startedAtMs = this.options.nowMs();
-    const outcome = await this.access.submit(command);
-    this.options.logger.info('change', {
-      change: command.kind,
-      version: command.kind === 'put_config' ? command.version : undefined,
-      zone: command.kind === 'set_zone' ? command.zone : undefined,
-      out: command.kind === 'set_zone' ? command.isOut : undefined,
-      outcome: outcome.kind,
-      reason: outcome.kind === 'unknown' ? outcome.reason : undefined,
-      took_ms: Math.round(this.options.nowMs() - startedAtMs),
-    });
-    return outcome.kind === 'applied' ? 'accepted' : 'unavailable';
+  change(command: ClusterCommand): Promise<ChangeOutcome> {
+    return this.operators.change(command);
   }
 
   /**
    * Orders a rollout. Resolves to `accepted` once it is durable on a quorum, or
    * if the same order was accepted before.
    */
-  async startRollout(request: RolloutRequest): Promise<RolloutOrderOutcome> {
-    const {wallMs = Date.now} = this.options.rollouts ?? {};
-    const orderedAtMs = wallMs();
-    const command = {kind: 'start_rollout' as const, ...request, orderedAtMs};
-    const outcome = this.isLeader
-      ? await this.rollouts.start(command)
-      : await this.access.forward('start_rollout', command);
-    const answer = outcome.kind === 'applied' ? outcome.answer.kind : undefined;
-    this.options.logger.info('rollout_order', {
-      service: request.service,
-      target: request.target,
-      duration_ms: request.durationMs,
-      outcome: answer ?? outcome.kind,
-      reason: outcome.kind === 'unknown' ? outcome.reason : undefined,
-    });
-    if (answer === undefined) return 'unavailable';
-    return answer === 'conflict' ? 'conflict' : 'accepted';
+  startRollout(request: RolloutRequest): Promise<RolloutOrderOutcome> {
+    return this.operators.startRollout(request);
   }
 
   /**
@@ -312,7 +292,7 @@
       members: this.group?.members.length ?? 0,
       targets: this.registry.size,
       subscribers: this.subscribers.count,
-      links_closed_for_size: this.oversizedLinks,
+      links_closed_for_size: this.sessions.oversizedCount,
       places_waiting: this.reservations.pendingCount,
       rollouts_running: this.rollouts.runningCount,
       places_held: this.reservations.heldCount,
@@ -373,15 +353,17 @@
     });
   }
 
+  private get wallMs(): () => number {
+    return this.options.rollouts?.wallMs ?? Date.now;
+  }
+
   private createRolloutKeeper(): RolloutKeeper {
-    const {limits = DEFAULT_ROLLOUT_LIMITS, wallMs = Date.now} =
-      this.options.rollouts ?? {};
-    const {logger, nowMs} = this.options;
+    const {logger, nowMs, rollouts} = this.options;
     return new RolloutKeeper({
-      limits,
+      limits: rollouts?.limits ?? DEFAULT_ROLLOUT_LIMITS,
       logger,
       nowMs,
-      wallMs,
+      wallMs: this.wallMs,
       leadingTerm: () => (this.isLeader ? this.group!.term : undefined),
       holdsLease: () => this.group?.holdsLease ?? false,
       rollouts: () => this.group?.state.rollouts ?? [],
@@ -409,15 +391,19 @@
       statements: this.statements,
       rollouts: this.rollouts,
       linkTo: addresses => this.linkTo(addresses),
-      onHello: (hello, peer) => this.onHello(hello, peer),
+      onHello: (hello, peer) => this.sessions.onHello(hello, peer),
       onStatus: status => this.onStatus(status),
       onJoin: request => this.onJoin(request),
     });
   }
 
+  private onControl(address: Address, zone: ZoneId): void {
+    this.noteZone(address, zone);
+    this.linkTo([address]);
+  }
+
   private onJoin(request: JoinRequest): void {
-    this.linkTo([request.address]);
-    this.noteZone(request.address, request.zone);
+    this.onControl(request.address, request.zone);
     this.group?.membership.addCandidate(request);
   }
 
@@ -439,84 +425,6 @@
     this.status.noteReported(status);
   }
 
-  private sendHello(peer: Peer): void {
-    const {instance, zone, address} = this.options;
-    const {incarnation} = this;
-    const hello: Hello = {
-      instance,
-      incarnation,
-      role: 'control',
-      zone,
-      receivesTargets: true,
-      address,
-      handlesRollouts: true,
-    };
-    peer.notify('hello', hello);
-  }
-
-  private onHello(hello: Hello, peer: Peer): void {
-    this.releaseEarlierIncarnation(hello);
-    this.subscribers.add(peer, hello);
-    if (hello.address) {
-      this.noteZone(hello.address, hello.zone);
-      // Reports go from the side that accepts a link to the one that opens it.
-      this.linkTo([hello.address]);
-    }
-    // The shortest message comes first: a long one of a sender that has sent
-    // none before is taken for noise.
-    peer.notify('status', this.status.current());
-    // An entry has to know what binds it before it knows any target.
-    if (hello.role === 'entry') this.sendBindings(peer);
-    if (hello.receivesTargets)
-      void peer.notifyLines(targetLines(this.registry.updates()));
-    this.options.logger.info('subscriber', {
-      peer: hello.instance,
-      role: hello.role,
-    });
-  }
-
-  private sendBindings(peer: Peer): void {
-    const {group} = this;
-    if (group) peer.notify('quarantine', viewOf(group.quarantine));
-    if (this.isLeader)
-      peer.notify('statements', {reports: this.statements.reports()});
-  }
-
-  /** Counts links that were closed for the size of what they carried. */
-  private countOversized(reason: CloseReason | undefined): void {
-    const isOversized =
-      reason === 'line_too_long' || reason === 'reads_too_slowly';
-    if (isOversized) this.oversizedLinks += 1;
-  }
-
-  private onPeerClosed(peer: Peer): void {
-    const hello = this.subscribers.remove(peer);
-    this.countOversized(peer.closeReason);
-    if (peer.closeReason !== 'ended') {
-      const {closeReason: reason} = peer;
-      this.options.logger.warn('link_closed', {peer: hello?.instance, reason});
-    }
-    if (hello?.role !== 'entry') return;
-    setTimeout(() => {
-      if (this.subscribers.has(hello.instance)) return;
-      this.reservations.releaseEntry(hello.instance);
-      this.entryIncarnations.delete(hello.instance);
-    }, ENTRY_RECONNECT_GRACE_MS);
-  }
-
-  /** Releases what an entry held before its process restarted. */
-  private releaseEarlierIncarnation({
-    instance,
-    incarnation,
-    role,
-  }: Hello): void {
-    const previous = this.entryIncarnations.get(instance);
-    this.entryIncarnations.set(instance, incarnation);
-    const hasRestarted = previous !== undefined && previous !== incarnation;
-    if (role === 'entry' && hasRestarted)
-      this.reservations.releaseEntry(instance);
-  }
-
   private sendRenewals(): void {
     if (this.pendingRenewals.size === 0) return;
     const items = [...this.pendingRenewals.values()];
@@ -545,19 +453,9 @@
 
   private applyState(): void {
     const state = this.group?.state;
-    if (state === undefined) return;
-    if (state.version !== this.decodedVersion && state.version > 0) {
-      const table = this.options.decodeConfig(state.document);
-      if (table.isErr()) {
-        this.options.logger.error('config_unreadable', {
-          version: state.version,
-        });
-        return;
-      }
-      this.decodedVersion = state.version;
-      this.capacities = capacitiesOf(table.value);
-    }
-    this.reservations.configure(this.capacities, new Set(state.zonesOut));
+    const capacities = state && this.capacities.of(state);
+    if (capacities === undefined) return;
+    this.reservations.configure(capacities, new Set(state!.zonesOut));
     this.status.sendIfChanged();
   }
 
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -16,7 +16,6 @@
   type ZoneId,
 } from '@samphirefield/core';
 import {
-  Dispatcher,
   removeExpired,
   mergeAnnouncement,
   type Demand,
@@ -42,14 +41,9 @@
 import {EntryQuarantine} from './entry-quarantine.js';
 import {EntryRollouts, type VersionObserver} from './entry-rollouts.js';
 import {EntryStatements} from './entry-statements.js';
+import {LocalReservations} from './local-reservations.js';
 
 const PULL_TIMEOUT_MS = 2_000;
-const DISPATCH_EVERY_MS = 100;
-/**
- * Wait after which this entry exceeds its share of an engine: without a leader
- * it does not know what the others leave free.
- */
-const LOCAL_PATIENCE_MS = 500;
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
 const MOVE_PERMIT_TIMEOUT_MS = 2_500;
@@ -75,16 +69,11 @@
   readonly statements: EntryStatements;
   readonly rollouts: EntryRollouts;
   private readonly controls: ControlLinks;
-  private readonly localDispatcher: Dispatcher;
-  private readonly localResolvers = new Map<
-    RequestId,
-    (result: DispatchResult) => void
-  >();
+  private readonly local: LocalReservations;
   /** The runs on engines, which a leader has to know. */
   private readonly engineRuns = new Map<RequestId, HeldRun>();
   private readonly drainListeners = new Map<TargetId, Set<() => void>>();
   private readonly timers: NodeJS.Timeout[] = [];
-  private dispatchTimer: NodeJS.Timeout | undefined;
   private isPulling = false;
 
   constructor(private readonly options: EntryNodeOptions) {
@@ -100,7 +89,7 @@
         const bornMs = this.table.get(id)?.announcement.bornMs;
         return bornMs === undefined ? undefined : {target: id, bornMs};
       },
-      onGrant: () => this.localDispatcher.dispatchPending(options.nowMs()),
+      onGrant: () => this.local.dispatchPending(),
       onLeaving: id => this.callDrainListeners(id),
     });
     this.rollouts = new EntryRollouts({
@@ -114,14 +103,13 @@
       onChange: service => this.onVersionsChanged(service),
       observe: options.observeVersion,
     });
-    this.localDispatcher = new Dispatcher({
+    this.local = new LocalReservations({
       limiter: this.statements,
       versions: this.rollouts,
-      onResult: (demand, result) => this.resolveLocally(demand, result),
       // Reservations on engines are granted here only without a leader, when
       // all entries do so: each uses an equal share.
       share: service => (this.hasEngine(service) ? 1 / this.entryCount : 1),
-      random: Math.random,
+      nowMs: options.nowMs,
     });
     this.quarantine = new EntryQuarantine({
       leader: () => this.controls.leaderPeer,
@@ -200,7 +188,7 @@
       if (isConcerned && this.rollouts.isLeaving(announcement))
         this.callDrainListeners(announcement.id);
     }
-    this.localDispatcher.dispatchPending(this.options.nowMs());
+    this.local.dispatchPending();
   }
 
   async acquireMovePermit(source: TargetId, holder: RequestId): Promise<void> {
@@ -223,7 +211,7 @@
     const leader = isEngine ? this.controls.leaderPeer : undefined;
     const result = leader
       ? await this.reserveAtLeader(leader, demand)
-      : await this.reserveLocally(demand);
+      : await this.local.reserve(demand);
     this.rollouts.settle(demand, result);
     if (isEngine && result.kind === 'granted') {
       const {request, kvTokens} = demand;
@@ -250,13 +238,12 @@
         run: demand.request,
         reason: String(error),
       });
-      return this.reserveLocally(demand);
+      return this.local.reserve(demand);
     }
   }
 
   release(request: RequestId, service: ServiceId, outcome: RunOutcome): void {
-    this.localDispatcher.release(request, outcome, this.options.nowMs());
-    this.localResolvers.delete(request);
+    this.local.release(request, outcome);
     this.engineRuns.delete(request);
     this.rollouts.withdraw(request, service);
     if (!this.hasEngine(service)) return;
@@ -269,8 +256,8 @@
       controls_up: this.controls.connectedCount,
       state_index: this.stateIndex,
       targets: this.table.size,
-      places_held_locally: this.localDispatcher.runCount,
-      places_waiting_locally: this.localDispatcher.pendingCount,
+      places_held_locally: this.local.dispatcher.runCount,
+      places_waiting_locally: this.local.dispatcher.pendingCount,
       places_on_engines: this.engineRuns.size,
       quarantined: this.quarantine.quarantinedCount,
     };
@@ -278,7 +265,7 @@
 
   stop(): void {
     for (const timer of this.timers) clearInterval(timer);
-    clearTimeout(this.dispatchTimer);
+    this.local.stop();
     this.quarantine.stop();
     this.rollouts.stop();
     this.controls.close();
@@ -299,7 +286,7 @@
       canExpire,
     );
     for (const id of expired) {
-      this.localDispatcher.removeTarget(id);
+      this.local.dispatcher.removeTarget(id);
       this.statements.forget(id);
       this.controls.forgetTarget(id);
     }
@@ -309,32 +296,6 @@
     return this.current?.routeIndex.findService(service)?.engine !== undefined;
   }
 
-  private reserveLocally(demand: Demand): Promise<DispatchResult> {
-    return new Promise(resolve => {
-      this.localResolvers.set(demand.request, resolve);
-      const patienceMs = Math.min(demand.patienceMs, LOCAL_PATIENCE_MS);
-      const localDemand = {...demand, patienceMs};
-      this.localDispatcher.acquire(localDemand, this.options.nowMs());
-      this.dispatchLater();
-    });
-  }
-
-  /** Dispatches again and again while demands wait here. */
-  private dispatchLater(): void {
-    if (this.dispatchTimer || this.localDispatcher.pendingCount === 0) return;
-    this.dispatchTimer = setTimeout(() => {
-      this.dispatchTimer = undefined;
-      this.localDispatcher.dispatchPending(this.options.nowMs());
-      this.dispatchLater();
-    }, DISPATCH_EVERY_MS);
-  }
-
-  private resolveLocally(demand: Demand, result: DispatchResult): void {
-    const resolve = this.localResolvers.get(demand.request);
-    this.localResolvers.delete(demand.request);
-    resolve?.(result);
-  }
-
   private get stateIndex(): number {
     return this.current?.view.index ?? 0;
   }
@@ -372,7 +333,7 @@
 
   private applyState(state: StateUpdate): void {
     if (state.index <= this.stateIndex) return;
-    const {logger, nowMs, decodeConfig} = this.options;
+    const {logger, decodeConfig} = this.options;
     const next = nextConfig(this.current, state, decodeConfig);
     if (next.isErr()) {
       const {version} = state;
@@ -383,8 +344,8 @@
     const {config, hasNewTable} = next.value;
     this.current = config;
     const {table, zonesOut} = config.view;
-    this.localDispatcher.configure(capacitiesOf(table), zonesOut);
-    this.localDispatcher.dispatchPending(nowMs());
+    this.local.dispatcher.configure(capacitiesOf(table), zonesOut);
+    this.local.dispatchPending();
     if (hasNewTable) this.options.onRouteTable(table);
     logger.info('config_in_force', {
       index: state.index,
@@ -438,7 +399,7 @@
 
   private updateTarget(record: TargetRecord): void {
     const isSilent = this.controls.isSilent(record.announcement.id);
-    this.localDispatcher.setTarget(record, isSilent, this.options.nowMs());
+    this.local.dispatcher.setTarget(record, isSilent, this.options.nowMs());
     const {id, bornMs, state, hasCrashed} = record.announcement;
     const start = {target: id, bornMs};
     if (hasCrashed) this.quarantine.recordCrash(start, true);
