--- a/packages/cluster/src/control/rollout-keeper.spec.ts
+++ b/packages/cluster/src/control/rollout-keeper.spec.ts
@@ -1,6 +1,7 @@
 /** The leader's part of rollouts, with a clock and entries of the test's own. */
 import {expect} from 'earl';
 import {test} from 'node:test';
+import {setImmediate as turn} from 'node:timers/promises';
 import {
   incarnation,
   instanceId,
@@ -179,6 +180,30 @@
   expect(play.nowMs < 20_000).toEqual(true);
 });
 
+test('a leader that takes over near the deadline leaves the rollout running', () => {
+  const play = new Play();
+  play.start(20_000);
+  play.until(() => play.nowMs >= 19_000);
+  play.submitted.length = 0;
+  play.term = 2;
+  play.until(() => play.submitted.length > 0);
+  expect(play.nowMs <= 20_000).toEqual(true);
+});
+
+test('an end that could not be committed is not submitted again', async () => {
+  const play = new Play();
+  play.start(20_000);
+  play.badShare = 1;
+  play.until(() => play.submitted.length > 0);
+  for (let i = 0; i < 3; i += 1) {
+    await turn();
+    play.step();
+  }
+  const expected = play.outcomes.map(() => 'rolled_back' as const);
+  expect(play.outcomes).toEqual(expected);
+  expect(play.outcomes.length).toEqual(4);
+});
+
 test('an order is submitted while a daemon of an earlier build is connected', async () => {
   const play = new Play();
   play.areCommandsKnown = false;
