--- a/packages/cluster/src/testing/rollouts.ts
+++ b/packages/cluster/src/testing/rollouts.ts
@@ -32,6 +32,8 @@
 export const OLD = versionId('v1');
 export const NEW = versionId('v2');
 const REQUESTS_PER_S = 150;
+/** Longer than the delays of a busy machine, which differ by version. */
+const RUN_MS = 10;
 const DEADLINE_MS = 2_000;
 const POLL_MS = 50;
 /** The positions after these have targets of the new version. */
@@ -86,6 +88,7 @@
     perService: OLD_TARGETS + newTargets,
     isDeadly: () => false,
     comeback: 'same_id',
+    runMs: RUN_MS,
     versionOf: position => (isNew(position) ? NEW : OLD),
     zoneOf: position => zoneId(isNew(position) ? 'z1' : 'z0'),
     onRun: position =>
