--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -2,62 +2,42 @@
  * A control daemon: a replica of the control group, the registry of targets
  * and, while it is the leader, the reservations on engines.
  */
-import {randomUUID} from 'node:crypto';
-import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
 import type {InstanceId, Logger, TargetId, ZoneId} from '@samphirefield/core';
-import type {
-  Demand,
-  DispatchResult,
-  RouteTable,
-  ServiceCapacity,
-  TargetAnnouncement,
-} from '@samphirefield/gateway';
-import {
-  viewOf,
-  type QuarantineTable,
-  type SuspectRequest,
-} from '@samphirefield/policy/quarantine';
+import type {RouteTable, TargetAnnouncement} from '@samphirefield/gateway';
+import {viewOf, type QuarantineTable} from '@samphirefield/policy/quarantine';
+import type {RolloutLimits} from '@samphirefield/policy/rollouts';
 import {
   formatAddress,
   LinkSet,
   listenForLinks,
   type Address,
-  type CloseReason,
   type LinkListener,
   type Peer,
   type RpcHandlers,
 } from '../link/index.js';
-import {capacitiesOf} from '../capacities.js';
+import {ActiveCapacities} from './active-capacities.js';
+import {GroupAccess} from './group-access.js';
 import {GroupHost} from './group-host.js';
 import type {
   GroupReplica,
   GroupReplicaOptions,
   GroupTiming,
-  SubmitOutcome,
 } from './group-replica.js';
 import {QuarantineKeeper} from './quarantine-keeper.js';
+import {RolloutKeeper} from './rollout-keeper.js';
+import {situationOf} from './rollout-situation.js';
+import type {RolloutRequest} from './rollout-state.js';
 import type {ClusterCommand, ClusterState} from './state-machine.js';
-import type {
-  CrashMessage,
-  FinishMessage,
-  GroupStatus,
-  HeldRuns,
-  Hello,
-  JoinRequest,
-  LeaveOutcome,
-  LeaveRequest,
-  MovePermitMessage,
-  PullRequest,
-  RaftLinkMessage,
-  SendRequest,
-  StatementsMessage,
-  StateUpdate,
-  SuspectsMessage,
-  TargetLoadsMessage,
-  TargetUpdate,
-  TargetsMessage,
-} from './messages.js';
+import {leaveGroup} from './leaving.js';
+import {createLinkHandlers} from './link-handlers.js';
+import type {GroupStatus, JoinRequest, TargetUpdate} from './messages.js';
+import {
+  OperatorChanges,
+  type ChangeOutcome,
+  type RolloutOrderOutcome,
+} from './operator-changes.js';
+import {PeerSessions} from './peer-sessions.js';
 import {QuorumContact} from './quorum-contact.js';
 import {ReservationManager} from './reservations.js';
 import {TargetRegistry} from './target-registry.js';
@@ -65,17 +45,11 @@
 import {TargetLoadKeeper} from './target-load-keeper.js';
 import {StatusReporter} from './status-reporter.js';
 import {Subscribers} from './subscribers.js';
-import {targetLines} from './target-lines.js';
 
 const TICK_MS = 50;
 const JOIN_EVERY_MS = 500;
 const SEND_RENEWALS_EVERY_MS = 300;
 const REGISTRY_TICK_MS = 250;
-const FORWARD_TIMEOUT_MS = 3_000;
-const READ_TIMEOUT_MS = 800;
-const LEAVE_RETRY_MS = 30;
-/** An entry whose link broke keeps its reservations this long. */
-const ENTRY_RECONNECT_GRACE_MS = 1_500;
 
 export interface ControlNodeOptions {
   readonly instance: InstanceId;
@@ -96,35 +70,46 @@
   /** Whether admission control decides for engines; default: no. */
   readonly usesAdmission?: boolean;
   readonly openStorage?: GroupReplicaOptions['openStorage'];
+  readonly rollouts?: {
+    readonly limits?: RolloutLimits;
+    /** Unix time; all daemons have about the same. Default: the clock. */
+    readonly wallMs?: () => number;
+  };
 }
 
-export type ChangeOutcome = 'accepted' | 'unavailable';
+/** What the product uses where a deployment sets nothing. */
+export const DEFAULT_ROLLOUT_LIMITS: RolloutLimits = {
+  exposeShare: 0.1,
+  exposeSlack: 50,
+  rollbackMs: 5_000,
+};
 
 export class ControlNode {
-  private readonly incarnation = randomUUID();
   private readonly host: GroupHost;
   private readonly registry: TargetRegistry;
   private readonly links: LinkSet;
   private readonly reservations: ReservationManager;
   private readonly subscribers = new Subscribers();
   private readonly contact: QuorumContact;
+  private readonly access: GroupAccess;
   private readonly status: StatusReporter;
   private readonly quarantine: QuarantineKeeper;
   private readonly statements: StatementKeeper;
   private readonly targetLoads: TargetLoadKeeper;
+  private readonly rollouts: RolloutKeeper;
+  private readonly operators: OperatorChanges;
+  private readonly sessions: PeerSessions;
+  private readonly capacities: ActiveCapacities;
   /** Zones of control daemons, by address; of this one too. */
   private readonly zones = new Map<string, ZoneId>();
-  private readonly entryIncarnations = new Map<InstanceId, string>();
   private pendingRenewals = new Map<TargetId, TargetUpdate>();
   private listener: LinkListener | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
   private isUpdateScheduled = false;
-  private oversizedLinks = 0;
-  private decodedVersion = 0;
-  private capacities: ServiceCapacity[] = [];
 
   constructor(private readonly options: ControlNodeOptions) {
     const {logger, nowMs} = options;
+    this.capacities = new ActiveCapacities(options);
     this.noteZone(options.address, options.zone);
     this.host = this.createHost();
     this.registry = new TargetRegistry({
@@ -164,22 +149,19 @@
       nowMs,
       serviceOf: id => this.registry.find(id)?.announcement.service,
     });
+    this.rollouts = this.createRolloutKeeper();
     this.reservations = new ReservationManager({
       logger,
       nowMs,
       limiter: this.statements,
       speeds: this.targetLoads,
       usesAdmission: options.usesAdmission,
+      versions: this.rollouts.gate,
     });
-    this.links = new LinkSet(this.handlers(), {
-      onUp: (_address, peer) => this.sendHello(peer),
-      onDown: (address, reason) => {
-        logger.warn('control_link_down', {
-          peer: formatAddress(address),
-          reason,
-        });
-        this.countOversized(reason);
-      },
+    this.access = new GroupAccess({
+      group: () => this.group,
+      leaderPeer: () => this.leaderPeer(),
+      logger,
     });
     this.status = new StatusReporter({
       self: options.address,
@@ -198,6 +180,35 @@
         return outcome?.kind === 'applied';
       },
     });
+    this.operators = new OperatorChanges({
+      access: this.access,
+      rollouts: this.rollouts,
+      isLeader: () => this.isLeader,
+      logger,
+      nowMs,
+      wallMs: this.wallMs,
+    });
+    this.sessions = new PeerSessions({
+      ...options,
+      group: () => this.group,
+      isLeader: () => this.isLeader,
+      subscribers: this.subscribers,
+      status: this.status,
+      registry: this.registry,
+      reservations: this.reservations,
+      statements: this.statements,
+      onControl: (address, zone) => this.onControl(address, zone),
+    });
+    this.links = new LinkSet(this.handlers(), {
+      onUp: (_address, peer) => this.sessions.sendHello(peer),
+      onDown: (address, reason) => {
+        logger.warn('control_link_down', {
+          peer: formatAddress(address),
+          reason,
+        });
+        this.sessions.countOversized(reason);
+      },
+    });
     this.contact = new QuorumContact({
       self: options.address,
       links: this.links,
@@ -212,7 +223,7 @@
     this.listener = await listenForLinks(
       address,
       this.handlers(),
-      peer => this.onPeerClosed(peer),
+      peer => this.sessions.onClosed(peer),
       this.options.logger,
     );
     this.linkTo(seeds);
@@ -223,6 +234,7 @@
       this.registry.tick();
       this.reservations.tick();
       this.quarantine.tick();
+      this.rollouts.decideAll();
     });
     return ok(undefined);
   }
@@ -261,37 +273,24 @@
    * Resolves to `accepted` once the change is durable on a quorum, or to
    * `unavailable` if that cannot be confirmed.
    */
-  async change(command: ClusterCommand): Promise<ChangeOutcome> {
-    const startedAtMs = this.options.nowMs();
-    const outcome = await this.submitOrForward(command);
-    this.options.logger.info('change', {
-      change: command.kind,
-      version: command.kind === 'put_config' ? command.version : undefined,
-      zone: command.kind === 'set_zone' ? command.zone : undefined,
-      out: command.kind === 'set_zone' ? command.isOut : undefined,
-      outcome: outcome.kind,
-      reason: outcome.kind === 'unknown' ? outcome.reason : undefined,
-      took_ms: Math.round(this.options.nowMs() - startedAtMs),
-    });
-    return outcome.kind === 'applied' ? 'accepted' : 'unavailable';
+  change(command: ClusterCommand): Promise<ChangeOutcome> {
+    return this.operators.change(command);
+  }
+
+  /**
+   * Orders a rollout. Resolves to `accepted` once it is durable on a quorum, or
+   * if the same order was accepted before.
+   */
+  startRollout(request: RolloutRequest): Promise<RolloutOrderOutcome> {
+    return this.operators.startRollout(request);
   }
 
   /**
    * Returns the newest accepted state; undefined if no reachable leader can
    * confirm it.
    */
-  async readNewest(): Promise<ClusterState | undefined> {
-    if (this.isLeader) return this.group!.readNewest(READ_TIMEOUT_MS);
-    try {
-      return await this.leaderPeer()?.request<ClusterState>(
-        'read_newest',
-        {},
-        READ_TIMEOUT_MS,
-      );
-    } catch (error) {
-      this.options.logger.warn('read_failed', {reason: String(error)});
-      return undefined;
-    }
+  readNewest(): Promise<ClusterState | undefined> {
+    return this.access.readNewest();
   }
 
   /** Demands that wait, or were refused, by priority. */
@@ -313,8 +312,9 @@
       members: this.group?.members.length ?? 0,
       targets: this.registry.size,
       subscribers: this.subscribers.count,
-      links_closed_for_size: this.oversizedLinks,
+      links_closed_for_size: this.sessions.oversizedCount,
       places_waiting: this.reservations.pendingCount,
+      rollouts_running: this.rollouts.runningCount,
       places_held: this.reservations.heldCount,
       ...this.targetLoads.metrics(),
       choices_by_speed: this.reservations.choicesBySpeed,
@@ -326,35 +326,17 @@
    * group bears as many losses after it as before. Resolves early if no daemon
    * can take the vote.
    */
-  async leave(timeoutMs: number): Promise<void> {
+  leave(timeoutMs: number): Promise<void> {
     const {logger, nowMs} = this.options;
-    const untilMs = nowMs() + timeoutMs;
-    let outcome: LeaveOutcome = 'not_leader';
-    while (outcome === 'not_leader' && nowMs() < untilMs) {
-      if (this.group === undefined) return;
-      outcome = await this.requestLeave(this.group, untilMs - nowMs());
-      if (outcome === 'not_leader') await delay(LEAVE_RETRY_MS);
-    }
-    logger.info('left_group', {outcome});
-  }
-
-  private async requestLeave(
-    group: GroupReplica,
-    timeoutMs: number,
-  ): Promise<LeaveOutcome> {
-    if (this.isLeader) {
-      if (group.voterCount === 1) return 'kept';
-      await group.transferLeadership();
-      return 'not_leader';
-    }
-    const request: LeaveRequest = {replica: group.node.id};
-    try {
-      const leader = this.leaderPeer();
-      if (leader === undefined) return 'not_leader';
-      return await leader.request<LeaveOutcome>('leave', request, timeoutMs);
-    } catch {
-      return 'not_leader';
-    }
+    return leaveGroup(
+      {
+        group: () => this.group,
+        leaderPeer: () => this.leaderPeer(),
+        logger,
+        nowMs,
+      },
+      timeoutMs,
+    );
   }
 
   async stop(): Promise<void> {
@@ -393,65 +375,59 @@
     });
   }
 
+  private get wallMs(): () => number {
+    return this.options.rollouts?.wallMs ?? Date.now;
+  }
+
+  private createRolloutKeeper(): RolloutKeeper {
+    const {logger, nowMs, rollouts} = this.options;
+    return new RolloutKeeper({
+      limits: rollouts?.limits ?? DEFAULT_ROLLOUT_LIMITS,
+      logger,
+      nowMs,
+      wallMs: this.wallMs,
+      leadingTerm: () => (this.isLeader ? this.group!.term : undefined),
+      holdsLease: () => this.group?.holdsLease ?? false,
+      rollouts: () => this.group?.state.rollouts ?? [],
+      situationOf: rollout =>
+        situationOf(rollout, {
+          targets: this.registry.readyTargets(),
+          zonesOut: this.group?.state.zonesOut ?? [],
+          isLeaving: ({id}) => this.statements.isLeaving(id),
+        }),
+      entries: () => this.subscribers.entries,
+      areCommandsKnown: () => this.subscribers.doAllHandleRollouts,
+      submit: async command =>
+        (await this.group?.submit(command)) ?? {kind: 'not_leader'},
+    });
+  }
+
   private handlers(): RpcHandlers {
-    return {
-      hello: (hello: Hello, peer: Peer) => this.onHello(hello, peer),
-      raft: (message: RaftLinkMessage) => {
-        this.linkTo([message.replyTo]);
-        this.group?.receive(message.envelope, message.replyTo);
-      },
-      join: (request: JoinRequest) => {
-        this.linkTo([request.address]);
-        this.noteZone(request.address, request.zone);
-        this.group?.membership.addCandidate(request);
-      },
-      leave: ({replica}: LeaveRequest): Promise<LeaveOutcome> | LeaveOutcome =>
-        this.group?.membership.release(replica) ?? 'not_leader',
-      targets: (message: TargetsMessage) => {
-        for (const item of message.items) this.registry.mergeUpdate(item);
-      },
-      status: (status: GroupStatus) => this.onStatus(status),
-      submit: (command: ClusterCommand) =>
-        this.group?.submit(command) ?? {kind: 'not_leader'},
-      read_newest: () => this.group?.readNewest(READ_TIMEOUT_MS),
-      pull_state: (request: PullRequest) => this.stateFor(request),
-      place: (demand: Demand) => this.reserve(demand),
-      finish: (message: FinishMessage) => this.reservations.release(message),
-      take_turn: (message: MovePermitMessage) =>
-        this.reservations.acquireMovePermit(message),
-      end_turn: (message: MovePermitMessage) =>
-        this.reservations.releaseMovePermit(message),
-      crash: (message: CrashMessage) => this.quarantine.recordCrash(message),
-      suspects_answered: ({fingerprints}: SuspectsMessage) =>
-        this.quarantine.clear(fingerprints),
-      admit_suspects: (request: SuspectRequest) =>
-        this.quarantine.admit(request),
-      suspects_ended: ({fingerprints}: SuspectsMessage) =>
-        this.quarantine.endRun(fingerprints),
-      statements: ({reports}: StatementsMessage) => {
-        this.startTermIfLeader();
-        if (!this.isLeader) return;
-        for (const report of reports) this.statements.learn(report);
-      },
-      target_loads: ({rows}: TargetLoadsMessage) => {
-        if (this.isLeader) this.targetLoads.learn(rows);
-      },
-      take_send: (request: SendRequest) =>
-        this.isLeader
-          ? this.statements.takeSend(request)
-          : Promise.reject(new Error('not_leader')),
-      held_runs: (held: HeldRuns) => {
-        // Runs that arrive before this daemon knows its term would be cleared.
-        this.startTermIfLeader();
-        this.reservations.replaceRuns(held);
-      },
-    };
+    return createLinkHandlers({
+      group: () => this.group,
+      isLeader: () => this.isLeader,
+      startTermIfLeader: () => this.startTermIfLeader(),
+      registry: this.registry,
+      reservations: this.reservations,
+      quarantine: this.quarantine,
+      statements: this.statements,
+      targetLoads: this.targetLoads,
+      rollouts: this.rollouts,
+      linkTo: addresses => this.linkTo(addresses),
+      onHello: (hello, peer) => this.sessions.onHello(hello, peer),
+      onStatus: status => this.onStatus(status),
+      onJoin: request => this.onJoin(request),
+    });
   }
 
-  private stateFor({knownVersion}: PullRequest): StateUpdate | undefined {
-    const state = this.group?.state;
-    if (state === undefined || state.version !== knownVersion) return state;
-    return {...state, document: undefined};
+  private onControl(address: Address, zone: ZoneId): void {
+    this.noteZone(address, zone);
+    this.linkTo([address]);
+  }
+
+  private onJoin(request: JoinRequest): void {
+    this.onControl(request.address, request.zone);
+    this.group?.membership.addCandidate(request);
   }
 
   private noteZone(address: Address, zone: ZoneId): void {
@@ -472,83 +448,6 @@
     this.status.noteReported(status);
   }
 
-  private sendHello(peer: Peer): void {
-    const {instance, zone, address} = this.options;
-    const {incarnation} = this;
-    const hello: Hello = {
-      instance,
-      incarnation,
-      role: 'control',
-      zone,
-      receivesTargets: true,
-      address,
-    };
-    peer.notify('hello', hello);
-  }
-
-  private onHello(hello: Hello, peer: Peer): void {
-    this.releaseEarlierIncarnation(hello);
-    this.subscribers.add(peer, hello);
-    if (hello.address) {
-      this.noteZone(hello.address, hello.zone);
-      // Reports go from the side that accepts a link to the one that opens it.
-      this.linkTo([hello.address]);
-    }
-    // The shortest message comes first: a long one of a sender that has sent
-    // none before is taken for noise.
-    peer.notify('status', this.status.current());
-    // An entry has to know what binds it before it knows any target.
-    if (hello.role === 'entry') this.sendBindings(peer);
-    if (hello.receivesTargets)
-      void peer.notifyLines(targetLines(this.registry.updates()));
-    this.options.logger.info('subscriber', {
-      peer: hello.instance,
-      role: hello.role,
-    });
-  }
-
-  private sendBindings(peer: Peer): void {
-    const {group} = this;
-    if (group) peer.notify('quarantine', viewOf(group.quarantine));
-    if (this.isLeader)
-      peer.notify('statements', {reports: this.statements.reports()});
-  }
-
-  /** Counts links that were closed for the size of what they carried. */
-  private countOversized(reason: CloseReason | undefined): void {
-    const isOversized =
-      reason === 'line_too_long' || reason === 'reads_too_slowly';
-    if (isOversized) this.oversizedLinks += 1;
-  }
-
-  private onPeerClosed(peer: Peer): void {
-    const hello = this.subscribers.remove(peer);
-    this.countOversized(peer.closeReason);
-    if (peer.closeReason !== 'ended') {
-      const {closeReason: reason} = peer;
-      this.options.logger.warn('link_closed', {peer: hello?.instance, reason});
-    }
-    if (hello?.role !== 'entry') return;
-    setTimeout(() => {
-      if (this.subscribers.has(hello.instance)) return;
-      this.reservations.releaseEntry(hello.instance);
-      this.entryIncarnations.delete(hello.instance);
-    }, ENTRY_RECONNECT_GRACE_MS);
-  }
-
-  /** Releases what an entry held before its process restarted. */
-  private releaseEarlierIncarnation({
-    instance,
-    incarnation,
-    role,
-  }: Hello): void {
-    const previous = this.entryIncarnations.get(instance);
-    this.entryIncarnations.set(instance, incarnation);
-    const hasRestarted = previous !== undefined && previous !== incarnation;
-    if (role === 'entry' && hasRestarted)
-      this.reservations.releaseEntry(instance);
-  }
-
   private sendRenewals(): void {
     if (this.pendingRenewals.size === 0) return;
     const items = [...this.pendingRenewals.values()];
@@ -577,19 +476,9 @@
 
   private applyState(): void {
     const state = this.group?.state;
-    if (state === undefined) return;
-    if (state.version !== this.decodedVersion && state.version > 0) {
-      const table = this.options.decodeConfig(state.document);
-      if (table.isErr()) {
-        this.options.logger.error('config_unreadable', {
-          version: state.version,
-        });
-        return;
-      }
-      this.decodedVersion = state.version;
-      this.capacities = capacitiesOf(table.value);
-    }
-    this.reservations.configure(this.capacities, new Set(state.zonesOut));
+    const capacities = state && this.capacities.of(state);
+    if (capacities === undefined) return;
+    this.reservations.configure(capacities, new Set(state!.zonesOut));
     this.status.sendIfChanged();
   }
 
@@ -625,27 +514,4 @@
     const {leader} = this.status;
     return leader && this.links.peerAt(leader);
   }
-
-  private async submitOrForward(
-    command: ClusterCommand,
-  ): Promise<SubmitOutcome> {
-    if (this.isLeader) return this.group!.submit(command);
-    const peer = this.leaderPeer();
-    if (peer === undefined) return {kind: 'not_leader'};
-    try {
-      return await peer.request<SubmitOutcome>(
-        'submit',
-        command,
-        FORWARD_TIMEOUT_MS,
-      );
-    } catch (error) {
-      return {kind: 'unknown', reason: String(error)};
-    }
-  }
-
-  private reserve(demand: Demand): Promise<DispatchResult> {
-    if (!this.isLeader) return Promise.reject(new Error('not_leader'));
-    this.startTermIfLeader();
-    return this.reservations.reserve(demand);
-  }
 }
--- a/packages/cluster/src/control/reservations.ts
+++ b/packages/cluster/src/control/reservations.ts
@@ -19,6 +19,7 @@
   type TargetLimiter,
   type TargetRecord,
   type TargetSpeeds,
+  type VersionGate,
 } from '@samphirefield/gateway';
 import type {FinishMessage, HeldRuns, MovePermitMessage} from './messages.js';
 
@@ -27,6 +28,7 @@
   readonly speeds: TargetSpeeds;
   /** Whether admission control decides for engines; default: no. */
   readonly usesAdmission?: boolean | undefined;
+  readonly versions: VersionGate;
   readonly logger: Logger;
   readonly nowMs: () => number;
 }
@@ -55,6 +57,7 @@
       limiter: options.limiter,
       speeds: options.speeds,
       usesAdmission: options.usesAdmission ?? false,
+      versions: options.versions,
     });
     this.permits = new MovePermits(options.nowMs);
   }
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -7,7 +7,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Result} from 'neverthrow';
 import {
-  zoneId,
+  incarnation as toIncarnation,
   type InstanceId,
   type Logger,
   type RequestId,
@@ -16,8 +16,6 @@
   type ZoneId,
 } from '@samphirefield/core';
 import {
-  buildRouteIndex,
-  Dispatcher,
   removeExpired,
   mergeAnnouncement,
   type Demand,
@@ -26,6 +24,7 @@
   type ReservationClient,
   type RouteTable,
   type RunOutcome,
+  type TargetAnnouncement,
   type TargetRecord,
   type TargetTable,
 } from '@samphirefield/gateway';
@@ -38,18 +37,15 @@
 } from '../control/index.js';
 import type {Address, Peer} from '../link/index.js';
 import {ControlLinks} from './control-links.js';
+import {nextConfig} from './entry-config.js';
 import {EntryQuarantine} from './entry-quarantine.js';
+import {EntryRollouts, type VersionObserver} from './entry-rollouts.js';
 import {EntryStatements} from './entry-statements.js';
 import {EntryTargetLoads} from './entry-target-loads.js';
 import {LeaderReservations} from './leader-reservations.js';
+import {LocalReservations} from './local-reservations.js';
 
 const PULL_TIMEOUT_MS = 2_000;
-const DISPATCH_EVERY_MS = 100;
-/**
- * Wait after which this entry exceeds its share of an engine: without a leader
- * it does not know what the others leave free.
- */
-const LOCAL_PATIENCE_MS = 500;
 const REPORT_LOADS_EVERY_MS = 100;
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
@@ -66,6 +62,7 @@
   readonly onTargetChange: (record: TargetRecord) => void;
   /** Whether admission control decides for engines; default: no. */
   readonly usesAdmission?: boolean;
+  readonly observeVersion?: VersionObserver;
 }
 
 export class EntryNode implements ReservationClient {
@@ -74,21 +71,18 @@
   readonly quarantine: EntryQuarantine;
   readonly statements: EntryStatements;
   readonly targetLoads: EntryTargetLoads;
+  readonly rollouts: EntryRollouts;
   private readonly controls: ControlLinks;
-  private readonly localDispatcher: Dispatcher;
+  private readonly local: LocalReservations;
   private readonly atLeader: LeaderReservations;
-  private readonly localResolvers = new Map<
-    RequestId,
-    (result: DispatchResult) => void
-  >();
   /** The runs on engines, which a leader has to know. */
   private readonly engineRuns = new Map<RequestId, HeldRun>();
   private readonly drainListeners = new Map<TargetId, Set<() => void>>();
   private readonly timers: NodeJS.Timeout[] = [];
-  private dispatchTimer: NodeJS.Timeout | undefined;
   private isPulling = false;
 
   constructor(private readonly options: EntryNodeOptions) {
+    const incarnation = toIncarnation(randomUUID());
     this.statements = new EntryStatements({
       instance: options.instance,
       logger: options.logger,
@@ -100,7 +94,7 @@
         const bornMs = this.table.get(id)?.announcement.bornMs;
         return bornMs === undefined ? undefined : {target: id, bornMs};
       },
-      onGrant: () => this.localDispatcher.dispatchPending(options.nowMs()),
+      onGrant: () => this.local.dispatchPending(),
       onLeaving: id => this.callDrainListeners(id),
     });
     this.targetLoads = new EntryTargetLoads({
@@ -109,16 +103,27 @@
       leader: () => this.controls.leaderPeer,
       hasEngine: service => this.hasEngine(service),
       serviceOf: id => this.table.get(id)?.announcement.service,
-      runsOn: id => this.localDispatcher.runsOn(id),
+      runsOn: id => this.local.dispatcher.runsOn(id),
+    });
+    this.rollouts = new EntryRollouts({
+      instance: options.instance,
+      incarnation,
+      logger: options.logger,
+      nowMs: options.nowMs,
+      random: Math.random,
+      leader: () => this.controls.leaderPeer,
+      announcementOf: id => this.table.get(id)?.announcement,
+      onChange: service => this.onVersionsChanged(service),
+      observe: options.observeVersion,
     });
-    this.localDispatcher = new Dispatcher({
+    this.local = new LocalReservations({
       limiter: this.statements,
+      versions: this.rollouts,
       speeds: this.targetLoads,
-      onResult: (demand, result) => this.resolveLocally(demand, result),
       // Reservations on engines are granted here only without a leader, when
       // all entries do so: each uses an equal share.
       share: service => (this.hasEngine(service) ? 1 / this.entryCount : 1),
-      random: Math.random,
+      nowMs: options.nowMs,
       usesAdmission: options.usesAdmission ?? false,
     });
     this.atLeader = new LeaderReservations({
@@ -134,12 +139,13 @@
     });
     this.controls = new ControlLinks({
       ...options,
-      incarnation: randomUUID(),
+      incarnation,
       onTarget: update => this.onTargetUpdate(update),
       onLeader: leader => {
         this.sendHeldRuns(leader);
         this.statements.reportAll(leader);
         this.targetLoads.startReporting();
+        this.rollouts.onLeader();
       },
       onStatements: reports => this.statements.learn(reports),
       onStatus: (status, peer) => {
@@ -179,8 +185,8 @@
   }
 
   onDraining(id: TargetId, listener: () => void): () => void {
-    const state = this.table.get(id)?.announcement.state;
-    const hasLeft = state !== undefined && state !== 'ready';
+    const target = this.table.get(id)?.announcement;
+    const hasLeft = target !== undefined && this.hasLeft(target);
     if (hasLeft || this.statements.isLeaving(id)) {
       listener();
       return () => undefined;
@@ -194,6 +200,20 @@
     };
   }
 
+  private hasLeft(target: TargetAnnouncement): boolean {
+    return target.state !== 'ready' || this.rollouts.isLeaving(target);
+  }
+
+  /** Runs on targets of a version that is stopped move. */
+  private onVersionsChanged(service: ServiceId): void {
+    for (const {announcement} of this.table.values()) {
+      const isConcerned = announcement.service === service;
+      if (isConcerned && this.rollouts.isLeaving(announcement))
+        this.callDrainListeners(announcement.id);
+    }
+    this.local.dispatchPending();
+  }
+
   async acquireMovePermit(source: TargetId, holder: RequestId): Promise<void> {
     const peer = this.controls.leaderPeer;
     if (peer === undefined) return;
@@ -208,10 +228,12 @@
     this.controls.leaderPeer?.notify('end_turn', {source, holder});
   }
 
-  async reserve(demand: Demand): Promise<DispatchResult> {
+  async reserve(wanted: Demand): Promise<DispatchResult> {
+    const demand = this.rollouts.assign(wanted);
     const isEngine = this.hasEngine(demand.service);
     const granted = isEngine ? await this.atLeader.reserve(demand) : undefined;
-    const result = granted ?? (await this.reserveLocally(demand));
+    const result = granted ?? (await this.local.reserve(demand));
+    this.rollouts.settle(demand, result);
     if (isEngine && result.kind === 'granted') {
       const {request, kvTokens} = demand;
       this.engineRuns.set(request, {request, target: result.target, kvTokens});
@@ -220,9 +242,9 @@
   }
 
   release(request: RequestId, service: ServiceId, outcome: RunOutcome): void {
-    this.localDispatcher.release(request, outcome, this.options.nowMs());
-    this.localResolvers.delete(request);
+    this.local.release(request, outcome);
     this.engineRuns.delete(request);
+    this.rollouts.withdraw(request, service);
     if (!this.hasEngine(service)) return;
     this.controls.leaderPeer?.notify('finish', {request, outcome});
   }
@@ -233,19 +255,20 @@
       controls_up: this.controls.connectedCount,
       state_index: this.stateIndex,
       targets: this.table.size,
-      places_held_locally: this.localDispatcher.runCount,
-      places_waiting_locally: this.localDispatcher.pendingCount,
+      places_held_locally: this.local.dispatcher.runCount,
+      places_waiting_locally: this.local.dispatcher.pendingCount,
       places_on_engines: this.engineRuns.size,
       quarantined: this.quarantine.quarantinedCount,
       ...this.targetLoads.metrics(),
-      choices_by_speed: this.localDispatcher.choicesBySpeed,
+      choices_by_speed: this.local.dispatcher.choicesBySpeed,
     };
   }
 
   stop(): void {
     for (const timer of this.timers) clearInterval(timer);
-    clearTimeout(this.dispatchTimer);
+    this.local.stop();
     this.quarantine.stop();
+    this.rollouts.stop();
     this.controls.close();
   }
 
@@ -264,7 +287,7 @@
       canExpire,
     );
     for (const id of expired) {
-      this.localDispatcher.removeTarget(id);
+      this.local.dispatcher.removeTarget(id);
       this.statements.forget(id);
       this.targetLoads.forget(id);
       this.controls.forgetTarget(id);
@@ -275,32 +298,6 @@
     return this.current?.routeIndex.findService(service)?.engine !== undefined;
   }
 
-  private reserveLocally(demand: Demand): Promise<DispatchResult> {
-    return new Promise(resolve => {
-      this.localResolvers.set(demand.request, resolve);
-      const patienceMs = Math.min(demand.patienceMs, LOCAL_PATIENCE_MS);
-      const localDemand = {...demand, patienceMs};
-      this.localDispatcher.acquire(localDemand, this.options.nowMs());
-      this.dispatchLater();
-    });
-  }
-
-  /** Dispatches again and again while demands wait here. */
-  private dispatchLater(): void {
-    if (this.dispatchTimer || this.localDispatcher.pendingCount === 0) return;
-    this.dispatchTimer = setTimeout(() => {
-      this.dispatchTimer = undefined;
-      this.localDispatcher.dispatchPending(this.options.nowMs());
-      this.dispatchLater();
-    }, DISPATCH_EVERY_MS);
-  }
-
-  private resolveLocally(demand: Demand, result: DispatchResult): void {
-    const resolve = this.localResolvers.get(demand.request);
-    this.localResolvers.delete(demand.request);
-    resolve?.(result);
-  }
-
   private get stateIndex(): number {
     return this.current?.view.index ?? 0;
   }
@@ -338,38 +335,28 @@
 
   private applyState(state: StateUpdate): void {
     if (state.index <= this.stateIndex) return;
-    const {logger, nowMs} = this.options;
-    const currentView = this.current?.view;
-    const isSameTable =
-      currentView && currentView.table.version === state.version;
-    const zonesOut = new Set(state.zonesOut.map(zone => zoneId(zone)));
-    let table: RouteTable;
-    if (isSameTable) ({table} = currentView);
-    else {
-      if (state.version === 0 || state.document === undefined) return;
-      const decoded = this.options.decodeConfig(state.document);
-      if (decoded.isErr()) {
-        logger.error('config_unreadable', {version: state.version});
-        return;
-      }
-      table = decoded.value;
+    const {logger, decodeConfig} = this.options;
+    const next = nextConfig(this.current, state, decodeConfig);
+    if (next.isErr()) {
+      const {version} = state;
+      if (next.error === 'unreadable')
+        logger.error('config_unreadable', {version});
+      return;
     }
-    const routeIndex = isSameTable
-      ? this.current!.routeIndex
-      : buildRouteIndex(table);
-    this.current = {
-      view: {index: state.index, table, zonesOut},
-      routeIndex,
-    };
-    this.localDispatcher.configure(capacitiesOf(table), zonesOut);
-    this.localDispatcher.dispatchPending(nowMs());
-    if (!isSameTable) this.options.onRouteTable(table);
+    const {config, hasNewTable} = next.value;
+    this.current = config;
+    const {table, zonesOut} = config.view;
+    this.local.dispatcher.configure(capacitiesOf(table), zonesOut);
+    this.local.dispatchPending();
+    if (hasNewTable) this.options.onRouteTable(table);
     logger.info('config_in_force', {
       index: state.index,
       version: table.version,
       routes: table.routes.length,
       zones_out: [...zonesOut].join(','),
     });
+    // Daemons of earlier builds send no rollouts.
+    this.rollouts.follow(state.rollouts ?? []);
   }
 
   private onTargetUpdate(update: TargetUpdate): void {
@@ -414,7 +401,7 @@
 
   private updateTarget(record: TargetRecord): void {
     const isSilent = this.controls.isSilent(record.announcement.id);
-    this.localDispatcher.setTarget(record, isSilent, this.options.nowMs());
+    this.local.dispatcher.setTarget(record, isSilent, this.options.nowMs());
     const {id, bornMs, state, hasCrashed} = record.announcement;
     const start = {target: id, bornMs};
     if (hasCrashed) this.quarantine.recordCrash(start, true);
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -39,6 +39,7 @@
   RunOutcome,
   ServiceCapacity,
 } from './types.js';
+import {ALL_VERSIONS, type VersionGate} from './version-gate.js';
 import {WaitEstimate} from './wait-estimate.js';
 
 const MS_PER_S = 1_000;
@@ -57,6 +58,8 @@
   readonly speeds?: TargetSpeeds;
   /** Whether admission control decides for engines; default: no. */
   readonly usesAdmission?: boolean;
+  /** Default: all versions of a target may be used. */
+  readonly versions?: VersionGate;
 }
 
 /** Grants or refuses demands; keeps the runs and the pending demands. */
@@ -80,6 +83,7 @@
       random,
       limiter: this.limiter,
       speeds: this.speeds,
+      versions: options.versions ?? ALL_VERSIONS,
     });
     if (usesAdmission !== true) return;
     this.admission = new AdmissionControl({table: this.table, share});
--- a/packages/gateway/src/dispatch/target-table.ts
+++ b/packages/gateway/src/dispatch/target-table.ts
@@ -15,15 +15,22 @@
   type TargetState,
 } from './target-state.js';
 import type {Demand, ServiceCapacity} from './types.js';
+import type {VersionGate} from './version-gate.js';
 
 export const FULL_LOAD = 1;
 const TIE_BREAK_RANGE = 0.02;
+/**
+ * A demand that is meant for a version goes to it unless its targets are full:
+ * the load of a full target and more, so that others are no better.
+ */
+const MEANT_VERSION_BONUS = 2;
 
 export interface TargetTableOptions {
   readonly share: (service: ServiceId) => number;
   readonly random: () => number;
   readonly limiter: TargetLimiter;
   readonly speeds: TargetSpeeds;
+  readonly versions: VersionGate;
 }
 
 export class TargetTable {
@@ -98,8 +105,12 @@
   }
 
   isUsable(target: TargetState, demand: Demand): boolean {
-    const {id} = target.record.announcement;
-    return this.isAvailable(target) && !demand.excluded.includes(id);
+    const {announcement} = target.record;
+    return (
+      this.isAvailable(target) &&
+      !demand.excluded.includes(announcement.id) &&
+      this.options.versions.mayPlaceOn(announcement, demand)
+    );
   }
 
   isAvailable({record, isSilent}: TargetState): boolean {
@@ -238,12 +249,16 @@
     demand: Demand,
     nowMs: number,
   ): number {
-    const isOtherZone = target.record.announcement.zone !== demand.zone;
+    const {random, versions} = this.options;
+    const {announcement} = target.record;
+    const isOtherZone = announcement.zone !== demand.zone;
+    const isMeant = versions.isMeantFor(announcement, demand);
     return (
       load +
-      penaltyOf(target, nowMs) +
+      penaltyOf(target, nowMs) -
+      (isMeant ? MEANT_VERSION_BONUS : 0) +
       (isOtherZone ? demand.otherZonePenalty : 0) +
-      this.options.random() * TIE_BREAK_RANGE
+      random() * TIE_BREAK_RANGE
     );
   }
 
--- a/packages/gateway/src/dispatch/types.ts
+++ b/packages/gateway/src/dispatch/types.ts
@@ -54,6 +54,13 @@
   readonly maxKvTokens?: number;
   readonly ranForMs?: number;
   readonly excluded: readonly TargetId[];
+  /** Name of the request's route; daemons of earlier builds leave it out. */
+  readonly route?: string;
+  /**
+   * Set by the entry that a rollout granted the request: it may go to the new
+   * version.
+   */
+  readonly rolloutSide?: 'new';
 }
 
 /** How much load the targets of a service accept. */
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -10,6 +10,7 @@
 import type {ResponseSink} from './response-sink.js';
 import {breakOffResponse} from './break-off.js';
 import {RunAllowance} from './run-allowance.js';
+import {NO_OBSERVER, observedEndOf, type ObservedRun} from './run-observer.js';
 import {RunSupervisor, type StreamContinuation} from './run-supervisor.js';
 import {
   classifyResult,
@@ -53,6 +54,7 @@
   private readonly metadata: RequestMetadata;
   private endsAtMs: number;
   private isOver = false;
+  private hasTimedOut = false;
   private attempt: TargetAttempt | undefined;
   private readonly placer: TargetPlacer;
   private readonly allowance: RunAllowance;
@@ -147,6 +149,7 @@
     const {allowance} = this;
     const {budget} = this.deps;
     budget.recordRequest(admitted.service);
+    this.runObserver.recordArrival(admitted.service);
     for (;;) {
       const nextStep = await this.attemptOnce(admitted);
       if (this.isOver) return;
@@ -244,6 +247,10 @@
     return {hasStarted, lastEventId: lastEventId ?? 0};
   }
 
+  private get runObserver() {
+    return this.deps.runObserver ?? NO_OBSERVER;
+  }
+
   private async sendToTarget(
     reservation: Reservation | undefined,
     admitted: AdmittedRequest,
@@ -276,6 +283,16 @@
       connection.destroy();
       return {outcome: 'abandoned', step: {kind: 'broken_off'}};
     }
+    // A version may have been closed, or a lease ended, while connecting.
+    if (!this.runObserver.mayUse(reservation.target)) {
+      connection.destroy();
+      return notSent('abandoned', 'the version of the target may not be used');
+    }
+    const observedRun = this.runObserver.startRun(
+      admitted.route.name,
+      admitted.service,
+      reservation.target,
+    );
     const sink = this.startedSink;
     if (sink) recordResume(this.deps, this.record, sink.events?.lastEventId);
     const attempt = this.startAttempt(
@@ -283,6 +300,7 @@
       admitted,
       reservation,
       sink && {sink, resume: undefined},
+      observedRun,
     );
     let current = reservation;
     const supervisor = new RunSupervisor({
@@ -301,6 +319,7 @@
         this.record.moves += 1;
         this.placer.exclude(moved.target);
         this.record.lastTarget = moved.target;
+        observedRun.noteMove(moved.target);
         current = moved;
       },
       prepareNextRun: running => this.prepareNextRun(admitted, running),
@@ -316,6 +335,7 @@
       admitted.route,
       this.allowance.runCount,
     );
+    observedRun.noteEnd(observedEndOf(result, classified, this.hasTimedOut));
     // A crash has to be known before the request is sent to another target.
     if (classified.step.kind === 'retry') await observed;
     return classified;
@@ -338,6 +358,7 @@
     admitted: AdmittedRequest,
     reservation: Reservation,
     continuation?: StreamContinuation,
+    observedRun?: ObservedRun,
   ): TargetAttempt {
     const {deps, req, res, metadata, callerLastEventId} = this;
     const remainingMs = this.remainingMs();
@@ -346,6 +367,7 @@
       connection,
       reservation,
       continuation,
+      observedRun,
     );
     this.attempt = attempt;
     return attempt;
@@ -360,6 +382,7 @@
 
   private onTimeout(): void {
     if (this.isOver) return;
+    this.hasTimedOut = true;
     const {attempt} = this;
     if (this.res.headersSent) {
       this.isOver = true;
--- a/packages/gateway/src/exchange/start-run.ts
+++ b/packages/gateway/src/exchange/start-run.ts
@@ -6,6 +6,7 @@
 import {serializeRequest} from './http-message.js';
 import type {AdmittedRequest, Reservation} from './reservation.js';
 import {createPaceProbe, type PaceProbe} from './pace-probe.js';
+import type {ObservedRun} from './run-observer.js';
 import type {StreamContinuation} from './run-supervisor.js';
 import {startTargetAttempt, type TargetAttempt} from './target-attempt.js';
 import type {GatewayDependencies, RequestMetadata} from './types.js';
@@ -28,6 +29,7 @@
   connection: UpstreamConnection,
   {target, bornMs}: Reservation,
   continuation: StreamContinuation | undefined,
+  observedRun: ObservedRun | undefined,
 ): TargetAttempt {
   const {deps, req, res, metadata, admitted, callerLastEventId} = request;
   const {protocol, statements, targetLoads} = deps;
@@ -60,6 +62,7 @@
     continuesRun: continuation?.resume !== undefined,
     callerLastEventId,
     onProven: () => quarantine.recordAnswer(),
+    onAnswer: () => observedRun?.noteAnswer(deps.nowMs() - sentAtMs),
     onHead: ({stated, loads}) => {
       statements.hear(start, stated, sentAtMs);
       targetLoads.hearLoad(start, service, loads);
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -88,6 +88,11 @@
   /** Called with the head of a response that names this request. */
   readonly onHead: (metadata: ResponseMetadata) => void;
   readonly probe: PaceProbe;
+  /**
+   * Called once when the body of a response that may be sound begins, of a
+   * stream its first event.
+   */
+  readonly onAnswer?: () => void;
 }
 
 const FIRST_FAILURE_STATUS = 500;
@@ -126,6 +131,10 @@
     isProven = true;
     options.onProven();
   };
+  const mayBeSound = () =>
+    head!.status < FIRST_FAILURE_STATUS &&
+    !metadata!.isNotRun &&
+    !metadata!.isMisdirected;
   const onDrain = () => {
     isPaused = false;
     resumedAtMs = performance.now();
@@ -178,7 +187,10 @@
         sink?.events === undefined || sink.events.eventCount !== eventsBefore;
       if (isProgress) {
         lastProgressAtMs = performance.now();
-        firstProgressAtMs ??= lastProgressAtMs;
+        if (firstProgressAtMs === undefined) {
+          firstProgressAtMs = lastProgressAtMs;
+          if (mayBeSound()) options.onAnswer?.();
+        }
         probe.onProgress(sink?.events?.eventCount, lastProgressAtMs);
         const isSound = isSuccess(head!.status);
         if (isSound && lastProgressAtMs - firstProgressAtMs > PROVEN_AFTER_MS)
--- a/packages/gateway/src/exchange/target-placer.ts
+++ b/packages/gateway/src/exchange/target-placer.ts
@@ -149,7 +149,8 @@
   }
 
   private mayUse(target: TargetId): boolean {
-    const {reservations, statements} = this.deps;
+    const {reservations, runObserver, statements} = this.deps;
+    if (runObserver?.mayUse(target) === false) return false;
     const bornMs = reservations.findTarget(target)?.announcement.bornMs;
     return bornMs === undefined || statements.mayUse({target, bornMs});
   }
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -17,6 +17,7 @@
 import type {RequestObserver} from '../metrics/index.js';
 import type {KvCacheMover, ResumePoint} from '../moves/index.js';
 import type {PlannedStop} from './planned-stop.js';
+import type {RunObserver} from './run-observer.js';
 import type {TargetStart} from '@samphirefield/policy/quarantine';
 import type {HeadValues} from '@samphirefield/policy/statements';
 import type {
@@ -163,6 +164,8 @@
   readonly quarantine: Quarantine;
   readonly statements: StatementListener;
   readonly targetLoads: TargetLoadListener;
+  /** Default: nothing is observed. */
+  readonly runObserver?: RunObserver;
   readonly pool: UpstreamPool;
   readonly mover: KvCacheMover;
   readonly logger: Logger;
