--- a/packages/policy/src/admission/admission.spec.ts
+++ b/packages/policy/src/admission/admission.spec.ts
@@ -107,6 +107,17 @@
   expect(refusedAfterMs).toBeLessThan(25_000);
 });
 
+test('overdue requests are not held while no overdue one starts', () => {
+  const admission: Admission = new ServiceAdmission();
+  admission.add(request('r1', {inTimeMs: 1_000}), 0, 0);
+  expect(admission.giveUpOverdue(6_900)).toEqual([]);
+  const givenUp = admission.giveUpOverdue(7_100);
+  expect(givenUp.map(item => item.request)).toEqual([requestId('r1')]);
+  const waiting = admission.queue.find(requestId('r1'))!;
+  admission.recordStart(waiting, 7_100);
+  expect(admission.giveUpOverdue(7_200)).toEqual([]);
+});
+
 test('a request whose deadline leaves no time to run is not held', () => {
   const admission: Admission = new ServiceAdmission();
   admission.add(request('r1', {deadlineInMs: 3_000}), 0, 0);
--- a/packages/policy/src/admission/queue.ts
+++ b/packages/policy/src/admission/queue.ts
@@ -44,6 +44,9 @@
   /** Sorted by priority. */
   private lines: Array<PriorityLines<R>> = [];
   private readonly byDue = new OrderedSet<Waiting<R>>(item => item.dueAtMs);
+  private readonly byOverdue = new OrderedSet<Waiting<R>>(item =>
+    Math.max(item.dueAtMs, item.sinceMs),
+  );
   private readonly byEnd = new OrderedSet<Waiting<R>>(item => item.endsAtMs);
   private readonly flows = new Map<string, WorkspaceFlow>();
   private nextSequence = 0;
@@ -77,7 +80,7 @@
     this.nextSequence += 1;
     this.items.set(request.request, item);
     this.lineOf(item).add(item);
-    if (!item.isOverdue) this.byDue.add(item);
+    (item.isOverdue ? this.byOverdue : this.byDue).add(item);
     this.byEnd.add(item);
   }
 
@@ -90,7 +93,7 @@
     if (item === undefined) return undefined;
     this.items.delete(request);
     this.lineOf(item).remove(item);
-    this.byDue.remove(item);
+    (item.isOverdue ? this.byOverdue : this.byDue).remove(item);
     this.byEnd.remove(item);
     const name = flowOf(item.request);
     const flow = this.flows.get(name);
@@ -127,6 +130,16 @@
     return waitedMs >= item.request.inTimeMs * share ? item : undefined;
   }
 
+  /** The requests that have waited in the overdue line for this time. */
+  overdueFor(timeMs: number, nowMs: number): R[] {
+    const found: R[] = [];
+    for (const {request, dueAtMs, sinceMs} of this.byOverdue) {
+      if (nowMs - Math.max(dueAtMs, sinceMs) < timeMs) break;
+      found.push(request);
+    }
+    return found;
+  }
+
   /** The requests whose wait is over. */
   ended(nowMs: number): R[] {
     const ended: R[] = [];
@@ -220,6 +233,7 @@
       this.byDue.remove(item);
       this.lineOf(item).remove(item);
       item.isOverdue = true;
+      this.byOverdue.add(item);
       this.lineOf(item).add(item);
     }
   }
--- a/packages/policy/src/admission/service-admission.ts
+++ b/packages/policy/src/admission/service-admission.ts
@@ -26,6 +26,11 @@
 const LEAST_RATE_SHARE = 0.15;
 /** Overdue requests are expected to get at least this share of freed room. */
 const LEAST_SLACK_SHARE = 0.05;
+/**
+ * While no overdue request started for this time, those that waited as long are
+ * refused. Waves of overload are shorter, so no trough is near.
+ */
+const STALLED_MS = 6_000;
 /** Waves of overload last some seconds, so slack is counted over more. */
 const SLACK_SLOT_MS = 1_000;
 /**
@@ -50,6 +55,7 @@
   private readonly freed = new TokenRate();
   /** Room that overdue requests took. */
   private readonly takenLate = new TokenRate(SLACK_SLOT_MS);
+  private lastLateStartMs = 0;
   private readonly returns = new Returns();
   private readonly arrived = new Map<number, TokenRate>();
   /** The shortest time in which requests of a priority are due. */
@@ -74,6 +80,7 @@
   /** Room that a request took; overdue ones show how much is left for them. */
   recordStart({request, isOverdue}: Waiting<R>, nowMs: number): void {
     this.takenLate.record(isOverdue ? request.kvTokens : 0, nowMs);
+    if (isOverdue) this.lastLateStartMs = nowMs;
   }
 
   /** Remembers a refused request, whose caller may return. */
@@ -99,8 +106,14 @@
     return this.decideLate(request, longestWaitMs(request), nowMs);
   }
 
-  /** Requests that are overdue now and are not expected to be served. */
+  /** Overdue requests that are not expected to be served. */
   giveUpOverdue(nowMs: number): R[] {
+    const isStalled = nowMs - this.lastLateStartMs >= STALLED_MS;
+    const stalled = isStalled ? this.queue.overdueFor(STALLED_MS, nowMs) : [];
+    return [...stalled, ...this.giveUpNewlyOverdue(nowMs)];
+  }
+
+  private giveUpNewlyOverdue(nowMs: number): R[] {
     return this.queue
       .moveOverdue(nowMs)
       .filter(({request, endsAtMs}) => {
