--- a/packages/replay/src/reservations/draw.ts
+++ b/packages/replay/src/reservations/draw.ts
@@ -1,6 +1,7 @@
 /** Random sizes of requests, from a seeded generator. */
+import {workspaceId, type WorkspaceId} from '@samphirefield/core';
 import type {TokenCounts} from '@samphirefield/gateway';
-import type {RequestClass} from './scenario.js';
+import type {RequestClass, Scenario} from './scenario.js';
 
 /** Returns a whole number from 0 to below the bound. */
 export type Below = (bound: number) => number;
@@ -60,3 +61,13 @@
     outputTokens: Math.round(output),
   };
 }
+
+/** The first workspace sends the most, each next one a little less. */
+export function drawWorkspace(
+  {workspaces}: Scenario,
+  below: Below,
+): WorkspaceId | undefined {
+  if (workspaces === undefined) return undefined;
+  const position = uniform(below) ** 2;
+  return workspaceId(`w${Math.floor(position * workspaces)}`);
+}
--- a/packages/replay/src/reservations/play.ts
+++ b/packages/replay/src/reservations/play.ts
@@ -5,10 +5,8 @@
 import {
   instanceId,
   requestId,
-  workspaceId,
   zoneId,
   type TargetId,
-  type WorkspaceId,
 } from '@samphirefield/core';
 import {step, submit} from '@samphirefield/fakes';
 import {
@@ -21,22 +19,19 @@
 } from '@samphirefield/gateway';
 import {createRandom} from '@samphirefield/replication/fuzz';
 import {EventQueue} from '../simulate/event-queue.js';
-import {drawRequest, uniform} from './draw.js';
+import {drawRequest, drawWorkspace, uniform} from './draw.js';
 import {
   COLD_REQUESTS_PER_S,
   createPlayedEngine,
   SERVICE,
   type Engine,
 } from './fleet.js';
+import {HOP_MS, recordEnd, recordToken, type Running} from './responses.js';
 import type {RequestClass, Scenario} from './scenario.js';
 import type {PlayedRequest, PlayFigures} from './types.js';
 
 const ENTRY_COUNT = 20;
 const DISPATCH_EVERY_MS = 250;
-/** From the grant to the engine, and from an event to the caller. */
-const HOP_MS = 4;
-const TOKENS_PER_EVENT = 4;
-const MAX_GAP_MS = 180;
 /** Time for a copy of a KV cache and the change to the next engine. */
 const MOVE_MS = 90;
 const RETRY_AFTER_DEFAULT_MS = 400;
@@ -48,18 +43,6 @@
 const MS_PER_S = 1_000;
 const CHOICES_SEED = 1_000_003;
 
-interface Running {
-  readonly played: PlayedRequest;
-  readonly tokens: TokenCounts;
-  readonly outputTokens: number;
-  readonly run: string;
-  readonly startedAtMs: number;
-  generated: number;
-  lastEventAtMs: number | undefined;
-  worstGapMs: number;
-  isMoving: boolean;
-}
-
 type PlayedEngine = Engine<Running>;
 
 class Play {
@@ -257,7 +240,7 @@
   private arrive(requestClass: RequestClass): void {
     const played: PlayedRequest = {
       requestClass,
-      workspace: this.drawWorkspace(),
+      workspace: drawWorkspace(this.scenario, this.random.below),
       tokens: 0,
       askedAtMs: this.events.nowMs,
       outcome: 'refused',
@@ -272,14 +255,6 @@
     this.ask(played, tokens, outputTokens);
   }
 
-  /** The first workspace sends the most, each next one a little less. */
-  private drawWorkspace(): WorkspaceId | undefined {
-    const {workspaces} = this.scenario;
-    if (workspaces === undefined) return undefined;
-    const position = uniform(this.random.below) ** 2;
-    return workspaceId(`w${Math.floor(position * workspaces)}`);
-  }
-
   private ask(
     played: PlayedRequest,
     tokens: TokenCounts,
@@ -361,41 +336,19 @@
     const doneAtMs = this.events.nowMs + Math.max(1, result.durationMs);
     this.events.schedule(doneAtMs, () => {
       engine.isBusy = false;
-      for (const {id} of result.emitted) this.onToken(engine.runs.get(id));
+      for (const {id} of result.emitted)
+        recordToken(engine.runs.get(id), this.events.nowMs);
       for (const {id} of result.finished) this.onFinished(engine, id);
       this.wake(engine);
     });
   }
 
-  private onToken(running: Running | undefined): void {
-    if (running === undefined) return;
-    running.generated += 1;
-    const isEvent =
-      running.generated % TOKENS_PER_EVENT === 0 ||
-      running.generated >= running.outputTokens;
-    if (!isEvent) return;
-    const atMs = this.events.nowMs + HOP_MS;
-    if (running.lastEventAtMs === undefined) running.played.firstAtMs = atMs;
-    else {
-      const gapMs = atMs - running.lastEventAtMs;
-      running.worstGapMs = Math.max(running.worstGapMs, gapMs);
-    }
-    running.lastEventAtMs = atMs;
-  }
-
   private onFinished(engine: PlayedEngine, run: string): void {
     const running = engine.runs.get(run);
     if (running === undefined) return;
     engine.runs.delete(run);
     this.dispatcher.release(requestId(run), 'served', this.events.nowMs);
-    const {played, worstGapMs} = running;
-    const {requestClass, askedAtMs} = played;
-    const firstMs = (played.firstAtMs ?? Infinity) - askedAtMs;
-    const isInTime =
-      firstMs <= requestClass.objectiveMs && worstGapMs <= MAX_GAP_MS;
-    const isOverdue = this.events.nowMs - askedAtMs > requestClass.deadlineMs;
-    if (isOverdue) played.outcome = 'lost';
-    else played.outcome = isInTime ? 'in_time' : 'late';
+    recordEnd(running, this.events.nowMs);
   }
 
   private newRun(): string {
