Rollouts: allowances of lost entries, entries that are not told of the closing yet

- What an entry held that died stayed granted for good.
It now counts as sent without a response after one and a half leases.
- The leader closed the old version for entries that had no closing lease yet; these refuse new targets, and a request could run out of targets.
It closes it for each entry once that reported the lease, and an entry that may not use a target waits 25 ms instead of excluding it.
- What a draining target loses is no evidence against its version.
- Placements use prepared sets and ask for the Raft lease every 5 ms.

--- a/packages/cluster/src/control/leased-entries.ts
+++ b/packages/cluster/src/control/leased-entries.ts
@@ -4,14 +4,24 @@
  * may have been used.
  */
 import type {Incarnation, InstanceId} from '@samphirefield/core';
-import {divideAllowance, type EntryUse} from '@samphirefield/policy/rollouts';
+import {
+  divideAllowance,
+  type EntryUse,
+  type EvidenceRow,
+  type RolloutEvidence,
+} from '@samphirefield/policy/rollouts';
 import type {RolloutReport} from './rollout-messages.js';
 
 /** Half-life of the number of requests that arrive at an entry. */
 const RECENT_HALF_LIFE_MS = 1_000;
+/** An entry that was silent for so many leases can use none any more. */
+const WRITE_OFF_LEASES = 1.5;
 
 interface LeasedEntry {
   readonly entry: InstanceId;
+  readonly incarnation: Incarnation;
+  /** A route that it has sent requests of; undefined until it reported one. */
+  route: string | undefined;
   grantedRequests: number;
   /** Granted by the last division, but not told to the entry yet. */
   offeredRequests: number;
@@ -19,11 +29,13 @@
   seenRequests: number;
   recentRequests: number;
   reportedAtMs: number;
-  hasClosed: boolean;
 }
 
 export class LeasedEntries {
   private readonly rows = new Map<string, LeasedEntry>();
+  /** Entries that use new targets only, and those that left the old ones. */
+  private readonly closing = new Set<InstanceId>();
+  private readonly closed = new Set<InstanceId>();
 
   constructor(private readonly leaseMs: number) {}
 
@@ -42,7 +54,7 @@
     nowMs: number,
   ): void {
     const key = keyOf(entry, incarnation);
-    const row = this.rows.get(key) ?? this.addRow(key, entry, nowMs);
+    const row = this.rows.get(key) ?? this.addRow(entry, incarnation, nowMs);
     const elapsedMs = nowMs - row.reportedAtMs;
     const added = Math.max(0, report.seenRequests - row.seenRequests);
     row.recentRequests =
@@ -52,7 +64,9 @@
     // The answer to an earlier report is never used after this one.
     row.grantedRequests = report.heldRequests;
     row.reportedAtMs = nowMs;
-    row.hasClosed = report.isClosing && report.oldRuns === 0;
+    row.route = report.rows[0]?.route ?? row.route;
+    note(this.closing, entry, report.isClosing);
+    note(this.closed, entry, report.isClosing && report.oldRuns === 0);
   }
 
   /** The number of requests that the entry may have sent, with the lease. */
@@ -80,19 +94,47 @@
     }
   }
 
+  /**
+   * Counts what entries held that are gone as sent without a response: they may
+   * have used it, and nobody else can. Otherwise it would be granted for good,
+   * and keep the others from requests.
+   */
+  writeOff(nowMs: number): RolloutEvidence[] {
+    return [...this.rows.values()].flatMap(row => {
+      const isGone = nowMs - row.reportedAtMs > WRITE_OFF_LEASES * this.leaseMs;
+      const lost = row.grantedRequests - row.usedRequests;
+      if (!isGone || lost <= 0 || row.route === undefined) return [];
+      row.usedRequests = row.grantedRequests;
+      const {entry, incarnation, seenRequests, route} = row;
+      const lostRow: EvidenceRow = {
+        route,
+        side: 'new',
+        sentRequests: lost,
+        badResponses: 0,
+        abandonedRequests: lost,
+        latencyCounts: [],
+      };
+      return {entry, incarnation, seenRequests, rows: [lostRow]};
+    });
+  }
+
+  /** Whether the entry said that it uses new targets only. */
+  isClosing(entry: InstanceId): boolean {
+    return this.closing.has(entry);
+  }
+
   /** Whether nothing of the entry runs on old targets any more. */
   hasClosed(entry: InstanceId): boolean {
-    return [...this.rows.values()].some(
-      row => row.entry === entry && row.hasClosed,
-    );
+    return this.closed.has(entry);
   }
 
-  private addRow(key: string, entry: InstanceId, nowMs: number): LeasedEntry {
-    for (const row of this.rows.values()) {
-      if (row.entry === entry) row.hasClosed = false;
-    }
-    const row = newRow(entry, nowMs);
-    this.rows.set(key, row);
+  private addRow(
+    entry: InstanceId,
+    incarnation: Incarnation,
+    nowMs: number,
+  ): LeasedEntry {
+    const row = newRow(entry, incarnation, nowMs);
+    this.rows.set(keyOf(entry, incarnation), row);
     return row;
   }
 
@@ -104,15 +146,25 @@
 const keyOf = (entry: InstanceId, incarnation: Incarnation) =>
   `${entry} ${incarnation}`;
 
-function newRow(entry: InstanceId, nowMs: number): LeasedEntry {
+function note(set: Set<InstanceId>, entry: InstanceId, isIn: boolean): void {
+  if (isIn) set.add(entry);
+  else set.delete(entry);
+}
+
+function newRow(
+  entry: InstanceId,
+  incarnation: Incarnation,
+  nowMs: number,
+): LeasedEntry {
   return {
     entry,
+    incarnation,
+    route: undefined,
     grantedRequests: 0,
     offeredRequests: 0,
     usedRequests: 0,
     seenRequests: 0,
     recentRequests: 0,
     reportedAtMs: nowMs,
-    hasClosed: false,
   };
 }
--- a/packages/cluster/src/control/rollout-gate.ts
+++ b/packages/cluster/src/control/rollout-gate.ts
@@ -3,7 +3,7 @@
  * what is granted of a running one. The same rules apply on the leader, which
  * places runs on engines, and on entries, which choose plain targets.
  */
-import type {ServiceId, TargetId} from '@samphirefield/core';
+import type {InstanceId, ServiceId, TargetId} from '@samphirefield/core';
 import type {
   Demand,
   TargetAnnouncement,
@@ -21,22 +21,28 @@
 export interface RolloutGateOptions {
   /** The newest rollout of a service; undefined if it had none. */
   readonly rolloutOf: (service: ServiceId) => Rollout | undefined;
-  /** Undefined while nothing is granted. */
-  readonly grantOf: (rollout: Rollout) => RolloutGrantView | undefined;
+  /** What is granted to an entry; undefined while nothing is. */
+  readonly grantOf: (
+    rollout: Rollout,
+    entry: InstanceId | undefined,
+  ) => RolloutGrantView | undefined;
 }
 
-type Placed = Pick<Demand, 'rolloutSide'>;
+type Placed = Pick<Demand, 'rolloutSide'> & Partial<Pick<Demand, 'entry'>>;
 
 export class RolloutGate implements VersionGate {
   constructor(private readonly options: RolloutGateOptions) {}
 
-  mayPlaceOn(target: TargetAnnouncement, {rolloutSide}: Placed): boolean {
+  mayPlaceOn(
+    target: TargetAnnouncement,
+    {rolloutSide, entry}: Placed,
+  ): boolean {
     const rollout = this.options.rolloutOf(target.service);
     if (rollout === undefined) return true;
     const use = useOfVersion(rollout, target.version);
     if (use === 'closed') return false;
     if (rollout.state !== 'running') return true;
-    const grant = this.options.grantOf(rollout);
+    const grant = this.options.grantOf(rollout, entry);
     const isClosing = grant?.isClosing ?? false;
     if (use === 'open') return !isClosing;
     if (isClosing) return true;
@@ -59,6 +65,6 @@
   }
 
   private isClosing(rollout: Rollout): boolean {
-    return this.options.grantOf(rollout)?.isClosing ?? false;
+    return this.options.grantOf(rollout, undefined)?.isClosing ?? false;
   }
 }
--- a/packages/cluster/src/control/rollout-keeper.spec.ts
+++ b/packages/cluster/src/control/rollout-keeper.spec.ts
@@ -30,6 +30,7 @@
   private seen = 0;
   private readonly counts = {used: 0, bad: 0, held: 0};
   badShare = 0;
+  incarnation = incarnation('i');
   /** What the entry was answered last. */
   lease: RolloutLease | undefined;
   report: Partial<RolloutReport> = {isClosing: false, oldRuns: 0};
@@ -72,6 +73,17 @@
     this.rollouts = [rollout];
   }
 
+  /** The entry restarts, and forgets what it counted and held. */
+  restartEntry(): void {
+    this.incarnation = incarnation(`${this.incarnation}i`);
+    this.seen = 0;
+    Object.assign(this.counts, {used: 0, bad: 0, held: 0});
+  }
+
+  get usedRequests(): number {
+    return this.counts.used;
+  }
+
   /** One interval: the entry sends all that it may, and reports. */
   step(): void {
     this.nowMs += TICK_MS;
@@ -104,7 +116,7 @@
     };
     const {leases} = this.keeper.report({
       entry: instanceId('e1'),
-      incarnation: incarnation('i'),
+      incarnation: this.incarnation,
       reports: [report],
     });
     const [lease] = leases;
@@ -204,6 +216,18 @@
   expect(play.outcomes.length).toEqual(4);
 });
 
+test('allowances of entries that are gone keep the others from requests', () => {
+  const play = new Play();
+  play.start(20_000);
+  for (let restarts = 0; restarts < 3; restarts += 1) {
+    play.until(() => (play.lease?.allowedRequests ?? 0) > 0);
+    play.restartEntry();
+    play.until(() => play.usedRequests > 0, 4_000);
+    expect(play.usedRequests > 0).toEqual(true);
+    play.restartEntry();
+  }
+});
+
 test('an order is submitted while a daemon of an earlier build is connected', async () => {
   const play = new Play();
   play.areCommandsKnown = false;
--- a/packages/cluster/src/control/rollout-keeper.ts
+++ b/packages/cluster/src/control/rollout-keeper.ts
@@ -4,7 +4,12 @@
  * completes is closed first: entries use the new version only and their runs
  * leave the old one, because the old targets are stopped at once afterwards.
  */
-import type {InstanceId, Logger, ServiceId} from '@samphirefield/core';
+import type {
+  InstanceId,
+  Logger,
+  ServiceId,
+  TargetId,
+} from '@samphirefield/core';
 import type {VersionGate} from '@samphirefield/gateway';
 import {
   createRolloutJudge,
@@ -36,6 +41,8 @@
 /** Time before the deadline at which the end is committed at the latest. */
 const COMMIT_PART = 0.1;
 const MAX_COMMIT_MS = 1_000;
+/** Well below the margin of the Raft lease for the drift of clocks. */
+const SURE_MS = 5;
 
 export interface RolloutKeeperOptions {
   readonly limits: RolloutLimits;
@@ -66,6 +73,8 @@
   readonly deadlineMs: number;
   readonly entries: LeasedEntries;
   decision: RolloutDecision | undefined;
+  /** Targets of the new version that get the granted requests. */
+  targets: ReadonlySet<TargetId>;
   isEnding: boolean;
   loggedStage: string;
 }
@@ -73,6 +82,7 @@
 export class RolloutKeeper {
   private term: number | undefined;
   private termSinceMs = 0;
+  private sureUntilMs = 0;
   private readonly watched = new Map<ServiceId, Watched>();
   /** Which targets this daemon may place runs on while it leads. */
   readonly gate: VersionGate;
@@ -80,7 +90,7 @@
   constructor(private readonly options: RolloutKeeperOptions) {
     this.gate = new RolloutGate({
       rolloutOf: service => findRollout(options.rollouts(), service),
-      grantOf: rollout => this.grantOf(rollout),
+      grantOf: (rollout, entry) => this.grantOf(rollout, entry),
     });
   }
 
@@ -122,6 +132,7 @@
       this.term = term;
       this.termSinceMs = nowMs();
       this.watched.clear();
+      this.sureUntilMs = 0;
     }
     if (term === undefined) return;
     this.watchRunning();
@@ -171,6 +182,7 @@
       deadlineMs,
       entries: new LeasedEntries(rolloutLeaseMs(limits)),
       decision: undefined,
+      targets: new Set(),
       isEnding: false,
       loggedStage: '',
     };
@@ -179,9 +191,12 @@
   private decideOn(watched: Watched): void {
     const {rollout, judge, entries} = watched;
     const nowMs = this.options.nowMs();
+    for (const lost of entries.writeOff(nowMs)) recordEvidence(judge, lost);
     const situation = this.options.situationOf(rollout);
     const decision = decide(judge, situation, nowMs);
     watched.decision = decision;
+    const targets = decision.kind === 'continue' ? decision.targets : [];
+    watched.targets = new Set(targets);
     this.logDecision(watched, decision, situation);
     if (decision.kind === 'continue') {
       const mayGrant = nowMs >= watched.grantsFromMs;
@@ -214,25 +229,28 @@
       .finally(() => (watched.isEnding = false));
   }
 
-  private grantOf({
-    service,
-    startIndex,
-  }: Rollout): RolloutGrantView | undefined {
+  private grantOf(
+    {service, startIndex}: Rollout,
+    entry: InstanceId | undefined,
+  ): RolloutGrantView | undefined {
     const watched = this.watched.get(service);
     if (watched?.rollout.startIndex !== startIndex) return undefined;
-    const {leadingTerm, holdsLease} = this.options;
-    if (leadingTerm() !== this.term || !holdsLease()) return undefined;
-    const {decision} = watched;
-    switch (decision?.kind) {
-      case 'continue': {
-        const targets = new Set(decision.targets);
-        return {targets, isClosing: false};
-      }
-      case 'complete':
-        return {targets: new Set(), isClosing: true};
-      default:
-        return undefined;
-    }
+    if (!this.isSure()) return undefined;
+    const {decision, targets, entries} = watched;
+    if (decision?.kind === 'continue') return {targets, isClosing: false};
+    if (decision?.kind !== 'complete') return undefined;
+    // An entry that is not told yet would not use new targets.
+    const isClosing = entry !== undefined && entries.isClosing(entry);
+    return {targets, isClosing};
+  }
+
+  /** Whether this daemon leads for sure; asked for each target of a demand. */
+  private isSure(): boolean {
+    const {leadingTerm, holdsLease, nowMs} = this.options;
+    const atMs = nowMs();
+    if (atMs >= this.sureUntilMs && leadingTerm() === this.term && holdsLease())
+      this.sureUntilMs = atMs + SURE_MS;
+    return atMs < this.sureUntilMs;
   }
 
   private leaseFor(
--- a/packages/cluster/src/entry/entry-rollouts.ts
+++ b/packages/cluster/src/entry/entry-rollouts.ts
@@ -149,8 +149,12 @@
         run?.noteMove(next, this.versionOf(next));
       },
       noteEnd: end => {
-        run?.noteEnd(end);
-        this.options.observe?.(service, this.versionOf(current), end);
+        const state = this.options.announcementOf(current)?.state;
+        // What a target loses that said it leaves is no fault of its version.
+        const isLeaving = state === 'draining';
+        const counted = end === 'bad' && isLeaving ? 'void' : end;
+        run?.noteEnd(counted);
+        this.options.observe?.(service, this.versionOf(current), counted);
       },
     };
   }
--- a/packages/cluster/src/rollouts.spec.ts
+++ b/packages/cluster/src/rollouts.spec.ts
@@ -73,6 +73,9 @@
   entry.onDraining(targetId('desk-4'), () => (isNewMoved = true));
   const {state} = await playOut(play);
   expect(state).toEqual('completed');
+  // Guards against a leader that closes the old version before an entry knows:
+  // requests would run out of targets.
+  expect(play.statuses.every(status => status === 200)).toEqual(true);
   expect(movedIn).toEqual(['running']);
   expect(isNewMoved).toEqual(false);
 });
--- a/packages/cluster/src/testing/rollouts.ts
+++ b/packages/cluster/src/testing/rollouts.ts
@@ -201,5 +201,6 @@
     rollout = await readRollout(play);
     return rollout !== undefined && rollout.state !== 'running';
   });
+
   return rollout!;
 }
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -70,6 +70,8 @@
 const CONFIG_POLL_MS = 25;
 const DEFAULT_DEADLINE_MS = 60_000;
 const MIN_REMAINING_MS = 1;
+/** Time in which a change of a rollout reaches an entry. */
+const VERSION_RETRY_MS = 25;
 
 /** One caller's request and its response. */
 export class Exchange {
@@ -302,6 +304,12 @@
         },
       };
     }
+    if (!this.runObserver.mayUse(result.target)) {
+      // The leader knows more of a rollout than this process, or less.
+      release('abandoned');
+      await delay(VERSION_RETRY_MS);
+      return this.isOver ? {kind: 'broken_off'} : this.attemptOnce(admitted);
+    }
     if (!this.mayUse(result.target)) {
       // It has said so since; another one costs the caller no attempt.
       release('abandoned');
@@ -336,7 +344,6 @@
   }
 
   private mayUse(target: TargetId): boolean {
-    if (!this.runObserver.mayUse(target)) return false;
     const {reservations, statements} = this.deps;
     const bornMs = reservations.findTarget(target)?.announcement.bornMs;
     return bornMs === undefined || statements.mayUse({target, bornMs});
