--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -49,6 +49,7 @@
 const URGENT = Math.log(100);
 /** At the end the likelier explanation wins. */
 const FINAL = Math.log(12);
+const FINAL_OVER_FAULTY = Math.log(2);
 /**
  * The same for requests under load. Few targets get those, so this is above what
  * one faulty target among them weighs.
@@ -76,6 +77,8 @@
 const MAX_WARM_UP_PART = 0.3;
 /** A new leader's judge first hears what the entries know. */
 const SETTLE_MS = 500;
+/** Time for a pulse or two and their responses. */
+const LATER_ANALYSIS_MS = 2_500;
 /** Responses from which a version may be called as good as the old one. */
 const MIN_RESPONSES = 20;
 /**
@@ -89,6 +92,7 @@
   readonly order: RolloutOrder;
   readonly limits: RolloutLimits;
   readonly createdAtMs: number;
+  readonly analysisEndMs: number;
   readonly book: EvidenceBook;
   readonly analysis: Analysis;
   readonly grants: GrantState;
@@ -98,6 +102,17 @@
   end: RolloutDecision | undefined;
 }
 
+/**
+ * A new leader doesn't know which requests were sent under load, so it takes the
+ * time to see some of its own, as far as the deadline allows.
+ */
+function ownAnalysisEndMs(order: RolloutOrder, createdAtMs: number): number {
+  const isLater = createdAtMs - order.orderedAtMs > SETTLE_MS;
+  const leastMs = isLater ? createdAtMs + LATER_ANALYSIS_MS : 0;
+  const lastMs = Math.min(leastMs, lastDecisionMs(order));
+  return Math.max(analysisEndMs(order), lastMs);
+}
+
 export function createRolloutJudge(
   order: RolloutOrder,
   limits: RolloutLimits,
@@ -107,6 +122,7 @@
     order,
     limits,
     createdAtMs: nowMs,
+    analysisEndMs: ownAnalysisEndMs(order, nowMs),
     book: createEvidenceBook(nowMs),
     analysis: createAnalysis(nowMs),
     grants: createGrantState(nowMs),
@@ -243,10 +259,12 @@
   return [...new Set(targets)];
 }
 
-/** Whether the limit holds even if all requests until the deadline go there. */
-function isHarmless(judge: RolloutJudge, nowMs: number): boolean {
-  const {book, grants, limits, order} = judge;
-  const leftS = Math.max(0, order.deadlineMs - nowMs) / MS_PER_S;
+/**
+ * Whether the limit holds even if all requests after the analysis go there. Later on
+ * fewer are left, but those after the deadline go there too.
+ */
+function isHarmless({book, grants, limits, order}: RolloutJudge): boolean {
+  const leftS = (order.deadlineMs - analysisEndMs(order)) / MS_PER_S;
   const coming = grants.ratePerS * leftS;
   const limit = limits.exposeShare * book.seenRequests + limits.exposeSlack;
   return book.sentRequests + coming <= limit;
@@ -267,11 +285,15 @@
   return undefined;
 }
 
+/**
+ * At the end faulty targets are no better an explanation than a bad version: their
+ * rarity is in their weight already.
+ */
 function isFinallyBad(weight: TestWeight, routes: number): boolean {
-  const needed = weight.horizon === 'loaded' ? FINAL_LOADED : FINAL;
-  return (
-    weight.overAllLater > needed + FINAL_CHANCES * chancesOf(weight, routes)
-  );
+  const {horizon, overAllLater, overGood} = weight;
+  const chances = FINAL_CHANCES * chancesOf(weight, routes);
+  if (horizon === 'loaded') return overAllLater > FINAL_LOADED + chances;
+  return overGood > FINAL + chances && overAllLater > FINAL_OVER_FAULTY;
 }
 
 /** The end of a rollout whose analysis is over; undefined: not yet. */
@@ -298,7 +320,7 @@
   if (responses >= MIN_RESPONSES)
     return {kind: 'complete', reason: {kind: 'as_good_as_old', responses}};
   const reason: RolloutReason = {kind: 'too_few_requests', responses};
-  if (isHarmless(judge, nowMs)) return {kind: 'complete', reason};
+  if (isHarmless(judge)) return {kind: 'complete', reason};
   return isLast ? {kind: 'roll_back', reason} : undefined;
 }
 
@@ -357,7 +379,7 @@
   noteTimes(judge, weights, nowMs);
   const reason = findEarlyReason(judge, weights, nowMs);
   if (reason) judge.end = {kind: 'roll_back', reason};
-  else if (nowMs >= analysisEndMs(judge.order))
+  else if (nowMs >= judge.analysisEndMs)
     judge.end = findEnd(judge, situation, weights, nowMs);
   return judge.end ?? grant(judge, situation, weights, nowMs);
 }
