--- a/packages/gateway/src/exchange/target-placer.ts
+++ b/packages/gateway/src/exchange/target-placer.ts
@@ -1,6 +1,7 @@
 /**
  * Reserves the targets of one request, one after another, each at most once.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import type {RequestId, ServiceId, TargetId} from '@samphirefield/core';
 import type {RunOutcome} from '../dispatch/index.js';
 import {
@@ -15,6 +16,9 @@
   RequestMetadata,
 } from './types.js';
 
+/** Time in which a change of a rollout reaches an entry. */
+const VERSION_RETRY_MS = 25;
+
 /** A reserved target, and the run that holds the reservation. */
 export interface ReservedPlace {
   readonly kind: 'reserved';
@@ -26,12 +30,18 @@
 export type Place =
   ReservedPlace | {readonly kind: 'refused'; readonly response: LocalResponse};
 
+const REQUEST_IS_OVER: Place = {
+  kind: 'refused',
+  response: {kind: 'not_run', reason: 'the request is over'},
+};
+
 export class TargetPlacer {
   /** Time spent waiting for targets. */
   waitedMs = 0;
   private readonly excluded: TargetId[] = [];
   /** A target that is or will be reserved in advance. */
   private preparing: Promise<ReservedPlace | undefined> | undefined;
+  private isClosed = false;
   private pending: {run: RequestId; service: ServiceId} | undefined;
 
   constructor(
@@ -54,9 +64,14 @@
   private async place(admitted: AdmittedRequest): Promise<Place> {
     for (;;) {
       const place = await this.reserve(admitted);
-      if (place.kind === 'refused' || this.mayUse(place.target)) return place;
+      if (place.kind === 'refused') return place;
+      const isVersionOpen = this.deps.runObserver?.mayUse(place.target) ?? true;
+      if (isVersionOpen && this.mayUse(place.target)) return place;
       this.release(place.run, admitted.service, 'abandoned');
-      this.exclude(place.target);
+      if (isVersionOpen) this.exclude(place.target);
+      // The leader knows more of a rollout than this process, or less.
+      else await delay(VERSION_RETRY_MS);
+      if (this.isClosed) return REQUEST_IS_OVER;
     }
   }
 
@@ -110,8 +125,9 @@
     this.deps.reservations.release(run, service, outcome);
   }
 
-  /** Withdraws the demand that waits. */
+  /** Asks for no further target; withdraws the demand that waits. */
   withdraw(): void {
+    this.isClosed = true;
     if (this.pending === undefined) return;
     const {run, service} = this.pending;
     this.release(run, service, 'abandoned');
@@ -149,8 +165,7 @@
   }
 
   private mayUse(target: TargetId): boolean {
-    const {reservations, runObserver, statements} = this.deps;
-    if (runObserver?.mayUse(target) === false) return false;
+    const {reservations, statements} = this.deps;
     const bornMs = reservations.findTarget(target)?.announcement.bornMs;
     return bornMs === undefined || statements.mayUse({target, bornMs});
   }
