--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -9,6 +9,7 @@
 export * from './model-placement/index.js';
 export * from './quarantine/index.js';
 export * from './retries/index.js';
+export * from './rollouts/index.js';
 export * from './routing/index.js';
 export * from './sequence/index.js';
 export * from './statements/index.js';
