Rollouts: exposure, comparison with the old version, and the judge

Cause: the types had empty bodies. Change: evidence is collected by route and target, compared with the old version at the same time, and three explanations (as good, a few faulty targets, bad) are weighed by their likelihood; grants load few targets in full.

--- /dev/null
+++ b/packages/policy/src/rollouts/baseline.ts
@@ -0,0 +1,195 @@
+/**
+ * What the old version does now on each route: its rate of failures and of slow
+ * responses. A route with few requests takes its rates from all routes, and a
+ * disturbance of the whole service is seen from all routes together.
+ */
+import type {Counts} from './evidence.js';
+import {responsesOf} from './evidence.js';
+import {bucketEndMs, bucketsOf, LATENCY_BUCKETS} from './latency.js';
+
+/** Attempts in progress for this many times the slowest usual one are overdue. */
+const OVERDUE_FACTOR = 3;
+const USUAL_QUANTILE = 0.95;
+/** A response that takes twice the old median or longer is slow. */
+const SLOW_BUCKETS = bucketsOf(2);
+/** Responses after which a median is known well enough. */
+const MIN_MEDIAN_RESPONSES = 8;
+/** Weight of what is known of all routes, in responses of one route. */
+const ROUTE_WEIGHT = 30;
+/** Weight of a route's mean over time, in responses of the last second. */
+const TIME_WEIGHT = 20;
+/** Events that a service is assumed to have had when the rollout begins. */
+const ASSUMED = {failures: 0.1, slowness: 0.5} as const;
+const ASSUMED_RESPONSES = 10;
+const MAX_RATE = 0.98;
+
+export const TESTS = ['failures', 'slowness'] as const;
+export type Test = (typeof TESTS)[number];
+
+/** Responses and those among them that are bad or slow. */
+export interface Sample {
+  responses: number;
+  events: number;
+}
+
+const createSample = (): Sample => ({responses: 0, events: 0});
+const createSamples = (): Record<Test, Sample> => ({
+  failures: createSample(),
+  slowness: createSample(),
+});
+
+interface RouteBaseline {
+  readonly total: Record<Test, Sample>;
+  readonly recent: Record<Test, Sample>;
+  /** Sound responses by latency, older ones with less weight. */
+  readonly latency: number[];
+}
+
+export interface Baseline {
+  readonly routes: Map<string, RouteBaseline>;
+  readonly total: Record<Test, Sample>;
+}
+
+export function createBaseline(): Baseline {
+  return {routes: new Map(), total: createSamples()};
+}
+
+function routeOf(baseline: Baseline, route: string): RouteBaseline {
+  const known = baseline.routes.get(route);
+  if (known) return known;
+  const latency = new Array<number>(LATENCY_BUCKETS).fill(0);
+  const created = {total: createSamples(), recent: createSamples(), latency};
+  baseline.routes.set(route, created);
+  return created;
+}
+
+/** The bucket below which this part of the latencies lies. */
+function quantileBucket(latency: readonly number[], part: number) {
+  const all = latency.reduce((sum, count) => sum + count, 0);
+  if (all < MIN_MEDIAN_RESPONSES) return undefined;
+  let below = 0;
+  return latency.findIndex(count => (below += count) >= part * all);
+}
+
+/** First bucket of slow responses; undefined while too little is known. */
+function slowBucket({latency}: RouteBaseline): number | undefined {
+  const median = quantileBucket(latency, 0.5);
+  return median === undefined ? undefined : median + SLOW_BUCKETS;
+}
+
+/** Time after which an attempt is overdue on any route. */
+export function usualLatencyMs({routes}: Baseline): number | undefined {
+  let highest: number | undefined;
+  for (const {latency} of routes.values()) {
+    const bucket = quantileBucket(latency, USUAL_QUANTILE);
+    if (bucket === undefined) continue;
+    const limitMs = OVERDUE_FACTOR * bucketEndMs(bucket);
+    highest = Math.max(highest ?? 0, limitMs);
+  }
+  return highest;
+}
+
+/** What the counts say in one test; `undefined` if it can't be told yet. */
+export function sampleOf(
+  baseline: Baseline,
+  route: string,
+  test: Test,
+  counts: Counts,
+): Sample | undefined {
+  if (test === 'failures')
+    return {responses: responsesOf(counts), events: counts.bad};
+  const bucket = slowBucket(routeOf(baseline, route));
+  if (bucket === undefined) return undefined;
+  const slow = counts.latency.slice(bucket).reduce((sum, n) => sum + n, 0);
+  return {responses: responsesOf(counts) - counts.bad, events: slow};
+}
+
+function add(sum: Sample, {responses, events}: Sample): void {
+  sum.responses += responses;
+  sum.events += events;
+}
+
+function fade(sample: Sample, keep: number): void {
+  sample.responses *= keep;
+  sample.events *= keep;
+}
+
+/** Lets what was seen before weigh less; `keep` is the part that remains. */
+export function fadeBaseline({routes}: Baseline, keep: number): void {
+  for (const {recent, latency} of routes.values()) {
+    for (const test of TESTS) fade(recent[test], keep);
+    latency.forEach((count, bucket) => {
+      // The median is to follow a disturbance only slowly: at a quarter of the
+      // rate.
+      latency[bucket] = count * keep ** 0.25;
+    });
+  }
+}
+
+/** Adds responses of the old version. */
+export function addOld(
+  baseline: Baseline,
+  route: string,
+  counts: Counts,
+): void {
+  const known = routeOf(baseline, route);
+  counts.latency.forEach((count, bucket) => (known.latency[bucket]! += count));
+  for (const test of TESTS) {
+    const sample = sampleOf(baseline, route, test, counts);
+    if (!sample) continue;
+    add(known.total[test], sample);
+    add(known.recent[test], sample);
+    add(baseline.total[test], sample);
+  }
+}
+
+function rate(sample: Sample, weight: number, assumedRate: number): number {
+  return (
+    (sample.events + weight * assumedRate) / (sample.responses + weight || 1)
+  );
+}
+
+/** A route's rate over the whole time. */
+function meanRate(baseline: Baseline, route: RouteBaseline, test: Test) {
+  const assumed = ASSUMED[test] / ASSUMED_RESPONSES;
+  const ofAll = rate(baseline.total[test], ASSUMED_RESPONSES, assumed);
+  return rate(route.total[test], ROUTE_WEIGHT, ofAll);
+}
+
+/** By how much all routes together are above or below their means now. */
+export function disturbance(baseline: Baseline, test: Test): number {
+  let events = 0;
+  let expected = 0;
+  for (const route of baseline.routes.values()) {
+    const recent = route.recent[test];
+    events += recent.events;
+    expected += recent.responses * meanRate(baseline, route, test);
+  }
+  // Two events more on either side keep a chance event from doubling the rate.
+  return (events + 2) / (expected + 2);
+}
+
+/** The old version's rate of events on a route now. */
+export function oldRate(
+  baseline: Baseline,
+  route: string,
+  test: Test,
+  disturbed: number,
+): number {
+  const known = routeOf(baseline, route);
+  const mean = meanRate(baseline, known, test) * disturbed;
+  const now = rate(known.recent[test], TIME_WEIGHT, Math.min(MAX_RATE, mean));
+  return Math.min(MAX_RATE, now);
+}
+
+/** Number of old responses that the rates of a route, or of all, rest on. */
+export function oldResponses(
+  baseline: Baseline,
+  route: string | undefined,
+  test: Test,
+): number {
+  if (route === undefined) return baseline.total[test].responses;
+  const known = baseline.routes.get(route)?.total[test].responses ?? 0;
+  // What is known of the other routes counts a little.
+  return known + Math.min(ROUTE_WEIGHT, baseline.total[test].responses);
+}
--- /dev/null
+++ b/packages/policy/src/rollouts/evidence.ts
@@ -0,0 +1,121 @@
+/**
+ * Collects what entries report. Reports are sums that grow, so a lost or repeated
+ * report changes nothing; what is new in them is kept until the judge takes it.
+ */
+import type {TargetId} from '@samphirefield/core';
+import {LATENCY_BUCKETS} from './latency.js';
+import type {EvidenceRow, RolloutEvidence} from './types.js';
+
+/**
+ * Rows that are remembered: 64 for each of 550 entries. Above it nothing more is
+ * granted, since requests sent could no longer be counted.
+ */
+const MAX_ROWS = 35_200;
+/** Stands for the targets of rows that an entry no longer tells apart. */
+const ANY_TARGET = '' as TargetId;
+
+/** What happened since the last decision, on one route and one target. */
+export interface Counts {
+  sent: number;
+  bad: number;
+  abandoned: number;
+  readonly latency: number[];
+}
+
+export interface RouteCounts {
+  readonly old: Counts;
+  readonly byTarget: Map<TargetId, Counts>;
+}
+
+export interface EvidenceBook {
+  seenRequests: number;
+  /** Attempts sent to the new version. */
+  sentRequests: number;
+  /** Whether there were more rows than can be remembered. */
+  isFull: boolean;
+  readonly lastSeen: Map<string, number>;
+  readonly lastRows: Map<string, EvidenceRow>;
+  fresh: Map<string, RouteCounts>;
+}
+
+export function createEvidenceBook(): EvidenceBook {
+  return {
+    seenRequests: 0,
+    sentRequests: 0,
+    isFull: false,
+    lastSeen: new Map(),
+    lastRows: new Map(),
+    fresh: new Map(),
+  };
+}
+
+export function createCounts(): Counts {
+  const latency = new Array<number>(LATENCY_BUCKETS).fill(0);
+  return {sent: 0, bad: 0, abandoned: 0, latency};
+}
+
+const increase = (value: number, last = 0): number => Math.max(0, value - last);
+
+/** Adds what the row holds above the last one of the same key. */
+function addIncrease(
+  counts: Counts,
+  row: EvidenceRow,
+  last: EvidenceRow | undefined,
+): void {
+  counts.sent += increase(row.sentRequests, last?.sentRequests);
+  counts.bad += increase(row.badResponses, last?.badResponses);
+  counts.abandoned += increase(row.abandonedRequests, last?.abandonedRequests);
+  row.latencyCounts.slice(0, LATENCY_BUCKETS).forEach((count, bucket) => {
+    counts.latency[bucket]! += increase(count, last?.latencyCounts[bucket]);
+  });
+}
+
+function countsOf(book: EvidenceBook, {route, side, target}: EvidenceRow) {
+  const known = book.fresh.get(route);
+  const routeCounts = known ?? {old: createCounts(), byTarget: new Map()};
+  if (!known) book.fresh.set(route, routeCounts);
+  if (side === 'old') return routeCounts.old;
+  const id = target ?? ANY_TARGET;
+  const counts = routeCounts.byTarget.get(id) ?? createCounts();
+  routeCounts.byTarget.set(id, counts);
+  return counts;
+}
+
+function addRow(book: EvidenceBook, holder: string, row: EvidenceRow): void {
+  const {route, side, target} = row;
+  const key = JSON.stringify([holder, side, route, target]);
+  const last = book.lastRows.get(key);
+  if (!last && book.lastRows.size >= MAX_ROWS) {
+    book.isFull = true;
+    return;
+  }
+  addIncrease(countsOf(book, row), row, last);
+  if (side === 'new')
+    book.sentRequests += increase(row.sentRequests, last?.sentRequests);
+  // A report that was overtaken must not lower what is remembered.
+  if (!last || row.sentRequests >= last.sentRequests)
+    book.lastRows.set(key, row);
+}
+
+export function addEvidence(
+  book: EvidenceBook,
+  {entry, incarnation, seenRequests, rows}: RolloutEvidence,
+): void {
+  const holder = `${entry} ${incarnation}`;
+  const lastSeen = book.lastSeen.get(holder) ?? 0;
+  book.seenRequests += increase(seenRequests, lastSeen);
+  book.lastSeen.set(holder, Math.max(seenRequests, lastSeen));
+  for (const row of rows) addRow(book, holder, row);
+}
+
+/** Takes what was reported since the last call. */
+export function takeFresh(book: EvidenceBook): Map<string, RouteCounts> {
+  const {fresh} = book;
+  book.fresh = new Map();
+  return fresh;
+}
+
+/** Sound and bad responses. */
+export function responsesOf({bad, latency}: Counts): number {
+  return latency.reduce((sum, count) => sum + count, bad);
+}
--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -1,15 +1,79 @@
-/** The analysis of one rollout. */
+/**
+ * The analysis of one rollout: grants requests to the new version, compares its
+ * responses with those of the old version, and ends the rollout by its deadline.
+ * It rolls back as soon as the version is clearly worse, and completes only when
+ * the time of the analysis is over, since a version may turn bad late. The load
+ * it is designed for: 30 to 36,000 requests a second, 10 s to days, 550 entries,
+ * 1,000 targets of the version, a few dozen routes.
+ */
+import type {TargetId} from '@samphirefield/core';
+import {
+  analyze,
+  createAnalysis,
+  responsesByRoute,
+  responsesByTarget,
+  weighAll,
+  type Analysis,
+  type TestWeight,
+} from './analysis.js';
+import {
+  addEvidence,
+  createEvidenceBook,
+  takeFresh,
+  type EvidenceBook,
+} from './evidence.js';
+import {analysisEndMs, lastDecisionMs} from './exposure.js';
+import {
+  createGrantState,
+  emptyGrant,
+  grantRequests,
+  measureRate,
+  type GrantNeeds,
+  type GrantState,
+} from './grant.js';
 import type {
   RolloutDecision,
   RolloutEvidence,
   RolloutLimits,
   RolloutOrder,
+  RolloutReason,
   RolloutSituation,
 } from './types.js';
 
+/** Logarithms of ratios of likelihoods. */
+const CERTAIN = Math.log(1_000);
+/** Asked of a version whose bad responses come near the 50th. */
+const URGENT = Math.log(20);
+/** At the end the likelier explanation wins; each route is one more chance. */
+const FINAL = Math.log(12);
+const SUSPECTED = Math.log(5);
+/** Bad responses from which `rollbackMs` may soon begin to run. */
+const URGENT_BAD_RESPONSES = 45;
+/** Parts of `rollbackMs`. Slowness has to last, unlike that of a cold start. */
+const URGENT_PART = 0.3;
+const SLOW_PART = 0.25;
+/** Time after the first responses in which slowness isn't counted. */
+const WARM_UP_PART = 0.15;
+const MAX_WARM_UP_MS = 1_000;
+/** A new leader's judge first hears what the entries know. */
+const SETTLE_MS = 500;
+/** Responses from which a version may be called as good as the old one. */
+const MIN_RESPONSES = 20;
+/** Usable new targets for each old one that can carry the load for sure. */
+const MIN_TARGETS_PART = 1 / 3;
+const MS_PER_S = 1_000;
+
 export interface RolloutJudge {
   readonly order: RolloutOrder;
   readonly limits: RolloutLimits;
+  readonly createdAtMs: number;
+  readonly book: EvidenceBook;
+  readonly analysis: Analysis;
+  readonly grants: GrantState;
+  warmUntilMs: number | undefined;
+  slowSinceMs: number | undefined;
+  urgentSinceMs: number | undefined;
+  end: RolloutDecision | undefined;
 }
 
 export function createRolloutJudge(
@@ -17,8 +81,18 @@
   limits: RolloutLimits,
   nowMs: number,
 ): RolloutJudge {
-  void nowMs;
-  return {order, limits};
+  return {
+    order,
+    limits,
+    createdAtMs: nowMs,
+    book: createEvidenceBook(),
+    analysis: createAnalysis(nowMs),
+    grants: createGrantState(nowMs),
+    warmUntilMs: undefined,
+    slowSinceMs: undefined,
+    urgentSinceMs: undefined,
+    end: undefined,
+  };
 }
 
 /** Takes in what an entry reports. */
@@ -26,22 +100,177 @@
   judge: RolloutJudge,
   evidence: RolloutEvidence,
 ): void {
-  void [judge, evidence];
+  addEvidence(judge.book, evidence);
 }
 
-/** Called at a steady interval, about every 250 ms. */
-export function decide(
+/** Compares what was reported since the last decision. */
+function update(judge: RolloutJudge, nowMs: number): void {
+  const {analysis, book, grants, order} = judge;
+  measureRate(grants, book.seenRequests, nowMs);
+  const isWarm = judge.warmUntilMs !== undefined && nowMs >= judge.warmUntilMs;
+  analyze(analysis, takeFresh(book), isWarm, nowMs);
+  if (judge.warmUntilMs === undefined && analysis.responses > 0) {
+    const analysisMs = analysisEndMs(order) - order.orderedAtMs;
+    const warmUpMs = Math.min(MAX_WARM_UP_MS, WARM_UP_PART * analysisMs);
+    judge.warmUntilMs = nowMs + warmUpMs;
+  }
+}
+
+function reasonOf(weight: TestWeight): RolloutReason {
+  const {test, route, responses, events, expected, targets} = weight;
+  const finding = {
+    ...(route === undefined ? {} : {route}),
+    responses: Math.round(responses),
+    bad: Math.round(events),
+    expectedBad: expected,
+    targets,
+  };
+  return {kind: test, finding};
+}
+
+function heaviest(weights: readonly TestWeight[]): TestWeight | undefined {
+  const [first, ...others] = weights;
+  return others.reduce(
+    (best, item) => (best && best.overAll >= item.overAll ? best : item),
+    first,
+  );
+}
+
+/** Notes since when the version looks slow, and is near its 50th bad response. */
+function noteTimes(
+  judge: RolloutJudge,
+  weights: readonly TestWeight[],
+  nowMs: number,
+): void {
+  const isSlow = weights.some(
+    ({test, overAll}) => test === 'slowness' && overAll > URGENT,
+  );
+  judge.slowSinceMs = isSlow ? (judge.slowSinceMs ?? nowMs) : undefined;
+  if (judge.analysis.badResponses >= URGENT_BAD_RESPONSES)
+    judge.urgentSinceMs ??= nowMs;
+}
+
+/** The reason to roll back before the analysis is over. */
+function findEarlyReason(
+  judge: RolloutJudge,
+  weights: readonly TestWeight[],
+  nowMs: number,
+): RolloutReason | undefined {
+  const {limits, slowSinceMs, urgentSinceMs} = judge;
+  const urgentMs = URGENT_PART * limits.rollbackMs;
+  const isUrgent =
+    urgentSinceMs !== undefined && nowMs - urgentSinceMs >= urgentMs;
+  const slowMs = SLOW_PART * limits.rollbackMs;
+  const isSlowForLong =
+    slowSinceMs !== undefined && nowMs - slowSinceMs >= slowMs;
+  const needed = isUrgent ? URGENT : CERTAIN;
+  const counted = weights.filter(
+    ({test, overAll}) =>
+      overAll > needed && (test === 'failures' || isSlowForLong),
+  );
+  const worst = heaviest(counted);
+  return worst && reasonOf(worst);
+}
+
+function faultyOf(weights: readonly TestWeight[]): TargetId[] {
+  const ofAllRoutes = weights.filter(({route}) => route === undefined);
+  const targets = ofAllRoutes.flatMap(({faultyTargets}) => faultyTargets);
+  return [...new Set(targets)];
+}
+
+/** Whether the limit holds even if all requests until the deadline go there. */
+function isHarmless(judge: RolloutJudge, nowMs: number): boolean {
+  const {book, grants, limits, order} = judge;
+  const leftS = Math.max(0, order.deadlineMs - nowMs) / MS_PER_S;
+  const coming = grants.ratePerS * leftS;
+  const limit = limits.exposeShare * book.seenRequests + limits.exposeSlack;
+  return book.sentRequests + coming <= limit;
+}
+
+/** What keeps a version that isn't known as bad from serving alone. */
+function findObstacle(
+  weights: readonly TestWeight[],
+  {newTargets, oldTargets}: RolloutSituation,
+): RolloutReason | undefined {
+  if (newTargets.length === 0) return {kind: 'no_targets'};
+  const faulty = new Set(faultyOf(weights));
+  const usable = newTargets.filter(target => !faulty.has(target)).length;
+  const needed = Math.max(1, Math.ceil(MIN_TARGETS_PART * oldTargets));
+  if (usable < needed) return {kind: 'too_few_targets', usable, needed};
+  return undefined;
+}
+
+/** The end of a rollout whose analysis is over; undefined: not yet. */
+function findEnd(
   judge: RolloutJudge,
   situation: RolloutSituation,
+  weights: readonly TestWeight[],
   nowMs: number,
-): RolloutDecision {
-  void [judge, situation, nowMs];
+): RolloutDecision | undefined {
+  const {analysis, createdAtMs, order} = judge;
+  const isLast = nowMs >= lastDecisionMs(order);
+  if (nowMs < createdAtMs + SETTLE_MS) return undefined;
+  const worst = heaviest(weights);
+  if (worst && worst.overAll > FINAL)
+    return {kind: 'roll_back', reason: reasonOf(worst)};
+  const obstacle = findObstacle(weights, situation);
+  if (obstacle && isLast) return {kind: 'roll_back', reason: obstacle};
+  if (obstacle) return undefined;
+  const {responses} = analysis;
+  if (responses >= MIN_RESPONSES)
+    return {kind: 'complete', reason: {kind: 'as_good_as_old', responses}};
+  const reason: RolloutReason = {kind: 'too_few_requests', responses};
+  if (isHarmless(judge, nowMs)) return {kind: 'complete', reason};
+  return isLast ? {kind: 'roll_back', reason} : undefined;
+}
+
+function needsOf(
+  {analysis, book}: RolloutJudge,
+  weights: readonly TestWeight[],
+): GrantNeeds {
+  const suspects = weights.filter(({overGood}) => overGood > SUSPECTED);
+  const routes = suspects.flatMap(({route}) => route ?? []);
   return {
-    kind: 'continue',
-    allowedRequests: 0,
-    sendShare: 0,
-    targets: [],
-    focusRoutes: [],
-    stage: 'waiting',
+    sentRequests: book.sentRequests,
+    isSuspected: suspects.length > 0,
+    suspectRoutes: [...new Set(routes)],
+    faultyTargets: faultyOf(weights),
+    responsesByTarget: responsesByTarget(analysis),
+    responsesByRoute: responsesByRoute(analysis),
   };
 }
+
+function grant(
+  judge: RolloutJudge,
+  situation: RolloutSituation,
+  weights: readonly TestWeight[],
+  nowMs: number,
+): RolloutDecision {
+  const {book, grants, limits, order} = judge;
+  if (situation.newTargets.length === 0) return emptyGrant(grants, 'waiting');
+  const isOver = nowMs >= lastDecisionMs(order);
+  if (book.isFull || isOver) return emptyGrant(grants, 'holding');
+  const needs = needsOf(judge, weights);
+  return grantRequests(grants, order, limits, situation, needs, nowMs);
+}
+
+/**
+ * Called at a steady interval, about every 250 ms. Once it has named the end, it
+ * names the same one again.
+ */
+export function decide(
+  judge: RolloutJudge,
+  situation: RolloutSituation,
+  nowMs: number,
+): RolloutDecision {
+  if (judge.end) return judge.end;
+  update(judge, nowMs);
+  const usable = new Set(situation.newTargets);
+  const weights = weighAll(judge.analysis, usable, nowMs);
+  noteTimes(judge, weights, nowMs);
+  const reason = findEarlyReason(judge, weights, nowMs);
+  if (reason) judge.end = {kind: 'roll_back', reason};
+  else if (nowMs >= analysisEndMs(judge.order))
+    judge.end = findEnd(judge, situation, weights, nowMs);
+  return judge.end ?? grant(judge, situation, weights, nowMs);
+}
--- a/packages/policy/src/rollouts/latency.ts
+++ b/packages/policy/src/rollouts/latency.ts
@@ -16,3 +16,8 @@
 export function bucketsOf(factor: number): number {
   return Math.ceil(BUCKETS_PER_DOUBLING * Math.log2(factor));
 }
+
+/** The longest latency of a bucket. */
+export function bucketEndMs(bucket: number): number {
+  return 2 ** (bucket / BUCKETS_PER_DOUBLING);
+}
--- a/packages/policy/src/rollouts/types.ts
+++ b/packages/policy/src/rollouts/types.ts
@@ -51,9 +51,14 @@
   readonly sentRequests: number;
   /**
    * Failures: 5xx of the target's own, a broken or silent connection, an
-   * unreadable response. Not: attempts that did not run, callers that left.
+   * unreadable response.
    */
   readonly badResponses: number;
+  /**
+   * Attempts that ended without telling anything of the version: they did not
+   * run, or the caller left. Attempts that are in neither sum are in progress.
+   */
+  readonly abandonedRequests: number;
   /**
    * Sound responses by latency (first byte of the body, first event of a
    * stream), indexed by `latencyBucket`; trailing zeros may be missing.
@@ -84,8 +89,7 @@
   | {readonly kind: 'as_good_as_old'; readonly responses: number}
   | {readonly kind: 'too_few_requests'; readonly responses: number}
   | {readonly kind: 'failures' | 'slowness'; readonly finding: Finding}
-  | {readonly kind: 'unanswered'; readonly requests: number}
-  | {readonly kind: 'no_targets' | 'deadline_passed'}
+  | {readonly kind: 'no_targets'}
   | {
       readonly kind: 'too_few_targets';
       readonly usable: number;
@@ -120,8 +124,9 @@
    */
   readonly targets: readonly TargetId[];
   /**
-   * Routes that need more samples. While the list isn't empty, an entry sends
-   * every second granted request from one of these routes.
+   * Routes that need more samples. While the list isn't empty, `sendShare` is
+   * for these routes `FOCUS_FACTOR` times as high, at most 1, and half as high
+   * for all others. The allowance bounds both.
    */
   readonly focusRoutes: readonly string[];
   readonly stage: RolloutStage;
@@ -147,7 +152,7 @@
   readonly sentRequests: number;
   /** Requests of the service that arrived there lately: its weight. */
   readonly recentRequests: number;
-  /** Whether it is in contact and can use a grant. */
+  /** Whether it is in contact and can use a grant; others keep theirs. */
   readonly isInContact: boolean;
 }
 
