--- /dev/null
+++ b/packages/replay/src/rollouts/index.ts
@@ -0,0 +1,2 @@
+export * from './play.js';
+export * from './scenario.js';
