Rollouts: load few targets in pulses

Change: what may be sent is saved and spent in pulses on so few targets that each is loaded in full; responses under load are weighed apart.

--- a/packages/policy/src/rollouts/analysis.ts
+++ b/packages/policy/src/rollouts/analysis.ts
@@ -18,6 +18,7 @@
   type Test,
 } from './baseline.js';
 import type {Counts, RouteCounts} from './evidence.js';
+import type {RouteUse, TargetUse} from './grant.js';
 import {weigh, type TargetTally, type Weight} from './likelihood.js';
 import {
   addPending,
@@ -37,8 +38,12 @@
  * vary more between targets and times than chance alone makes them.
  */
 const MAX_STRENGTH: Record<Test, number> = {failures: 1_000, slowness: 200};
-const HORIZONS = ['total', 'recent'] as const;
-type Horizon = (typeof HORIZONS)[number];
+/**
+ * All responses, those of the last seconds, and those of requests that were sent
+ * while few targets were loaded in full.
+ */
+const HORIZONS = ['total', 'recent', 'loaded'] as const;
+export type Horizon = (typeof HORIZONS)[number];
 
 interface Tally {
   responses: number;
@@ -63,6 +68,14 @@
 export interface TestWeight extends Weight {
   readonly test: Test;
   readonly route: string | undefined;
+  readonly horizon: Horizon;
+}
+
+/** What is known of the reported responses. */
+export interface Circumstances {
+  /** False while the new targets warm up. */
+  readonly countsSlowness: boolean;
+  readonly isUnderLoad: (target: TargetId) => boolean;
 }
 
 export function createAnalysis(nowMs: number): Analysis {
@@ -77,9 +90,14 @@
 }
 
 const createTally = (): Tally => ({responses: 0, events: 0, expected: 0});
+const createTallies = (): Record<Horizon, Tally> => ({
+  total: createTally(),
+  recent: createTally(),
+  loaded: createTally(),
+});
 const createCell = (): Cell => ({
-  failures: {total: createTally(), recent: createTally()},
-  slowness: {total: createTally(), recent: createTally()},
+  failures: createTallies(),
+  slowness: createTallies(),
 });
 
 function cellOf({cells}: Analysis, route: string, target: TargetId): Cell {
@@ -111,17 +129,20 @@
   target: TargetId,
   counts: Counts,
   disturbed: Record<Test, number>,
-  tests: readonly Test[],
+  {countsSlowness, isUnderLoad}: Circumstances,
 ): void {
   const {baseline} = analysis;
   const cell = cellOf(analysis, route, target);
+  const tests = TESTS.filter(test => test === 'failures' || countsSlowness);
+  const isLoaded = isUnderLoad(target);
+  const horizons = HORIZONS.filter(item => item !== 'loaded' || isLoaded);
   for (const test of tests) {
     const sample = sampleOf(baseline, route, test, counts);
     if (!sample) continue;
     const rate = oldRate(baseline, route, test, disturbed[test]);
     analysis.badResponses += sample.events;
     if (test === 'failures') analysis.responses += sample.responses;
-    for (const horizon of HORIZONS) {
+    for (const horizon of horizons) {
       const tally = cell[test][horizon];
       tally.responses += sample.responses;
       tally.events += sample.events;
@@ -130,14 +151,11 @@
   }
 }
 
-/**
- * Takes in what was reported since the last call. While the new targets warm up,
- * `countsSlowness` is false.
- */
+/** Takes in what was reported since the last call. */
 export function analyze(
   analysis: Analysis,
   fresh: ReadonlyMap<string, RouteCounts>,
-  countsSlowness: boolean,
+  circumstances: Circumstances,
   nowMs: number,
 ): void {
   const {baseline, pending} = analysis;
@@ -151,33 +169,36 @@
     failures: disturbance(baseline, 'failures'),
     slowness: disturbance(baseline, 'slowness'),
   };
-  const tests = TESTS.filter(test => test === 'failures' || countsSlowness);
   for (const [route, {byTarget}] of fresh) {
     for (const [target, counts] of byTarget)
-      addNew(analysis, route, target, counts, disturbed, tests);
+      addNew(analysis, route, target, counts, disturbed, circumstances);
   }
 }
 
 /** Responses of the new version by target. */
-export function responsesByTarget({cells}: Analysis): Map<TargetId, number> {
-  const sums = new Map<TargetId, number>();
+export function targetUses({cells}: Analysis): Map<TargetId, TargetUse> {
+  const uses = new Map<TargetId, TargetUse>();
   for (const byTarget of cells.values()) {
-    for (const [target, {failures}] of byTarget)
-      sums.set(target, (sums.get(target) ?? 0) + failures.total.responses);
+    for (const [target, {failures}] of byTarget) {
+      const known = uses.get(target);
+      uses.set(target, {
+        responses: (known?.responses ?? 0) + failures.total.responses,
+        loadedResponses:
+          (known?.loadedResponses ?? 0) + failures.loaded.responses,
+      });
+    }
   }
-  return sums;
+  return uses;
 }
 
-/** Responses of the new version on each route that has traffic. */
-export function responsesByRoute(analysis: Analysis): Map<string, number> {
-  const sums = new Map<string, number>();
-  for (const route of analysis.baseline.routes.keys()) {
-    let sum = 0;
-    for (const {failures} of analysis.cells.get(route)?.values() ?? [])
-      sum += failures.total.responses;
-    sums.set(route, sum);
-  }
-  return sums;
+/** Responses of both versions on each route that has traffic. */
+export function routeUses({baseline, cells}: Analysis): RouteUse[] {
+  return [...baseline.routes].map(([route, {total}]) => {
+    let newResponses = 0;
+    for (const {failures} of cells.get(route)?.values() ?? [])
+      newResponses += failures.total.responses;
+    return {route, oldResponses: total.failures.responses, newResponses};
+  });
 }
 
 type Tallies = Map<TargetId, Tally>;
@@ -220,7 +241,12 @@
   const usualMs = usualLatencyMs(baseline);
   const overdue = overdueAttempts(pending, usualMs, nowMs);
   const weights: TestWeight[] = [];
-  const add = (test: Test, route: string | undefined, sums: Tallies) => {
+  const add = (
+    test: Test,
+    horizon: Horizon,
+    route: string | undefined,
+    sums: Tallies,
+  ) => {
     const tallies: TargetTally[] = [];
     for (const [target, sum] of sums) {
       if (sum.responses > 0)
@@ -228,7 +254,12 @@
     }
     const known = oldResponses(baseline, route, test);
     const strength = Math.min(MAX_STRENGTH[test], known + 1);
-    weights.push({test, route, ...weigh(tallies, usable.size, strength)});
+    weights.push({
+      test,
+      route,
+      horizon,
+      ...weigh(tallies, usable.size, strength),
+    });
   };
   for (const test of TESTS) {
     for (const horizon of HORIZONS) {
@@ -237,10 +268,10 @@
         addTallies(all, byTarget, test, horizon);
         const ofRoute: Tallies = new Map();
         addTallies(ofRoute, byTarget, test, horizon);
-        add(test, route, ofRoute);
+        add(test, horizon, route, ofRoute);
       }
-      if (test === 'slowness') addOverdue(all, overdue);
-      add(test, undefined, all);
+      if (test === 'slowness' && horizon !== 'loaded') addOverdue(all, overdue);
+      add(test, horizon, undefined, all);
     }
   }
   return weights;
--- a/packages/policy/src/rollouts/grant.ts
+++ b/packages/policy/src/rollouts/grant.ts
@@ -5,6 +5,14 @@
  */
 import type {TargetId} from '@samphirefield/core';
 import {allowedRequests, analysisEndMs, usedShare} from './exposure.js';
+import {
+  createPulseState,
+  noteLoaded,
+  planPulse,
+  PULSE_PART,
+  updatePulse,
+  type PulseState,
+} from './pulse.js';
 import type {
   RolloutGrant,
   RolloutLimits,
@@ -12,41 +20,28 @@
   RolloutSituation,
 } from './types.js';
 
-/** How much more often requests of focused routes go to the new version. */
-export const FOCUS_FACTOR = 4;
-
-/** An unspent allowance is to be spent in this time. */
-const SPEND_MS = 500;
-const MAX_SHARE = 0.5;
 /** Half-life of the measured rate of requests. */
 const RATE_HALF_LIFE_MS = 1_000;
-/** Time for which the same targets are used. */
-const MIN_TURN_MS = 750;
-const MAX_TURN_MS = 5_000;
-const TURNS = 8;
-/** The same while some target is suspected, to see others soon. */
-const SUSPECT_TURN_MS = 500;
+/** Time for which the same target is used between pulses. */
+const TURN_MS = 750;
+/** An allowance that isn't saved for pulses is to be spent in this time. */
+const SPEND_MS = 1_000;
+/** How much more often requests of focused routes go to the new version. */
+const FOCUS_FACTOR = 4;
 /** Fewer samples of a route than this are too few. */
 const MIN_ROUTE_RESPONSES = 12;
 const MAX_FOCUS_ROUTES = 3;
-/**
- * With few targets the share doesn't load even one of them. Then this part of
- * the allowance is saved for pulses in which one target is loaded in full.
- */
-const PULSE_PART = 0.6;
-const PULSES = 2;
-const MIN_PULSE_MS = 200;
-const MAX_PULSE_MS = 2_000;
 const MS_PER_S = 1_000;
 
 export interface GrantState {
   lastMs: number;
   lastSeen: number;
   ratePerS: number;
-  turn: number;
-  turnSinceMs: number;
-  isPulse: boolean;
+  /** When the targets were chosen that are in use between pulses. */
+  chosenAtMs: number;
+  targets: readonly TargetId[];
   allowed: number;
+  readonly pulses: PulseState;
 }
 
 export function createGrantState(nowMs: number): GrantState {
@@ -54,21 +49,34 @@
     lastMs: nowMs,
     lastSeen: 0,
     ratePerS: 0,
-    turn: 0,
-    turnSinceMs: nowMs,
-    isPulse: false,
+    chosenAtMs: nowMs,
+    targets: [],
     allowed: 0,
+    pulses: createPulseState(),
   };
 }
 
+/** Responses of both versions on one route. */
+export interface RouteUse {
+  readonly route: string;
+  readonly oldResponses: number;
+  readonly newResponses: number;
+}
+
+export interface TargetUse {
+  readonly responses: number;
+  readonly loadedResponses: number;
+}
+
 /** What the analysis says that matters for the next requests. */
 export interface GrantNeeds {
   readonly sentRequests: number;
   readonly isSuspected: boolean;
   readonly suspectRoutes: readonly string[];
   readonly faultyTargets: readonly TargetId[];
-  readonly responsesByTarget: ReadonlyMap<TargetId, number>;
-  readonly responsesByRoute: ReadonlyMap<string, number>;
+  /** Responses of each target, and those of requests sent under load. */
+  readonly responsesByTarget: ReadonlyMap<TargetId, TargetUse>;
+  readonly routes: readonly RouteUse[];
 }
 
 export function measureRate(
@@ -85,77 +93,75 @@
   state.lastMs = nowMs;
 }
 
-/** Pace that spends what is unspent soon. */
-function evenShare(unspent: number, ratePerS: number): number {
+/** Pace between pulses. */
+function evenShare(unspent: number, ratePerS: number, share: number): number {
   const arriving = (ratePerS * SPEND_MS) / MS_PER_S;
-  if (unspent <= 0) return 0;
-  return Math.min(MAX_SHARE, unspent / Math.max(1, arriving));
-}
-
-/**
- * Pace that saves for pulses in which one of so few targets is loaded as it will
- * be once all traffic goes to the new version.
- */
-function pulsedShare(
-  state: GrantState,
-  unspent: number,
-  targets: number,
-  share: number,
-  analysisMs: number,
-): number {
-  const wantedMs = (analysisMs * share * PULSE_PART * targets) / PULSES;
-  const pulseMs = Math.min(MAX_PULSE_MS, Math.max(MIN_PULSE_MS, wantedMs));
-  const fullLoadPerS = state.ratePerS / targets;
-  const pulse = (fullLoadPerS * pulseMs) / MS_PER_S;
-  if (unspent >= pulse && unspent > 0) state.isPulse = true;
-  if (unspent < pulse / 4) state.isPulse = false;
-  return state.isPulse ? 1 / targets : share * (1 - PULSE_PART);
+  const spending = unspent / Math.max(1, arriving);
+  return Math.min(spending, (1 - PULSE_PART) * share);
 }
 
-function turnMs(isSuspected: boolean, analysisMs: number): number {
-  if (isSuspected) return SUSPECT_TURN_MS;
-  return Math.min(MAX_TURN_MS, Math.max(MIN_TURN_MS, analysisMs / TURNS));
-}
-
-/** Moves on to the next targets when it is time. */
-function takeTurns(state: GrantState, lengthMs: number, nowMs: number): void {
-  if (nowMs - state.turnSinceMs < lengthMs) return;
-  state.turn += 1;
-  state.turnSinceMs = nowMs;
-}
-
-/** The targets that get all granted requests now. */
+/** The targets of which least is known, by requests under load or all. */
 function chooseTargets(
-  {turn}: GrantState,
   usable: readonly TargetId[],
   count: number,
-  needs: GrantNeeds,
+  isPulse: boolean,
+  {faultyTargets, responsesByTarget}: GrantNeeds,
 ): TargetId[] {
-  const {faultyTargets, isSuspected, responsesByTarget} = needs;
   const faulty = new Set(faultyTargets);
   const sound = usable.filter(target => !faulty.has(target));
   const choice = [...(sound.length > 0 ? sound : usable)].sort();
-  const responses = (target: TargetId) => responsesByTarget.get(target) ?? 0;
-  if (isSuspected) {
-    choice.sort((a, b) => responses(a) - responses(b));
-    return choice.slice(0, count);
-  }
-  const first = (turn * count) % choice.length;
-  const around = [...choice.slice(first), ...choice.slice(0, first)];
-  return around.slice(0, count);
+  const known = (target: TargetId) => {
+    const use = responsesByTarget.get(target);
+    return (isPulse ? use?.loadedResponses : use?.responses) ?? 0;
+  };
+  return choice.sort((a, b) => known(a) - known(b)).slice(0, count);
+}
+
+/** Keeps the targets of a pulse, and the one between pulses for a while. */
+function updateTargets(
+  state: GrantState,
+  usable: readonly TargetId[],
+  hasBegun: boolean,
+  needs: GrantNeeds,
+  nowMs: number,
+): readonly TargetId[] {
+  const {running} = state.pulses;
+  const isStale = !running && nowMs - state.chosenAtMs >= TURN_MS;
+  const kept = state.targets.filter(target => usable.includes(target));
+  if (kept.length > 0 && !hasBegun && !isStale) return kept;
+  const count = running?.pulse.targets ?? 1;
+  state.chosenAtMs = nowMs;
+  return chooseTargets(usable, count, running !== undefined, needs);
 }
 
 /** Suspected routes, else those with the fewest samples. */
-function chooseRoutes({
-  suspectRoutes,
-  responsesByRoute,
-}: GrantNeeds): readonly string[] {
+function chooseRoutes({suspectRoutes, routes}: GrantNeeds): readonly string[] {
   if (suspectRoutes.length > 0) return suspectRoutes.slice(0, MAX_FOCUS_ROUTES);
-  return [...responsesByRoute]
-    .filter(([, responses]) => responses < MIN_ROUTE_RESPONSES)
-    .sort(([, a], [, b]) => a - b)
+  return routes
+    .filter(({newResponses}) => newResponses < MIN_ROUTE_RESPONSES)
+    .sort((a, b) => a.newResponses - b.newResponses)
     .slice(0, MAX_FOCUS_ROUTES)
-    .map(([route]) => route);
+    .map(({route}) => route);
+}
+
+interface Shares {
+  readonly sendShare: number;
+  readonly focusShare: number;
+}
+
+/** Shares of focused and other routes, `share` on average over all requests. */
+function splitShare(
+  share: number,
+  focusRoutes: readonly string[],
+  routes: readonly RouteUse[],
+): Shares {
+  const sum = (items: readonly RouteUse[]) =>
+    items.reduce((total, {oldResponses}) => total + oldResponses, 0);
+  const focused = sum(routes.filter(({route}) => focusRoutes.includes(route)));
+  const part = focused / Math.max(1, sum(routes));
+  const sendShare = share / (1 - part + part * FOCUS_FACTOR);
+  const focusShare = Math.min(1, sendShare * FOCUS_FACTOR);
+  return {sendShare, focusShare};
 }
 
 /** A grant that stops entries: what was granted before isn't to be used. */
@@ -170,6 +176,7 @@
     sendShare: 0,
     targets: [],
     focusRoutes: [],
+    focusShare: 0,
     stage,
   };
 }
@@ -187,21 +194,26 @@
   state.allowed = Math.max(state.allowed, allowed);
   const unspent = state.allowed - needs.sentRequests;
   const analysisMs = analysisEndMs(order) - order.orderedAtMs;
-  const share = usedShare(limits);
   const serving = Math.min(oldTargets || newTargets.length, newTargets.length);
-  const isLoading = serving * share >= PULSE_PART;
-  const sendShare = isLoading
-    ? evenShare(unspent, state.ratePerS)
-    : pulsedShare(state, unspent, serving, share, analysisMs);
-  takeTurns(state, turnMs(needs.isSuspected, analysisMs), nowMs);
-  const count = Math.max(1, Math.round(sendShare * serving));
+  const {pulses, ratePerS} = state;
+  const leftMs = analysisEndMs(order) - nowMs;
+  const traffic = {seenRequests: state.lastSeen, ratePerS, analysisMs, leftMs};
+  const pulse = planPulse(traffic, serving, limits);
+  const {isSuspected} = needs;
+  const circumstances = {isSuspected, leftMs};
+  const hasBegun = updatePulse(pulses, pulse, unspent, circumstances, nowMs);
+  const even = evenShare(unspent, ratePerS, usedShare(limits));
+  const share = unspent > 0 ? (pulses.running?.pulse.share ?? even) : 0;
+  state.targets = updateTargets(state, newTargets, hasBegun, needs, nowMs);
+  noteLoaded(pulses, state.targets, nowMs);
+  const focusRoutes = chooseRoutes(needs);
   const isFull = nowMs - order.orderedAtMs > analysisMs / 2;
   return {
     kind: 'continue',
     allowedRequests: state.allowed,
-    sendShare,
-    targets: chooseTargets(state, newTargets, count, needs),
-    focusRoutes: chooseRoutes(needs),
+    ...splitShare(share, focusRoutes, needs.routes),
+    targets: state.targets,
+    focusRoutes,
     stage: isFull ? 'full' : 'growing',
   };
 }
--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -10,12 +10,13 @@
 import {
   analyze,
   createAnalysis,
-  responsesByRoute,
-  responsesByTarget,
+  routeUses,
+  targetUses,
   weighAll,
   type Analysis,
   type TestWeight,
 } from './analysis.js';
+import {usualLatencyMs} from './baseline.js';
 import {
   addEvidence,
   createEvidenceBook,
@@ -31,6 +32,7 @@
   type GrantNeeds,
   type GrantState,
 } from './grant.js';
+import {isUnderLoad} from './pulse.js';
 import type {
   RolloutDecision,
   RolloutEvidence,
@@ -43,9 +45,14 @@
 /** Logarithms of ratios of likelihoods. */
 const CERTAIN = Math.log(1_000);
 /** Asked of a version whose bad responses come near the 50th. */
-const URGENT = Math.log(20);
+const URGENT = Math.log(100);
 /** At the end the likelier explanation wins; each route is one more chance. */
 const FINAL = Math.log(12);
+/**
+ * The same for requests under load. Few targets get those, so this is above what
+ * one faulty target among them weighs.
+ */
+const FINAL_LOADED = Math.log(100);
 const SUSPECTED = Math.log(5);
 /** Bad responses from which `rollbackMs` may soon begin to run. */
 const URGENT_BAD_RESPONSES = 45;
@@ -59,7 +66,10 @@
 const SETTLE_MS = 500;
 /** Responses from which a version may be called as good as the old one. */
 const MIN_RESPONSES = 20;
-/** Usable new targets for each old one that can carry the load for sure. */
+/**
+ * New targets for each old one that are assumed to carry the load; fewer have to
+ * prove it in pulses.
+ */
 const MIN_TARGETS_PART = 1 / 3;
 const MS_PER_S = 1_000;
 
@@ -88,7 +98,8 @@
     book: createEvidenceBook(),
     analysis: createAnalysis(nowMs),
     grants: createGrantState(nowMs),
-    warmUntilMs: undefined,
+    // The judge of a later leader hears of responses that are long over.
+    warmUntilMs: nowMs - order.orderedAtMs > SETTLE_MS ? nowMs : undefined,
     slowSinceMs: undefined,
     urgentSinceMs: undefined,
     end: undefined,
@@ -108,7 +119,13 @@
   const {analysis, book, grants, order} = judge;
   measureRate(grants, book.seenRequests, nowMs);
   const isWarm = judge.warmUntilMs !== undefined && nowMs >= judge.warmUntilMs;
-  analyze(analysis, takeFresh(book), isWarm, nowMs);
+  const usualMs = usualLatencyMs(analysis.baseline) ?? 0;
+  const circumstances = {
+    countsSlowness: isWarm,
+    isUnderLoad: (target: TargetId) =>
+      isUnderLoad(grants.pulses, target, usualMs, nowMs),
+  };
+  analyze(analysis, takeFresh(book), circumstances, nowMs);
   if (judge.warmUntilMs === undefined && analysis.responses > 0) {
     const analysisMs = analysisEndMs(order) - order.orderedAtMs;
     const warmUpMs = Math.min(MAX_WARM_UP_MS, WARM_UP_PART * analysisMs);
@@ -173,7 +190,9 @@
 }
 
 function faultyOf(weights: readonly TestWeight[]): TargetId[] {
-  const ofAllRoutes = weights.filter(({route}) => route === undefined);
+  const ofAllRoutes = weights.filter(
+    ({horizon, route}) => route === undefined && horizon !== 'loaded',
+  );
   const targets = ofAllRoutes.flatMap(({faultyTargets}) => faultyTargets);
   return [...new Set(targets)];
 }
@@ -191,15 +210,21 @@
 function findObstacle(
   weights: readonly TestWeight[],
   {newTargets, oldTargets}: RolloutSituation,
+  provenServing: number,
 ): RolloutReason | undefined {
   if (newTargets.length === 0) return {kind: 'no_targets'};
   const faulty = new Set(faultyOf(weights));
   const usable = newTargets.filter(target => !faulty.has(target)).length;
-  const needed = Math.max(1, Math.ceil(MIN_TARGETS_PART * oldTargets));
+  const assumed = Math.max(1, Math.ceil(MIN_TARGETS_PART * oldTargets));
+  const needed = Math.min(assumed, provenServing);
   if (usable < needed) return {kind: 'too_few_targets', usable, needed};
   return undefined;
 }
 
+function isFinallyBad({horizon, overAll}: TestWeight): boolean {
+  return overAll > (horizon === 'loaded' ? FINAL_LOADED : FINAL);
+}
+
 /** The end of a rollout whose analysis is over; undefined: not yet. */
 function findEnd(
   judge: RolloutJudge,
@@ -210,10 +235,13 @@
   const {analysis, createdAtMs, order} = judge;
   const isLast = nowMs >= lastDecisionMs(order);
   if (nowMs < createdAtMs + SETTLE_MS) return undefined;
-  const worst = heaviest(weights);
-  if (worst && worst.overAll > FINAL)
-    return {kind: 'roll_back', reason: reasonOf(worst)};
-  const obstacle = findObstacle(weights, situation);
+  const worst = heaviest(weights.filter(isFinallyBad));
+  if (worst) return {kind: 'roll_back', reason: reasonOf(worst)};
+  const obstacle = findObstacle(
+    weights,
+    situation,
+    judge.grants.pulses.provenServing,
+  );
   if (obstacle && isLast) return {kind: 'roll_back', reason: obstacle};
   if (obstacle) return undefined;
   const {responses} = analysis;
@@ -235,8 +263,8 @@
     isSuspected: suspects.length > 0,
     suspectRoutes: [...new Set(routes)],
     faultyTargets: faultyOf(weights),
-    responsesByTarget: responsesByTarget(analysis),
-    responsesByRoute: responsesByRoute(analysis),
+    responsesByTarget: targetUses(analysis),
+    routes: routeUses(analysis),
   };
 }
 
--- a/packages/policy/src/rollouts/types.ts
+++ b/packages/policy/src/rollouts/types.ts
@@ -114,8 +114,8 @@
   /** Requests that all entries together may have sent since the order. */
   readonly allowedRequests: number;
   /**
-   * Part of an entry's requests that go to the new version while its allowance
-   * lasts, so that an allowance isn't spent as a burst.
+   * Probability with which an entry sends a request to the new version while its
+   * allowance lasts, so that an allowance isn't spent as a burst.
    */
   readonly sendShare: number;
   /**
@@ -124,11 +124,11 @@
    */
   readonly targets: readonly TargetId[];
   /**
-   * Routes that need more samples. While the list isn't empty, `sendShare` is
-   * for these routes `FOCUS_FACTOR` times as high, at most 1, and half as high
-   * for all others. The allowance bounds both.
+   * Routes that need more samples; for these `focusShare` holds instead of
+   * `sendShare`. The allowance bounds both.
    */
   readonly focusRoutes: readonly string[];
+  readonly focusShare: number;
   readonly stage: RolloutStage;
 }
 
--- a/packages/replay/src/rollouts/entry.ts
+++ b/packages/replay/src/rollouts/entry.ts
@@ -7,7 +7,6 @@
   type TargetId,
 } from '@samphirefield/core';
 import {
-  FOCUS_FACTOR,
   LATENCY_BUCKETS,
   latencyBucket,
   type EvidenceRow,
@@ -56,11 +55,10 @@
     if (this.state === 'completed') return any();
     const {lease} = this;
     if (this.state === 'rolled_back' || !lease) return undefined;
-    const {focusRoutes, sendShare, targets} = lease.grant;
+    const {focusRoutes, focusShare, sendShare, targets} = lease.grant;
     if (nowMs >= lease.untilMs) return undefined;
     if (this.sentToNew >= lease.allowedRequests) return undefined;
-    const focus = focusRoutes.includes(route) ? FOCUS_FACTOR : 0.5;
-    const share = focusRoutes.length > 0 ? sendShare * focus : sendShare;
+    const share = focusRoutes.includes(route) ? focusShare : sendShare;
     return this.random.chance(share) ? this.random.pick(targets) : undefined;
   }
 
