Rollouts: allowances of slow services, faults of single targets, overdue attempts

Cause: with many entries and few requests single allowances waited for seconds; crashed targets under load looked like a bad version; attempts without a response showed too late. Change: scarce allowances go to few entries, faults of targets are weighed by what else is known of them, overdue counts from 1.5 of the usual latency.

--- a/packages/policy/src/rollouts/analysis.ts
+++ b/packages/policy/src/rollouts/analysis.ts
@@ -19,7 +19,12 @@
 } from './baseline.js';
 import type {Counts, RouteCounts} from './evidence.js';
 import type {RouteUse, TargetUse} from './grant.js';
-import {weigh, type TargetTally, type Weight} from './likelihood.js';
+import {
+  weigh,
+  type TargetFault,
+  type TargetTally,
+  type Weight,
+} from './likelihood.js';
 import {
   addPending,
   createPending,
@@ -28,7 +33,7 @@
 } from './pending.js';
 
 /** Half-life of what "now" means for the old version. */
-const NOW_HALF_LIFE_MS = 1_000;
+const NOW_HALF_LIFE_MS = 400;
 /** Half-life of the recent responses of the new version. */
 const RECENT_HALF_LIFE_MS = 2_000;
 /** Fewer of the recent responses than this are dropped. */
@@ -57,6 +62,9 @@
   readonly baseline: Baseline;
   readonly pending: PendingTable;
   readonly cells: Map<string, Map<TargetId, Cell>>;
+  readonly seenUsable: Set<TargetId>;
+  /** Targets that were gone at some time, also if they came back. */
+  readonly seenGone: Set<TargetId>;
   /** Sound and bad responses of the new version. */
   responses: number;
   /** Bad and slow responses of the new version. */
@@ -83,6 +91,8 @@
     baseline: createBaseline(),
     pending: createPending(),
     cells: new Map(),
+    seenUsable: new Set(),
+    seenGone: new Set(),
     responses: 0,
     badResponses: 0,
     lastMs: nowMs,
@@ -231,48 +241,120 @@
   }
 }
 
+/** Events of a target on other routes that show that it is faulty itself. */
+const MIN_FAULT_EVENTS = 2;
+const MIN_FAULT_RATIO = 3;
+/** Other responses that show that a target is sound otherwise. */
+const MIN_SOUND_RESPONSES = 4;
+
+/** What other observations say of a target's fault. */
+function faultOf(
+  analysis: Analysis,
+  target: TargetId,
+  test: Test,
+  horizon: Horizon,
+  sums: {readonly own: Tally; readonly all: Tally},
+): TargetFault {
+  if (analysis.seenGone.has(target)) return 'known';
+  const {all, own} = sums;
+  const events = all.events - own.events;
+  const expected = all.expected - own.expected;
+  if (events >= MIN_FAULT_EVENTS && events > MIN_FAULT_RATIO * expected)
+    return 'known';
+  const others = all.responses - own.responses;
+  if (isSound({responses: others, events, expected})) return 'unlikely';
+  if (horizon !== 'loaded') return 'possible';
+  return isSound(unloadedTally(analysis, target, test))
+    ? 'unlikely'
+    : 'possible';
+}
+
+function isSound({responses, events, expected}: Tally): boolean {
+  return responses >= MIN_SOUND_RESPONSES && events <= expected + 1;
+}
+
+/** Responses of a target that weren't sent under load. */
+function unloadedTally({cells}: Analysis, target: TargetId, test: Test): Tally {
+  const sum = createTally();
+  for (const byTarget of cells.values()) {
+    const cell = byTarget.get(target)?.[test];
+    if (!cell) continue;
+    sum.responses += cell.total.responses - cell.loaded.responses;
+    sum.events += cell.total.events - cell.loaded.events;
+    sum.expected += cell.total.expected - cell.loaded.expected;
+  }
+  return sum;
+}
+
+function toTallies(
+  analysis: Analysis,
+  sums: Tallies,
+  all: Tallies,
+  test: Test,
+  horizon: Horizon,
+): TargetTally[] {
+  return [...sums]
+    .filter(([, {responses}]) => responses > 0)
+    .map(([target, own]) => {
+      const both = {own, all: all.get(target) ?? own};
+      const fault = faultOf(analysis, target, test, horizon, both);
+      return {target, fault, ...own};
+    });
+}
+
+/** The sums over all routes, and those of each route. */
+function sumUp(
+  {cells}: Analysis,
+  test: Test,
+  horizon: Horizon,
+): {all: Tallies; routes: Map<string, Tallies>} {
+  const all: Tallies = new Map();
+  const routes = new Map<string, Tallies>();
+  for (const [route, byTarget] of cells) {
+    const ofRoute: Tallies = new Map();
+    addTallies(all, byTarget, test, horizon);
+    addTallies(ofRoute, byTarget, test, horizon);
+    routes.set(route, ofRoute);
+  }
+  return {all, routes};
+}
+
 /** Weighs every test over all routes and on each route. */
 export function weighAll(
   analysis: Analysis,
   usable: ReadonlySet<TargetId>,
   nowMs: number,
 ): TestWeight[] {
-  const {baseline, cells, pending} = analysis;
+  const {baseline, pending, seenUsable} = analysis;
+  noteGone(analysis, usable);
   const usualMs = usualLatencyMs(baseline);
   const overdue = overdueAttempts(pending, usualMs, nowMs);
+  const targets = seenUsable.size;
   const weights: TestWeight[] = [];
-  const add = (
-    test: Test,
-    horizon: Horizon,
-    route: string | undefined,
-    sums: Tallies,
-  ) => {
-    const tallies: TargetTally[] = [];
-    for (const [target, sum] of sums) {
-      if (sum.responses > 0)
-        tallies.push({target, isGone: !usable.has(target), ...sum});
-    }
-    const known = oldResponses(baseline, route, test);
-    const strength = Math.min(MAX_STRENGTH[test], known + 1);
-    weights.push({
-      test,
-      route,
-      horizon,
-      ...weigh(tallies, usable.size, strength),
-    });
-  };
   for (const test of TESTS) {
     for (const horizon of HORIZONS) {
-      const all: Tallies = new Map();
-      for (const [route, byTarget] of cells) {
-        addTallies(all, byTarget, test, horizon);
-        const ofRoute: Tallies = new Map();
-        addTallies(ofRoute, byTarget, test, horizon);
-        add(test, horizon, route, ofRoute);
-      }
+      const {all, routes} = sumUp(analysis, test, horizon);
       if (test === 'slowness' && horizon !== 'loaded') addOverdue(all, overdue);
-      add(test, horizon, undefined, all);
+      const scopes = [[undefined, all] as const, ...routes];
+      for (const [route, sums] of scopes) {
+        const known = oldResponses(baseline, route, test);
+        const strength = Math.min(MAX_STRENGTH[test], known + 1);
+        const tallies = toTallies(analysis, sums, all, test, horizon);
+        const weight = weigh(tallies, targets, strength);
+        weights.push({test, route, horizon, ...weight});
+      }
     }
   }
   return weights;
 }
+
+/** Remembers targets that were usable and are no longer. */
+function noteGone(
+  {seenGone, seenUsable}: Analysis,
+  usable: ReadonlySet<TargetId>,
+): void {
+  for (const target of usable) seenUsable.add(target);
+  for (const target of seenUsable) {
+    if (!usable.has(target)) seenGone.add(target);
+  }
+}
--- a/packages/policy/src/rollouts/baseline.ts
+++ b/packages/policy/src/rollouts/baseline.ts
@@ -8,10 +8,15 @@
 import {bucketEndMs, bucketsOf, LATENCY_BUCKETS} from './latency.js';
 
 /** Attempts in progress for this many times the slowest usual one are overdue. */
-const OVERDUE_FACTOR = 3;
+const OVERDUE_FACTOR = 1.5;
 const USUAL_QUANTILE = 0.95;
-/** A response that takes twice the old median or longer is slow. */
-const SLOW_BUCKETS = bucketsOf(2);
+/**
+ * A slow response takes longer than all but a few of the old version, but at least
+ * twice the median, and at most four times, or long tails would hide slowness.
+ */
+const SLOW_QUANTILE = 0.97;
+const MIN_SLOW_BUCKETS = bucketsOf(2);
+const MAX_SLOW_BUCKETS = bucketsOf(4);
 /** Responses after which a median is known well enough. */
 const MIN_MEDIAN_RESPONSES = 8;
 /** Weight of what is known of all routes, in responses of one route. */
@@ -74,7 +79,10 @@
 /** First bucket of slow responses; undefined while too little is known. */
 function slowBucket({latency}: RouteBaseline): number | undefined {
   const median = quantileBucket(latency, 0.5);
-  return median === undefined ? undefined : median + SLOW_BUCKETS;
+  const tail = quantileBucket(latency, SLOW_QUANTILE);
+  if (median === undefined || tail === undefined) return undefined;
+  const least = Math.max(median + MIN_SLOW_BUCKETS, tail);
+  return 1 + Math.min(median + MAX_SLOW_BUCKETS, least);
 }
 
 /** Time after which an attempt is overdue on any route. */
--- a/packages/policy/src/rollouts/evidence.ts
+++ b/packages/policy/src/rollouts/evidence.ts
@@ -119,3 +119,15 @@
 export function responsesOf({bad, latency}: Counts): number {
   return latency.reduce((sum, count) => sum + count, bad);
 }
+
+/** Attempts by target, over all routes. */
+export function sentByTarget(
+  fresh: ReadonlyMap<string, RouteCounts>,
+): Map<TargetId, number> {
+  const sums = new Map<TargetId, number>();
+  for (const {byTarget} of fresh.values()) {
+    for (const [target, {sent}] of byTarget)
+      sums.set(target, (sums.get(target) ?? 0) + sent);
+  }
+  return sums;
+}
--- a/packages/policy/src/rollouts/exposure.ts
+++ b/packages/policy/src/rollouts/exposure.ts
@@ -29,6 +29,12 @@
 const LAST_PART = 0.1;
 const MAX_LAST_MS = 1_000;
 
+/** Unspent requests of an entry that last until the next lease reaches it. */
+const MIN_UNSPENT = 2;
+/** Added to each weight, in parts of the mean: few recent requests are chance. */
+const BASE_WEIGHT = 0.5;
+const MIN_WEIGHT = 1e-3;
+
 /** How long an entry may use an allowance after it asked for it. */
 export function rolloutLeaseMs({rollbackMs}: RolloutLimits): number {
   return LEASE_PART * rollbackMs;
@@ -77,53 +83,91 @@
 interface Claimant {
   readonly entry: InstanceId;
   readonly weight: number;
+  readonly sent: number;
   readonly unspent: number;
 }
 
-/** Parts of `free` by weight, as numbers that may have fractions. */
-function targetUnspent(
+const sumOf = <Item>(items: readonly Item[], value: (item: Item) => number) =>
+  items.reduce((sum, item) => sum + value(item), 0);
+
+function toClaimants(uses: readonly EntryUse[]): Claimant[] {
+  const recent = sumOf(uses, ({recentRequests}) => recentRequests);
+  const base = (BASE_WEIGHT * recent) / uses.length + MIN_WEIGHT;
+  return uses.map(({entry, grantedRequests, recentRequests, sentRequests}) => ({
+    entry,
+    weight: recentRequests + base,
+    sent: sentRequests,
+    unspent: Math.max(0, grantedRequests - sentRequests),
+  }));
+}
+
+/**
+ * Chooses the entries that are to have an allowance: all if there is enough for
+ * each, else those that hold one already and those that sent the least.
+ */
+function chooseClaimants(
   claimants: readonly Claimant[],
+  unspent: number,
+): Claimant[] {
+  const count = Math.max(1, Math.floor(unspent / MIN_UNSPENT));
+  if (count >= claimants.length) return [...claimants];
+  const order = (a: Claimant, b: Claimant) =>
+    b.unspent - a.unspent || a.sent / a.weight - b.sent / b.weight;
+  return [...claimants].sort(order).slice(0, count);
+}
+
+/** Whole requests out of `free` for each of them, by weight. */
+function shareOut(
+  chosen: readonly Claimant[],
   free: number,
 ): Map<InstanceId, number> {
-  const weights = claimants.reduce((sum, {weight}) => sum + weight, 0);
-  const total = claimants.reduce((sum, {unspent}) => sum + unspent, free);
-  return new Map(
-    claimants.map(({entry, weight}) => [entry, (total * weight) / weights]),
-  );
+  const weights = sumOf(chosen, ({weight}) => weight);
+  const total = free + sumOf(chosen, ({unspent}) => unspent);
+  const missing = chosen
+    .map(({entry, unspent, weight}) => ({
+      entry,
+      part: (total * weight) / weights - unspent,
+    }))
+    .filter(({part}) => part > 0)
+    .sort((a, b) => b.part - a.part);
+  const extra = new Map<InstanceId, number>();
+  let left = free;
+  for (const {entry, part} of missing) {
+    const count = Math.min(left, Math.ceil(part));
+    left -= count;
+    extra.set(entry, count);
+  }
+  return extra;
 }
 
 /**
  * Divides the allowance: what is unspent is to be in proportion to the requests
  * that arrive at each entry. No entry gets less than it was granted before, as it
- * may have spent it; whole requests go to those that are furthest below their
- * part. The load it is designed for: 550 entries, every 250 ms.
+ * may have spent it. Where there is less than `MIN_UNSPENT` for each entry, fewer
+ * entries get it and send a larger part of their requests: else the many entries
+ * of a slow service would hold single requests for seconds. The load it is
+ * designed for: 550 entries, every 250 ms.
  */
 export function divideAllowance(
   allowed: number,
   entries: readonly EntryUse[],
 ): EntryAllowance[] {
-  const granted = entries.reduce((sum, item) => sum + item.grantedRequests, 0);
-  let free = Math.max(0, Math.floor(allowed) - granted);
-  const claimants = entries
-    .filter(({isInContact}) => isInContact)
-    .map(({entry, grantedRequests, sentRequests, recentRequests}) => ({
-      entry,
-      weight: Math.max(0, recentRequests) + 1e-6,
-      unspent: Math.max(0, grantedRequests - sentRequests),
-    }));
-  const parts = targetUnspent(claimants, free);
-  const missing = claimants
-    .map(({entry, unspent}) => ({entry, part: parts.get(entry)! - unspent}))
-    .filter(({part}) => part > 0)
-    .sort((a, b) => b.part - a.part);
-  const extra = new Map<InstanceId, number>();
-  for (const {entry, part} of missing) {
-    const count = Math.min(free, Math.ceil(part));
-    free -= count;
-    extra.set(entry, count);
-  }
+  const granted = sumOf(entries, ({grantedRequests}) => grantedRequests);
+  const free = Math.max(0, Math.floor(allowed) - granted);
+  const claimants = toClaimants(entries.filter(item => item.isInContact));
+  const unspent = free + sumOf(claimants, item => item.unspent);
+  const chosen = chooseClaimants(claimants, unspent);
+  const extra = shareOut(chosen, free);
+  const weightOf = (items: readonly Claimant[]) =>
+    sumOf(items, ({weight}) => weight);
+  const holders = claimants.filter(
+    ({entry, unspent: held}) => held > 0 || extra.get(entry),
+  );
+  const shareFactor =
+    holders.length > 0 ? weightOf(claimants) / weightOf(holders) : 1;
   return entries.map(({entry, grantedRequests}) => ({
     entry,
     allowedRequests: grantedRequests + (extra.get(entry) ?? 0),
+    shareFactor,
   }));
 }
--- a/packages/policy/src/rollouts/grant.ts
+++ b/packages/policy/src/rollouts/grant.ts
@@ -22,10 +22,17 @@
 
 /** Half-life of the measured rate of requests. */
 const RATE_HALF_LIFE_MS = 1_000;
+const PEAK_HALF_LIFE_MS = 20_000;
+/** After a burst the peak is not what the service usually gets. */
+const MAX_PEAK_FACTOR = 1.5;
 /** Time for which the same target is used between pulses. */
 const TURN_MS = 750;
 /** An allowance that isn't saved for pulses is to be spent in this time. */
 const SPEND_MS = 1_000;
+/** Requests that are granted between pulses beyond those of `SPEND_MS`. */
+const EVEN_RESERVE = 4;
+/** Part of the share that is sent between pulses while something is suspected. */
+const SUSPECT_PART = 0.5;
 /** How much more often requests of focused routes go to the new version. */
 const FOCUS_FACTOR = 4;
 /** Fewer samples of a route than this are too few. */
@@ -37,6 +44,8 @@
   lastMs: number;
   lastSeen: number;
   ratePerS: number;
+  /** The highest rate of the last seconds: entries may be out of contact. */
+  peakPerS: number;
   /** When the targets were chosen that are in use between pulses. */
   chosenAtMs: number;
   targets: readonly TargetId[];
@@ -49,6 +58,7 @@
     lastMs: nowMs,
     lastSeen: 0,
     ratePerS: 0,
+    peakPerS: 0,
     chosenAtMs: nowMs,
     targets: [],
     allowed: 0,
@@ -89,32 +99,50 @@
   const perS = ((seenRequests - state.lastSeen) * MS_PER_S) / passedMs;
   const keep = state.lastSeen === 0 ? 0 : 0.5 ** (passedMs / RATE_HALF_LIFE_MS);
   state.ratePerS = state.ratePerS * keep + perS * (1 - keep);
+  const peakPerS = state.peakPerS * 0.5 ** (passedMs / PEAK_HALF_LIFE_MS);
+  const maxPerS = MAX_PEAK_FACTOR * state.ratePerS;
+  state.peakPerS = Math.min(maxPerS, Math.max(peakPerS, state.ratePerS));
   state.lastSeen = seenRequests;
   state.lastMs = nowMs;
 }
 
 /** Pace between pulses. */
-function evenShare(unspent: number, ratePerS: number, share: number): number {
+function evenShare(
+  unspent: number,
+  ratePerS: number,
+  share: number,
+  isSuspected: boolean,
+): number {
   const arriving = (ratePerS * SPEND_MS) / MS_PER_S;
   const spending = unspent / Math.max(1, arriving);
-  return Math.min(spending, (1 - PULSE_PART) * share);
+  const part = isSuspected ? SUSPECT_PART : 1 - PULSE_PART;
+  return Math.min(spending, part * share);
 }
 
-/** The targets of which least is known, by requests under load or all. */
+/**
+ * The targets of which least is known, under load or without. Those that look
+ * faulty under load are used without it: if they are sound then, it is the load.
+ */
 function chooseTargets(
   usable: readonly TargetId[],
-  count: number,
-  isPulse: boolean,
+  {running, loaded}: PulseState,
   {faultyTargets, responsesByTarget}: GrantNeeds,
 ): TargetId[] {
-  const faulty = new Set(faultyTargets);
+  const isPulse = running !== undefined;
+  const count = running?.pulse.targets ?? 1;
+  const faulty = new Set(isPulse ? faultyTargets : []);
   const sound = usable.filter(target => !faulty.has(target));
   const choice = [...(sound.length > 0 ? sound : usable)].sort();
+  const lastMs = (target: TargetId) => loaded.get(target)?.untilMs ?? 0;
   const known = (target: TargetId) => {
     const use = responsesByTarget.get(target);
-    return (isPulse ? use?.loadedResponses : use?.responses) ?? 0;
+    if (!use) return 0;
+    const {loadedResponses, responses} = use;
+    return isPulse ? loadedResponses : responses - loadedResponses;
   };
-  return choice.sort((a, b) => known(a) - known(b)).slice(0, count);
+  return choice
+    .sort((a, b) => known(a) - known(b) || lastMs(a) - lastMs(b))
+    .slice(0, count);
 }
 
 /** Keeps the targets of a pulse, and the one between pulses for a while. */
@@ -129,9 +157,8 @@
   const isStale = !running && nowMs - state.chosenAtMs >= TURN_MS;
   const kept = state.targets.filter(target => usable.includes(target));
   if (kept.length > 0 && !hasBegun && !isStale) return kept;
-  const count = running?.pulse.targets ?? 1;
   state.chosenAtMs = nowMs;
-  return chooseTargets(usable, count, running !== undefined, needs);
+  return chooseTargets(usable, state.pulses, needs);
 }
 
 /** Suspected routes, else those with the fewest samples. */
@@ -195,22 +222,28 @@
   const unspent = state.allowed - needs.sentRequests;
   const analysisMs = analysisEndMs(order) - order.orderedAtMs;
   const serving = Math.min(oldTargets || newTargets.length, newTargets.length);
-  const {pulses, ratePerS} = state;
+  const {peakPerS, pulses, ratePerS} = state;
   const leftMs = analysisEndMs(order) - nowMs;
-  const traffic = {seenRequests: state.lastSeen, ratePerS, analysisMs, leftMs};
+  const {lastSeen: seenRequests} = state;
+  const traffic = {seenRequests, ratePerS, peakPerS, analysisMs, leftMs};
   const pulse = planPulse(traffic, serving, limits);
   const {isSuspected} = needs;
   const circumstances = {isSuspected, leftMs};
   const hasBegun = updatePulse(pulses, pulse, unspent, circumstances, nowMs);
-  const even = evenShare(unspent, ratePerS, usedShare(limits));
+  const even = evenShare(unspent, ratePerS, usedShare(limits), isSuspected);
   const share = unspent > 0 ? (pulses.running?.pulse.share ?? even) : 0;
   state.targets = updateTargets(state, newTargets, hasBegun, needs, nowMs);
-  noteLoaded(pulses, state.targets, nowMs);
+  noteLoaded(pulses, state.targets, peakPerS, nowMs);
   const focusRoutes = chooseRoutes(needs);
+  // What is saved for a pulse isn't handed out before: entries would hold it.
+  const due = (ratePerS * share * SPEND_MS) / MS_PER_S + EVEN_RESERVE;
+  const granted = pulses.running
+    ? state.allowed
+    : Math.min(state.allowed, Math.ceil(needs.sentRequests + due));
   const isFull = nowMs - order.orderedAtMs > analysisMs / 2;
   return {
     kind: 'continue',
-    allowedRequests: state.allowed,
+    allowedRequests: granted,
     ...splitShare(share, focusRoutes, needs.routes),
     targets: state.targets,
     focusRoutes,
--- a/packages/policy/src/rollouts/likelihood.ts
+++ b/packages/policy/src/rollouts/likelihood.ts
@@ -11,21 +11,26 @@
 const FAULTY_PRIOR = 0.02;
 /** Probability that another one is faulty if one is. */
 const ANOTHER_FAULTY_PRIOR = 0.3;
+/** Probability that a target that is sound otherwise is faulty under load. */
+const UNLIKELY_FAULT_PRIOR = 0.0005;
 /** Part of the targets that may be faulty while the version isn't. */
 const MAX_FAULTY_PART = 1 / 3;
 /** Events above the expected ones before a version can be called bad. */
-const MIN_EXCESS = 3;
+const MIN_EXCESS = 1.8;
 /** A version with this many times the events of the old one may be bad. */
 const MIN_RATIO = 1.5;
 
+/** `known`: it was gone, or fails on other routes. `unlikely`: sound there or unloaded. */
+export type TargetFault = 'known' | 'possible' | 'unlikely';
+
 /** Responses of one target, and the events that the old version would have. */
 export interface TargetTally {
   readonly target: TargetId;
   readonly responses: number;
   readonly events: number;
   readonly expected: number;
-  /** Whether it can no longer be used: what it did before may be its crash. */
-  readonly isGone: boolean;
+  /** Whether other observations show or deny that the target is faulty. */
+  readonly fault: TargetFault;
 }
 
 export interface Weight {
@@ -34,8 +39,11 @@
   /** How much more likely "bad" is than both of the others. */
   readonly overAll: number;
   readonly faultyTargets: readonly TargetId[];
-  /** Number of targets that responded. */
+  /** Number of targets that responded, and of those that look worse. */
   readonly targets: number;
+  readonly worseTargets: number;
+  /** Number of targets that the version has, responding or not. */
+  readonly versionTargets: number;
   readonly responses: number;
   readonly events: number;
   readonly expected: number;
@@ -114,7 +122,8 @@
   for (let count = 1; count <= suspects.length && count <= maxFaulty; count++) {
     const last = suspects[count - 1]!;
     ln += lnOwnRate(last);
-    if (!last.isGone) {
+    if (last.fault === 'unlikely') ln += Math.log(UNLIKELY_FAULT_PRIOR);
+    if (last.fault === 'possible') {
       ln += Math.log(priced === 0 ? FAULTY_PRIOR : ANOTHER_FAULTY_PRIOR);
       priced += 1;
     }
@@ -126,10 +135,10 @@
   return best;
 }
 
-/** Weighs the explanations; `usableTargets` counts those of the new version. */
+/** Weighs the explanations; `targets` counts those of the new version. */
 export function weigh(
   tallies: readonly TargetTally[],
-  usableTargets: number,
+  targets: number,
   strength: number,
 ): Weight {
   const sums = sumOf(tallies);
@@ -138,8 +147,7 @@
     .filter(isWorse)
     .sort((a, b) => b.events - b.expected - (a.events - a.expected));
   const others = tallies.filter(tally => !isWorse(tally));
-  const gone = tallies.filter(({isGone}) => isGone).length;
-  const maxFaulty = maxFaultyTargets(usableTargets + gone);
+  const maxFaulty = maxFaultyTargets(targets);
   const good = lnAsOld(sums, strength);
   const faulty = explainByTargets(suspects, others, maxFaulty, strength);
   const excess = sums.events - MIN_RATIO * sums.expected;
@@ -150,6 +158,8 @@
     overAll: bad - Math.max(good, faulty.ln),
     faultyTargets: isFaulty && faulty.ln > bad ? faulty.targets : [],
     targets: tallies.length,
+    worseTargets: suspects.length,
+    versionTargets: targets,
     ...sums,
   };
 }
--- a/packages/policy/src/rollouts/pending.ts
+++ b/packages/policy/src/rollouts/pending.ts
@@ -7,7 +7,7 @@
 
 /** Attempts sent longer ago are all overdue, or were all sent long before. */
 const HISTORY_MS = 15_000;
-const MIN_OVERDUE_MS = 1_000;
+const MIN_OVERDUE_MS = 500;
 /** Attempts in this time before the overdue ones tell what is usual. */
 const COMPARED_MS = 5_000;
 
--- a/packages/policy/src/rollouts/pulse.ts
+++ b/packages/policy/src/rollouts/pulse.ts
@@ -37,33 +37,47 @@
   readonly serving: number;
 }
 
+/** Least part of the load at which a target counts as loaded. */
+const LOADED_PART = 0.5;
+const SENT_HALF_LIFE_MS = 400;
+
 interface LoadedTime {
   readonly sinceMs: number;
   untilMs: number;
+  /** The rate from which on the target counts as loaded. */
+  readonly neededPerS: number;
 }
 
 export interface PulseState {
   running: {readonly pulse: Pulse; readonly sinceMs: number} | undefined;
   /** When each target was loaded last. */
   readonly loaded: Map<TargetId, LoadedTime>;
+  /** Attempts a second that were sent to each target lately. */
+  readonly sentPerS: Map<TargetId, number>;
   /** Fewest serving targets whose part of the load one of them has carried. */
   provenServing: number;
 }
 
 export function createPulseState(): PulseState {
-  return {running: undefined, loaded: new Map(), provenServing: Infinity};
+  return {
+    running: undefined,
+    loaded: new Map(),
+    sentPerS: new Map(),
+    provenServing: Infinity,
+  };
 }
 
 /** What is known of the rollout's traffic when a pulse is planned. */
 export interface Traffic {
   readonly seenRequests: number;
   readonly ratePerS: number;
+  readonly peakPerS: number;
   readonly analysisMs: number;
   readonly leftMs: number;
 }
 
 export function planPulse(
-  {analysisMs, leftMs, ratePerS, seenRequests}: Traffic,
+  {analysisMs, leftMs, peakPerS, ratePerS, seenRequests}: Traffic,
   serving: number,
   {exposeShare, exposeSlack}: RolloutLimits,
 ): Pulse {
@@ -71,8 +85,9 @@
   const all = Math.max(1, seenRequests + coming);
   const total = exposeShare * all + exposeSlack;
   const affordable = Math.min(1, total / all) * serving;
-  const targets = Math.max(1, Math.floor(affordable / PULSE_LOAD));
-  const share = Math.min(1, (PULSE_LOAD * targets) / serving);
+  const load = PULSE_LOAD * Math.max(1, peakPerS / Math.max(1, ratePerS));
+  const targets = Math.max(1, Math.floor(affordable / load));
+  const share = Math.min(1, (load * targets) / serving);
   const perS = Math.max(1, ratePerS * share);
   const totalMs = (PULSE_PART * total * MS_PER_S) / perS;
   const lengthMs = Math.min(
@@ -119,34 +134,56 @@
   return true;
 }
 
+/** Measures what was sent to each target since the last call. */
+export function measureSent(
+  {sentPerS}: PulseState,
+  sent: ReadonlyMap<TargetId, number>,
+  passedMs: number,
+): void {
+  if (passedMs <= 0) return;
+  const keep = 0.5 ** (passedMs / SENT_HALF_LIFE_MS);
+  for (const target of new Set([...sentPerS.keys(), ...sent.keys()])) {
+    const nowPerS = ((sent.get(target) ?? 0) * MS_PER_S) / passedMs;
+    const perS = (sentPerS.get(target) ?? 0) * keep + nowPerS * (1 - keep);
+    if (perS > 0.01) sentPerS.set(target, perS);
+    else sentPerS.delete(target);
+  }
+}
+
 /** Notes which targets are loaded until the next decision. */
 export function noteLoaded(
   state: PulseState,
   targets: readonly TargetId[],
+  ratePerS: number,
   nowMs: number,
 ): void {
   const {running, loaded} = state;
   if (!running) return;
   const {sinceMs} = running;
+  const {serving} = running.pulse;
+  const neededPerS = (LOADED_PART * ratePerS) / serving;
   for (const target of targets) {
     const known = loaded.get(target);
     if (known?.sinceMs === sinceMs) known.untilMs = nowMs;
-    else loaded.set(target, {sinceMs, untilMs: nowMs});
+    else loaded.set(target, {sinceMs, untilMs: nowMs, neededPerS});
+    if (isUnderLoad(state, target, 0, nowMs))
+      state.provenServing = Math.min(state.provenServing, serving);
   }
-  if (nowMs - sinceMs >= LOADING_MS)
-    state.provenServing = Math.min(state.provenServing, running.pulse.serving);
 }
 
 /** Whether a target's responses that are reported now were sent under load. */
 export function isUnderLoad(
-  {loaded}: PulseState,
+  {loaded, sentPerS}: PulseState,
   target: TargetId,
   usualMs: number,
   nowMs: number,
 ): boolean {
   const time = loaded.get(target);
   if (!time) return false;
-  const {sinceMs, untilMs} = time;
+  const {neededPerS, sinceMs, untilMs} = time;
+  const isLoaded = (sentPerS.get(target) ?? 0) >= neededPerS;
+  const isRunning = nowMs - untilMs < REPORTED_MS;
+  if (isRunning && !isLoaded) return false;
   return (
     nowMs - sinceMs >= LOADING_MS && nowMs - untilMs <= REPORTED_MS + usualMs
   );
--- a/packages/policy/src/rollouts/types.ts
+++ b/packages/policy/src/rollouts/types.ts
@@ -160,4 +160,9 @@
 export interface EntryAllowance {
   readonly entry: InstanceId;
   readonly allowedRequests: number;
+  /**
+   * The entry multiplies `sendShare` and `focusShare` by this, up to 1: above 1
+   * while only a part of the entries has an allowance.
+   */
+  readonly shareFactor: number;
 }
--- a/packages/replay/src/rollouts/entry.ts
+++ b/packages/replay/src/rollouts/entry.ts
@@ -19,6 +19,7 @@
 export interface Lease {
   readonly grant: RolloutGrant;
   readonly allowedRequests: number;
+  readonly shareFactor: number;
   readonly untilMs: number;
 }
 
@@ -59,7 +60,8 @@
     if (nowMs >= lease.untilMs) return undefined;
     if (this.sentToNew >= lease.allowedRequests) return undefined;
     const share = focusRoutes.includes(route) ? focusShare : sendShare;
-    return this.random.chance(share) ? this.random.pick(targets) : undefined;
+    const isNew = this.random.chance(share * lease.shareFactor);
+    return isNew ? this.random.pick(targets) : undefined;
   }
 
   private sumsOf(route: string, side: VersionSide, target?: TargetId): Sums {
--- a/packages/replay/src/rollouts/leader.ts
+++ b/packages/replay/src/rollouts/leader.ts
@@ -86,11 +86,16 @@
       }),
     );
     const divided = divideAllowance(decision.allowedRequests, uses);
-    for (const {entry, allowedRequests} of divided) {
+    for (const {entry, allowedRequests, shareFactor} of divided) {
       const known = this.known.get(entry)!;
       known.granted = allowedRequests;
       const untilMs = known.reportedAtMs + this.leaseMs;
-      leases.set(entry, {grant: decision, allowedRequests, untilMs});
+      leases.set(entry, {
+        grant: decision,
+        allowedRequests,
+        shareFactor,
+        untilMs,
+      });
     }
     return leases;
   }
--- a/packages/replay/src/rollouts/scenario.ts
+++ b/packages/replay/src/rollouts/scenario.ts
@@ -93,7 +93,9 @@
     ratePerS,
     durationMs,
     oldTargets,
-    newTargets: random.chance(0.7) ? oldTargets : random.between(2, 16),
+    newTargets: random.chance(0.7)
+      ? oldTargets
+      : random.between(Math.ceil(oldTargets / 2), 16),
     routes: kind.endsWith('route') ? 10 : random.between(1, 10),
     latencyMs: logUniform(random, 5, 500),
     latencySpread: logUniform(random, 0.1, 0.7),
