Rollouts: what is slow follows from earlier responses; faults have two prices

Cause: a threshold of the same few responses hid their slowness, and several faulty targets were as cheap an explanation late as right after a crash.

--- a/packages/policy/src/rollouts/analysis.ts
+++ b/packages/policy/src/rollouts/analysis.ts
@@ -32,8 +32,6 @@
   type PendingTable,
 } from './pending.js';
 
-/** Half-life of what "now" means for the old version. */
-const NOW_HALF_LIFE_MS = 400;
 /** Half-life of the recent responses of the new version. */
 const RECENT_HALF_LIFE_MS = 2_000;
 /** Fewer of the recent responses than this are dropped. */
@@ -171,7 +169,7 @@
   const {baseline, pending} = analysis;
   const passedMs = Math.max(0, nowMs - analysis.lastMs);
   analysis.lastMs = nowMs;
-  fadeBaseline(baseline, 0.5 ** (passedMs / NOW_HALF_LIFE_MS));
+  fadeBaseline(baseline, passedMs);
   fadeCells(analysis, 0.5 ** (passedMs / RECENT_HALF_LIFE_MS));
   addPending(pending, fresh, nowMs);
   for (const [route, {old}] of fresh) addOld(baseline, route, old);
--- a/packages/policy/src/rollouts/baseline.ts
+++ b/packages/policy/src/rollouts/baseline.ts
@@ -19,6 +19,10 @@
 const MAX_SLOW_BUCKETS = bucketsOf(4);
 /** Responses after which a median is known well enough. */
 const MIN_MEDIAN_RESPONSES = 8;
+/** Half-life of what "now" means. */
+const NOW_HALF_LIFE_MS = 400;
+/** A disturbance of seconds is to change the rate, not what is called slow. */
+const LATENCY_HALF_LIFE_MS = 8_000;
 /** Weight of what is known of all routes, in responses of one route. */
 const ROUTE_WEIGHT = 30;
 /** Weight of a route's mean over time, in responses of the last second. */
@@ -26,6 +30,11 @@
 /** Events that a service is assumed to have had when the rollout begins. */
 const ASSUMED = {failures: 0.1, slowness: 0.5} as const;
 const ASSUMED_RESPONSES = 10;
+/**
+ * Rates are never taken to be lower: a single event in a thousand responses, and
+ * one slow in a hundred, happen to any service.
+ */
+const MIN_RATE = {failures: 0.001, slowness: 0.01} as const;
 const MAX_RATE = 0.98;
 
 export const TESTS = ['failures', 'slowness'] as const;
@@ -48,6 +57,8 @@
   readonly recent: Record<Test, Sample>;
   /** Sound responses by latency, older ones with less weight. */
   readonly latency: number[];
+  /** First bucket of slow responses; undefined while too little is known. */
+  slowBucket: number | undefined;
 }
 
 export interface Baseline {
@@ -63,7 +74,12 @@
   const known = baseline.routes.get(route);
   if (known) return known;
   const latency = new Array<number>(LATENCY_BUCKETS).fill(0);
-  const created = {total: createSamples(), recent: createSamples(), latency};
+  const created: RouteBaseline = {
+    total: createSamples(),
+    recent: createSamples(),
+    latency,
+    slowBucket: undefined,
+  };
   baseline.routes.set(route, created);
   return created;
 }
@@ -76,8 +92,7 @@
   return latency.findIndex(count => (below += count) >= part * all);
 }
 
-/** First bucket of slow responses; undefined while too little is known. */
-function slowBucket({latency}: RouteBaseline): number | undefined {
+function findSlowBucket({latency}: RouteBaseline): number | undefined {
   const median = quantileBucket(latency, 0.5);
   const tail = quantileBucket(latency, SLOW_QUANTILE);
   if (median === undefined || tail === undefined) return undefined;
@@ -106,7 +121,7 @@
 ): Sample | undefined {
   if (test === 'failures')
     return {responses: responsesOf(counts), events: counts.bad};
-  const bucket = slowBucket(routeOf(baseline, route));
+  const bucket = routeOf(baseline, route).slowBucket;
   if (bucket === undefined) return undefined;
   const slow = counts.latency.slice(bucket).reduce((sum, n) => sum + n, 0);
   return {responses: responsesOf(counts) - counts.bad, events: slow};
@@ -122,15 +137,18 @@
   sample.events *= keep;
 }
 
-/** Lets what was seen before weigh less; `keep` is the part that remains. */
-export function fadeBaseline({routes}: Baseline, keep: number): void {
-  for (const {recent, latency} of routes.values()) {
+/**
+ * Lets what was seen before weigh less. What is slow follows from responses before
+ * the ones that are looked at next, which would hide themselves otherwise.
+ */
+export function fadeBaseline({routes}: Baseline, passedMs: number): void {
+  const keep = 0.5 ** (passedMs / NOW_HALF_LIFE_MS);
+  const keepLatency = 0.5 ** (passedMs / LATENCY_HALF_LIFE_MS);
+  for (const route of routes.values()) {
+    const {latency, recent} = route;
     for (const test of TESTS) fade(recent[test], keep);
-    latency.forEach((count, bucket) => {
-      // The median is to follow a disturbance only slowly: at a quarter of the
-      // rate.
-      latency[bucket] = count * keep ** 0.25;
-    });
+    latency.forEach((count, bucket) => (latency[bucket] = count * keepLatency));
+    route.slowBucket = findSlowBucket(route);
   }
 }
 
@@ -141,7 +159,6 @@
   counts: Counts,
 ): void {
   const known = routeOf(baseline, route);
-  counts.latency.forEach((count, bucket) => (known.latency[bucket]! += count));
   for (const test of TESTS) {
     const sample = sampleOf(baseline, route, test, counts);
     if (!sample) continue;
@@ -149,6 +166,7 @@
     add(known.recent[test], sample);
     add(baseline.total[test], sample);
   }
+  counts.latency.forEach((count, bucket) => (known.latency[bucket]! += count));
 }
 
 function rate(sample: Sample, weight: number, assumedRate: number): number {
@@ -187,7 +205,7 @@
   const known = routeOf(baseline, route);
   const mean = meanRate(baseline, known, test) * disturbed;
   const now = rate(known.recent[test], TIME_WEIGHT, Math.min(MAX_RATE, mean));
-  return Math.min(MAX_RATE, now);
+  return Math.min(MAX_RATE, Math.max(MIN_RATE[test], now));
 }
 
 /** Number of old responses that the rates of a route, or of all, rest on. */
--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -65,7 +65,7 @@
 const URGENT_PART = 0.3;
 const SLOW_PART = 0.25;
 /** Then it no longer waits for another target. */
-const LATE_PART = 0.5;
+const LATE_PART = 0.4;
 /** Time after the first responses in which slowness isn't counted. */
 const WARM_UP_PART = 0.15;
 const MAX_WARM_UP_MS = 1_000;
@@ -158,7 +158,8 @@
 function heaviest(weights: readonly TestWeight[]): TestWeight | undefined {
   const [first, ...others] = weights;
   return others.reduce(
-    (best, item) => (best && best.overAll >= item.overAll ? best : item),
+    (best, item) =>
+      best && best.overAllLater >= item.overAllLater ? best : item,
     first,
   );
 }
@@ -170,7 +171,7 @@
   nowMs: number,
 ): void {
   const isSlow = weights.some(
-    ({test, overAll}) => test === 'slowness' && overAll > URGENT,
+    ({test, overAllLater}) => test === 'slowness' && overAllLater > URGENT,
   );
   judge.slowSinceMs = isSlow ? (judge.slowSinceMs ?? nowMs) : undefined;
   if (judge.analysis.badResponses >= URGENT_BAD_RESPONSES)
@@ -209,7 +210,8 @@
   const routes = analysis.baseline.routes.size;
   const counted = weights.filter(
     weight =>
-      weight.overAll > needed + chancesOf(weight, routes) &&
+      (isLate ? weight.overAllLater : weight.overAll) >
+        needed + chancesOf(weight, routes) &&
       (weight.test === 'failures' || isSlowForLong) &&
       (isLate || hasEnoughTargets(weight)),
   );
@@ -251,7 +253,9 @@
 
 function isFinallyBad(weight: TestWeight, routes: number): boolean {
   const needed = weight.horizon === 'loaded' ? FINAL_LOADED : FINAL;
-  return weight.overAll > needed + FINAL_CHANCES * chancesOf(weight, routes);
+  return (
+    weight.overAllLater > needed + FINAL_CHANCES * chancesOf(weight, routes)
+  );
 }
 
 /** The end of a rollout whose analysis is over; undefined: not yet. */
--- a/packages/policy/src/rollouts/likelihood.ts
+++ b/packages/policy/src/rollouts/likelihood.ts
@@ -9,8 +9,10 @@
 
 /** Probability that some targets of a version are faulty during a rollout. */
 const FAULTY_PRIOR = 0.02;
-/** Probability that another one is faulty if one is. */
+/** Probability that another one is faulty if one is: they may have crashed. */
 const ANOTHER_FAULTY_PRIOR = 0.3;
+/** The same if a crash would be known by now. */
+const ANOTHER_LATER_PRIOR = 0.05;
 /** Probability that a target that is sound otherwise is faulty under load. */
 const UNLIKELY_FAULT_PRIOR = 0.0005;
 /** Part of the targets that may be faulty while the version isn't. */
@@ -38,6 +40,11 @@
   readonly overGood: number;
   /** How much more likely "bad" is than both of the others. */
   readonly overAll: number;
+  /**
+   * The same if crashes would be known by now: a target that is sound otherwise is
+   * hardly faulty. Before, it may have crashed a moment ago.
+   */
+  readonly overAllLater: number;
   readonly faultyTargets: readonly TargetId[];
   /** Number of targets that responded, and of those that look worse. */
   readonly targets: number;
@@ -115,16 +122,20 @@
   others: readonly TargetTally[],
   maxFaulty: number,
   strength: number,
+  isLater: boolean,
 ): Faulty {
   let best: Faulty = {ln: -Infinity, targets: []};
+  const anotherPrior = isLater ? ANOTHER_LATER_PRIOR : ANOTHER_FAULTY_PRIOR;
   let ln = 0;
   let priced = 0;
   for (let count = 1; count <= suspects.length && count <= maxFaulty; count++) {
     const last = suspects[count - 1]!;
     ln += lnOwnRate(last);
-    if (last.fault === 'unlikely') ln += Math.log(UNLIKELY_FAULT_PRIOR);
-    if (last.fault === 'possible') {
-      ln += Math.log(priced === 0 ? FAULTY_PRIOR : ANOTHER_FAULTY_PRIOR);
+    const isUnlikely = isLater && last.fault === 'unlikely';
+    if (isUnlikely) {
+      ln += Math.log(UNLIKELY_FAULT_PRIOR);
+    } else if (last.fault !== 'known') {
+      ln += Math.log(priced === 0 ? FAULTY_PRIOR : anotherPrior);
       priced += 1;
     }
     const rest = sumOf([...suspects.slice(count), ...others]);
@@ -149,13 +160,17 @@
   const others = tallies.filter(tally => !isWorse(tally));
   const maxFaulty = maxFaultyTargets(targets);
   const good = lnAsOld(sums, strength);
-  const faulty = explainByTargets(suspects, others, maxFaulty, strength);
+  const explain = (isLater: boolean) =>
+    explainByTargets(suspects, others, maxFaulty, strength, isLater);
+  const faulty = explain(false);
+  const faultyLater = explain(true);
   const excess = sums.events - MIN_RATIO * sums.expected;
   const bad = excess >= MIN_EXCESS ? lnOwnRate(sums) : -Infinity;
   const isFaulty = faulty.ln > good;
   return {
     overGood: bad - good,
     overAll: bad - Math.max(good, faulty.ln),
+    overAllLater: bad - Math.max(good, faultyLater.ln),
     faultyTargets: isFaulty && faulty.ln > bad ? faulty.targets : [],
     targets: tallies.length,
     worseTargets: suspects.length,
