Rollouts: requests between pulses go to all targets; overdue attempts by route

Cause: versions that turned bad late looked like a few faulty targets, as others had not been asked since. Change: between pulses all targets get requests, a pause follows each pulse, a suspected route gets most of them, and attempts are overdue by what their route usually takes.

--- a/packages/policy/src/rollouts/analysis.ts
+++ b/packages/policy/src/rollouts/analysis.ts
@@ -11,9 +11,9 @@
   fadeBaseline,
   oldRate,
   oldResponses,
+  overdueMs,
   sampleOf,
   TESTS,
-  usualLatencyMs,
   type Baseline,
   type Test,
 } from './baseline.js';
@@ -25,12 +25,7 @@
   type TargetTally,
   type Weight,
 } from './likelihood.js';
-import {
-  addPending,
-  createPending,
-  overdueAttempts,
-  type PendingTable,
-} from './pending.js';
+import {addPending, overdueAttempts, type PendingTable} from './pending.js';
 
 /** Half-life of the recent responses of the new version. */
 const RECENT_HALF_LIFE_MS = 2_000;
@@ -87,7 +82,7 @@
 export function createAnalysis(nowMs: number): Analysis {
   return {
     baseline: createBaseline(),
-    pending: createPending(),
+    pending: new Map(),
     cells: new Map(),
     seenUsable: new Set(),
     seenGone: new Set(),
@@ -325,14 +320,20 @@
 ): TestWeight[] {
   const {baseline, pending, seenUsable} = analysis;
   noteGone(analysis, usable);
-  const usualMs = usualLatencyMs(baseline);
-  const overdue = overdueAttempts(pending, usualMs, nowMs);
+  const overdueOn = (route: string) =>
+    overdueAttempts(pending, route, overdueMs(baseline, route), nowMs);
   const targets = seenUsable.size;
   const weights: TestWeight[] = [];
   for (const test of TESTS) {
     for (const horizon of HORIZONS) {
       const {all, routes} = sumUp(analysis, test, horizon);
-      if (test === 'slowness' && horizon !== 'loaded') addOverdue(all, overdue);
+      if (test === 'slowness' && horizon !== 'loaded') {
+        for (const [route, sums] of routes) {
+          const overdue = overdueOn(route);
+          addOverdue(sums, overdue);
+          addOverdue(all, overdue);
+        }
+      }
       const scopes = [[undefined, all] as const, ...routes];
       for (const [route, sums] of scopes) {
         const known = oldResponses(baseline, route, test);
--- a/packages/policy/src/rollouts/baseline.ts
+++ b/packages/policy/src/rollouts/baseline.ts
@@ -7,7 +7,7 @@
 import {responsesOf} from './evidence.js';
 import {bucketEndMs, bucketsOf, LATENCY_BUCKETS} from './latency.js';
 
-/** Attempts in progress for this many times the slowest usual one are overdue. */
+/** Attempts in progress for this many times the usual latency are overdue. */
 const OVERDUE_FACTOR = 1.5;
 const USUAL_QUANTILE = 0.95;
 /**
@@ -100,16 +100,24 @@
   return 1 + Math.min(median + MAX_SLOW_BUCKETS, least);
 }
 
-/** Time after which an attempt is overdue on any route. */
-export function usualLatencyMs({routes}: Baseline): number | undefined {
-  let highest: number | undefined;
-  for (const {latency} of routes.values()) {
-    const bucket = quantileBucket(latency, USUAL_QUANTILE);
-    if (bucket === undefined) continue;
-    const limitMs = OVERDUE_FACTOR * bucketEndMs(bucket);
-    highest = Math.max(highest ?? 0, limitMs);
-  }
-  return highest;
+/** Time after which an attempt of this route is overdue, if it is known. */
+export function overdueMs(
+  {routes}: Baseline,
+  route: string,
+): number | undefined {
+  const known = routes.get(route);
+  const bucket = known && quantileBucket(known.latency, USUAL_QUANTILE);
+  return bucket === undefined
+    ? undefined
+    : OVERDUE_FACTOR * bucketEndMs(bucket);
+}
+
+/** The same over all routes. */
+export function usualLatencyMs(baseline: Baseline): number {
+  const all = [...baseline.routes.keys()].map(
+    route => overdueMs(baseline, route) ?? 0,
+  );
+  return Math.max(0, ...all);
 }
 
 /** What the counts say in one test; `undefined` if it can't be told yet. */
@@ -159,6 +167,13 @@
   counts: Counts,
 ): void {
   const known = routeOf(baseline, route);
+  const addLatency = () =>
+    counts.latency.forEach((n, bucket) => (known.latency[bucket]! += n));
+  const isFirst = known.slowBucket === undefined;
+  if (isFirst) {
+    addLatency();
+    known.slowBucket = findSlowBucket(known);
+  }
   for (const test of TESTS) {
     const sample = sampleOf(baseline, route, test, counts);
     if (!sample) continue;
@@ -166,7 +181,7 @@
     add(known.recent[test], sample);
     add(baseline.total[test], sample);
   }
-  counts.latency.forEach((count, bucket) => (known.latency[bucket]! += count));
+  if (!isFirst) addLatency();
 }
 
 function rate(sample: Sample, weight: number, assumedRate: number): number {
--- a/packages/policy/src/rollouts/grant.ts
+++ b/packages/policy/src/rollouts/grant.ts
@@ -25,16 +25,16 @@
 const PEAK_HALF_LIFE_MS = 20_000;
 /** After a burst the peak is not what the service usually gets. */
 const MAX_PEAK_FACTOR = 1.5;
-/** Time for which the same target is used between pulses. */
-const TURN_MS = 750;
 /** An allowance that isn't saved for pulses is to be spent in this time. */
 const SPEND_MS = 1_000;
 /** Requests that are granted between pulses beyond those of `SPEND_MS`. */
 const EVEN_RESERVE = 4;
 /** Part of the share that is sent between pulses while something is suspected. */
-const SUSPECT_PART = 0.5;
+const SUSPECT_PART = 0.8;
 /** How much more often requests of focused routes go to the new version. */
 const FOCUS_FACTOR = 4;
+/** The same for a route on which the version looks worse. */
+const SUSPECT_FACTOR = 20;
 /** Fewer samples of a route than this are too few. */
 const MIN_ROUTE_RESPONSES = 12;
 const MAX_FOCUS_ROUTES = 3;
@@ -46,8 +46,6 @@
   ratePerS: number;
   /** The highest rate of the last seconds: entries may be out of contact. */
   peakPerS: number;
-  /** When the targets were chosen that are in use between pulses. */
-  chosenAtMs: number;
   targets: readonly TargetId[];
   allowed: number;
   readonly pulses: PulseState;
@@ -59,7 +57,6 @@
     lastSeen: 0,
     ratePerS: 0,
     peakPerS: 0,
-    chosenAtMs: nowMs,
     targets: [],
     allowed: 0,
     pulses: createPulseState(),
@@ -120,45 +117,37 @@
 }
 
 /**
- * The targets of which least is known, under load or without. Those that look
- * faulty under load are used without it: if they are sound then, it is the load.
+ * In a pulse the targets of which least is known under load; else all, also those
+ * that look faulty: if they are sound without load, it is the load.
  */
 function chooseTargets(
   usable: readonly TargetId[],
   {running, loaded}: PulseState,
   {faultyTargets, responsesByTarget}: GrantNeeds,
 ): TargetId[] {
-  const isPulse = running !== undefined;
-  const count = running?.pulse.targets ?? 1;
-  const faulty = new Set(isPulse ? faultyTargets : []);
-  const sound = usable.filter(target => !faulty.has(target));
-  const choice = [...(sound.length > 0 ? sound : usable)].sort();
+  const all = [...usable].sort();
+  if (!running) return all;
+  const faulty = new Set(faultyTargets);
+  const sound = all.filter(target => !faulty.has(target));
+  const choice = sound.length > 0 ? sound : all;
   const lastMs = (target: TargetId) => loaded.get(target)?.untilMs ?? 0;
-  const known = (target: TargetId) => {
-    const use = responsesByTarget.get(target);
-    if (!use) return 0;
-    const {loadedResponses, responses} = use;
-    return isPulse ? loadedResponses : responses - loadedResponses;
-  };
+  const known = (target: TargetId) =>
+    responsesByTarget.get(target)?.loadedResponses ?? 0;
   return choice
     .sort((a, b) => known(a) - known(b) || lastMs(a) - lastMs(b))
-    .slice(0, count);
+    .slice(0, running.pulse.targets);
 }
 
-/** Keeps the targets of a pulse, and the one between pulses for a while. */
+/** Keeps the targets of a pulse until it ends or they are gone. */
 function updateTargets(
   state: GrantState,
   usable: readonly TargetId[],
   hasBegun: boolean,
   needs: GrantNeeds,
-  nowMs: number,
 ): readonly TargetId[] {
-  const {running} = state.pulses;
-  const isStale = !running && nowMs - state.chosenAtMs >= TURN_MS;
   const kept = state.targets.filter(target => usable.includes(target));
-  if (kept.length > 0 && !hasBegun && !isStale) return kept;
-  state.chosenAtMs = nowMs;
-  return chooseTargets(usable, state.pulses, needs);
+  const isKept = state.pulses.running && !hasBegun && kept.length > 0;
+  return isKept ? kept : chooseTargets(usable, state.pulses, needs);
 }
 
 /** Suspected routes, else those with the fewest samples. */
@@ -181,13 +170,14 @@
   share: number,
   focusRoutes: readonly string[],
   routes: readonly RouteUse[],
+  factor: number,
 ): Shares {
   const sum = (items: readonly RouteUse[]) =>
     items.reduce((total, {oldResponses}) => total + oldResponses, 0);
   const focused = sum(routes.filter(({route}) => focusRoutes.includes(route)));
   const part = focused / Math.max(1, sum(routes));
-  const sendShare = share / (1 - part + part * FOCUS_FACTOR);
-  const focusShare = Math.min(1, sendShare * FOCUS_FACTOR);
+  const sendShare = share / (1 - part + part * factor);
+  const focusShare = Math.min(1, sendShare * factor);
   return {sendShare, focusShare};
 }
 
@@ -232,9 +222,11 @@
   const hasBegun = updatePulse(pulses, pulse, unspent, circumstances, nowMs);
   const even = evenShare(unspent, ratePerS, usedShare(limits), isSuspected);
   const share = unspent > 0 ? (pulses.running?.pulse.share ?? even) : 0;
-  state.targets = updateTargets(state, newTargets, hasBegun, needs, nowMs);
+  state.targets = updateTargets(state, newTargets, hasBegun, needs);
   noteLoaded(pulses, state.targets, peakPerS, nowMs);
   const focusRoutes = chooseRoutes(needs);
+  const isRouteSuspected = needs.suspectRoutes.length > 0;
+  const factor = isRouteSuspected ? SUSPECT_FACTOR : FOCUS_FACTOR;
   // What is saved for a pulse isn't handed out before: entries would hold it.
   const due = (ratePerS * share * SPEND_MS) / MS_PER_S + EVEN_RESERVE;
   const granted = pulses.running
@@ -244,7 +236,7 @@
   return {
     kind: 'continue',
     allowedRequests: granted,
-    ...splitShare(share, focusRoutes, needs.routes),
+    ...splitShare(share, focusRoutes, needs.routes, factor),
     targets: state.targets,
     focusRoutes,
     stage: isFull ? 'full' : 'growing',
--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -59,6 +59,8 @@
 /** Part of the chances that are held against a route at the end. */
 const FINAL_CHANCES = 0.5;
 const SUSPECTED = Math.log(5);
+/** A single bad response is reason to look at more of the same route. */
+const SUSPECTED_ROUTE = 0;
 /** Bad responses from which `rollbackMs` may soon begin to run. */
 const URGENT_BAD_RESPONSES = 45;
 /** Parts of `rollbackMs`. Slowness has to last, unlike that of a cold start. */
@@ -129,7 +131,7 @@
   const fresh = takeFresh(book);
   measureSent(grants.pulses, sentByTarget(fresh), passedMs);
   const isWarm = judge.warmUntilMs !== undefined && nowMs >= judge.warmUntilMs;
-  const usualMs = usualLatencyMs(analysis.baseline) ?? 0;
+  const usualMs = usualLatencyMs(analysis.baseline);
   const circumstances = {
     countsSlowness: isWarm,
     isUnderLoad: (target: TargetId) =>
@@ -290,11 +292,14 @@
   {analysis, book}: RolloutJudge,
   weights: readonly TestWeight[],
 ): GrantNeeds {
-  const suspects = weights.filter(({overGood}) => overGood > SUSPECTED);
-  const routes = suspects.flatMap(({route}) => route ?? []);
+  const isSuspected = weights.some(({overGood}) => overGood > SUSPECTED);
+  const routes = weights
+    .filter(({suspicion}) => suspicion > SUSPECTED_ROUTE)
+    .sort((a, b) => b.suspicion - a.suspicion)
+    .flatMap(({route}) => route ?? []);
   return {
     sentRequests: book.sentRequests,
-    isSuspected: suspects.length > 0,
+    isSuspected,
     suspectRoutes: [...new Set(routes)],
     faultyTargets: faultyOf(weights),
     responsesByTarget: targetUses(analysis),
--- a/packages/policy/src/rollouts/likelihood.ts
+++ b/packages/policy/src/rollouts/likelihood.ts
@@ -38,6 +38,8 @@
 export interface Weight {
   /** How much more likely "bad" is than "as good as the old version". */
   readonly overGood: number;
+  /** The same without asking for a least number of events. */
+  readonly suspicion: number;
   /** How much more likely "bad" is than both of the others. */
   readonly overAll: number;
   /**
@@ -169,6 +171,7 @@
   const isFaulty = faulty.ln > good;
   return {
     overGood: bad - good,
+    suspicion: isWorse(sums) ? lnOwnRate(sums) - good : -Infinity,
     overAll: bad - Math.max(good, faulty.ln),
     overAllLater: bad - Math.max(good, faultyLater.ln),
     faultyTargets: isFaulty && faulty.ln > bad ? faulty.targets : [],
--- a/packages/policy/src/rollouts/pending.ts
+++ b/packages/policy/src/rollouts/pending.ts
@@ -5,9 +5,9 @@
 import type {TargetId} from '@samphirefield/core';
 import {responsesOf, type Counts, type RouteCounts} from './evidence.js';
 
-/** Attempts sent longer ago are all overdue, or were all sent long before. */
+/** Attempts that were sent longer ago are taken together. */
 const HISTORY_MS = 15_000;
-const MIN_OVERDUE_MS = 500;
+const MIN_OVERDUE_MS = 400;
 /** Attempts in this time before the overdue ones tell what is usual. */
 const COMPARED_MS = 5_000;
 
@@ -19,29 +19,31 @@
 interface Progress {
   sent: number;
   ended: number;
+  /** Sums of attempts at each decision, while some are in progress. */
   readonly history: Point[];
 }
 
-export interface PendingTable {
+interface RoutePending {
   readonly old: Progress;
   readonly byTarget: Map<TargetId, Progress>;
 }
 
-const createProgress = (): Progress => ({sent: 0, ended: 0, history: []});
+export type PendingTable = Map<string, RoutePending>;
 
-export function createPending(): PendingTable {
-  return {old: createProgress(), byTarget: new Map()};
-}
+const createProgress = (): Progress => ({sent: 0, ended: 0, history: []});
 
 function add(progress: Progress, counts: Counts): void {
   progress.sent += counts.sent;
   progress.ended += responsesOf(counts) + counts.abandoned;
 }
 
-function note(progress: Progress, nowMs: number): void {
-  progress.history.push({atMs: nowMs, sent: progress.sent});
-  while (progress.history[0]!.atMs < nowMs - HISTORY_MS)
-    progress.history.shift();
+function note({ended, history, sent}: Progress, nowMs: number): void {
+  history.push({atMs: nowMs, sent});
+  const startMs = nowMs - HISTORY_MS;
+  const isOld = () => history.length > 1 && history[1]!.atMs <= startMs;
+  while (isOld()) history.shift();
+  // Nothing in progress can become overdue.
+  if (ended >= sent) history.splice(0, history.length - 1);
 }
 
 export function addPending(
@@ -49,21 +51,27 @@
   fresh: ReadonlyMap<string, RouteCounts>,
   nowMs: number,
 ): void {
-  for (const {old, byTarget} of fresh.values()) {
-    add(table.old, old);
-    for (const [target, counts] of byTarget) {
-      const progress = table.byTarget.get(target) ?? createProgress();
-      add(progress, counts);
-      table.byTarget.set(target, progress);
+  for (const [route, counts] of fresh) {
+    const pending = table.get(route) ?? {
+      old: createProgress(),
+      byTarget: new Map<TargetId, Progress>(),
+    };
+    table.set(route, pending);
+    add(pending.old, counts.old);
+    for (const [target, ofTarget] of counts.byTarget) {
+      const progress = pending.byTarget.get(target) ?? createProgress();
+      add(progress, ofTarget);
+      pending.byTarget.set(target, progress);
     }
   }
-  note(table.old, nowMs);
-  for (const progress of table.byTarget.values()) note(progress, nowMs);
+  for (const {old, byTarget} of table.values()) {
+    note(old, nowMs);
+    for (const progress of byTarget.values()) note(progress, nowMs);
+  }
 }
 
 function sentBy({history}: Progress, atMs: number): number {
-  const point = history.findLast(item => item.atMs <= atMs);
-  return point?.sent ?? 0;
+  return history.findLast(item => item.atMs <= atMs)?.sent ?? 0;
 }
 
 interface Overdue {
@@ -77,18 +85,24 @@
   return {overdue: Math.max(0, sent - progress.ended), compared};
 }
 
-/** Overdue attempts by target, less as many as the old version would have. */
+/**
+ * Overdue attempts of a route by target, less as many as the old version would
+ * have. `usualMs` is what nearly all attempts of the old version take there.
+ */
 export function overdueAttempts(
   table: PendingTable,
+  route: string,
   usualMs: number | undefined,
   nowMs: number,
 ): Map<TargetId, number> {
-  const limitMs = Math.max(MIN_OVERDUE_MS, usualMs ?? 0);
+  const result = new Map<TargetId, number>();
+  const pending = table.get(route);
+  if (!pending || usualMs === undefined) return result;
+  const limitMs = Math.max(MIN_OVERDUE_MS, usualMs);
   const beforeMs = nowMs - Math.min(limitMs, HISTORY_MS - COMPARED_MS);
-  const old = overdueOf(table.old, beforeMs);
+  const old = overdueOf(pending.old, beforeMs);
   const usualShare = old.overdue / Math.max(1, old.compared);
-  const result = new Map<TargetId, number>();
-  for (const [target, progress] of table.byTarget) {
+  for (const [target, progress] of pending.byTarget) {
     const {overdue, compared} = overdueOf(progress, beforeMs);
     const excess = overdue - usualShare * compared;
     if (excess > 0) result.set(target, excess);
--- a/packages/policy/src/rollouts/pulse.ts
+++ b/packages/policy/src/rollouts/pulse.ts
@@ -18,6 +18,8 @@
 const MAX_PULSE_MS = 4_000;
 /** Length of pulses while a target is suspected, to see others soon. */
 const SUSPECT_PULSE_MS = 1_000;
+/** Time after each pulse in which requests go to all targets. */
+const PAUSE_MS = 500;
 /** A pulse ends when less than this part of it is left unspent. */
 const PULSE_REST = 0.1;
 /** No load has built up, and is reported, at the beginning of a pulse. */
@@ -50,6 +52,8 @@
 
 export interface PulseState {
   running: {readonly pulse: Pulse; readonly sinceMs: number} | undefined;
+  /** When the last pulse ended. */
+  endedAtMs: number;
   /** When each target was loaded last. */
   readonly loaded: Map<TargetId, LoadedTime>;
   /** Attempts a second that were sent to each target lately. */
@@ -61,6 +65,7 @@
 export function createPulseState(): PulseState {
   return {
     running: undefined,
+    endedAtMs: -Infinity,
     loaded: new Map(),
     sentPerS: new Map(),
     provenServing: Infinity,
@@ -125,8 +130,12 @@
   {isSuspected, leftMs}: {isSuspected: boolean; leftMs: number},
   nowMs: number,
 ): boolean {
-  if (isOver(state, unspent, isSuspected, nowMs)) state.running = undefined;
-  if (state.running) return false;
+  if (isOver(state, unspent, isSuspected, nowMs)) {
+    state.running = undefined;
+    state.endedAtMs = nowMs;
+  }
+  const isPausing = nowMs - state.endedAtMs < PAUSE_MS;
+  if (state.running || isPausing) return false;
   // A suspicion is followed up, and the rest spent, with what there is.
   const isHurried = isSuspected || leftMs < 2 * pulse.lengthMs;
   if (unspent < pulse.requests * (isHurried ? 0.5 : 1)) return false;
