Rollouts: rates without lumps, versions that turn bad at another rate

Cause: what an entry saw out of contact counted as a peak of requests; a version that turned bad looked like one faulty target among targets asked before. Change: lumps don't count for the rate, and a version may be bad at other rates on other targets.

--- a/packages/policy/src/rollouts/analysis.ts
+++ b/packages/policy/src/rollouts/analysis.ts
@@ -42,6 +42,8 @@
  */
 const HORIZONS = ['total', 'recent', 'loaded'] as const;
 export type Horizon = (typeof HORIZONS)[number];
+/** Requests sent without load aren't tested, but show that targets are sound. */
+type Part = Horizon | 'unloaded';
 
 interface Tally {
   responses: number;
@@ -49,7 +51,7 @@
   expected: number;
 }
 
-type Cell = Record<Test, Record<Horizon, Tally>>;
+type Cell = Record<Test, Record<Part, Tally>>;
 
 export interface Analysis {
   readonly baseline: Baseline;
@@ -76,7 +78,7 @@
 export interface Circumstances {
   /** False while the new targets warm up. */
   readonly countsSlowness: boolean;
-  readonly isUnderLoad: (target: TargetId) => boolean;
+  readonly loadOf: (target: TargetId) => 'loaded' | 'unloaded' | 'unclear';
 }
 
 export function createAnalysis(nowMs: number): Analysis {
@@ -93,10 +95,11 @@
 }
 
 const createTally = (): Tally => ({responses: 0, events: 0, expected: 0});
-const createTallies = (): Record<Horizon, Tally> => ({
+const createTallies = (): Record<Part, Tally> => ({
   total: createTally(),
   recent: createTally(),
   loaded: createTally(),
+  unloaded: createTally(),
 });
 const createCell = (): Cell => ({
   failures: createTallies(),
@@ -132,21 +135,22 @@
   target: TargetId,
   counts: Counts,
   disturbed: Record<Test, number>,
-  {countsSlowness, isUnderLoad}: Circumstances,
+  {countsSlowness, loadOf}: Circumstances,
 ): void {
   const {baseline} = analysis;
   const cell = cellOf(analysis, route, target);
   const tests = TESTS.filter(test => test === 'failures' || countsSlowness);
-  const isLoaded = isUnderLoad(target);
-  const horizons = HORIZONS.filter(item => item !== 'loaded' || isLoaded);
+  const load = loadOf(target);
+  const parts: Part[] = ['total', 'recent'];
+  if (load !== 'unclear') parts.push(load);
   for (const test of tests) {
     const sample = sampleOf(baseline, route, test, counts);
     if (!sample) continue;
     const rate = oldRate(baseline, route, test, disturbed[test]);
     analysis.badResponses += sample.events;
     if (test === 'failures') analysis.responses += sample.responses;
-    for (const horizon of horizons) {
-      const tally = cell[test][horizon];
+    for (const part of parts) {
+      const tally = cell[test][part];
       tally.responses += sample.responses;
       tally.events += sample.events;
       tally.expected += sample.responses * rate;
@@ -266,15 +270,14 @@
   return responses >= MIN_SOUND_RESPONSES && events <= expected + 1;
 }
 
-/** Responses of a target that weren't sent under load. */
+/** Responses of a target to requests that were sent without load. */
 function unloadedTally({cells}: Analysis, target: TargetId, test: Test): Tally {
   const sum = createTally();
   for (const byTarget of cells.values()) {
-    const cell = byTarget.get(target)?.[test];
-    if (!cell) continue;
-    sum.responses += cell.total.responses - cell.loaded.responses;
-    sum.events += cell.total.events - cell.loaded.events;
-    sum.expected += cell.total.expected - cell.loaded.expected;
+    const cell = byTarget.get(target)?.[test].unloaded;
+    sum.responses += cell?.responses ?? 0;
+    sum.events += cell?.events ?? 0;
+    sum.expected += cell?.expected ?? 0;
   }
   return sum;
 }
--- a/packages/policy/src/rollouts/evidence.ts
+++ b/packages/policy/src/rollouts/evidence.ts
@@ -11,6 +11,8 @@
  * granted, since requests sent could no longer be counted.
  */
 const MAX_ROWS = 35_200;
+/** Entries in contact report more often than this. */
+const LATELY_MS = 500;
 /** Stands for the targets of rows that an entry no longer tells apart. */
 const ANY_TARGET = '' as TargetId;
 
@@ -27,22 +29,33 @@
   readonly byTarget: Map<TargetId, Counts>;
 }
 
+interface LastSeen {
+  readonly requests: number;
+  readonly atMs: number;
+}
+
 export interface EvidenceBook {
   seenRequests: number;
   /** Attempts sent to the new version. */
   sentRequests: number;
   /** Whether there were more rows than can be remembered. */
   isFull: boolean;
-  readonly lastSeen: Map<string, number>;
+  /** Requests that arrived since the rate was measured last. */
+  arrived: number;
+  /** When the last decision was taken. */
+  decidedAtMs: number;
+  readonly lastSeen: Map<string, LastSeen>;
   readonly lastRows: Map<string, EvidenceRow>;
   fresh: Map<string, RouteCounts>;
 }
 
-export function createEvidenceBook(): EvidenceBook {
+export function createEvidenceBook(nowMs: number): EvidenceBook {
   return {
     seenRequests: 0,
     sentRequests: 0,
     isFull: false,
+    arrived: 0,
+    decidedAtMs: nowMs,
     lastSeen: new Map(),
     lastRows: new Map(),
     fresh: new Map(),
@@ -97,14 +110,26 @@
     book.lastRows.set(key, row);
 }
 
+/**
+ * Part of what an entry reports that counts for the rate of requests: what it saw
+ * while it was out of contact, or before this judge, arrived long ago.
+ */
+function latelyPart(last: LastSeen | undefined, nowMs: number): number {
+  if (!last) return 0;
+  return Math.min(1, LATELY_MS / Math.max(1, nowMs - last.atMs));
+}
+
 export function addEvidence(
   book: EvidenceBook,
   {entry, incarnation, seenRequests, rows}: RolloutEvidence,
 ): void {
   const holder = `${entry} ${incarnation}`;
-  const lastSeen = book.lastSeen.get(holder) ?? 0;
-  book.seenRequests += increase(seenRequests, lastSeen);
-  book.lastSeen.set(holder, Math.max(seenRequests, lastSeen));
+  const last = book.lastSeen.get(holder);
+  const arrived = increase(seenRequests, last?.requests);
+  book.seenRequests += arrived;
+  book.arrived += arrived * latelyPart(last, book.decidedAtMs);
+  const requests = Math.max(seenRequests, last?.requests ?? 0);
+  book.lastSeen.set(holder, {requests, atMs: book.decidedAtMs});
   for (const row of rows) addRow(book, holder, row);
 }
 
--- a/packages/policy/src/rollouts/grant.ts
+++ b/packages/policy/src/rollouts/grant.ts
@@ -4,6 +4,7 @@
  * version may be bad under load only.
  */
 import type {TargetId} from '@samphirefield/core';
+import type {EvidenceBook} from './evidence.js';
 import {allowedRequests, analysisEndMs, usedShare} from './exposure.js';
 import {
   createPulseState,
@@ -42,7 +43,7 @@
 
 export interface GrantState {
   lastMs: number;
-  lastSeen: number;
+  seenRequests: number;
   ratePerS: number;
   /** The highest rate of the last seconds: entries may be out of contact. */
   peakPerS: number;
@@ -54,7 +55,7 @@
 export function createGrantState(nowMs: number): GrantState {
   return {
     lastMs: nowMs,
-    lastSeen: 0,
+    seenRequests: 0,
     ratePerS: 0,
     peakPerS: 0,
     targets: [],
@@ -88,18 +89,18 @@
 
 export function measureRate(
   state: GrantState,
-  seenRequests: number,
+  {arrived, seenRequests}: EvidenceBook,
   nowMs: number,
 ): void {
   const passedMs = nowMs - state.lastMs;
   if (passedMs <= 0) return;
-  const perS = ((seenRequests - state.lastSeen) * MS_PER_S) / passedMs;
-  const keep = state.lastSeen === 0 ? 0 : 0.5 ** (passedMs / RATE_HALF_LIFE_MS);
+  const perS = (arrived * MS_PER_S) / passedMs;
+  const keep = state.ratePerS === 0 ? 0 : 0.5 ** (passedMs / RATE_HALF_LIFE_MS);
   state.ratePerS = state.ratePerS * keep + perS * (1 - keep);
   const peakPerS = state.peakPerS * 0.5 ** (passedMs / PEAK_HALF_LIFE_MS);
   const maxPerS = MAX_PEAK_FACTOR * state.ratePerS;
   state.peakPerS = Math.min(maxPerS, Math.max(peakPerS, state.ratePerS));
-  state.lastSeen = seenRequests;
+  state.seenRequests = seenRequests;
   state.lastMs = nowMs;
 }
 
@@ -176,8 +177,11 @@
     items.reduce((total, {oldResponses}) => total + oldResponses, 0);
   const focused = sum(routes.filter(({route}) => focusRoutes.includes(route)));
   const part = focused / Math.max(1, sum(routes));
-  const sendShare = share / (1 - part + part * factor);
-  const focusShare = Math.min(1, sendShare * factor);
+  const even = share / (1 - part + part * factor);
+  const focusShare = Math.min(1, even * factor);
+  // What the focused routes can't use is for the others.
+  const rest = Math.max(0, share - part * focusShare);
+  const sendShare = part < 1 ? Math.min(1, rest / (1 - part)) : 0;
   return {sendShare, focusShare};
 }
 
@@ -207,14 +211,14 @@
   needs: GrantNeeds,
   nowMs: number,
 ): RolloutGrant {
-  const allowed = allowedRequests(order, limits, state.lastSeen, nowMs);
+  const allowed = allowedRequests(order, limits, state.seenRequests, nowMs);
   state.allowed = Math.max(state.allowed, allowed);
   const unspent = state.allowed - needs.sentRequests;
   const analysisMs = analysisEndMs(order) - order.orderedAtMs;
   const serving = Math.min(oldTargets || newTargets.length, newTargets.length);
   const {peakPerS, pulses, ratePerS} = state;
   const leftMs = analysisEndMs(order) - nowMs;
-  const {lastSeen: seenRequests} = state;
+  const {seenRequests} = state;
   const traffic = {seenRequests, ratePerS, peakPerS, analysisMs, leftMs};
   const pulse = planPulse(traffic, serving, limits);
   const {isSuspected} = needs;
@@ -225,7 +229,7 @@
   state.targets = updateTargets(state, newTargets, hasBegun, needs);
   noteLoaded(pulses, state.targets, peakPerS, nowMs);
   const focusRoutes = chooseRoutes(needs);
-  const isRouteSuspected = needs.suspectRoutes.length > 0;
+  const isRouteSuspected = needs.suspectRoutes.length > 0 && !pulses.running;
   const factor = isRouteSuspected ? SUSPECT_FACTOR : FOCUS_FACTOR;
   // What is saved for a pulse isn't handed out before: entries would hold it.
   const due = (ratePerS * share * SPEND_MS) / MS_PER_S + EVEN_RESERVE;
--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -33,7 +33,7 @@
   type GrantNeeds,
   type GrantState,
 } from './grant.js';
-import {isUnderLoad, measureSent} from './pulse.js';
+import {loadOf, measureSent} from './pulse.js';
 import type {
   RolloutDecision,
   RolloutEvidence,
@@ -104,7 +104,7 @@
     order,
     limits,
     createdAtMs: nowMs,
-    book: createEvidenceBook(),
+    book: createEvidenceBook(nowMs),
     analysis: createAnalysis(nowMs),
     grants: createGrantState(nowMs),
     // The judge of a later leader hears of responses that are long over.
@@ -127,15 +127,16 @@
 function update(judge: RolloutJudge, nowMs: number): void {
   const {analysis, book, grants, order} = judge;
   const passedMs = nowMs - grants.lastMs;
-  measureRate(grants, book.seenRequests, nowMs);
+  measureRate(grants, book, nowMs);
+  book.arrived = 0;
+  book.decidedAtMs = nowMs;
   const fresh = takeFresh(book);
   measureSent(grants.pulses, sentByTarget(fresh), passedMs);
   const isWarm = judge.warmUntilMs !== undefined && nowMs >= judge.warmUntilMs;
   const usualMs = usualLatencyMs(analysis.baseline);
   const circumstances = {
     countsSlowness: isWarm,
-    isUnderLoad: (target: TargetId) =>
-      isUnderLoad(grants.pulses, target, usualMs, nowMs),
+    loadOf: (target: TargetId) => loadOf(grants.pulses, target, usualMs, nowMs),
   };
   analyze(analysis, fresh, circumstances, nowMs);
   if (judge.warmUntilMs === undefined && analysis.responses > 0) {
--- a/packages/policy/src/rollouts/likelihood.ts
+++ b/packages/policy/src/rollouts/likelihood.ts
@@ -107,6 +107,11 @@
   return lnSequence(events, responses, 1, 1);
 }
 
+/** Whether there are enough events to call these responses bad. */
+function isBad({events, expected}: Sums): boolean {
+  return events - MIN_RATIO * expected >= MIN_EXCESS;
+}
+
 /** How many of these targets may be faulty while the version is good. */
 export function maxFaultyTargets(targets: number): number {
   if (targets < 2) return 0;
@@ -116,6 +121,8 @@
 interface Faulty {
   readonly ln: number;
   readonly targets: readonly TargetId[];
+  /** The same targets, but the rest isn't as good as the old version either. */
+  readonly lnAllWorse: number;
 }
 
 /** The best explanation by faulty targets, tried in order of their excess. */
@@ -126,13 +133,15 @@
   strength: number,
   isLater: boolean,
 ): Faulty {
-  let best: Faulty = {ln: -Infinity, targets: []};
+  let best: Faulty = {ln: -Infinity, targets: [], lnAllWorse: -Infinity};
+  let lnOwn = 0;
   const anotherPrior = isLater ? ANOTHER_LATER_PRIOR : ANOTHER_FAULTY_PRIOR;
   let ln = 0;
   let priced = 0;
   for (let count = 1; count <= suspects.length && count <= maxFaulty; count++) {
     const last = suspects[count - 1]!;
     ln += lnOwnRate(last);
+    lnOwn += lnOwnRate(last);
     const isUnlikely = isLater && last.fault === 'unlikely';
     if (isUnlikely) {
       ln += Math.log(UNLIKELY_FAULT_PRIOR);
@@ -143,7 +152,8 @@
     const rest = sumOf([...suspects.slice(count), ...others]);
     const total = ln + lnAsOld(rest, strength);
     const targets = suspects.slice(0, count).map(({target}) => target);
-    if (total > best.ln) best = {ln: total, targets};
+    const lnAllWorse = isBad(rest) ? lnOwn + lnOwnRate(rest) : -Infinity;
+    if (total > best.ln) best = {ln: total, targets, lnAllWorse};
   }
   return best;
 }
@@ -166,8 +176,9 @@
     explainByTargets(suspects, others, maxFaulty, strength, isLater);
   const faulty = explain(false);
   const faultyLater = explain(true);
-  const excess = sums.events - MIN_RATIO * sums.expected;
-  const bad = excess >= MIN_EXCESS ? lnOwnRate(sums) : -Infinity;
+  // A version that turned bad is so at another rate where it was asked before.
+  const pooled = isBad(sums) ? lnOwnRate(sums) : -Infinity;
+  const bad = Math.max(pooled, faulty.lnAllWorse, faultyLater.lnAllWorse);
   const isFaulty = faulty.ln > good;
   return {
     overGood: bad - good,
--- a/packages/policy/src/rollouts/pulse.ts
+++ b/packages/policy/src/rollouts/pulse.ts
@@ -175,25 +175,29 @@
     const known = loaded.get(target);
     if (known?.sinceMs === sinceMs) known.untilMs = nowMs;
     else loaded.set(target, {sinceMs, untilMs: nowMs, neededPerS});
-    if (isUnderLoad(state, target, 0, nowMs))
+    if (loadOf(state, target, 0, nowMs) === 'loaded')
       state.provenServing = Math.min(state.provenServing, serving);
   }
 }
 
-/** Whether a target's responses that are reported now were sent under load. */
-export function isUnderLoad(
+/**
+ * Whether a target's responses that are reported now were sent under load, without
+ * it, or in between.
+ */
+export function loadOf(
   {loaded, sentPerS}: PulseState,
   target: TargetId,
   usualMs: number,
   nowMs: number,
-): boolean {
+): 'loaded' | 'unloaded' | 'unclear' {
   const time = loaded.get(target);
-  if (!time) return false;
+  if (!time) return 'unloaded';
   const {neededPerS, sinceMs, untilMs} = time;
-  const isLoaded = (sentPerS.get(target) ?? 0) >= neededPerS;
-  const isRunning = nowMs - untilMs < REPORTED_MS;
-  if (isRunning && !isLoaded) return false;
-  return (
-    nowMs - sinceMs >= LOADING_MS && nowMs - untilMs <= REPORTED_MS + usualMs
-  );
+  const sinceEndMs = nowMs - untilMs;
+  if (sinceEndMs > 2 * (REPORTED_MS + usualMs)) return 'unloaded';
+  const isRunning = sinceEndMs < REPORTED_MS;
+  const isLoaded = !isRunning || (sentPerS.get(target) ?? 0) >= neededPerS;
+  const isReported =
+    nowMs - sinceMs >= LOADING_MS && sinceEndMs <= REPORTED_MS + usualMs;
+  return isLoaded && isReported ? 'loaded' : 'unclear';
 }
