Rollouts: pulses begin when rates are known; cold starts take longer to end

Cause: a pulse before the first measured rate counted as load, responses of a cold start came after the warm-up, and a fault of three targets passed as that of the version. Change: no pulse before the warm-up is over, which lasts longer for slow responses; the other targets have to be clearly worse by themselves.

--- a/packages/policy/src/rollouts/analysis.ts
+++ b/packages/policy/src/rollouts/analysis.ts
@@ -319,6 +319,7 @@
 export function weighAll(
   analysis: Analysis,
   usable: ReadonlySet<TargetId>,
+  countsOverdue: boolean,
   nowMs: number,
 ): TestWeight[] {
   const {baseline, pending, seenUsable} = analysis;
@@ -330,7 +331,7 @@
   for (const test of TESTS) {
     for (const horizon of HORIZONS) {
       const {all, routes} = sumUp(analysis, test, horizon);
-      if (test === 'slowness' && horizon !== 'loaded') {
+      if (countsOverdue && test === 'slowness' && horizon !== 'loaded') {
         for (const [route, sums] of routes) {
           const overdue = overdueOn(route);
           addOverdue(sums, overdue);
--- a/packages/policy/src/rollouts/baseline.ts
+++ b/packages/policy/src/rollouts/baseline.ts
@@ -18,7 +18,7 @@
 const MIN_SLOW_BUCKETS = bucketsOf(2);
 const MAX_SLOW_BUCKETS = bucketsOf(4);
 /** Responses after which a median is known well enough. */
-const MIN_MEDIAN_RESPONSES = 8;
+const MIN_MEDIAN_RESPONSES = 16;
 /** Half-life of what "now" means. */
 const NOW_HALF_LIFE_MS = 400;
 /** A disturbance of seconds is to change the rate, not what is called slow. */
--- a/packages/policy/src/rollouts/grant.ts
+++ b/packages/policy/src/rollouts/grant.ts
@@ -79,6 +79,8 @@
 /** What the analysis says that matters for the next requests. */
 export interface GrantNeeds {
   readonly sentRequests: number;
+  /** Whether the new targets and the measured rate are ready for a pulse. */
+  readonly isWarm: boolean;
   readonly isSuspected: boolean;
   readonly suspectRoutes: readonly string[];
   readonly faultyTargets: readonly TargetId[];
@@ -221,9 +223,10 @@
   const {seenRequests} = state;
   const traffic = {seenRequests, ratePerS, peakPerS, analysisMs, leftMs};
   const pulse = planPulse(traffic, serving, limits);
-  const {isSuspected} = needs;
+  const {isSuspected, isWarm} = needs;
   const circumstances = {isSuspected, leftMs};
-  const hasBegun = updatePulse(pulses, pulse, unspent, circumstances, nowMs);
+  const hasBegun =
+    isWarm && updatePulse(pulses, pulse, unspent, circumstances, nowMs);
   const even = evenShare(unspent, ratePerS, usedShare(limits), isSuspected);
   const share = unspent > 0 ? (pulses.running?.pulse.share ?? even) : 0;
   state.targets = updateTargets(state, newTargets, hasBegun, needs);
--- a/packages/policy/src/rollouts/likelihood.ts
+++ b/packages/policy/src/rollouts/likelihood.ts
@@ -25,6 +25,9 @@
 /** `known`: it was gone, or fails on other routes. `unlikely`: sound there or unloaded. */
 export type TargetFault = 'known' | 'possible' | 'unlikely';
 
+/** Logarithm of a ratio from which the rest of the targets counts as worse. */
+const CLEARLY_WORSE = Math.log(20);
+
 /** Responses of one target, and the events that the old version would have. */
 export interface TargetTally {
   readonly target: TargetId;
@@ -152,7 +155,10 @@
     const rest = sumOf([...suspects.slice(count), ...others]);
     const total = ln + lnAsOld(rest, strength);
     const targets = suspects.slice(0, count).map(({target}) => target);
-    const lnAllWorse = isBad(rest) ? lnOwn + lnOwnRate(rest) : -Infinity;
+    const lnRest = lnOwnRate(rest);
+    const isRestWorse =
+      isBad(rest) && lnRest - lnAsOld(rest, strength) > CLEARLY_WORSE;
+    const lnAllWorse = isRestWorse ? lnOwn + lnRest : -Infinity;
     if (total > best.ln) best = {ln: total, targets, lnAllWorse};
   }
   return best;
--- a/packages/replay/src/rollouts/table.ts
+++ b/packages/replay/src/rollouts/table.ts
@@ -1,7 +1,8 @@
 /**
- * Plays every kind of version over many seeds and prints the worst figures:
+ * Plays kinds of versions, all by default, over many seeds and prints the worst
+ * figures; --all prints each play as well:
  *
- *   node packages/replay/dist/rollouts/table.js [SEEDS]
+ *   node packages/replay/dist/rollouts/table.js [SEEDS [KIND...]]
  */
 import {argv, stdout} from 'node:process';
 import {
@@ -23,14 +24,17 @@
   readonly worstShare: number;
   /** Highest part of the requests that the limit allows. */
   readonly worstOfLimit: number;
+  /** Plays above the limit. */
+  readonly overLimit: number;
   readonly worstAfterMs: number;
+  readonly overTime: number;
 }
 
 function limitOf({requests}: Outcome): number {
   return LIMITS.exposeShare * requests + LIMITS.exposeSlack;
 }
 
-export function rowOf(
+function rowOf(
   outcomes: readonly Outcome[],
   durationsMs: readonly number[],
 ): Row {
@@ -47,6 +51,10 @@
     late: late.length,
     worstShare: most(({exposed, requests}) => exposed / requests),
     worstOfLimit: most(outcome => outcome.exposed / limitOf(outcome)),
+    overLimit: outcomes.filter(item => item.exposed > limitOf(item)).length,
+    overTime: outcomes.filter(
+      ({lastSentAfterMs}) => lastSentAfterMs > LIMITS.rollbackMs,
+    ).length,
     worstAfterMs: most(({lastSentAfterMs}) => lastSentAfterMs),
   };
 }
@@ -57,14 +65,9 @@
   );
   const outcomes = scenarios.map(scenario => {
     const outcome = playRollout(scenario);
-    if (argv.includes('--all')) {
-      const line = JSON.stringify({
-        outcome,
-        of: outcome.exposed / limitOf(outcome),
-        scenario,
-      });
-      stdout.write(`${line}\n`);
-    }
+    const of = outcome.exposed / limitOf(outcome);
+    if (argv.includes('--all'))
+      stdout.write(`${JSON.stringify({outcome, of, scenario})}\n`);
     return outcome;
   });
   return rowOf(
@@ -73,7 +76,7 @@
   );
 }
 
-function format(kind: Kind, {entries}: Size, row: Row, seeds: number): string {
+function format(kind: Kind, {entries}: Size, row: Row): string {
   const isBad = (BAD_KINDS as readonly Kind[]).includes(kind);
   const cells = [
     kind.replaceAll('_', ' '),
@@ -82,24 +85,34 @@
     row.late,
     isBad ? row.worstShare.toFixed(3) : '-',
     isBad ? row.worstOfLimit.toFixed(2) : '-',
+    isBad ? row.overLimit : '-',
     isBad ? Math.round(row.worstAfterMs) : '-',
+    isBad ? row.overTime : '-',
   ];
-  return `| ${cells.join(' | ')} |${seeds < DEFAULT_SEEDS ? ` ${seeds} seeds` : ''}\n`;
+  return `| ${cells.join(' | ')} |\n`;
 }
 
 function main(): void {
-  const seeds = Number(argv[2] ?? DEFAULT_SEEDS);
-  const only = argv[3];
-  stdout.write(
-    '| version | entries | completed / rolled back | after the deadline | worst share | worst part of the limit | last request after the 50th bad response, ms |\n',
-  );
-  stdout.write('| --- | --- | --- | --- | --- | --- | --- |\n');
+  const [seedsText = DEFAULT_SEEDS, ...asked] = argv
+    .slice(2)
+    .filter(arg => !arg.startsWith('--'));
+  const titles = [
+    'version',
+    'entries',
+    'completed / rolled back',
+    'after the deadline',
+    'worst share',
+    'worst part of the limit',
+    'plays over it',
+    'last request after the 50th bad response, ms',
+    'plays over 5,000 ms',
+  ];
+  stdout.write(`| ${titles.join(' | ')} |\n`);
+  stdout.write(`|${' --- |'.repeat(titles.length)}\n`);
   for (const kind of [...BAD_KINDS, ...GOOD_KINDS]) {
-    if (only && !only.startsWith('--') && only !== kind) continue;
-    for (const size of SIZES) {
-      const row = playKind(kind, size, seeds);
-      stdout.write(format(kind, size, row, seeds));
-    }
+    if (asked.length > 0 && !asked.includes(kind)) continue;
+    for (const size of SIZES)
+      stdout.write(format(kind, size, playKind(kind, size, Number(seedsText))));
   }
 }
 
