--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -49,6 +49,7 @@
 const URGENT = Math.log(100);
 /** At the end the likelier explanation wins. */
 const FINAL = Math.log(12);
+const FINAL_OVER_FAULTY = Math.log(2);
 /**
  * The same for requests under load. Few targets get those, so this is above what
  * one faulty target among them weighs.
@@ -267,11 +268,15 @@
   return undefined;
 }
 
+/**
+ * At the end faulty targets are no better an explanation than a bad version: their
+ * rarity is in their weight already.
+ */
 function isFinallyBad(weight: TestWeight, routes: number): boolean {
-  const needed = weight.horizon === 'loaded' ? FINAL_LOADED : FINAL;
-  return (
-    weight.overAllLater > needed + FINAL_CHANCES * chancesOf(weight, routes)
-  );
+  const {horizon, overAllLater, overGood} = weight;
+  const chances = FINAL_CHANCES * chancesOf(weight, routes);
+  if (horizon === 'loaded') return overAllLater > FINAL_LOADED + chances;
+  return overGood > FINAL + chances && overAllLater > FINAL_OVER_FAULTY;
 }
 
 /** The end of a rollout whose analysis is over; undefined: not yet. */
