Rollouts: spec of the analysis; no completion without responses under traffic

Cause: the new spec found that a busy version that had got nothing was completed in the last second, as few requests were left until the deadline. Change: the time after the analysis counts in full.

--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -244,10 +244,12 @@
   return [...new Set(targets)];
 }
 
-/** Whether the limit holds even if all requests until the deadline go there. */
-function isHarmless(judge: RolloutJudge, nowMs: number): boolean {
-  const {book, grants, limits, order} = judge;
-  const leftS = Math.max(0, order.deadlineMs - nowMs) / MS_PER_S;
+/**
+ * Whether the limit holds even if all requests after the analysis go there. Later on
+ * fewer are left, but those after the deadline go there too.
+ */
+function isHarmless({book, grants, limits, order}: RolloutJudge): boolean {
+  const leftS = (order.deadlineMs - analysisEndMs(order)) / MS_PER_S;
   const coming = grants.ratePerS * leftS;
   const limit = limits.exposeShare * book.seenRequests + limits.exposeSlack;
   return book.sentRequests + coming <= limit;
@@ -303,7 +305,7 @@
   if (responses >= MIN_RESPONSES)
     return {kind: 'complete', reason: {kind: 'as_good_as_old', responses}};
   const reason: RolloutReason = {kind: 'too_few_requests', responses};
-  if (isHarmless(judge, nowMs)) return {kind: 'complete', reason};
+  if (isHarmless(judge)) return {kind: 'complete', reason};
   return isLast ? {kind: 'roll_back', reason} : undefined;
 }
 
