--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -77,6 +77,8 @@
 const MAX_WARM_UP_PART = 0.3;
 /** A new leader's judge first hears what the entries know. */
 const SETTLE_MS = 500;
+/** Time for a pulse or two and their responses. */
+const LATER_ANALYSIS_MS = 2_500;
 /** Responses from which a version may be called as good as the old one. */
 const MIN_RESPONSES = 20;
 /**
@@ -90,6 +92,7 @@
   readonly order: RolloutOrder;
   readonly limits: RolloutLimits;
   readonly createdAtMs: number;
+  readonly analysisEndMs: number;
   readonly book: EvidenceBook;
   readonly analysis: Analysis;
   readonly grants: GrantState;
@@ -99,6 +102,17 @@
   end: RolloutDecision | undefined;
 }
 
+/**
+ * A new leader doesn't know which requests were sent under load, so it takes the
+ * time to see some of its own, as far as the deadline allows.
+ */
+function ownAnalysisEndMs(order: RolloutOrder, createdAtMs: number): number {
+  const isLater = createdAtMs - order.orderedAtMs > SETTLE_MS;
+  const leastMs = isLater ? createdAtMs + LATER_ANALYSIS_MS : 0;
+  const lastMs = Math.min(leastMs, lastDecisionMs(order));
+  return Math.max(analysisEndMs(order), lastMs);
+}
+
 export function createRolloutJudge(
   order: RolloutOrder,
   limits: RolloutLimits,
@@ -108,6 +122,7 @@
     order,
     limits,
     createdAtMs: nowMs,
+    analysisEndMs: ownAnalysisEndMs(order, nowMs),
     book: createEvidenceBook(nowMs),
     analysis: createAnalysis(nowMs),
     grants: createGrantState(nowMs),
@@ -364,7 +379,7 @@
   noteTimes(judge, weights, nowMs);
   const reason = findEarlyReason(judge, weights, nowMs);
   if (reason) judge.end = {kind: 'roll_back', reason};
-  else if (nowMs >= analysisEndMs(judge.order))
+  else if (nowMs >= judge.analysisEndMs)
     judge.end = findEnd(judge, situation, weights, nowMs);
   return judge.end ?? grant(judge, situation, weights, nowMs);
 }
