--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,7 +1,8 @@
 /**
  * Runs the compiled spec files and those of the scripts; arguments select those
- * whose path contains one of them. Fails if there is none, and if the outcome is
- * another than KNOWN-RED.txt lists.
+ * whose path contains one of them. Files named `*.alone.spec.ts` measure whole
+ * processes: they run one at a time, after all others. Fails if there is none,
+ * and if the outcome is another than KNOWN-RED.txt lists.
  */
 import {spawnSync} from 'node:child_process';
 import {
@@ -76,27 +77,44 @@
   );
   process.exit(1);
 }
-const folder = mkdtempSync(join(tmpdir(), 'samphirefield-test-'));
-const outcomePath = join(folder, 'outcomes.jsonl');
-const result = spawnSync(
-  process.execPath,
-  [
-    '--test',
-    '--test-force-exit',
-    `--test-concurrency=${CONCURRENCY}`,
-    '--test-reporter=spec',
-    '--test-reporter-destination=stdout',
-    `--test-reporter=${join(root, 'scripts', 'outcome-reporter.mjs')}`,
-    `--test-reporter-destination=${outcomePath}`,
-    ...specs,
-  ],
-  {cwd: root, stdio: 'inherit'},
-);
-const outcomes = readOutcomes(outcomePath);
-rmSync(folder, {recursive: true, force: true});
+
+/** Runs the files; returns the runner's status and the outcomes of the tests. */
+function run(files, concurrency) {
+  const folder = mkdtempSync(join(tmpdir(), 'samphirefield-test-'));
+  const outcomePath = join(folder, 'outcomes.jsonl');
+  const {status} = spawnSync(
+    process.execPath,
+    [
+      '--test',
+      '--test-force-exit',
+      `--test-concurrency=${concurrency}`,
+      '--test-reporter=spec',
+      '--test-reporter-destination=stdout',
+      `--test-reporter=${join(root, 'scripts', 'outcome-reporter.mjs')}`,
+      `--test-reporter-destination=${outcomePath}`,
+      ...files,
+    ],
+    {cwd: root, stdio: 'inherit'},
+  );
+  const outcomes = readOutcomes(outcomePath);
+  rmSync(folder, {recursive: true, force: true});
+  return {status, outcomes};
+}
+
+const isAlone = spec => spec.includes('.alone.spec.');
+const batches = [
+  [specs.filter(spec => !isAlone(spec)), CONCURRENCY],
+  [specs.filter(isAlone), 1],
+];
+const runs = batches
+  .filter(([files]) => files.length > 0)
+  .map(([files, concurrency]) => run(files, concurrency));
+const outcomes = runs.flatMap(result => result.outcomes);
 const listed = parseKnownRed(readFileSync(join(root, 'KNOWN-RED.txt'), 'utf8'));
 const verdict = judge(outcomes, listed, pathParts.length > 0);
 for (const line of describe(verdict)) console.log(line);
 // A runner that fails without a failed test has stopped early.
-const isRunnerSound = result.status === 0 || outcomes.some(o => !o.isPassed);
+const isRunnerSound = runs.every(
+  result => result.status === 0 || result.outcomes.some(o => !o.isPassed),
+);
 process.exit(isGreen(verdict) && isRunnerSound ? 0 : 1);
