Account of what a process holds for its clients, and blocks for bodies

Cause: each request is bounded, their sum is not. Change: a pure account by connection, kind, address and key, against limits that follow from the machine's memory and descriptors; bodies in blocks that are used again instead of buffers that grow and leave garbage outside of the heap.

--- /dev/null
+++ b/packages/core/src/account/index.ts
@@ -0,0 +1,16 @@
+export {Holder} from './holder.js';
+export {accountLimitsOf, type MachineLimits} from './machine-limits.js';
+export {
+  CONNECTION_BYTES,
+  MAX_WAIT_MS,
+  ResourceAccount,
+  SMALL_HOLDER_BYTES,
+  STALLED_AFTER_MS,
+} from './resource-account.js';
+export {
+  RESOURCE_KINDS,
+  type AccountEvents,
+  type AccountLimits,
+  type LimitedResource,
+  type ResourceKind,
+} from './types.js';
--- /dev/null
+++ b/packages/core/src/account/machine-limits.ts
@@ -0,0 +1,35 @@
+/** Works out the limits of an account from those of the machine. */
+import type {AccountLimits} from './types.js';
+
+const MB = 1_048_576;
+/** An idle process: 72 MB at an entry, 71 to 82 MB at a control daemon. */
+const IDLE_BYTES = 76 * MB;
+/**
+ * Garbage: V8's young generation grows by 24 MB under load, and buffers of
+ * received data are collected after each 8 MB.
+ */
+const UNCOLLECTED_BYTES = 32 * MB;
+/** Two bodies of the usual limit with their copies, and some connections. */
+const MIN_BYTES = 24 * MB;
+/** Descriptors of files, as the platform reserves them. */
+const FILE_DESCRIPTORS = 200;
+/** Descriptors of links, listeners, the log and the disk. */
+const OWN_DESCRIPTORS = 100;
+const MIN_CONNECTIONS = 32;
+
+export interface MachineLimits {
+  readonly memoryBytes: number;
+  readonly maxDescriptors: number;
+}
+
+export function accountLimitsOf({
+  memoryBytes,
+  maxDescriptors,
+}: MachineLimits): AccountLimits {
+  const forClients = maxDescriptors - FILE_DESCRIPTORS - OWN_DESCRIPTORS;
+  return {
+    maxBytes: Math.max(MIN_BYTES, memoryBytes - IDLE_BYTES - UNCOLLECTED_BYTES),
+    // Each connection of a caller may need another to a target.
+    maxConnections: Math.max(MIN_CONNECTIONS, Math.floor(forClients / 2)),
+  };
+}
--- /dev/null
+++ b/packages/core/src/account/types.ts
@@ -0,0 +1,34 @@
+/** What a process holds for clients, and the limits of their sum. */
+
+/**
+ * `connections`: sockets and their objects; `heads`: heads of requests;
+ * `pipelined`: bytes received ahead of the request that is handled; `unread`:
+ * bytes that the system holds for a connection that is not read; `bodies`:
+ * bodies of requests; `responses`: what callers have not read yet; `links` and
+ * `tables`: links between daemons, and the configuration with its indexes;
+ * `spare`: blocks kept for the next bodies.
+ */
+export const RESOURCE_KINDS = [
+  'connections',
+  'heads',
+  'pipelined',
+  'unread',
+  'bodies',
+  'responses',
+  'links',
+  'tables',
+  'spare',
+] as const;
+export type ResourceKind = (typeof RESOURCE_KINDS)[number];
+
+export interface AccountLimits {
+  readonly maxBytes: number;
+  readonly maxConnections: number;
+}
+
+export type LimitedResource = 'memory' | 'connections';
+
+export interface AccountEvents {
+  /** Called when a resource becomes short, and when it no longer is. */
+  readonly onPressure: (resource: LimitedResource, isShort: boolean) => void;
+}
