--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -5,11 +5,12 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {
-  RequestId,
-  ServiceId,
-  TargetId,
-  WorkspaceId,
+import {
+  leaseOf,
+  type RequestId,
+  type ServiceId,
+  type TargetId,
+  type WorkspaceId,
 } from '@samphirefield/core';
 import {traitsOf, type RequestContent} from '@samphirefield/policy/quarantine';
 import type {RunOutcome} from '../dispatch/index.js';
@@ -69,6 +70,10 @@
 const CONFIG_POLL_MS = 25;
 const DEFAULT_DEADLINE_MS = 60_000;
 const MIN_REMAINING_MS = 1;
+const NO_MEMORY: LocalResponse = {
+  kind: 'not_run',
+  reason: 'no memory for the body of the request',
+};
 
 /** One caller's request and its response. */
 export class Exchange {
@@ -137,10 +142,12 @@
     const access = findAccess(routeIndex, this.req, this.metadata.apiKey);
     if (access.isErr()) return this.refuse(access.error);
     const {route, workspace} = access.value;
+    if (workspace) leaseOf(this.req.socket).join(`key ${workspace.name}`);
     const body = await this.readBodyInTime(view.table.limits.maxBodyBytes);
     if (this.isOver) return undefined;
     if (body.isErr()) {
       if (body.error === 'too_large') this.refuse({kind: 'body_too_large'});
+      if (body.error === 'no_memory') this.refuse(NO_MEMORY);
       return undefined;
     }
     const stopRefusal = this.refuseBeforeStop(route);
--- a/packages/gateway/src/exchange/response-sink.ts
+++ b/packages/gateway/src/exchange/response-sink.ts
@@ -4,7 +4,13 @@
  * the response of another attempt can still replace a broken one.
  */
 import type {ServerResponse} from 'node:http';
-import {ByteCollector} from '@samphirefield/core';
+import {
+  BLOCK_BYTES,
+  BlockCollector,
+  bodyBlocks,
+  leaseOf,
+  type MemoryLease,
+} from '@samphirefield/core';
 import type {ResponseHead} from '../upstream/index.js';
 import {markUnframed} from './break-off.js';
 import {EventRelay, type RelayFault} from './event-relay.js';
@@ -14,11 +20,13 @@
 const BUFFER_MAX_BYTES = 1_048_576;
 /** A longer response without a stated length is taken for endless. */
 const MAX_UNSTATED_BODY_BYTES = 8_388_608;
+/** What the system holds for a target that is not read. */
+const SYSTEM_UNREAD_BYTES = 65_536;
 
 export type SinkFault = RelayFault | 'endless body';
 
 export class ResponseSink {
-  private readonly buffered = new ByteCollector();
+  private readonly buffered = new BlockCollector(bodyBlocks);
   private bodyBytes = 0;
   private isHeadSent = false;
   /**
@@ -27,6 +35,7 @@
   headSentAtMs: number | undefined;
   /** Set when the response is a stream of events. */
   readonly events: EventRelay | undefined;
+  private readonly lease: MemoryLease;
 
   constructor(
     private readonly res: ServerResponse,
@@ -35,6 +44,7 @@
     /** Called when the caller reads more slowly than the target sends. */
     public onBackpressure: () => void,
   ) {
+    this.lease = leaseOf(res.socket);
     if (isStreamed) {
       this.events = new EventRelay({write: data => this.flush(data)});
     }
@@ -63,9 +73,12 @@
 
   /** Sends the buffered data and ends the response. */
   end(): void {
-    const remainder = this.events?.takePartialEvent() ?? this.buffered.take();
-    if (!this.isHeadSent) this.sendHead(remainder.length);
-    this.res.end(remainder.length > 0 ? remainder : undefined);
+    const remainder = this.events?.takePartialEvent();
+    const remainingBytes = remainder?.length ?? this.buffered.length;
+    if (!this.isHeadSent) this.sendHead(remainingBytes);
+    if (remainder === undefined) this.writeBuffered();
+    this.res.end(remainder);
+    this.lease.set('responses', this.res.writableLength);
   }
 
   private buffer(data: Buffer): void {
@@ -73,9 +86,18 @@
       this.write(data);
       return;
     }
-    this.buffered.push(data);
-    if (this.bodyBytes <= BUFFER_MAX_BYTES) return;
-    this.flush(this.buffered.take());
+    const newBytes = this.buffered.blocksFor(data.length) * BLOCK_BYTES;
+    const mayBuffer =
+      this.bodyBytes <= BUFFER_MAX_BYTES &&
+      this.lease.tryGrow('responses', newBytes);
+    if (mayBuffer) {
+      this.buffered.push(data);
+      return;
+    }
+    // From here on the caller's speed limits the target's.
+    this.sendHead(undefined);
+    this.writeBuffered();
+    this.write(data);
   }
 
   private flush(data: Buffer): void {
@@ -83,8 +105,24 @@
     this.write(data);
   }
 
+  /** Writes the blocks as they are; they are free again once all was sent. */
+  private writeBuffered(): void {
+    const {parts, release} = this.buffered.takeBlocks();
+    if (parts.length === 0) return;
+    this.res.once('close', release);
+    this.res.cork();
+    for (const part of parts) this.res.write(part);
+    this.res.uncork();
+  }
+
   private write(data: Buffer): void {
-    if (!this.res.write(data)) this.onBackpressure();
+    if (this.res.write(data)) {
+      this.lease.set('responses', 0);
+      return;
+    }
+    const heldBytes = this.res.writableLength + SYSTEM_UNREAD_BYTES;
+    this.lease.set('responses', heldBytes);
+    this.onBackpressure();
   }
 
   private sendHead(lengthBytes: number | undefined): void {
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -5,6 +5,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {
+  ConnectionGuard,
   InstanceId,
   Logger,
   RequestId,
@@ -146,6 +147,8 @@
   /** Undefined until this process has received a first configuration. */
   readonly activeConfig: () => ActiveConfig | undefined;
   readonly nowMs: () => number;
+  /** Counts what callers hold; without one nothing is limited. */
+  readonly guard?: ConnectionGuard;
   /** Undefined unless this process was asked to stop. */
   readonly plannedStop: () => PlannedStop | undefined;
   /** A random number in [0, 1). */
--- a/packages/gateway/src/server/server.ts
+++ b/packages/gateway/src/server/server.ts
@@ -62,6 +62,7 @@
       });
     },
   );
+  deps.guard?.guard(server);
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     const isTooLong = error.code === 'HPE_HEADER_OVERFLOW';
     const status = isTooLong
--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -4,6 +4,7 @@
  * if none of its bytes can have been sent.
  */
 import type {Socket} from 'node:net';
+import {noteReceived} from '@samphirefield/core';
 import {connectTo} from './connect.js';
 import {createResponseParser, type ResponseParser} from './parser.js';
 import type {
@@ -166,6 +167,7 @@
       this.close();
       return;
     }
+    noteReceived(data.length);
     this.hasData = true;
     this.overheadBytes += data.length;
     const reason = this.parse(() => this.parser.execute(data));
