Idle connections are not closed for memory and hold at most half of it

Cause: under pressure the account would have closed idle connections, which free 16 KB each and whose callers use them again; on a machine with many descriptors and little memory idle connections alone could have held all. Change: only connections that hold more are evicted for memory; the maximum of connections follows from the memory too.

--- a/packages/core/src/account/index.ts
+++ b/packages/core/src/account/index.ts
@@ -1,13 +1,13 @@
 export {Holder} from './holder.js';
 export {accountLimitsOf, type MachineLimits} from './machine-limits.js';
 export {
-  CONNECTION_BYTES,
   MAX_WAIT_MS,
   ResourceAccount,
   SMALL_HOLDER_BYTES,
   STALLED_AFTER_MS,
 } from './resource-account.js';
 export {
+  CONNECTION_BYTES,
   RESOURCE_KINDS,
   type AccountEvents,
   type AccountLimits,
--- a/packages/core/src/account/machine-limits.ts
+++ b/packages/core/src/account/machine-limits.ts
@@ -1,5 +1,5 @@
 /** Works out the limits of an account from those of the machine. */
-import type {AccountLimits} from './types.js';
+import {CONNECTION_BYTES, type AccountLimits} from './types.js';
 
 const MB = 1_048_576;
 /** An idle process: 72 MB at an entry, 71 to 82 MB at a control daemon. */
@@ -16,6 +16,8 @@
 /** Descriptors of links, listeners, the log and the disk. */
 const OWN_DESCRIPTORS = 100;
 const MIN_CONNECTIONS = 32;
+/** Share of the memory that idle connections may hold. */
+const CONNECTIONS_SHARE = 1 / 2;
 
 export interface MachineLimits {
   readonly memoryBytes: number;
@@ -27,9 +29,11 @@
   maxDescriptors,
 }: MachineLimits): AccountLimits {
   const forClients = maxDescriptors - FILE_DESCRIPTORS - OWN_DESCRIPTORS;
-  return {
-    maxBytes: Math.max(MIN_BYTES, memoryBytes - IDLE_BYTES - UNCOLLECTED_BYTES),
-    // Each connection of a caller may need another to a target.
-    maxConnections: Math.max(MIN_CONNECTIONS, Math.floor(forClients / 2)),
-  };
+  const freeBytes = memoryBytes - IDLE_BYTES - UNCOLLECTED_BYTES;
+  const maxBytes = Math.max(MIN_BYTES, freeBytes);
+  // Each connection of a caller may need another to a target.
+  const byDescriptors = Math.max(MIN_CONNECTIONS, Math.floor(forClients / 2));
+  const idleBytes = maxBytes * CONNECTIONS_SHARE;
+  const byMemory = Math.floor(idleBytes / CONNECTION_BYTES);
+  return {maxBytes, maxConnections: Math.min(byDescriptors, byMemory)};
 }
--- a/packages/core/src/account/resource-account.spec.ts
+++ b/packages/core/src/account/resource-account.spec.ts
@@ -3,11 +3,11 @@
 import {test} from 'node:test';
 import {accountLimitsOf} from './machine-limits.js';
 import {
-  CONNECTION_BYTES,
   MAX_WAIT_MS,
   ResourceAccount,
   STALLED_AFTER_MS,
 } from './resource-account.js';
+import {CONNECTION_BYTES} from './types.js';
 
 const MB = 1_048_576;
 const LIMITS = {maxBytes: 64 * MB, maxConnections: 40};
@@ -117,6 +117,16 @@
   expect(holder.isClosed).toEqual(false);
 });
 
+// Guards against idle callers that find their connection closed.
+test('under pressure an idle connection stays open', () => {
+  const account = new ResourceAccount(LIMITS);
+  const idle = open(account, 'idle');
+  idle.onEvict = () => idle.close();
+  open(account, 'running').set('bodies', 60 * MB);
+  account.sweep(STALLED_AFTER_MS);
+  expect(idle.isClosed).toEqual(false);
+});
+
 test('an address with many connections leaves some to the others', () => {
   const account = new ResourceAccount(LIMITS);
   const opened = Array.from({length: 50}, () => account.open('crowd', 0));
@@ -173,3 +183,13 @@
     expect(2 * maxConnections + 200).toBeLessThan(maxDescriptors);
   }
 });
+
+// Guards against idle connections that leave no memory for requests.
+test('all connections together hold at most half of the memory', () => {
+  for (const megabytes of [64, 178, 310]) {
+    const memoryBytes = megabytes * MB;
+    const limits = accountLimitsOf({memoryBytes, maxDescriptors: 1e6});
+    const heldBytes = limits.maxConnections * CONNECTION_BYTES;
+    expect(heldBytes).toBeLessThanOrEqual(limits.maxBytes / 2);
+  }
+});
--- a/packages/core/src/account/resource-account.ts
+++ b/packages/core/src/account/resource-account.ts
@@ -11,6 +11,7 @@
  */
 import {Holder, type HolderAccount} from './holder.js';
 import {
+  CONNECTION_BYTES,
   RESOURCE_KINDS,
   type AccountEvents,
   type AccountLimits,
@@ -18,8 +19,6 @@
   type ResourceKind,
 } from './types.js';
 
-/** Held for a connection: objects of Node and of the system. */
-export const CONNECTION_BYTES = 16_384;
 /** A holder that stays below this is small: four heads of the usual limit. */
 export const SMALL_HOLDER_BYTES = 131_072;
 /** A client that sends anything at all sends it within this time. */
@@ -181,6 +180,8 @@
     const score = (holder: Holder) => holder.totalBytes * stalledMs(holder);
     const candidates = [...this.holders]
       .filter(holder => holder.isEvictable())
+      // Idle connections free little, and their callers will use them again.
+      .filter(holder => holder.totalBytes > CONNECTION_BYTES)
       .filter(holder => stalledMs(holder) >= STALLED_AFTER_MS)
       .sort((a, b) => score(b) - score(a));
     let remainingBytes = this.limits.maxBytes * SWEEP_SHARE;
--- a/packages/core/src/account/types.ts
+++ b/packages/core/src/account/types.ts
@@ -21,6 +21,9 @@
 ] as const;
 export type ResourceKind = (typeof RESOURCE_KINDS)[number];
 
+/** Held for a connection: objects of Node and of the system. */
+export const CONNECTION_BYTES = 16_384;
+
 export interface AccountLimits {
   readonly maxBytes: number;
   readonly maxConnections: number;
