samphirefieldd counts connections, heads and bodies of its clients

Cause: its listeners read bodies without a limit of their sum. Change: both listeners use the guard; without memory a body is refused with 503 no_memory, which has not run. Limits follow from the machine; gauges by kind.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,7 +4,13 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
-import {targetId, type Logger, type Settings} from '@samphirefield/core';
+import {
+  ConnectionGuard,
+  createClientAccount,
+  targetId,
+  type Logger,
+  type Settings,
+} from '@samphirefield/core';
 import {buildCallersApp, buildInternalApp} from './apps.js';
 import {systemClock, type Clock} from './clock/index.js';
 import type {EntryTables} from './entry/index.js';
@@ -58,18 +64,23 @@
   if (built.isErr()) return err(built.error);
   const components = built.value;
   const {callers, internal} = settings;
+  const account = createClientAccount({}, logger);
+  const guard = new ConnectionGuard(account);
+  components.metrics.addAccount(() => account.metrics());
   let servers: readonly [RunningServer, RunningServer];
   try {
     const internalServer = await startServer(
       buildInternalApp(components),
       internal.address,
       internal.port,
+      guard,
     );
     servers = [
       await startServer(
         buildCallersApp(components),
         callers.address,
         callers.port,
+        guard,
       ),
       internalServer,
     ];
@@ -82,6 +93,7 @@
   const ticker = setInterval(() => tickEntry(components), ENTRY_TICK_MS);
   const stop = async () => {
     clearInterval(ticker);
+    guard.close();
     components.heartbeat.stop();
     await components.host?.stop();
     await Promise.all(servers.map(server => server.close()));
--- a/packages/daemon/src/generations/api.ts
+++ b/packages/daemon/src/generations/api.ts
@@ -3,6 +3,7 @@
 import {
   DRAINING,
   notRun,
+  NO_MEMORY,
   readBody,
   sendError,
   type App,
@@ -97,6 +98,10 @@
   }
   const body = await call.readBody();
   if (body.isErr()) {
+    if (body.error.kind === 'no_memory') {
+      response.shouldKeepAlive = false;
+      sendError(response, NO_MEMORY);
+    }
     if (body.error.kind === 'too_large') {
       sendError(
         response,
--- a/packages/daemon/src/http/body.ts
+++ b/packages/daemon/src/http/body.ts
@@ -1,27 +1,33 @@
 /** Reads request bodies up to a maximum size. */
 import type {IncomingMessage} from 'node:http';
-import {err, ok, type Result} from 'neverthrow';
-import {ByteCollector} from '@samphirefield/core';
+import type {Result} from 'neverthrow';
+import {readBody as readReservedBody} from '@samphirefield/core';
+import {notRun, type ApiError} from './errors.js';
 
 export type BodyError =
-  {readonly kind: 'too_large'} | {readonly kind: 'cut_off'};
+  | {readonly kind: 'too_large'}
+  | {readonly kind: 'cut_off'}
+  /** The process has no memory for the body now. */
+  | {readonly kind: 'no_memory'};
+
+const KINDS = {
+  too_large: 'too_large',
+  caller_left: 'cut_off',
+  no_memory: 'no_memory',
+} as const;
+
+/** For a request whose body was not read for lack of memory. */
+export const NO_MEMORY: ApiError = notRun(
+  503,
+  'no_memory',
+  'this entry has no memory for the body now',
+  1,
+);
 
 export async function readBody(
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<Result<Buffer, BodyError>> {
-  const declaredBytes = Number(request.headers['content-length'] ?? 0);
-  if (declaredBytes > maxBytes) return err({kind: 'too_large'});
-  const body = new ByteCollector();
-  try {
-    for await (const chunk of request) {
-      const buffer = chunk as Buffer;
-      if (body.length + buffer.length > maxBytes)
-        return err({kind: 'too_large'});
-      body.push(buffer);
-    }
-  } catch {
-    return err({kind: 'cut_off'});
-  }
-  return ok(body.take());
+  const body = await readReservedBody(request, maxBytes);
+  return body.mapErr(error => ({kind: KINDS[error]}));
 }
--- a/packages/daemon/src/http/index.ts
+++ b/packages/daemon/src/http/index.ts
@@ -1,4 +1,4 @@
-export {readBody, type BodyError} from './body.js';
+export {NO_MEMORY, readBody, type BodyError} from './body.js';
 export {
   DRAINING,
   notRun,
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -3,6 +3,7 @@
 import type {Server} from 'node:http';
 import {serve, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
+import type {ConnectionGuard} from '@samphirefield/core';
 
 export type App = Hono<{Bindings: HttpBindings}>;
 
@@ -23,6 +24,7 @@
   app: App,
   address: string,
   port: number,
+  guard?: ConnectionGuard,
 ): Promise<RunningServer> {
   return new Promise((resolve, reject) => {
     const server = serve(
@@ -43,6 +45,7 @@
         resolve({address: boundAddress, port: boundPort, close});
       },
     );
+    guard?.guard(server as Server);
     server.once('error', reject);
   });
 }
--- a/packages/daemon/src/metrics/index.ts
+++ b/packages/daemon/src/metrics/index.ts
@@ -64,6 +64,13 @@
   collectDefaultMetrics({register: registry});
   return {
     registry,
+    /** Adds a gauge for each name that the function reads. */
+    addAccount: (read: () => Readonly<Record<string, number>>) => {
+      for (const name of Object.keys(read())) {
+        const help = name.replaceAll('_', ' ');
+        gauge(`samphirefield_${name}`, help, () => read()[name] ?? 0);
+      }
+    },
     requests: new Counter({
       name: 'samphirefield_requests_total',
       help: 'Requests with a response, by status',
--- a/packages/daemon/src/operators/api.ts
+++ b/packages/daemon/src/operators/api.ts
@@ -4,7 +4,7 @@
 import type {HttpBindings} from '@hono/node-server';
 import type {Clock} from '../clock/index.js';
 import type {ControlClient} from '../entry/index.js';
-import {readBody, type App} from '../http/index.js';
+import {NO_MEMORY, readBody, type App} from '../http/index.js';
 import {operatorCommandSchema} from '../rpc/index.js';
 import type {
   ConfigResponse,
@@ -79,6 +79,8 @@
 ) {
   const body = await readBody(context.env.incoming, MAX_COMMAND_BYTES);
   if (body.isErr()) {
+    if (body.error.kind === 'no_memory')
+      return context.json({kind: 'no_memory', message: NO_MEMORY.message}, 503);
     return body.error.kind === 'too_large'
       ? context.json({kind: 'invalid', message: 'the body is too large'}, 413)
       : context.json({kind: 'invalid', message: 'the body was cut off'}, 400);
--- a/packages/daemon/src/plain/api.ts
+++ b/packages/daemon/src/plain/api.ts
@@ -9,6 +9,7 @@
 import {
   DRAINING,
   notRun,
+  NO_MEMORY,
   readBody,
   sendError,
   type App,
@@ -98,6 +99,10 @@
   const body = await call.readBody();
   if (body.isErr()) {
     if (body.error.kind === 'cut_off') return;
+    if (body.error.kind === 'no_memory') {
+      response.shouldKeepAlive = false;
+      return sendError(response, NO_MEMORY);
+    }
     return sendError(
       response,
       notRun(
--- a/packages/daemon/src/rpc/server.ts
+++ b/packages/daemon/src/rpc/server.ts
@@ -7,7 +7,7 @@
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import type {Logger} from '@samphirefield/core';
 import type {z} from 'zod';
-import {readBody, type App} from '../http/index.js';
+import {NO_MEMORY, readBody, type App} from '../http/index.js';
 import {
   responseMac,
   HEADER_MAC,
@@ -53,6 +53,8 @@
     app.post('/rpc', async context => {
       const {incoming, outgoing} = context.env;
       const body = await readBody(incoming, MAX_RPC_BYTES);
+      if (body.isErr() && body.error.kind === 'no_memory')
+        return context.text(NO_MEMORY.message, 503);
       if (body.isErr()) return context.text('the body is too large', 413);
       const text = body.value.toString('utf8');
       const refusal = verifyPeer(
--- a/packages/daemon/src/targets/announce-api.ts
+++ b/packages/daemon/src/targets/announce-api.ts
@@ -8,7 +8,7 @@
 import {recordCacheEvents} from '@samphirefield/policy';
 import type {Clock} from '../clock/index.js';
 import type {EntryTables} from '../entry/index.js';
-import {readBody, type App} from '../http/index.js';
+import {NO_MEMORY, readBody, type App} from '../http/index.js';
 
 const MAX_ANNOUNCEMENT_BYTES = 1_048_576;
 const RENEW_AFTER_MS = 1_000;
@@ -34,6 +34,8 @@
     }
     const body = await readBody(context.env.incoming, MAX_ANNOUNCEMENT_BYTES);
     if (body.isErr()) {
+      if (body.error.kind === 'no_memory')
+        return context.json({error: NO_MEMORY.message}, 503);
       return body.error.kind === 'too_large'
         ? context.json({error: 'the body is too large'}, 413)
         : context.json({error: 'the body was cut off'}, 400);
