--- a/packages/gateway/src/exchange/admission.ts
+++ b/packages/gateway/src/exchange/admission.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {ServiceId, WorkspaceId} from '@samphirefield/core';
+import {leaseOf, type ServiceId, type WorkspaceId} from '@samphirefield/core';
 import {traitsOf, type RequestContent} from '@samphirefield/policy/quarantine';
 import {shortDigest} from '../quarantine/index.js';
 import {pickService, type Route} from '../routes/index.js';
@@ -25,6 +25,11 @@
 const CONFIG_WAIT_SHARE = 0.6;
 const CONFIG_POLL_MS = 25;
 
+const NO_MEMORY: LocalResponse = {
+  kind: 'not_run',
+  reason: 'no memory for the body of the request',
+};
+
 export interface AdmissionOptions {
   readonly deps: GatewayDependencies;
   readonly req: IncomingMessage;
@@ -50,10 +55,12 @@
   const access = findAccess(routeIndex, req, metadata.apiKey);
   if (access.isErr()) return refuse(access.error);
   const {route, workspace} = access.value;
+  if (workspace) leaseOf(req.socket).join(`key ${workspace.name}`);
   const body = await readBodyInTime(options, view.table.limits.maxBodyBytes);
   if (isOver()) return undefined;
   if (body.isErr()) {
     if (body.error === 'too_large') refuse({kind: 'body_too_large'});
+    if (body.error === 'no_memory') refuse(NO_MEMORY);
     return undefined;
   }
   const timeoutAtMs = options.startedAtMs + route.timeoutMs;
