A single large request may take most of a small account

Cause: with the smallest account a configuration of 4 MiB with its decoded values was over half of it, and would have been refused at an idle control daemon. Change: while all others hold under an eighth, a holder is not limited by group.

--- a/packages/core/src/account/resource-account.spec.ts
+++ b/packages/core/src/account/resource-account.spec.ts
@@ -184,6 +184,16 @@
   }
 });
 
+// Guards against a configuration that a small machine could never take.
+test('a single request may take most of the smallest account', () => {
+  const limits = accountLimitsOf({memoryBytes: 0, maxDescriptors: 1_024});
+  const account = new ResourceAccount(limits);
+  const holder = open(account);
+  // A body of 4 MiB with its copy, then its text and decoded values.
+  expect(holder.tryGrow('bodies', LARGEST)).toEqual(true);
+  expect(holder.tryGrow('bodies', 12 * MB)).toEqual(true);
+});
+
 // Guards against idle connections that leave no memory for requests.
 test('all connections together hold at most half of the memory', () => {
   for (const megabytes of [64, 178, 310]) {
--- a/packages/core/src/account/resource-account.ts
+++ b/packages/core/src/account/resource-account.ts
@@ -27,6 +27,8 @@
 export const MAX_WAIT_MS = 1_000;
 /** Share of the memory beyond which groups are limited. */
 const GROUP_LIMIT_SHARE = 1 / 2;
+/** A single holder is not limited while all others hold no more than this. */
+const QUIET_SHARE = 1 / 8;
 /** Share of the memory that only small holders may exceed. */
 const LARGE_SHARE = 7 / 8;
 /** Share at which a resource becomes short, and at which it is no longer. */
@@ -207,6 +209,8 @@
     if (holder.totalBytes + bytes <= SMALL_HOLDER_BYTES) return true;
     if (heldAfter > maxBytes * LARGE_SHARE) return false;
     if (heldAfter <= maxBytes * GROUP_LIMIT_SHARE) return true;
+    const othersBytes = this.heldBytes - holder.totalBytes;
+    if (othersBytes <= maxBytes * QUIET_SHARE) return true;
     const freeBytes = maxBytes - heldAfter;
     return holder.groups.every(
       name => this.groups.get(name)!.bytes + bytes <= freeBytes,
