Entries: ask the same daemon for a reservation again if it still leads

Cause: with admission control a demand that a leader rejected waited for another leader only. A daemon that was just elected, or that got the runs of an entry anew, rejects demands and goes on leading, so the demand was granted locally instead, beyond the engine's capacity. Change: after a pause the demand goes to the leader that is known then, for at most the same time. Tests wait longer for an election than the product.

--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -42,7 +42,10 @@
 import {EntryRollouts, type VersionObserver} from './entry-rollouts.js';
 import {EntryStatements} from './entry-statements.js';
 import {EntryTargetLoads} from './entry-target-loads.js';
-import {LeaderReservations} from './leader-reservations.js';
+import {
+  LeaderReservations,
+  NEXT_LEADER_WAIT_MS,
+} from './leader-reservations.js';
 import {LocalReservations} from './local-reservations.js';
 
 const PULL_TIMEOUT_MS = 2_000;
@@ -62,6 +65,8 @@
   readonly onTargetChange: (record: TargetRecord) => void;
   /** Whether admission control decides for engines; default: no. */
   readonly usesAdmission?: boolean;
+  /** How long a demand that waited at a lost leader waits for the next one. */
+  readonly nextLeaderWaitMs?: number;
   readonly observeVersion?: VersionObserver;
 }
 
@@ -131,6 +136,7 @@
       logger: options.logger,
       nowMs: options.nowMs,
       sendsAgain: options.usesAdmission ?? false,
+      nextLeaderWaitMs: options.nextLeaderWaitMs ?? NEXT_LEADER_WAIT_MS,
     });
     this.quarantine = new EntryQuarantine({
       leader: () => this.controls.leaderPeer,
--- a/packages/cluster/src/entry/leader-reservations.ts
+++ b/packages/cluster/src/entry/leader-reservations.ts
@@ -12,7 +12,7 @@
 /** Added to a request's maximum wait, for the round trip to the leader. */
 const RESERVATION_MARGIN_MS = 1_000;
 /** An election takes up to 0.64 s; a silent leader is noticed after 1.5 s. */
-const NEXT_LEADER_WAIT_MS = 1_500;
+export const NEXT_LEADER_WAIT_MS = 1_500;
 const LEADER_POLL_MS = 50;
 
 export interface LeaderReservationsOptions {
@@ -21,6 +21,8 @@
   readonly nowMs: () => number;
   /** Whether a demand is sent to the next leader when one is lost. */
   readonly sendsAgain: boolean;
+  /** How long a demand waits for the next leader. */
+  readonly nextLeaderWaitMs: number;
 }
 
 /** The demand after it has waited for some time. */
@@ -40,15 +42,20 @@
 
   /** Undefined if there is no leader, or none gave a result. */
   async reserve(demand: Demand): Promise<DispatchResult | undefined> {
-    const {leader, nowMs, sendsAgain} = this.options;
+    const {leader, nowMs, sendsAgain, nextLeaderWaitMs} = this.options;
     const startedAtMs = nowMs();
+    let giveUpAtMs: number | undefined;
     let peer = leader();
     while (peer !== undefined) {
-      const waitedMs = nowMs() - startedAtMs;
-      const result = await this.ask(peer, afterWait(demand, waitedMs));
+      const askedAtMs = nowMs();
+      const sent = afterWait(demand, askedAtMs - startedAtMs);
+      const result = await this.ask(peer, sent);
       if (result !== undefined || !sendsAgain) return result;
-      const untilMs = startedAtMs + demand.maxWaitMs;
-      peer = await this.nextLeader(peer, untilMs);
+      const hasWaited = nowMs() - askedAtMs > LEADER_POLL_MS;
+      if (giveUpAtMs === undefined || hasWaited)
+        giveUpAtMs = nowMs() + nextLeaderWaitMs;
+      const untilMs = Math.min(giveUpAtMs, startedAtMs + demand.maxWaitMs);
+      peer = await this.nextLeader(untilMs);
     }
     return undefined;
   }
@@ -75,17 +82,16 @@
     }
   }
 
-  /** Another leader than the lost one; undefined if none is known in time. */
-  private async nextLeader(
-    lost: Peer,
-    untilMs: number,
-  ): Promise<Peer | undefined> {
+  /**
+   * The leader after a pause; undefined if none is known in time. It may be the
+   * same one: a daemon that was just elected may be told of it by an entry first.
+   */
+  private async nextLeader(untilMs: number): Promise<Peer | undefined> {
     const {leader, nowMs} = this.options;
-    const endsAtMs = Math.min(untilMs, nowMs() + NEXT_LEADER_WAIT_MS);
-    while (nowMs() < endsAtMs) {
-      const peer = leader();
-      if (peer !== undefined && peer !== lost) return peer;
+    while (nowMs() < untilMs) {
       await delay(LEADER_POLL_MS);
+      const peer = leader();
+      if (peer !== undefined) return peer;
     }
     return undefined;
   }
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -84,6 +84,9 @@
   }
 }
 
+/** An election on a busy machine takes longer than the product waits. */
+const NEXT_LEADER_WAIT_MS = 20_000;
+
 export class TestCluster {
   readonly controls = new Map<number, ControlNode>();
   readonly entries: EntryNode[] = [];
@@ -195,6 +198,7 @@
       onRouteTable: () => undefined,
       onTargetChange: () => undefined,
       usesAdmission: this.usesAdmission,
+      nextLeaderWaitMs: NEXT_LEADER_WAIT_MS,
     });
     this.entries.push(entry);
     entry.start();
