--- a/packages/cluster/src/admission.spec.ts
+++ b/packages/cluster/src/admission.spec.ts
@@ -53,16 +53,20 @@
   // Each run takes 4,000 of 10,000 KV tokens.
   for (const name of ['r1', 'r2']) await entry.reserve(demand(name));
   const waiting = entry.reserve(demand('r3'));
-  const lost = cluster.leaderIndex()!;
   const waitsAt = (i: number) =>
-    cluster.controls.get(i)!.metrics()['places_waiting'] === 1;
-  await until('it waits at the leader', () => waitsAt(lost));
+    cluster.controls.get(i)?.metrics()['places_waiting'] === 1;
+  // On a busy machine the leader may change before.
+  let lost = -1;
+  await until('it waits at a leader', () => {
+    lost = [0, 1, 2].find(waitsAt) ?? -1;
+    return lost >= 0;
+  });
   const byPriority = cluster.controls.get(lost)!.metricsByPriority();
   expect(byPriority['places_waiting_by_priority']!.get(1)).toEqual(1);
   await cluster.stop(lost);
   await until('it waits at the next leader', () => {
     const next = cluster.leaderIndex();
-    return next !== undefined && waitsAt(next);
+    return next !== undefined && next !== lost && waitsAt(next);
   });
   entry.release(requestId('r1'), SERVICE, 'served');
   expect((await waiting).kind).toEqual('granted');
