Account: a closed connection leaves its groups once

Cause: callers whose connection closed before the response ended left the groups of their key twice. Change: removing a holder empties its list of groups.

--- a/packages/core/src/account/resource-account.spec.ts
+++ b/packages/core/src/account/resource-account.spec.ts
@@ -42,6 +42,20 @@
   expect(account.bytesOf('responses')).toEqual(0);
 });
 
+// Guards against an entry that ends because a connection closed before its response.
+test('a connection that closed leaves its groups only once', () => {
+  const account = new ResourceAccount(LIMITS);
+  const holder = open(account);
+  holder.join('key k');
+  const other = open(account);
+  other.join('key k');
+  holder.close();
+  holder.leaveGroups();
+  other.close();
+  other.leaveGroups();
+  expect(account.connectionCount).toEqual(0);
+});
+
 test('one address cannot take what another needs', () => {
   const account = new ResourceAccount(LIMITS);
   const {grantedBytes} = flood(account, 'crowd', 25);
--- a/packages/core/src/account/resource-account.ts
+++ b/packages/core/src/account/resource-account.ts
@@ -245,7 +245,8 @@
 
   private remove(holder: Holder): void {
     this.holders.delete(holder);
-    for (const name of holder.groups) this.leave(holder, name);
+    // The response of a closed connection may end later and leave groups too.
+    for (const name of holder.groups.splice(0)) this.leave(holder, name);
     this.updatePressure();
   }
 
