--- a/packages/policy/src/admission/admission.spec.ts
+++ b/packages/policy/src/admission/admission.spec.ts
@@ -25,7 +25,7 @@
 
 type Admission = ServiceAdmission<AdmissionRequest>;
 
-/** Starts what `fits` says, and returns it in order. */
+/** Starts the requests that `fits` accepts, and returns them in order. */
 function startAll(
   {queue}: Admission,
   nowMs: number,
--- a/packages/policy/src/admission/pace.ts
+++ b/packages/policy/src/admission/pace.ts
@@ -6,15 +6,16 @@
  */
 import {MS_PER_OUTPUT_TOKEN, PREFILL_TOKENS_PER_MS} from './work.js';
 
-/** Runs with a longer output say little about prefill. */
+/** Runs with a longer output or a shorter prompt tell little about prefill. */
 const MAX_OUTPUT_TOKENS = 64;
 const MIN_PROMPT_TOKENS = 500;
-/** One run is a small part of the estimate, as runs differ. */
+/** Weight of one run in the estimate; small, as runs differ. */
 const WEIGHT = 0.04;
+/** Bounds of a single sample, in tokens per millisecond. */
 const MIN_PER_MS = 2;
 const MAX_PER_MS = 30;
 
-/** A run whose time on its engine says how fast that prefills. */
+/** A run whose time on its engine tells how fast that prefills. */
 export interface PrefillSample {
   /** Prompt tokens ahead on the engine, and of the run itself. */
   readonly queuedTokens: number;
@@ -22,7 +23,7 @@
   readonly startedAtMs: number;
 }
 
-/** Undefined if the run says little. */
+/** Undefined if the run tells little about prefill. */
 export function prefillSample(
   kvTokens: number,
   prefillTokens: number,
@@ -48,7 +49,7 @@
       MIN_PER_MS,
       Math.min(MAX_PER_MS, queuedTokens / prefillMs),
     );
-    // Times average to the pace, rates do not: a stalled run counts in full.
+    // Averages times per token, not rates, so that a stalled run counts in full.
     this.tokensPerMs = 1 / ((1 - WEIGHT) / this.tokensPerMs + WEIGHT / perMs);
   }
 }
--- a/packages/policy/src/admission/queue.ts
+++ b/packages/policy/src/admission/queue.ts
@@ -2,7 +2,7 @@
  * The requests that wait for an engine of one service, in the order in which
  * they are served. Requests that can still be served in time go before overdue
  * ones, then the most urgent priority, then the earliest due time; a workspace
- * that asks for more than its part of the freed room goes behind the others.
+ * that asks for more than its part of the freed KV cache goes behind the others.
  *
  * Adding, removing and finding the next request take logarithmic time in the
  * number of requests.
@@ -13,11 +13,12 @@
 import type {AdmissionRequest, Waiting} from './types.js';
 import {longestWaitMs} from './work.js';
 
-/** A workspace is put back by at most this time. */
+/** Requests of a workspace that exceeds its part are put back by at most this. */
 const MAX_PUT_BACK_MS = 1_500;
 /**
  * Among requests of about the same due time the smaller goes first, as more of
- * them are served; 1 ms a token served the largest tenth half as often.
+ * them are served. With 1 ms a token, the largest tenth of the requests was
+ * served half as often.
  */
 const PUT_BACK_MS_PER_TOKEN = 0.2;
 const MS_PER_S = 1_000;
@@ -28,10 +29,10 @@
   readonly overdue: Line<R>;
 }
 
-/** What waits of one workspace and priority. */
+/** The waiting requests of one workspace and priority. */
 interface WorkspaceFlow {
   waiting: number;
-  /** Until when its requests use its part of the freed room. */
+  /** Until when its requests use its part of the freed KV cache. */
   usedUntilMs: number;
 }
 
@@ -74,7 +75,7 @@
       firstAskedAtMs,
       dueAtMs,
       endsAtMs: nowMs + longestWaitMs(request),
-      orderKey: this.stampOrder(request, dueAtMs, nowMs, freedPerS),
+      orderKey: this.takeOrderKey(request, dueAtMs, nowMs, freedPerS),
       isOverdue: dueAtMs < nowMs,
     };
     this.nextSequence += 1;
@@ -102,7 +103,10 @@
     return item.request;
   }
 
-  /** The requests whose wait is over while no engine is usable for them. */
+  /**
+   * The requests whose wait is over, and those that have waited for `maxWaitMs`
+   * while no engine is usable for them (`hasNone`).
+   */
   endedWithoutTarget(
     nowMs: number,
     maxWaitMs: (request: R) => number,
@@ -122,7 +126,10 @@
     for (const {request} of this.items.values()) yield request;
   }
 
-  /** The first request in time that has waited for this share of its time. */
+  /**
+   * The request in time that is due first, if it has waited for at least this
+   * share of its `inTimeMs`.
+   */
   longestHeld(share: number, nowMs: number): Waiting<R> | undefined {
     const item = this.byDue.first;
     if (item === undefined) return undefined;
@@ -130,7 +137,7 @@
     return waitedMs >= item.request.inTimeMs * share ? item : undefined;
   }
 
-  /** The requests that have waited in the overdue line for this time. */
+  /** The requests that have waited as overdue ones for at least this time. */
   overdueFor(timeMs: number, nowMs: number): R[] {
     const found: R[] = [];
     for (const {request, dueAtMs, sinceMs} of this.byOverdue) {
@@ -239,10 +246,11 @@
   }
 
   /**
-   * The due time, put back for a workspace whose earlier requests of the same
-   * priority already use its part of the freed room.
+   * Counts the request for its workspace and returns its order key: the due
+   * time, put back by the size of the request, and for a workspace whose earlier
+   * requests of the same priority already use its part of the freed KV cache.
    */
-  private stampOrder(
+  private takeOrderKey(
     request: R,
     dueAtMs: number,
     nowMs: number,
--- a/packages/policy/src/admission/rate.ts
+++ b/packages/policy/src/admission/rate.ts
@@ -1,4 +1,7 @@
-/** A rate of tokens over the last seconds, in constant time and memory. */
+/**
+ * A rate of tokens over the last 20 slots (5 s by default), in constant time and
+ * memory.
+ */
 
 const DEFAULT_SLOT_MS = 250;
 const SLOTS = 20;
@@ -16,7 +19,7 @@
     this.slots[this.current % SLOTS]! += tokens;
   }
 
-  /** Since the first record at least one second has to pass: else undefined. */
+  /** Tokens a second; undefined in the first second after the first call. */
   perS(nowMs: number): number | undefined {
     this.advance(nowMs);
     if (this.firstMs === undefined) return undefined;
--- a/packages/policy/src/admission/returns.ts
+++ b/packages/policy/src/admission/returns.ts
@@ -1,13 +1,17 @@
 /**
- * Recognizes requests that return after a refusal. Nothing in the protocol says
- * so, but the same request asks for the same work again: its workspace,
+ * Recognizes requests that return after a refusal. The protocol doesn't mark
+ * them, but the same request asks for the same work again: its workspace,
  * priority, prompt and expected output. Two requests that agree in all of these
  * are rare, and taking one for the other moves it within the order only.
  */
 import type {AdmissionRequest} from './types.js';
 
-/** Callers return within the longest deadline of the load. */
+/**
+ * How long a refusal is remembered. Callers return before their deadline, which
+ * is not longer than this in the load that admission control is designed for.
+ */
 const REMEMBERED_MS = 60_000;
+/** Bounds the memory that refusals take. */
 const MAX_REMEMBERED = 20_000;
 
 function signatureOf(request: AdmissionRequest): string {
@@ -16,7 +20,7 @@
 }
 
 export class Returns {
-  /** When refused requests asked first; the oldest refusal first. */
+  /** When refused requests arrived first; the oldest refusal comes first. */
   private readonly firstAskedAtMs = new Map<string, number>();
 
   recordRefusal(request: AdmissionRequest, firstAskedAtMs: number): void {
@@ -29,7 +33,10 @@
     }
   }
 
-  /** When the request asked first; now, if it does not return. */
+  /**
+   * When the request arrived first: `nowMs`, or earlier if it returns after a
+   * refusal, which is then forgotten.
+   */
   takeFirstAsked(request: AdmissionRequest, nowMs: number): number {
     const signature = signatureOf(request);
     const askedAtMs = this.firstAskedAtMs.get(signature);
--- a/packages/policy/src/admission/service-admission.ts
+++ b/packages/policy/src/admission/service-admission.ts
@@ -2,7 +2,7 @@
  * Admission control of one service of engines: which request starts next, which
  * one is refused at once and when its caller should return, and how much room
  * stays free for runs that have to leave their engine and for urgent requests.
- * It takes the time as a parameter and learns only from what it is told.
+ * "Room" is free KV cache. The current time and all events are passed in.
  */
 import {PrefillPace} from './pace.js';
 import {AdmissionQueue} from './queue.js';
@@ -13,8 +13,8 @@
 
 const MS_PER_S = 1_000;
 /**
- * Room for this much time of the urgent arrivals stays free, which bridges the
- * time between two ends of long runs.
+ * As much room stays free as more urgent requests ask for in this time, which
+ * bridges the time between the ends of two long runs.
  */
 const URGENT_ROOM_MS = 200;
 /**
@@ -24,14 +24,21 @@
 const OVERDUE_ROOM_SHARE = 0.25;
 /** Urgent arrivals leave at least this share of the freed room to others. */
 const LEAST_RATE_SHARE = 0.15;
-/** Overdue requests are expected to get at least this share of freed room. */
+/**
+ * Overdue requests are expected to get at least this share of the freed room;
+ * the room that they get is called slack.
+ */
 const LEAST_SLACK_SHARE = 0.05;
 /**
- * While no overdue request started for this time, those that waited as long are
- * refused. Waves of overload are shorter, so no trough is near.
+ * If no overdue request has started for this time, those that have been overdue
+ * for as long are refused. Waves of overload are shorter than this, so the load
+ * is not about to fall.
  */
 const STALLED_MS = 6_000;
-/** Waves of overload last some seconds, so slack is counted over more. */
+/**
+ * Slot of the measured slack. Waves of overload last some seconds, so slack is
+ * measured over a longer time (20 slots).
+ */
 const SLACK_SLOT_MS = 1_000;
 /**
  * Share of the shortest wait in time that an engine may still prefill when it
@@ -42,7 +49,7 @@
 
 /** The load of the engines of a service, as the dispatcher counts it. */
 export interface EngineLoad {
-  /** Free KV cache in pieces of a usual request's size. */
+  /** Free KV cache, of each engine in whole pieces of a usual request's size. */
   readonly freeTokens: number;
   readonly totalTokens: number;
   /** KV cache of the runs on engines that are leaving. */
@@ -72,12 +79,12 @@
     return this.returns.takeFirstAsked(request, nowMs);
   }
 
-  /** Room that became free for requests; negative: runs that moved took it. */
+  /** Records room that became free; negative if runs that moved took it. */
   recordFreed(kvTokens: number, nowMs: number): void {
     this.freed.record(kvTokens, nowMs);
   }
 
-  /** Room that a request took; overdue ones show how much is left for them. */
+  /** Records a started request; what overdue ones take is the slack. */
   recordStart({request, isOverdue}: Waiting<R>, nowMs: number): void {
     this.takenLate.record(isOverdue ? request.kvTokens : 0, nowMs);
     if (isOverdue) this.lastLateStartMs = nowMs;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,6 @@
 /**
- * The decisions of the system as pure functions of their arguments, which
- * include the current time. No I/O, no clock, no timers.
+ * The decisions of the system as functions of their arguments, which include
+ * their state and the current time. No I/O, no clock, no timers.
  */
 export * from './allocations/index.js';
 export * from './cache-hints/index.js';
--- a/packages/policy/src/retries/repeated-run.ts
+++ b/packages/policy/src/retries/repeated-run.ts
@@ -1,7 +1,7 @@
 /**
  * Decides whether a request that has run may run once more as far as its time
  * goes. Designed for many streams that lose their targets at once while engines
- * are few: what nobody waits for any more must not take one.
+ * are few: a request that nobody waits for any more must not occupy one.
  */
 
 /**
--- a/packages/policy/src/rollouts/analysis.ts
+++ b/packages/policy/src/rollouts/analysis.ts
@@ -1,7 +1,7 @@
 /**
  * Compares the responses of each new target on each route with what the old
  * version did at the same time, over the whole rollout and over the last seconds:
- * a version that turns bad late shows in the second before the first.
+ * a version that turns bad late shows in the last seconds first.
  */
 import type {TargetId} from '@samphirefield/core';
 import {
@@ -29,7 +29,7 @@
 
 /** Half-life of the recent responses of the new version. */
 const RECENT_HALF_LIFE_MS = 2_000;
-/** Fewer of the recent responses than this are dropped. */
+/** A decayed number of recent responses below this is set to 0. */
 const MIN_RECENT_RESPONSES = 0.05;
 /**
  * The old version's rate is not trusted beyond this many responses, since rates
@@ -38,7 +38,7 @@
 const MAX_STRENGTH: Record<Test, number> = {failures: 1_000, slowness: 200};
 /**
  * All responses, those of the last seconds, and those of requests that were sent
- * while few targets were loaded in full.
+ * to a target under load, in a pulse (pulse.ts).
  */
 const HORIZONS = ['total', 'recent', 'loaded'] as const;
 export type Horizon = (typeof HORIZONS)[number];
@@ -158,7 +158,7 @@
   }
 }
 
-/** Takes in what was reported since the last call. */
+/** Adds what was reported since the last call. */
 export function analyze(
   analysis: Analysis,
   fresh: ReadonlyMap<string, RouteCounts>,
@@ -226,11 +226,18 @@
   }
 }
 
+/**
+ * Expected rate of slow responses of a target without responses, as baseline.ts
+ * assumes it when a rollout begins.
+ */
+const ASSUMED_SLOW_RATE = 0.05;
+
 /** Counts overdue attempts as slow, with the expectation of the others. */
 function addOverdue(sums: Tallies, overdue: ReadonlyMap<TargetId, number>) {
   for (const [target, count] of overdue) {
     const sum = sums.get(target) ?? createTally();
-    const usual = sum.responses > 0 ? sum.expected / sum.responses : 0.05;
+    const usual =
+      sum.responses > 0 ? sum.expected / sum.responses : ASSUMED_SLOW_RATE;
     sum.responses += count;
     sum.events += count;
     sum.expected += count * usual;
@@ -244,7 +251,7 @@
 /** Other responses that show that a target is sound otherwise. */
 const MIN_SOUND_RESPONSES = 4;
 
-/** What other observations say of a target's fault. */
+/** What other observations tell about whether a target is faulty. */
 function faultOf(
   analysis: Analysis,
   target: TargetId,
--- a/packages/policy/src/rollouts/baseline.ts
+++ b/packages/policy/src/rollouts/baseline.ts
@@ -11,23 +11,26 @@
 const OVERDUE_FACTOR = 1.5;
 const USUAL_QUANTILE = 0.95;
 /**
- * A slow response takes longer than all but a few of the old version, but at least
- * twice the median, and at most four times, or long tails would hide slowness.
+ * A response is slow above this quantile of the old version's latencies, bounded
+ * to two to four times their median: long tails would hide slowness otherwise.
  */
 const SLOW_QUANTILE = 0.97;
 const MIN_SLOW_BUCKETS = bucketsOf(2);
 const MAX_SLOW_BUCKETS = bucketsOf(4);
 /** Responses after which a median is known well enough. */
 const MIN_MEDIAN_RESPONSES = 16;
-/** Half-life of what "now" means. */
+/** Half-life of the recent responses of the old version. */
 const NOW_HALF_LIFE_MS = 400;
-/** A disturbance of seconds is to change the rate, not what is called slow. */
+/**
+ * Half-life of the latencies that define what is slow. A disturbance of seconds
+ * is to change the rate of slow responses, not this definition.
+ */
 const LATENCY_HALF_LIFE_MS = 8_000;
 /** Weight of what is known of all routes, in responses of one route. */
 const ROUTE_WEIGHT = 30;
-/** Weight of a route's mean over time, in responses of the last second. */
+/** Weight of a route's mean over time, in recent responses. */
 const TIME_WEIGHT = 20;
-/** Events that a service is assumed to have had when the rollout begins. */
+/** Events and responses that a rollout is assumed to begin with. */
 const ASSUMED = {failures: 0.1, slowness: 0.5} as const;
 const ASSUMED_RESPONSES = 10;
 /**
@@ -84,7 +87,7 @@
   return created;
 }
 
-/** The bucket below which this part of the latencies lies. */
+/** The bucket that holds this quantile; undefined if too little is known. */
 function quantileBucket(latency: readonly number[], part: number) {
   const all = latency.reduce((sum, count) => sum + count, 0);
   if (all < MIN_MEDIAN_RESPONSES) return undefined;
@@ -112,7 +115,7 @@
     : OVERDUE_FACTOR * bucketEndMs(bucket);
 }
 
-/** The same over all routes. */
+/** The longest of these times over all routes; 0 while none is known. */
 export function usualLatencyMs(baseline: Baseline): number {
   const all = [...baseline.routes.keys()].map(
     route => overdueMs(baseline, route) ?? 0,
@@ -120,7 +123,7 @@
   return Math.max(0, ...all);
 }
 
-/** What the counts say in one test; `undefined` if it can't be told yet. */
+/** The counts as a sample of a test; undefined if it isn't known what is slow. */
 export function sampleOf(
   baseline: Baseline,
   route: string,
@@ -146,8 +149,8 @@
 }
 
 /**
- * Lets what was seen before weigh less. What is slow follows from responses before
- * the ones that are looked at next, which would hide themselves otherwise.
+ * Decays what was seen before, and computes from it what is slow. This precedes
+ * the next responses, since slow ones would raise the limit for themselves.
  */
 export function fadeBaseline({routes}: Baseline, passedMs: number): void {
   const keep = 0.5 ** (passedMs / NOW_HALF_LIFE_MS);
--- a/packages/policy/src/rollouts/evidence.ts
+++ b/packages/policy/src/rollouts/evidence.ts
@@ -1,5 +1,5 @@
 /**
- * Collects what entries report. Reports are sums that grow, so a lost or repeated
+ * Collects what entries report. Reports are cumulative sums, so a lost or repeated
  * report changes nothing; what is new in them is kept until the judge takes it.
  */
 import type {TargetId} from '@samphirefield/core';
@@ -11,8 +11,8 @@
  * granted, since requests sent could no longer be counted.
  */
 const MAX_ROWS = 35_200;
-/** Entries in contact report more often than this. */
-const LATELY_MS = 500;
+/** Entries in contact report at shorter intervals than this. */
+const CONTACT_MS = 500;
 /** Stands for the targets of rows that an entry no longer tells apart. */
 const ANY_TARGET = '' as TargetId;
 
@@ -111,12 +111,13 @@
 }
 
 /**
- * Part of what an entry reports that counts for the rate of requests: what it saw
- * while it was out of contact, or before this judge, arrived long ago.
+ * Part of the newly reported requests that counts for the rate of requests. Those
+ * that an entry saw while it was out of contact, or before this judge was created,
+ * may have arrived long ago.
  */
-function latelyPart(last: LastSeen | undefined, nowMs: number): number {
+function recentPart(last: LastSeen | undefined, nowMs: number): number {
   if (!last) return 0;
-  return Math.min(1, LATELY_MS / Math.max(1, nowMs - last.atMs));
+  return Math.min(1, CONTACT_MS / Math.max(1, nowMs - last.atMs));
 }
 
 export function addEvidence(
@@ -127,7 +128,7 @@
   const last = book.lastSeen.get(holder);
   const arrived = increase(seenRequests, last?.requests);
   book.seenRequests += arrived;
-  book.arrived += arrived * latelyPart(last, book.decidedAtMs);
+  book.arrived += arrived * recentPart(last, book.decidedAtMs);
   const requests = Math.max(seenRequests, last?.requests ?? 0);
   book.lastSeen.set(holder, {requests, atMs: book.decidedAtMs});
   for (const row of rows) addRow(book, holder, row);
--- a/packages/policy/src/rollouts/exposure.ts
+++ b/packages/policy/src/rollouts/exposure.ts
@@ -8,13 +8,13 @@
 } from './types.js';
 
 /**
- * Part of the time to the last request that a lease may take: the rest is for
- * reports, the decision and its commit.
+ * Part of `rollbackMs` that a lease may last: the rest is for reports, the
+ * decision and its commit.
  */
 const LEASE_PART = 0.3;
-/** The rest of the share is left for requests that callers count otherwise. */
+/** Granted part of `exposeShare`; callers may count some requests differently. */
 const USED_SHARE = 0.95;
-/** The rest of the slack is left for what a change of leader loses. */
+/** Granted part of `exposeSlack`; the rest is for losses in a change of leader. */
 const USED_SLACK = 0.8;
 /** The slack is granted evenly over the first half of the analysis. */
 const SLACK_PART = 0.5;
@@ -31,8 +31,12 @@
 
 /** Unspent requests of an entry that last until the next lease reaches it. */
 const MIN_UNSPENT = 2;
-/** Added to each weight, in parts of the mean: few recent requests are chance. */
+/**
+ * Added to each weight, in parts of the mean weight, since a small number of
+ * recent requests is mostly chance.
+ */
 const BASE_WEIGHT = 0.5;
+/** Keeps weights above 0 while no requests arrive. */
 const MIN_WEIGHT = 1e-3;
 
 /** How long an entry may use an allowance after it asked for it. */
--- a/packages/policy/src/rollouts/grant.ts
+++ b/packages/policy/src/rollouts/grant.ts
@@ -36,7 +36,7 @@
 const FOCUS_FACTOR = 4;
 /** The same for a route on which the version looks worse. */
 const SUSPECT_FACTOR = 20;
-/** Fewer samples of a route than this are too few. */
+/** A route with fewer responses of the new version needs more samples. */
 const MIN_ROUTE_RESPONSES = 12;
 const MAX_FOCUS_ROUTES = 3;
 const MS_PER_S = 1_000;
@@ -45,7 +45,7 @@
   lastMs: number;
   seenRequests: number;
   ratePerS: number;
-  /** The highest rate of the last seconds: entries may be out of contact. */
+  /** Decaying peak of the rate, which falls while entries are out of contact. */
   peakPerS: number;
   targets: readonly TargetId[];
   allowed: number;
@@ -76,7 +76,7 @@
   readonly loadedResponses: number;
 }
 
-/** What the analysis says that matters for the next requests. */
+/** The results of the analysis that the next grant depends on. */
 export interface GrantNeeds {
   readonly sentRequests: number;
   /** Whether the new targets and the measured rate are ready for a pulse. */
@@ -106,7 +106,7 @@
   state.lastMs = nowMs;
 }
 
-/** Pace between pulses. */
+/** Share of the requests that goes to the new version between pulses. */
 function evenShare(
   unspent: number,
   ratePerS: number,
@@ -121,7 +121,7 @@
 
 /**
  * In a pulse the targets of which least is known under load; else all, also those
- * that look faulty: if they are sound without load, it is the load.
+ * that look faulty: if they are sound without load, the load causes the faults.
  */
 function chooseTargets(
   usable: readonly TargetId[],
@@ -187,7 +187,7 @@
   return {sendShare, focusShare};
 }
 
-/** A grant that stops entries: what was granted before isn't to be used. */
+/** A grant with which entries send nothing, not even what was granted before. */
 export function emptyGrant(
   state: GrantState,
   stage: 'waiting' | 'holding',
--- a/packages/policy/src/rollouts/judge.ts
+++ b/packages/policy/src/rollouts/judge.ts
@@ -43,11 +43,11 @@
   RolloutSituation,
 } from './types.js';
 
-/** Logarithms of ratios of likelihoods. */
+/** Logarithm of the likelihood ratio that an early rollback requires. */
 const CERTAIN = Math.log(1_000);
-/** Asked of a version whose bad responses come near the 50th. */
+/** The same once the bad responses come near the 50th. */
 const URGENT = Math.log(100);
-/** At the end the likelier explanation wins. */
+/** Required at the end, over a good version and over faulty targets. */
 const FINAL = Math.log(12);
 const FINAL_OVER_FAULTY = Math.log(2);
 /**
@@ -55,19 +55,23 @@
  * one faulty target among them weighs.
  */
 const FINAL_LOADED = Math.log(100);
-/** The recent responses are others every few seconds. */
+/** Added for recent responses: new ones every few seconds are more chances. */
 const RECENT_CHANCES = Math.log(3);
-/** Part of the chances that are held against a route at the end. */
+/** Part of the addition for many tests (`chancesOf`) that applies at the end. */
 const FINAL_CHANCES = 0.5;
+/** From this ratio on the version is suspected. */
 const SUSPECTED = Math.log(5);
 /** A single bad response is reason to look at more of the same route. */
 const SUSPECTED_ROUTE = 0;
 /** Bad responses from which `rollbackMs` may soon begin to run. */
 const URGENT_BAD_RESPONSES = 45;
-/** Parts of `rollbackMs`. Slowness has to last, unlike that of a cold start. */
+/**
+ * Parts of `rollbackMs` after which `URGENT` is enough, and for which slowness has
+ * to last, unlike that of a cold start.
+ */
 const URGENT_PART = 0.3;
 const SLOW_PART = 0.25;
-/** Then it no longer waits for another target. */
+/** The part after which it no longer waits for a second worse target. */
 const LATE_PART = 0.4;
 /** Time after the first responses in which slowness isn't counted. */
 const WARM_UP_PART = 0.15;
@@ -75,9 +79,9 @@
 /** Slow responses of the warm-up arrive later by so many usual latencies. */
 const WARM_UP_LATENCIES = 1.5;
 const MAX_WARM_UP_PART = 0.3;
-/** A new leader's judge first hears what the entries know. */
+/** Time in which a new leader's judge receives the first reports of entries. */
 const SETTLE_MS = 500;
-/** Time for a pulse or two and their responses. */
+/** Analysis time of a later leader: for a pulse or two and their responses. */
 const LATER_ANALYSIS_MS = 2_500;
 /** Responses from which a version may be called as good as the old one. */
 const MIN_RESPONSES = 20;
@@ -126,7 +130,7 @@
     book: createEvidenceBook(nowMs),
     analysis: createAnalysis(nowMs),
     grants: createGrantState(nowMs),
-    // The judge of a later leader hears of responses that are long over.
+    // The first reports to a later leader are of responses long after warm-up.
     warmUntilMs: nowMs - order.orderedAtMs > SETTLE_MS ? nowMs : undefined,
     slowSinceMs: undefined,
     urgentSinceMs: undefined,
@@ -134,7 +138,7 @@
   };
 }
 
-/** Takes in what an entry reports. */
+/** Adds what an entry reports. */
 export function recordEvidence(
   judge: RolloutJudge,
   evidence: RolloutEvidence,
@@ -210,13 +214,13 @@
     judge.urgentSinceMs ??= nowMs;
 }
 
-/** One target that gets worse under load may be about to crash. */
+/** Under load two worse targets are needed: one may be about to crash. */
 function hasEnoughTargets(weight: TestWeight): boolean {
   const {horizon, versionTargets, worseTargets} = weight;
   return horizon !== 'loaded' || worseTargets >= Math.min(2, versionTargets);
 }
 
-/** What a weight has to exceed on top: many tests are more chances to err. */
+/** What is added to a required weight: many tests are more chances to err. */
 function chancesOf({horizon, route}: TestWeight, routes: number): number {
   const ofRoutes = route === undefined ? 0 : Math.log(Math.max(1, routes));
   return ofRoutes + (horizon === 'recent' ? RECENT_CHANCES : 0);
@@ -260,8 +264,9 @@
 }
 
 /**
- * Whether the limit holds even if all requests after the analysis go there. Later on
- * fewer are left, but those after the deadline go there too.
+ * Whether the limit holds even if all requests from the end of the analysis to the
+ * deadline go to the new version. At a later decision fewer of these are left, but
+ * the estimate stays, since requests after the deadline go there too.
  */
 function isHarmless({book, grants, limits, order}: RolloutJudge): boolean {
   const leftS = (order.deadlineMs - analysisEndMs(order)) / MS_PER_S;
@@ -361,8 +366,8 @@
 }
 
 /**
- * Called at a steady interval, about every 250 ms. Once it has named the end, it
- * names the same one again.
+ * Called at a steady interval, about every 250 ms. Once it has returned an end, it
+ * returns the same one again.
  */
 export function decide(
   judge: RolloutJudge,
--- a/packages/policy/src/rollouts/likelihood.ts
+++ b/packages/policy/src/rollouts/likelihood.ts
@@ -1,6 +1,6 @@
 /**
  * Compares three explanations of the responses of the new version: it is as good
- * as the old one; so is it, but a few of its targets are faulty; or the version is
+ * as the old one; it is, but a few of its targets are faulty; or the version is
  * bad on all targets. Each is weighed by the probability that it gives to what
  * was seen, with unknown rates integrated over (beta-binomial), so few responses
  * never weigh much. Results are natural logarithms of ratios.
@@ -41,7 +41,7 @@
 export interface Weight {
   /** How much more likely "bad" is than "as good as the old version". */
   readonly overGood: number;
-  /** The same without asking for a least number of events. */
+  /** The same without a least number of events. */
   readonly suspicion: number;
   /** How much more likely "bad" is than both of the others. */
   readonly overAll: number;
@@ -140,7 +140,7 @@
   let lnOwn = 0;
   const anotherPrior = isLater ? ANOTHER_LATER_PRIOR : ANOTHER_FAULTY_PRIOR;
   let ln = 0;
-  let priced = 0;
+  let withPrior = 0;
   for (let count = 1; count <= suspects.length && count <= maxFaulty; count++) {
     const last = suspects[count - 1]!;
     ln += lnOwnRate(last);
@@ -149,8 +149,8 @@
     if (isUnlikely) {
       ln += Math.log(UNLIKELY_FAULT_PRIOR);
     } else if (last.fault !== 'known') {
-      ln += Math.log(priced === 0 ? FAULTY_PRIOR : anotherPrior);
-      priced += 1;
+      ln += Math.log(withPrior === 0 ? FAULTY_PRIOR : anotherPrior);
+      withPrior += 1;
     }
     const rest = sumOf([...suspects.slice(count), ...others]);
     const total = ln + lnAsOld(rest, strength);
@@ -182,7 +182,8 @@
     explainByTargets(suspects, others, maxFaulty, strength, isLater);
   const faulty = explain(false);
   const faultyLater = explain(true);
-  // A version that turned bad is so at another rate where it was asked before.
+  // A version that turned bad late has another rate on targets that got requests
+  // before, so the best of a common rate and of separate rates counts.
   const pooled = isBad(sums) ? lnOwnRate(sums) : -Infinity;
   const bad = Math.max(pooled, faulty.lnAllWorse, faultyLater.lnAllWorse);
   const isFaulty = faulty.ln > good;
--- a/packages/policy/src/rollouts/pending.ts
+++ b/packages/policy/src/rollouts/pending.ts
@@ -7,8 +7,9 @@
 
 /** Attempts that were sent longer ago are taken together. */
 const HISTORY_MS = 15_000;
+/** No attempt is overdue before this time, however fast the old version is. */
 const MIN_OVERDUE_MS = 400;
-/** Attempts in this time before the overdue ones tell what is usual. */
+/** The usual share of overdue attempts is that of attempts sent in this time. */
 const COMPARED_MS = 5_000;
 
 interface Point {
--- a/packages/policy/src/rollouts/pulse.ts
+++ b/packages/policy/src/rollouts/pulse.ts
@@ -22,10 +22,12 @@
 const PAUSE_MS = 500;
 /** A pulse ends when less than this part of it is left unspent. */
 const PULSE_REST = 0.1;
-/** No load has built up, and is reported, at the beginning of a pulse. */
+/** Time from the start of a pulse until its load has built up and is reported. */
 const LOADING_MS = 500;
 /** Requests of a pulse are reported this long after they ended. */
 const REPORTED_MS = 400;
+/** Part of a pulse's requests that is enough to begin a hurried one. */
+const HURRIED_PART = 0.5;
 const MS_PER_S = 1_000;
 
 export interface Pulse {
@@ -56,7 +58,7 @@
   endedAtMs: number;
   /** When each target was loaded last. */
   readonly loaded: Map<TargetId, LoadedTime>;
-  /** Attempts a second that were sent to each target lately. */
+  /** Attempts a second that were sent to each target recently. */
   readonly sentPerS: Map<TargetId, number>;
   /** Fewest serving targets whose part of the load one of them has carried. */
   provenServing: number;
@@ -136,9 +138,9 @@
   }
   const isPausing = nowMs - state.endedAtMs < PAUSE_MS;
   if (state.running || isPausing) return false;
-  // A suspicion is followed up, and the rest spent, with what there is.
+  // To follow up a suspicion, or near the end, a smaller pulse is better than none.
   const isHurried = isSuspected || leftMs < 2 * pulse.lengthMs;
-  if (unspent < pulse.requests * (isHurried ? 0.5 : 1)) return false;
+  if (unspent < pulse.requests * (isHurried ? HURRIED_PART : 1)) return false;
   state.running = {pulse, sinceMs: nowMs};
   return true;
 }
--- a/packages/policy/src/rollouts/types.ts
+++ b/packages/policy/src/rollouts/types.ts
@@ -150,7 +150,7 @@
   readonly grantedRequests: number;
   /** Requests that it reported as sent; not above `grantedRequests`. */
   readonly sentRequests: number;
-  /** Requests of the service that arrived there lately: its weight. */
+  /** Requests of the service that arrived there recently: its weight. */
   readonly recentRequests: number;
   /** Whether it is in contact and can use a grant; others keep theirs. */
   readonly isInContact: boolean;
--- a/packages/policy/src/target-load/logic.ts
+++ b/packages/policy/src/target-load/logic.ts
@@ -6,11 +6,11 @@
  *
  * A statement belongs to one start of a target and loses its weight within
  * seconds. The pace is split into a steady part, learned over seconds, and a
- * short slowdown, which concerns only work that is as short. What was measured
+ * short slowdown, which hardly affects longer work. What was measured
  * replaces the stated steady part as samples accumulate, so a wrong statement is
  * corrected. All effects are bounded.
  *
- * Load: 2,100 targets; rows change some times a second each.
+ * Designed for 2,100 targets whose rows change some times a second each.
  */
 import type {ServiceId, TargetId} from '@samphirefield/core';
 import type {TargetStart} from '../quarantine/index.js';
@@ -40,7 +40,7 @@
  */
 const STEADY_RISE_MS = 6_000;
 const STEADY_FALL_MS = 1_000;
-/** Longest time for which one statement speaks. */
+/** Longest time for which one statement changes the steady pace. */
 const STATEMENT_SPAN_MS = 1_000;
 /** Weight of samples that counts as much as what a target states. */
 const STATED_WEIGHT = 6;
@@ -53,7 +53,10 @@
 /** Part of the mean load that one statement replaces. */
 const MEAN_LOAD_STEP = 0.02;
 const PCT = 100;
-/** A choice among 2,100 targets takes too long if it computes each of them. */
+/**
+ * Time for which a computed estimate is reused: a choice among 2,100 targets takes
+ * too long if it computes each of them.
+ */
 const ESTIMATE_VALID_MS = 20;
 
 export function createTargetLoads(): TargetLoadTable {
@@ -260,7 +263,7 @@
 /**
  * By how much a target is busier than the others of its service with requests
  * that the dispatcher has no record of, as a share of its slots; 0 if nothing is
- * known. A target that was not heard for a while counts as busy as the others:
+ * known. A target without a recent statement counts as busy as the others:
  * as an idle one it would get a burst from every entry.
  */
 export function excessLoadOf(
--- a/packages/policy/src/target-load/report.ts
+++ b/packages/policy/src/target-load/report.ts
@@ -3,7 +3,7 @@
  * the most important first, within a number of bytes a second. A row that does
  * not fit waits; only its newest state is sent.
  *
- * Load: 400 bytes a second an entry are about eight rows; twenty entries report
+ * Designed for 400 bytes a second an entry, about eight rows; 20 entries report
  * each change of thirty targets several times over.
  */
 import {targetId, type ServiceId, type TargetId} from '@samphirefield/core';
@@ -27,7 +27,7 @@
 const ENVELOPE_BYTES = 64;
 /** An older statement is not worth its bytes. */
 const MAX_AGE_MS = 1_000;
-/** Up to this age the steady pace is, to a leader that has no row of it. */
+/** Up to this age the steady pace is reported to a leader that has no row. */
 const MAX_STEADY_AGE_MS = 10_000;
 /** Changes that are worth a row: of the pace (as a logarithm), and of the load. */
 const MIN_PACE_CHANGE = 0.15;
@@ -36,6 +36,7 @@
 const MIN_SAMPLES = 4;
 /** A statement that changed nothing is repeated after this time. */
 const REPEAT_AFTER_MS = 1_500;
+/** Values that order the rows: of a repetition and of samples; 1: a new target. */
 const REPEAT_VALUE = 0.05;
 const SAMPLE_VALUE = 0.02;
 const MAX_SAMPLES_VALUE = 0.4;
--- a/packages/policy/src/target-load/samples.ts
+++ b/packages/policy/src/target-load/samples.ts
@@ -20,6 +20,7 @@
 
 const MAX_BASELINES = 1_024;
 const MAX_PENDING = 4_096;
+/** Samples over which a baseline is averaged at most. */
 const MAX_WEIGHT = 400;
 /** A single sample counts for at most this many times the usual. */
 const MAX_RATIO_LOG = Math.log(4);
--- a/packages/policy/src/target-load/statement.ts
+++ b/packages/policy/src/target-load/statement.ts
@@ -5,7 +5,10 @@
 const FIELDS_WITH_PACE = 4;
 /** No target of the design size has more requests, or slots. */
 const MAX_REQUESTS = 1_000_000;
-/** A machine that is ten times as fast or slower by more is a mistake. */
+/**
+ * A stated pace outside of this range, ten times as fast to 100 times as slow as
+ * usual, is taken for a mistake.
+ */
 const MIN_PACE_PCT = 10;
 const MAX_PACE_PCT = 10_000;
 
@@ -20,8 +23,8 @@
 }
 
 /**
- * `none` if the head states no load; `invalid` if it states one that cannot be
- * meant, or more than one.
+ * `none` if the head states no load; `invalid` if it states one that is malformed
+ * or out of range, or more than one.
  */
 export function readLoad(
   values: readonly LoadFields[],
--- a/packages/replay/src/reservations/compare.ts
+++ b/packages/replay/src/reservations/compare.ts
@@ -1,6 +1,7 @@
 /**
- * node packages/replay/dist/reservations/compare.js [SEEDS]: the present order
- * and admission control on the loads of pressure.ts, as a table.
+ * node packages/replay/dist/reservations/compare.js [SEED_COUNT [SCENARIO]]:
+ * compares the dispatcher without admission control (`present`) and with it on
+ * the loads of pressure.ts, as a table.
  */
 import {figuresOf} from './figures.js';
 import {playScenario} from './play.js';
--- a/packages/replay/src/reservations/draw.ts
+++ b/packages/replay/src/reservations/draw.ts
@@ -1,7 +1,7 @@
 /** Random sizes of requests, from a seeded generator. */
 import {workspaceId, type WorkspaceId} from '@samphirefield/core';
 import type {TokenCounts} from '@samphirefield/gateway';
-import type {RequestClass, Scenario} from './scenario.js';
+import type {RequestClass, Scenario, Unevenness} from './scenario.js';
 
 /** Returns a whole number from 0 to below the bound. */
 export type Below = (bound: number) => number;
@@ -62,6 +62,21 @@
   };
 }
 
+/**
+ * Accepts a drawn zone with a probability in proportion to its present demand.
+ * `zonePart`: the zone's index as a part of their number, the phase of its swing.
+ */
+export function acceptsZone(
+  {swing, swingMs}: Unevenness,
+  zonePart: number,
+  nowMs: number,
+  below: Below,
+): boolean {
+  const phase = nowMs / swingMs + zonePart;
+  const demand = 1 + swing * Math.sin(2 * Math.PI * phase);
+  return uniform(below) * (1 + swing) < demand;
+}
+
 /** The first workspace sends the most, each next one a little less. */
 export function drawWorkspace(
   {workspaces}: Scenario,
--- a/packages/replay/src/reservations/paces.ts
+++ b/packages/replay/src/reservations/paces.ts
@@ -32,7 +32,7 @@
     return pace.steady * (isSlow ? this.unevenness.slowFactor : 1);
   }
 
-  /** What the target states of it. */
+  /** The pace that the target states. */
   statedPace(id: TargetId, nowMs: number): number {
     const pace = this.paceOf(id, nowMs);
     const {statesSteadyPace} = this.unevenness;
@@ -55,8 +55,8 @@
 
   private drawSlowdown(pace: Pace): void {
     const {slowShare, slowMs} = this.unevenness;
-    const usualMs = (slowMs * (1 - slowShare)) / slowShare;
-    const gapMs = -Math.log(uniform(this.random.below)) * usualMs;
+    const meanGapMs = (slowMs * (1 - slowShare)) / slowShare;
+    const gapMs = -Math.log(uniform(this.random.below)) * meanGapMs;
     pace.slowFromMs = pace.slowToMs + gapMs;
     pace.slowToMs =
       pace.slowFromMs + slowMs * (0.5 + uniform(this.random.below));
--- a/packages/replay/src/reservations/plain-play.ts
+++ b/packages/replay/src/reservations/plain-play.ts
@@ -1,6 +1,7 @@
 /**
- * Plays plain targets of uneven speed in virtual time: each entry chooses among
- * them with a dispatcher of its own, by what it hears and measures itself.
+ * Plays targets of uneven speed that have no KV cache in virtual time: each entry
+ * chooses among them with a dispatcher of its own, by the statements that it
+ * receives and the durations that it measures itself.
  */
 import {
   instanceId,
@@ -24,10 +25,10 @@
 } from '@samphirefield/policy/target-load';
 import {createRandom} from '@samphirefield/replication/fuzz';
 import {EventQueue} from '../simulate/event-queue.js';
-import {uniform} from './draw.js';
+import {acceptsZone, uniform} from './draw.js';
 import {SERVICE} from './fleet.js';
 import {EnginePaces} from './paces.js';
-import type {Unevenness} from './scenario.js';
+import {UNEVENNESS, type Unevenness} from './scenario.js';
 
 export interface PlainScenario {
   readonly durationMs: number;
@@ -57,17 +58,7 @@
   deadlineMs: 2_000,
   hopMs: 1,
   otherZoneHopMs: 6,
-  unevenness: {
-    minPace: 0.7,
-    maxPace: 1.7,
-    slowShare: 0.15,
-    slowMs: 600,
-    slowFactor: 2.5,
-    statesSteadyPace: true,
-    swing: 0.5,
-    swingMs: 20_000,
-    usesTable: true,
-  },
+  unevenness: UNEVENNESS,
 };
 
 export interface PlainFigures {
@@ -96,7 +87,7 @@
 const DISPATCH_EVERY_MS = 100;
 const BORN_MS = 1;
 const PCT = 100;
-/** Before this time nothing is known and no request is counted. */
+/** Requests before this time are not counted, since little is known of targets. */
 const COUNTED_FROM_MS = 5_000;
 
 class PlainPlay {
@@ -236,12 +227,12 @@
   /** Entries of zones with more demand get more requests. */
   private drawEntry(): number {
     const {entries, zones, unevenness} = this.scenario;
-    const {swing, swingMs} = unevenness;
+    const {below} = this.random;
+    const {nowMs} = this.events;
     for (;;) {
-      const entry = this.random.below(entries);
-      const phase = this.events.nowMs / swingMs + (entry % zones) / zones;
-      const demand = 1 + swing * Math.sin(2 * Math.PI * phase);
-      if (uniform(this.random.below) * (1 + swing) < demand) return entry;
+      const entry = below(entries);
+      const zonePart = (entry % zones) / zones;
+      if (acceptsZone(unevenness, zonePart, nowMs, below)) return entry;
     }
   }
 
--- a/packages/replay/src/reservations/play.ts
+++ b/packages/replay/src/reservations/play.ts
@@ -19,7 +19,7 @@
 } from '@samphirefield/gateway';
 import {createRandom} from '@samphirefield/replication/fuzz';
 import {EventQueue} from '../simulate/event-queue.js';
-import {drawRequest, drawWorkspace, uniform} from './draw.js';
+import {acceptsZone, drawRequest, drawWorkspace, uniform} from './draw.js';
 import {
   COLD_REQUESTS_PER_S,
   createPlayedEngine,
@@ -36,13 +36,21 @@
 const REPORT_EVERY_MS = 100;
 /** Time for a copy of a KV cache and the change to the next engine. */
 const MOVE_MS = 90;
+/** As the gateway: the default, and the longest wait as a share of the time left. */
 const RETRY_AFTER_DEFAULT_MS = 400;
 const RETRY_AFTER_SHARE = 0.3;
 /** Attempts of one caller's request, including the first. */
 const MAX_CLIENT_ATTEMPTS = 2;
+/** Time after the last arrival in which requests end; above every deadline. */
 const DRAIN_MS = 45_000;
+/** When engines leave for the first time. */
+const FIRST_LEAVE_MS = 1_500;
+/** Time until the next attempt to move: no run is ready, or none has room. */
+const MOVE_POLL_MS = 40;
+const MOVE_RETRY_MS = 120;
 const COLD_MS = 1_000;
 const MS_PER_S = 1_000;
+/** Added to the seed for the dispatcher's choices. */
 const CHOICES_SEED = 1_000_003;
 
 type PlayedEngine = Engine<Running>;
@@ -98,7 +106,11 @@
     const {scenario, events} = this;
     for (let i = 0; i < scenario.engines; i += 1) this.addEngine(0, i);
     for (const requestClass of scenario.classes) this.arriveLater(requestClass);
-    for (let t = 1_500; t < scenario.durationMs; t += scenario.leaveEveryMs) {
+    for (
+      let t = FIRST_LEAVE_MS;
+      t < scenario.durationMs;
+      t += scenario.leaveEveryMs
+    ) {
       events.schedule(t, () => this.startLeaving());
     }
     const endMs = scenario.durationMs + DRAIN_MS;
@@ -169,7 +181,7 @@
       running => running.generated > 0 && !running.isMoving,
     );
     if (next === undefined) {
-      events.schedule(events.nowMs + 40, () => this.moveNext(engine));
+      events.schedule(events.nowMs + MOVE_POLL_MS, () => this.moveNext(engine));
       return;
     }
     next.isMoving = true;
@@ -182,7 +194,9 @@
     this.acquire(demand, result => {
       if (result.kind === 'refused') {
         next.isMoving = false;
-        events.schedule(events.nowMs + 120, () => this.moveNext(engine));
+        events.schedule(events.nowMs + MOVE_RETRY_MS, () =>
+          this.moveNext(engine),
+        );
         return;
       }
       events.schedule(events.nowMs + MOVE_MS, () => {
@@ -403,12 +417,11 @@
   private zoneOf(run: number): number {
     const {zones, unevenness} = this.scenario;
     if (unevenness === undefined) return run % zones;
-    const {swing, swingMs} = unevenness;
+    const {below} = this.random;
+    const {nowMs} = this.events;
     for (;;) {
-      const zone = this.random.below(zones);
-      const phase = this.events.nowMs / swingMs + zone / zones;
-      const demand = 1 + swing * Math.sin(2 * Math.PI * phase);
-      if (uniform(this.random.below) * (1 + swing) < demand) return zone;
+      const zone = below(zones);
+      if (acceptsZone(unevenness, zone / zones, nowMs, below)) return zone;
     }
   }
 
--- a/packages/replay/src/reservations/scenario.ts
+++ b/packages/replay/src/reservations/scenario.ts
@@ -18,6 +18,7 @@
   readonly objectiveMs: number;
   readonly deadlineMs: number;
   readonly priority: number;
+  /** Value of a response in time, and of a late one, in units of any kind. */
   readonly worth: number;
   readonly lateWorth: number;
 }
@@ -47,7 +48,7 @@
   readonly rateFactor?: (requestClass: RequestClass, atMs: number) => number;
   /** Range of notices; default: always `noticeMs`. */
   readonly noticeSpreadMs?: number;
-  /** Shortest time of a decoding step; default: that of the emulator. */
+  /** Shortest time of a decoding step; default: that of fleet.ts. */
   readonly stepBaseMs?: number;
   /** Workspaces among which requests are divided unevenly; default: none. */
   readonly workspaces?: number;
@@ -120,7 +121,7 @@
   burstToMs: 0,
 };
 
-/** Tembusu's grafting desk: fewer requests for longer answers. */
+/** A smaller fleet with fewer requests for longer outputs. */
 const TEMBUSU: Scenario = {
   ...BOTENBEURS,
   name: 'tembusu',
@@ -179,6 +180,18 @@
   },
 ];
 
+export const UNEVENNESS: Unevenness = {
+  minPace: 0.7,
+  maxPace: 1.7,
+  slowShare: 0.15,
+  slowMs: 600,
+  slowFactor: 2.5,
+  statesSteadyPace: true,
+  swing: 0.5,
+  swingMs: 20_000,
+  usesTable: true,
+};
+
 /**
  * Long generations and short ones on engines that differ in speed, before zones
  * whose demand swings out of phase.
@@ -210,15 +223,5 @@
     },
   ],
   maxGapMs: 450,
-  unevenness: {
-    minPace: 0.7,
-    maxPace: 1.7,
-    slowShare: 0.15,
-    slowMs: 600,
-    slowFactor: 2.5,
-    statesSteadyPace: true,
-    swing: 0.5,
-    swingMs: 20_000,
-    usesTable: true,
-  },
+  unevenness: UNEVENNESS,
 };
--- a/packages/replay/src/reservations/speeds.ts
+++ b/packages/replay/src/reservations/speeds.ts
@@ -24,7 +24,9 @@
 import {EnginePaces} from './paces.js';
 import type {Scenario, Unevenness} from './scenario.js';
 
+/** As in the entries of the cluster package. */
 const REPORT_BYTES_PER_S = 400;
+/** As in the gateway's pace probe. */
 const EVENTS_PER_SAMPLE = 12;
 const FIRST_EVENT_BASE_TOKENS = 500;
 const BORN_MS = 1;
@@ -77,7 +79,7 @@
     if (!this.unevenness?.usesTable) return;
     const entry = this.entries[entryOf(run.run, this.entries.length)]!;
     const isFirst = run.lastEventAtMs === undefined;
-    if (isFirst) this.hear(entry, id, state, nowMs);
+    if (isFirst) this.recordHead(entry, id, state, nowMs);
     run.events += 1;
     const isSample = run.events >= EVENTS_PER_SAMPLE;
     if (!isFirst && !isSample && run.sampledAtMs !== undefined) return;
@@ -93,7 +95,7 @@
     run.sampledAtMs = nowMs;
   }
 
-  private hear(
+  private recordHead(
     {table}: PlayedEntry,
     target: TargetId,
     state: EngineState,
--- a/packages/replay/src/rollouts/entry.ts
+++ b/packages/replay/src/rollouts/entry.ts
@@ -1,4 +1,4 @@
-/** An entry: obeys its lease of granted requests and keeps sums. */
+/** An entry: sends to the new version within its lease, and counts results. */
 import type {Random} from '@samphirefield/replication/fuzz';
 import {
   incarnation,
--- a/packages/replay/src/rollouts/leader.ts
+++ b/packages/replay/src/rollouts/leader.ts
@@ -1,4 +1,7 @@
-/** A leader's keeper as the page describes it, around the judge. */
+/**
+ * The leader of a rollout: passes reports to the judge, and divides what it grants
+ * into leases of entries.
+ */
 import type {InstanceId} from '@samphirefield/core';
 import {
   createRolloutJudge,
@@ -31,7 +34,7 @@
   reportedAtMs: number;
 }
 
-/** An entry that was silent for longer is out of contact. */
+/** An entry that has not reported for longer is out of contact. */
 const CONTACT_MS = 1_000;
 /** Weight of the newest report in what arrives at an entry. */
 const NEWEST_WEIGHT = 0.3;
@@ -51,7 +54,7 @@
     this.leaseMs = rolloutLeaseMs(limits);
   }
 
-  hear({evidence, sentToNew, allowedRequests, sentAtMs}: Report): void {
+  receive({evidence, sentToNew, allowedRequests, sentAtMs}: Report): void {
     const {entry, seenRequests} = evidence;
     const last = this.known.get(entry);
     const arrived = seenRequests - (last?.seen ?? seenRequests);
--- a/packages/replay/src/rollouts/play.ts
+++ b/packages/replay/src/rollouts/play.ts
@@ -14,7 +14,7 @@
 import {Entry} from './entry.js';
 import {Leader, type Report} from './leader.js';
 import type {Scenario} from './scenario.js';
-import {Targets, type Run} from './targets.js';
+import {BURST_MS, Targets, type Run} from './targets.js';
 
 export const LIMITS = {exposeShare: 0.1, exposeSlack: 50, rollbackMs: 5_000};
 /** The bad response from which `rollbackMs` counts. */
@@ -29,6 +29,8 @@
 const ELECTION_MS = 1_700;
 const CUT_OFF_PART = 1 / 3;
 const MS_PER_S = 1_000;
+/** Factor of the arrivals in a burst. */
+const BURST_FACTOR = 3;
 const STEPS = 1_000_000;
 
 export interface Outcome {
@@ -149,7 +151,7 @@
       sentAtMs: this.queue.nowMs,
     };
     this.after(this.random.between(...LINK_MS), () =>
-      this.leader?.hear(report),
+      this.leader?.receive(report),
     );
   }
 
@@ -188,13 +190,13 @@
     }
   }
 
-  /** Requests arrive at random times; a burst brings three times as many. */
+  /** Schedules the next request at a random time. */
   private arrive(): void {
     const {durationMs, faultAtMs, kind, ratePerS} = this.scenario;
     const {nowMs} = this.queue;
     const sinceMs = nowMs - faultAtMs;
-    const isBurst = kind === 'burst' && sinceMs >= 0 && sinceMs < 2_500;
-    const meanMs = MS_PER_S / (ratePerS * (isBurst ? 3 : 1));
+    const isBurst = kind === 'burst' && sinceMs >= 0 && sinceMs < BURST_MS;
+    const meanMs = MS_PER_S / (ratePerS * (isBurst ? BURST_FACTOR : 1));
     const uniform = (1 + this.random.below(STEPS)) / (STEPS + 1);
     this.after(-Math.log(uniform) * meanMs, () => {
       if (this.queue.nowMs <= durationMs + LIMITS.rollbackMs) this.arrive();
--- a/packages/replay/src/rollouts/scenario.ts
+++ b/packages/replay/src/rollouts/scenario.ts
@@ -5,7 +5,7 @@
  */
 import {createRandom, type Random} from '@samphirefield/replication/fuzz';
 
-/** What is wrong with the version. The first group of kinds is bad. */
+/** Faults of versions that must be rolled back. */
 export const BAD_KINDS = [
   'fails',
   'slow',
@@ -17,7 +17,7 @@
   'slow_on_route',
   'never_responds',
 ] as const;
-/** Versions, or troubles beside them, that must not be rolled back. */
+/** Sound versions, some with other faults, that must not be rolled back. */
 export const GOOD_KINDS = [
   'good',
   'as_bad_as_old',
@@ -30,7 +30,7 @@
 export type BadKind = (typeof BAD_KINDS)[number];
 export type Kind = BadKind | (typeof GOOD_KINDS)[number];
 
-/** Troubles of the daemons. */
+/** Faults of the daemons. */
 export type Trouble = 'none' | 'cut_off_entries' | 'leader_change';
 const TROUBLES: readonly Trouble[] = [
   'none',
--- a/packages/replay/src/rollouts/table.ts
+++ b/packages/replay/src/rollouts/table.ts
@@ -1,6 +1,6 @@
 /**
  * Plays kinds of versions, all by default, over many seeds and prints the worst
- * figures; --all prints each play as well:
+ * figures; --all prints each play as well. SEEDS is the number of seeds:
  *
  *   node packages/replay/dist/rollouts/table.js [SEEDS [KIND...]]
  */
@@ -22,9 +22,9 @@
   readonly rolledBack: number;
   readonly late: number;
   readonly worstShare: number;
-  /** Highest part of the requests that the limit allows. */
+  /** Highest number of exposed requests, as a part of the limit. */
   readonly worstOfLimit: number;
-  /** Plays above the limit. */
+  /** Plays with more exposed requests than the limit. */
   readonly overLimit: number;
   readonly worstAfterMs: number;
   readonly overTime: number;
--- a/packages/replay/src/rollouts/targets.ts
+++ b/packages/replay/src/rollouts/targets.ts
@@ -8,15 +8,16 @@
 const LOADED_PART = 0.6;
 /** Time over which a target's load is measured. */
 const LOAD_MS = 400;
-const BURST_MS = 2_500;
+export const BURST_MS = 2_500;
 const BURST_SLOWNESS = 2.5;
 const COLD_MS = 2_000;
 const COLD_SLOWNESS = 6;
 /** Time from a crash until the target is no longer announced, and is back. */
 const NOTICED_MS = 1_500;
 const RESTART_MS = 4_000;
+/** Time of a failure, as a part of the usual latency. */
 const FAST_FAILURE_PART = 0.3;
-/** Sum of uniform numbers with a variance of 1. */
+/** The sum of this many uniform numbers has a variance of 1. */
 const SUMMANDS = 12;
 const STEPS = 10_000;
 const MS_PER_S = 1_000;
@@ -84,8 +85,8 @@
     return this.random.pick(this.bySide[side])!.id;
   }
 
-  /** Requests a second that the target has got lately. */
-  private measureLoad(target: Target, nowMs: number): number {
+  /** Counts a request; returns how many a second the target got recently. */
+  private countLoad(target: Target, nowMs: number): number {
     const keep = Math.exp(-(nowMs - target.loadAtMs) / LOAD_MS);
     target.load = target.load * keep + 1;
     target.loadAtMs = nowMs;
@@ -94,7 +95,7 @@
 
   private isBad(target: Target, route: number, nowMs: number): boolean {
     const {kind, badShare, ratePerS, newTargets, oldTargets} = this.scenario;
-    const loadPerS = this.measureLoad(target, nowMs);
+    const loadPerS = this.countLoad(target, nowMs);
     const isHit = this.random.chance(badShare);
     if (!isHit) return false;
     if (kind.endsWith('_later')) return this.sinceFaultMs(nowMs) >= 0;
