Core, gateway and platform: clearer comments and names

Rewords comments that needed knowledge from elsewhere or used unusual terms, and corrects module headers that were out of date. The demands of a request share one function for their common fields, and the bytes that the system holds for an unread socket are one constant of the core (SYSTEM_UNREAD_BYTES), which stood twice. Behaviour is unchanged; type check, lint and format pass, and no tests were run.

--- a/packages/bench/src/dispatcher.ts
+++ b/packages/bench/src/dispatcher.ts
@@ -1,6 +1,7 @@
 /**
  * npm run bench:dispatcher: measures what an arrival, a release and a tick (at
- * the leader every 250 ms) cost the gateway's dispatcher at growing numbers of targets and waiting demands.
+ * the leader every 250 ms) cost the gateway's dispatcher at growing numbers of
+ * targets and waiting demands.
  */
 import {
   instanceId,
@@ -128,7 +129,7 @@
   };
 }
 
-// Compiles the code before it is measured.
+// Warm-up, so that compilation of the code is not measured.
 for (const usesAdmission of [false, true]) measure(...SIZES[1]!, usesAdmission);
 console.table(
   [false, true].flatMap(usesAdmission =>
--- a/packages/core/src/account/holder.ts
+++ b/packages/core/src/account/holder.ts
@@ -23,7 +23,7 @@
   isEvictable: () => boolean = () => true;
   /** Whether the connection has sent a whole request. */
   hasServed = false;
-  /** Called once when the account takes back what is held. */
+  /** Called when the account evicts this holder, to release what it holds. */
   onEvict: () => void = () => undefined;
   private readonly bytesByKind = new Map<ResourceKind, number>();
 
@@ -36,7 +36,10 @@
     return this.bytesByKind.get(kind) ?? 0;
   }
 
-  /** Reserves more bytes; returns false, and changes nothing, if there are none. */
+  /**
+   * Reserves more bytes; if too few are free, returns false and changes
+   * nothing.
+   */
   tryGrow(kind: ResourceKind, bytes: number): boolean {
     if (this.isClosed) return false;
     if (!this.account.mayGrow(this, bytes)) return false;
@@ -44,7 +47,7 @@
     return true;
   }
 
-  /** States what is held already, or held no longer; it is never refused. */
+  /** Sets how much is held of a kind; unlike `tryGrow`, it is never refused. */
   set(kind: ResourceKind, bytes: number): void {
     if (this.isClosed) return;
     const change = bytes - this.bytesOf(kind);
@@ -54,7 +57,9 @@
     this.account.change(this, kind, change);
   }
 
-  /** Counts what is held also for a group of clients, as those of one key. */
+  /**
+   * Counts what is held also for a group of clients, such as those of one key.
+   */
   join(group: string): void {
     if (!this.isClosed && !this.groups.includes(group))
       this.account.join(this, group);
--- a/packages/core/src/account/index.ts
+++ b/packages/core/src/account/index.ts
@@ -9,6 +9,7 @@
 export {
   CONNECTION_BYTES,
   RESOURCE_KINDS,
+  SYSTEM_UNREAD_BYTES,
   type AccountEvents,
   type AccountLimits,
   type LimitedResource,
--- a/packages/core/src/account/machine-limits.ts
+++ b/packages/core/src/account/machine-limits.ts
@@ -1,19 +1,21 @@
-/** Works out the limits of an account from those of the machine. */
+/** Derives the limits of an account from those of the machine. */
 import {CONNECTION_BYTES, type AccountLimits} from './types.js';
 
 const MB = 1_048_576;
-/** An idle process: 72 MB at an entry, 71 to 82 MB at a control daemon. */
+/**
+ * Measured for an idle process: 72 MB (entry), 71 to 82 MB (control daemon).
+ */
 const IDLE_BYTES = 76 * MB;
 /**
- * Garbage: V8's young generation grows by 24 MB under load, and buffers of
- * received data are collected after each 8 MB.
+ * Garbage that is not collected yet: V8's young generation grows by 24 MB under
+ * load, and buffers of received data are collected after each 8 MB.
  */
 const UNCOLLECTED_BYTES = 32 * MB;
 /** Two bodies of the usual limit with their copies, and some connections. */
 const MIN_BYTES = 24 * MB;
-/** Descriptors of files, as the platform reserves them. */
+/** Descriptors that the platform reserves for files. */
 const FILE_DESCRIPTORS = 200;
-/** Descriptors of links, listeners, the log and the disk. */
+/** Descriptors for links between daemons, listeners, the log and the disk. */
 const OWN_DESCRIPTORS = 100;
 const MIN_CONNECTIONS = 32;
 /** Share of the memory that idle connections may hold. */
--- a/packages/core/src/account/resource-account.spec.ts
+++ b/packages/core/src/account/resource-account.spec.ts
@@ -18,14 +18,14 @@
   return account.open(address, nowMs)!;
 }
 
-/** Opens clients of one address, of which each takes what it gets. */
+/** Opens clients of one address; each reserves a large body if it can. */
 function flood(account: ResourceAccount, address: string, clients: number) {
   const holders = Array.from({length: clients}, () => open(account, address));
   const granted = holders.filter(item => item.tryGrow('bodies', LARGEST));
   return {holders, grantedBytes: granted.length * LARGEST};
 }
 
-// Guards against memory that is lost, or given twice, for good.
+// Guards against memory that is never released, or released twice.
 test('what a holder releases or closes is free exactly once', () => {
   const account = new ResourceAccount(LIMITS);
   const holder = open(account);
@@ -156,7 +156,7 @@
   expect(told).toEqual(['memory true', 'memory false']);
 });
 
-// Guards against a default that an ordinary client can meet (requirement 8).
+// Guards against default limits that an ordinary client can exceed.
 test('no client inside the limits meets the default of a small machine', () => {
   const limits = accountLimitsOf({
     memoryBytes: 178 * MB,
--- a/packages/core/src/account/resource-account.ts
+++ b/packages/core/src/account/resource-account.ts
@@ -7,7 +7,8 @@
  * clients (an address, a key) gets no more than is still free, so one group
  * cannot take what the others need; beyond seven eighths only small holders
  * grow. A holder that gets nothing waits, without being read, for a bounded
- * time. Meanwhile those that hold most for longest without progress are evicted.
+ * time. Meanwhile the holders with the most bytes and the longest time without
+ * progress are evicted.
  */
 import {Holder, type HolderAccount} from './holder.js';
 import {
@@ -21,13 +22,18 @@
 
 /** A holder that stays below this is small: four heads of the usual limit. */
 export const SMALL_HOLDER_BYTES = 131_072;
-/** A client that sends anything at all sends it within this time. */
+/**
+ * A holder without progress for this long may be evicted; a client that still
+ * sends makes progress within this time.
+ */
 export const STALLED_AFTER_MS = 1_000;
 /** How long a holder waits for memory before it is refused. */
 export const MAX_WAIT_MS = 1_000;
 /** Share of the memory beyond which groups are limited. */
 const GROUP_LIMIT_SHARE = 1 / 2;
-/** A single holder is not limited while all others hold no more than this. */
+/**
+ * A holder's groups are not limited while all others hold at most this share.
+ */
 const QUIET_SHARE = 1 / 8;
 /** Share of the memory that only small holders may exceed. */
 const LARGE_SHARE = 7 / 8;
@@ -102,7 +108,7 @@
     };
   }
 
-  /** States what the process holds for itself, not for a client. */
+  /** Sets what the process holds for itself, not for a client. */
   setOwn(kind: 'links' | 'tables' | 'spare', bytes: number): void {
     this.addBytes(kind, bytes - this.bytesOf(kind));
   }
@@ -119,7 +125,7 @@
   }
 
   /**
-   * Reserves bytes as soon as there are some; `onEnd` is called once, at the
+   * Reserves bytes as soon as enough are free; `onEnd` is called once, at the
    * latest by the sweep after {@link MAX_WAIT_MS}.
    */
   reserve(
@@ -153,8 +159,10 @@
   }
 
   /**
-   * Evicts the connection that made no progress for longest, of the client with
-   * most of them; returns false if there is none.
+   * Evicts the stalled connection whose time without progress, multiplied by
+   * the number of connections of its address, is longest; connections that have
+   * not sent a whole request yet count twice. Returns false if there is none to
+   * evict.
    */
   evictConnection(nowMs: number): boolean {
     let worst: Holder | undefined;
--- a/packages/core/src/account/types.ts
+++ b/packages/core/src/account/types.ts
@@ -23,6 +23,8 @@
 
 /** Held for a connection: objects of Node and of the system. */
 export const CONNECTION_BYTES = 16_384;
+/** Received bytes that the system holds for a socket that is not read. */
+export const SYSTEM_UNREAD_BYTES = 65_536;
 
 export interface AccountLimits {
   readonly maxBytes: number;
--- a/packages/core/src/bytes/block-collector.spec.ts
+++ b/packages/core/src/bytes/block-collector.spec.ts
@@ -1,4 +1,4 @@
-/** Collecting a body in blocks that are used again. */
+/** Collecting a body in blocks that are reused. */
 import {expect} from 'earl';
 import {randomBytes} from 'node:crypto';
 import {test} from 'node:test';
--- a/packages/core/src/bytes/block-collector.ts
+++ b/packages/core/src/bytes/block-collector.ts
@@ -1,5 +1,5 @@
 /**
- * Collects a body in blocks of a fixed size that are used again. A buffer that
+ * Collects a body in blocks of a fixed size that are reused. A buffer that
  * grows leaves garbage outside of the heap, which stays until V8 collects it;
  * blocks of bodies that are refused or cut off are free at once.
  */
@@ -22,7 +22,7 @@
     this.free.push(...blocks);
   }
 
-  /** Leaves some free blocks to the garbage collector. */
+  /** Drops up to this many free blocks, so that V8 can collect them. */
   trim(blocks: number): void {
     this.free.splice(0, blocks);
   }
@@ -38,7 +38,7 @@
     return this.used;
   }
 
-  /** How many blocks more are needed to add so many bytes. */
+  /** How many further blocks are needed to add this number of bytes. */
   blocksFor(bytes: number): number {
     const needed = Math.ceil((this.used + bytes) / BLOCK_BYTES);
     return Math.max(0, needed - this.blocks.length);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,7 +1,7 @@
 /**
  * The foundation of the other packages: ids, settings, rules, logging, bytes, how
  * servers begin to listen, and what they hold for clients. It imports no feature
- * package; its only other I/O is reading settings.
+ * package; its only other I/O is reading settings and the limits of the machine.
  */
 export * from './account/index.js';
 export * from './bytes/index.js';
--- a/packages/core/src/serving/client-account.ts
+++ b/packages/core/src/serving/client-account.ts
@@ -7,7 +7,7 @@
 import type {Logger} from '../logging/index.js';
 import {readMachineLimits} from './machine.js';
 
-/** Limits that `known` does not state are those that the system states. */
+/** Limits that `known` does not contain are read from the system. */
 export function createClientAccount(
   known: Partial<MachineLimits>,
   logger: Logger,
--- a/packages/core/src/serving/connection-guard.ts
+++ b/packages/core/src/serving/connection-guard.ts
@@ -4,7 +4,11 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Holder, ResourceAccount} from '../account/index.js';
+import {
+  SYSTEM_UNREAD_BYTES,
+  type Holder,
+  type ResourceAccount,
+} from '../account/index.js';
 import {setLease} from './lease.js';
 import {PacedReader} from './paced-reader.js';
 import {bodyBlocks} from './read-body.js';
@@ -18,9 +22,10 @@
  * 600 heads of 3,950 lines in 16 KB took 131 KB each.
  */
 const HEAD_FACTOR = 8;
-/** Received bytes that the system holds for a connection that is not read. */
-const SYSTEM_UNREAD_BYTES = 65_536;
-/** Fewer bytes are no progress: a sender of single bytes holds its memory. */
+/**
+ * Fewer bytes are no progress; otherwise a client could hold memory by sending
+ * single bytes.
+ */
 const MIN_PROGRESS_BYTES = 1_024;
 
 interface OpenRequest {
@@ -79,7 +84,9 @@
     });
   }
 
-  /** One request at a time; its body is read, what follows it is not. */
+  /**
+   * Handles one request at a time: reads its body, but nothing that follows it.
+   */
   private mayPass(): boolean {
     if (this.open.size === 0) return true;
     const [first] = this.open;
--- a/packages/core/src/serving/lease.ts
+++ b/packages/core/src/serving/lease.ts
@@ -1,18 +1,20 @@
-/** Finds what a socket holds of the process's account. */
+/**
+ * Gives the handlers of a socket's requests access to the process's account.
+ */
 import type {Socket} from 'node:net';
 import type {ResourceKind} from '../account/index.js';
 
 /** A connection's access to the account. */
 export interface MemoryLease {
-  /** Reserves more bytes at once; returns false if there are none. */
+  /** Reserves more bytes at once; returns false if too few are free. */
   tryGrow(kind: ResourceKind, bytes: number): boolean;
-  /** Reserves bytes as soon as there are some; calls `onEnd` once. */
+  /** Reserves bytes as soon as enough are free; calls `onEnd` once. */
   reserve(
     kind: ResourceKind,
     bytes: number,
     onEnd: (isGranted: boolean) => void,
   ): void;
-  /** States what is held already, or no longer. */
+  /** Sets how much is held of a kind; it is never refused. */
   set(kind: ResourceKind, bytes: number): void;
   /** Counts what is held also for this group of clients. */
   join(group: string): void;
--- a/packages/core/src/serving/read-body.ts
+++ b/packages/core/src/serving/read-body.ts
@@ -9,7 +9,10 @@
 
 export type BodyError = 'too_large' | 'caller_left' | 'no_memory';
 
-/** A body is copied once, into one buffer or into the request to a target. */
+/**
+ * Reserved bytes for each byte of a block: a body is copied once, into one
+ * buffer or into the request to a target.
+ */
 const COPIES = 2;
 
 export const bodyBlocks = new BlockPool();
--- a/packages/core/src/serving/serving.spec.ts
+++ b/packages/core/src/serving/serving.spec.ts
@@ -105,7 +105,7 @@
   expect(account.totalBytes).toEqual(account.bytesOf('spare'));
 });
 
-// Guards against a flood that leaves something behind.
+// Guards against connections that stay counted after a flood.
 test('connections beyond the maximum are closed, and later ones accepted', async t => {
   const {account, open, dial} = await setUp(t);
   const sockets = Array.from({length: 30}, () => dial().socket);
@@ -128,7 +128,7 @@
   expect(account.totalBytes).toEqual(0);
 });
 
-// Guards against one connection that takes the loop from all others.
+// Guards against one connection that blocks the event loop for all others.
 test('each turn of the loop gives a bounded time to each connection', () => {
   let nowMs = 0;
   const turns: Array<() => void> = [];
--- a/packages/core/src/serving/turn-scheduler.ts
+++ b/packages/core/src/serving/turn-scheduler.ts
@@ -1,7 +1,8 @@
 /**
  * Divides the event loop among connections that have received more than they
  * may handle at once: in each turn of the loop they get a bounded time together,
- * one after the other, so that timers, links and other callers get theirs.
+ * one after the other, so that they do not delay timers, links between daemons
+ * and other callers.
  */
 
 /** Time of one turn of the loop for reading all connections. */
@@ -68,7 +69,7 @@
   private runTurn(): void {
     this.isTurnPlanned = false;
     this.usedMs = 0;
-    // Those that are left come first in the next turn.
+    // Takers that get no share in this turn come first in the next.
     for (const taker of [...this.waiting]) {
       if (this.usedMs >= MAX_TURN_MS) break;
       if (!this.waiting.delete(taker)) continue;
--- a/packages/daemon/src/metrics/index.ts
+++ b/packages/daemon/src/metrics/index.ts
@@ -64,7 +64,7 @@
   collectDefaultMetrics({register: registry});
   return {
     registry,
-    /** Adds a gauge for each name that the function reads. */
+    /** Adds a gauge for each name in the function's result. */
     addAccount: (read: () => Readonly<Record<string, number>>) => {
       for (const name of Object.keys(read())) {
         const help = name.replaceAll('_', ' ');
--- a/packages/fakes/src/engine-server.ts
+++ b/packages/fakes/src/engine-server.ts
@@ -53,8 +53,8 @@
   readonly loadLagMs?: number;
   readonly tokenBytes?: number;
   /**
-   * How long work takes now, in per cent of the usual; it is stated in responses
-   * if set.
+   * Duration of work as a percentage of the usual; if set, responses state it
+   * in their load header.
    */
   readonly pacePct?: () => number;
 }
@@ -266,7 +266,7 @@
     if (this.faults.isHung) return;
     const url = new URL(request.url ?? '/', 'http://fake');
     response.setHeader('x-samphirefield-incarnation', this.incarnation);
-    this.stateLoad(response);
+    this.writeLoadHeader(response);
     const generation = /^\/v1\/generations\/([^/]+)$/.exec(url.pathname)?.[1];
     if (generation !== undefined) {
       this.handleGeneration(
@@ -296,7 +296,7 @@
     response.end('{}');
   }
 
-  private stateLoad(response: ServerResponse): void {
+  private writeLoadHeader(response: ServerResponse): void {
     const pacePct = this.options.pacePct?.();
     if (pacePct === undefined) return;
     const {running, waiting, config} = this.engine;
--- a/packages/gateway/src/exchange/body.ts
+++ b/packages/gateway/src/exchange/body.ts
@@ -1,2 +1,2 @@
-/** Reads a request's body up to a limit. */
+/** The core's reader of request bodies, which counts them in the account. */
 export {readBody, type BodyError} from '@samphirefield/core';
--- a/packages/gateway/src/exchange/event-relay.ts
+++ b/packages/gateway/src/exchange/event-relay.ts
@@ -87,12 +87,12 @@
     return partialBytes > MAX_EVENT_BYTES ? 'endless event' : undefined;
   }
 
-  /** Whether bytes of an event were received that is not complete. */
+  /** Whether bytes follow the last complete event. */
   get hasPartialEvent(): boolean {
     return this.partial !== undefined;
   }
 
-  /** The same, except for empty lines. */
+  /** Whether more than line breaks follows the last complete event. */
   get hasCutEvent(): boolean {
     return /[^\r\n]/.test(this.partial?.toString('latin1') ?? '');
   }
--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -1,7 +1,7 @@
 /**
  * Handles one request from its head to its end: admits it, reserves a
  * target and sends the request to it, and retries on another target if its route
- * allows it.
+ * allows it. A resumable stream may run again after it has started.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RunOutcome} from '../dispatch/index.js';
@@ -37,7 +37,7 @@
   type RequestRecord,
 } from './request-record.js';
 import {startRun} from './start-run.js';
-import {type AttemptResult, type TargetAttempt} from './target-attempt.js';
+import type {AttemptResult, TargetAttempt} from './target-attempt.js';
 import {TargetPlacer} from './target-placer.js';
 import type {
   GatewayDependencies,
--- a/packages/gateway/src/exchange/local-response.ts
+++ b/packages/gateway/src/exchange/local-response.ts
@@ -35,7 +35,7 @@
   return STATUS[response.kind];
 }
 
-/** The response to a request that may have run, where it was to be "not run". */
+/** Replaces "not run" by "outcome unknown", for a request that may have run. */
 export function afterRun(response: LocalResponse): LocalResponse {
   if (response.kind !== 'not_run') return response;
   return {kind: 'outcome_unknown', reason: response.reason};
--- a/packages/gateway/src/exchange/pace-probe.ts
+++ b/packages/gateway/src/exchange/pace-probe.ts
@@ -5,12 +5,14 @@
  */
 import type {DurationSample} from '@samphirefield/policy/target-load';
 
-/** Events whose mean gap is one sample. */
+/** Number of event gaps whose mean is one sample. */
 const EVENTS_PER_SAMPLE = 12;
 /** Work before the first event that does not depend on the prompt, in tokens. */
 const FIRST_EVENT_BASE_TOKENS = 500;
 
-/** What is measured; the time is that of `performance.now`. */
+/**
+ * Receives the progress of a response; times are those of `performance.now`.
+ */
 export interface PaceProbe {
   /** The body made progress; with the number of events of a stream so far. */
   onProgress(eventCount: number | undefined, nowMs: number): void;
@@ -43,6 +45,7 @@
 
   const recordFirst = (nowMs: number) => {
     if (isContinued || isPaused) return;
+    // Per token, so that prompts of any length compare.
     const durationMs =
       (nowMs - sentAtMs) / (promptTokens + FIRST_EVENT_BASE_TOKENS);
     record({kind: 'first_event', durationMs});
--- a/packages/gateway/src/exchange/reservation.ts
+++ b/packages/gateway/src/exchange/reservation.ts
@@ -6,6 +6,7 @@
   type ServiceId,
   type TargetId,
   type WorkspaceId,
+  type ZoneId,
 } from '@samphirefield/core';
 import {
   moveDemand,
@@ -82,6 +83,26 @@
   readonly lastEventId: number;
 }
 
+/** The fields that the demands of one request have in common. */
+function requesterOf(
+  {instance: entry}: GatewayDependencies,
+  {route, service, priority, workspace}: AdmittedRequest,
+  run: RequestId,
+  excluded: readonly TargetId[],
+  zone: ZoneId,
+) {
+  return {
+    request: run,
+    service,
+    entry,
+    zone,
+    priority,
+    workspace,
+    excluded,
+    route: route.name,
+  };
+}
+
 /** Builds the demand for a target on which a request starts or resumes. */
 export function buildStartDemand(
   deps: GatewayDependencies,
@@ -92,26 +113,16 @@
   remainingMs: number,
   {hasStarted, lastEventId}: StreamProgress,
 ): Demand {
-  const {instance: entry, zone} = deps;
-  const {service, priority, workspace} = admitted;
   const demand = startDemand(
-    {
-      request: run,
-      service,
-      entry,
-      zone,
-      priority,
-      workspace,
-      excluded,
-      route: admitted.route.name,
-    },
+    requesterOf(deps, admitted, run, excluded, deps.zone),
     metadata,
     admitted.route.objectiveMs,
     remainingMs,
   );
   if (lastEventId === 0 && !hasStarted) return demand;
   const {routeIndex} = deps.activeConfig() ?? {};
-  const {tokensPerEvent = 0} = routeIndex?.findService(service)?.engine ?? {};
+  const service = routeIndex?.findService(admitted.service);
+  const {tokensPerEvent = 0} = service?.engine ?? {};
   const sentTokens = lastEventId * tokensPerEvent;
   return resumeDemand(demand, metadata, sentTokens, hasStarted);
 }
@@ -131,19 +142,8 @@
   const [source] = excluded;
   const record = source && deps.reservations.findTarget(source);
   const zone = record ? record.announcement.zone : deps.zone;
-  const {service, priority, workspace} = admitted;
-  const entry = deps.instance;
   return moveDemand(
-    {
-      request: run,
-      service,
-      entry,
-      zone,
-      priority,
-      workspace,
-      excluded,
-      route: admitted.route.name,
-    },
+    requesterOf(deps, admitted, run, excluded, zone),
     metadata,
     ranForMs,
   );
--- a/packages/gateway/src/exchange/response-sink.ts
+++ b/packages/gateway/src/exchange/response-sink.ts
@@ -9,6 +9,7 @@
   BlockCollector,
   bodyBlocks,
   leaseOf,
+  SYSTEM_UNREAD_BYTES,
   type MemoryLease,
 } from '@samphirefield/core';
 import type {ResponseHead} from '../upstream/index.js';
@@ -20,8 +21,6 @@
 const BUFFER_MAX_BYTES = 1_048_576;
 /** A longer response without a stated length is taken for endless. */
 const MAX_UNSTATED_BODY_BYTES = 8_388_608;
-/** What the system holds for a target that is not read. */
-const SYSTEM_UNREAD_BYTES = 65_536;
 
 export type SinkFault = RelayFault | 'endless body';
 
@@ -125,6 +124,8 @@
       this.lease.set('responses', 0);
       return;
     }
+    // The target is not read until the caller has read this, so the system
+    // holds what the target sends.
     const heldBytes = this.res.writableLength + SYSTEM_UNREAD_BYTES;
     this.lease.set('responses', heldBytes);
     this.onBackpressure();
--- a/packages/gateway/src/exchange/run-allowance.ts
+++ b/packages/gateway/src/exchange/run-allowance.ts
@@ -1,6 +1,6 @@
 /**
- * Counts the runs of one request, and decides whether it may run once more as
- * far as its route, its stream and its time go.
+ * Counts the runs of one request, and decides from its route, its stream and
+ * its remaining time whether it may run once more.
  */
 import {canRunInTime} from '@samphirefield/policy/retries';
 import type {Route} from '../routes/index.js';
@@ -13,7 +13,10 @@
   RequestMetadata,
 } from './types.js';
 
-/** Attempts of one request, including those that a target rejected. */
+/**
+ * Attempts of one request, including those that a target rejected; a resumable
+ * stream counts anew after each run with an event.
+ */
 const MAX_ATTEMPTS = 4;
 
 export class RunAllowance {
@@ -23,7 +26,7 @@
   runCount = 0;
   /** Whether a resumable stream may have run. */
   hasStreamRun = false;
-  /** Time in which its fastest run had its first event. */
+  /** The shortest time to the first event among its runs. */
   private firstEventMs: number | undefined;
 
   constructor(
--- a/packages/gateway/src/exchange/run-observer.ts
+++ b/packages/gateway/src/exchange/run-observer.ts
@@ -1,20 +1,20 @@
 /**
- * Observes what becomes of the attempts of requests, by the version of their
- * target. A rollout compares versions by it.
+ * Observes how the attempts of requests end, so that a rollout can compare the
+ * versions of their targets.
  */
 import type {ServiceId, TargetId} from '@samphirefield/core';
 import type {Classification} from './classify-result.js';
 import type {AttemptResult} from './target-attempt.js';
 
 /**
- * How an attempt ended. `void`: it tells nothing of the target, which did not
- * run the request, or whose response the caller did not wait for.
+ * How an attempt ended. `void`: the end is no evidence about the target, since
+ * it did not run the request or the caller did not wait for the response.
  */
 export type ObservedEnd = 'sound' | 'bad' | 'void';
 
 /** One attempt that was sent to a target. */
 export interface ObservedRun {
-  /** The body, or the first event, of a sound response began. */
+  /** The body, or the first event, of a response that may be sound began. */
   noteAnswer(latencyMs: number): void;
   /** The run continues on another target. */
   noteMove(target: TargetId): void;
--- a/packages/gateway/src/exchange/start-run.ts
+++ b/packages/gateway/src/exchange/start-run.ts
@@ -11,6 +11,7 @@
 import {startTargetAttempt, type TargetAttempt} from './target-attempt.js';
 import type {GatewayDependencies, RequestMetadata} from './types.js';
 
+/** The remaining time sent to a target is never less, so it is positive. */
 const MIN_REMAINING_MS = 1;
 
 export interface RunRequest {
--- a/packages/gateway/src/exchange/stream-replacement.ts
+++ b/packages/gateway/src/exchange/stream-replacement.ts
@@ -8,9 +8,9 @@
 import type {TargetAttempt} from './target-attempt.js';
 
 /**
- * How long a stream goes on at a target that leaves; short ones end in it. The
- * shortest notice of targets is 1,500 ms, of which the announcement and the
- * reservation of the next target take a part.
+ * How long a stream continues on a target that leaves, so that short streams
+ * can end there. The shortest notice of targets is 1,500 ms, of which the
+ * announcement and the reservation of the next target take a part.
  */
 const LEAVING_GRACE_MS = 600;
 
--- a/packages/gateway/src/exchange/stream-watch.ts
+++ b/packages/gateway/src/exchange/stream-watch.ts
@@ -25,9 +25,11 @@
   readonly eventGapMs: number;
   /** Called once when the target drains. */
   readonly onLeaving: () => void;
-  /** Called again and again while no event comes. */
+  /** Called at each check while the stream is silent. */
   readonly onSilent: () => void;
-  /** The same after a longer silence that the caller did not cause. */
+  /**
+   * Called at each check after a longer silence that the caller did not cause.
+   */
   readonly onStalled: () => void;
 }
 
--- a/packages/gateway/src/exchange/target-placer.ts
+++ b/packages/gateway/src/exchange/target-placer.ts
@@ -16,7 +16,10 @@
   RequestMetadata,
 } from './types.js';
 
-/** Time in which a change of a rollout reaches an entry. */
+/**
+ * Delay before a new demand; a change of a rollout reaches an entry in this
+ * time.
+ */
 const VERSION_RETRY_MS = 25;
 
 /** A reserved target, and the run that holds the reservation. */
@@ -58,8 +61,8 @@
   }
 
   /**
-   * Asks again for a target that must not be used any more since it was
-   * reserved; that costs the caller no attempt.
+   * Reserves a target. If it may not be used any more once it is reserved,
+   * releases it and reserves another; that does not count as an attempt.
    */
   private async place(admitted: AdmittedRequest): Promise<Place> {
     for (;;) {
@@ -69,7 +72,8 @@
       if (isVersionOpen && this.mayUse(place.target)) return place;
       this.release(place.run, admitted.service, 'abandoned');
       if (isVersionOpen) this.exclude(place.target);
-      // The leader knows more of a rollout than this process, or less.
+      // The leader's state of the rollout is newer or older than this
+      // process's.
       else await delay(VERSION_RETRY_MS);
       if (this.isClosed) return REQUEST_IS_OVER;
     }
@@ -94,7 +98,9 @@
     return (await this.preparing) !== undefined;
   }
 
-  /** Whether a target is reserved in advance; waits for a demand that waits. */
+  /**
+   * Whether a target is reserved in advance; waits for a pending reservation.
+   */
   async isPrepared(): Promise<boolean> {
     return (await this.preparing) !== undefined;
   }
@@ -115,7 +121,7 @@
     return preparing;
   }
 
-  /** Ends what waits or is reserved in advance. */
+  /** Withdraws a pending demand, and releases a target reserved in advance. */
   close(service: ServiceId): void {
     this.withdraw();
     void this.dropPrepared(service);
@@ -125,7 +131,7 @@
     this.deps.reservations.release(run, service, outcome);
   }
 
-  /** Asks for no further target; withdraws the demand that waits. */
+  /** Asks for no further target, and withdraws a pending demand. */
   withdraw(): void {
     this.isClosed = true;
     if (this.pending === undefined) return;
--- a/packages/gateway/src/testing/streams.ts
+++ b/packages/gateway/src/testing/streams.ts
@@ -44,7 +44,9 @@
   readonly onData?: (leave: () => void, disconnect: () => void) => void;
 }
 
-/** Sends one request to a resumable route before these targets. */
+/**
+ * Sends one request to a resumable route whose targets follow these scripts.
+ */
 export async function playStream(t: TestContext, play: StreamPlay) {
   const {scripts, headers = {}, onData, route, ...options} = play;
   const targets = await Promise.all(scripts.map(startScriptedTarget));
