--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -49,7 +49,6 @@
 import {LocalReservations} from './local-reservations.js';
 
 const PULL_TIMEOUT_MS = 2_000;
-const REPORT_LOADS_EVERY_MS = 100;
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
 const MOVE_PERMIT_TIMEOUT_MS = 2_500;
@@ -164,7 +163,6 @@
     });
     this.timers.push(
       setInterval(() => this.removeExpiredTargets(), REMOVE_EXPIRED_EVERY_MS),
-      setInterval(() => this.targetLoads.report(), REPORT_LOADS_EVERY_MS),
     );
   }
 
@@ -274,6 +272,7 @@
     for (const timer of this.timers) clearInterval(timer);
     this.local.stop();
     this.quarantine.stop();
+    this.targetLoads.stop();
     this.rollouts.stop();
     this.controls.close();
   }
--- a/packages/cluster/src/entry/entry-target-loads.ts
+++ b/packages/cluster/src/entry/entry-target-loads.ts
@@ -46,6 +46,8 @@
   readonly runsOn: (target: TargetId) => number;
 }
 
+const REPORT_EVERY_MS = 100;
+
 export class EntryTargetLoads implements TargetLoadListener, TargetSpeeds {
   private readonly table = createTargetLoads();
   private readonly samples = createSamples();
@@ -54,6 +56,8 @@
   private readonly loggedInvalid = new Set<string>();
   private invalidCount = 0;
   private rowsSent = 0;
+  /** Runs from the first stated pace on. */
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: EntryTargetLoadsOptions) {
     this.reports = createReports(REPORT_BYTES_PER_S, options.nowMs());
@@ -79,6 +83,11 @@
     const stated = statedLoadOf(load, ownRuns);
     const nowMs = this.options.nowMs();
     recordStatedLoad(this.table, start, service, stated, nowMs);
+    this.timer ??= setInterval(() => this.report(), REPORT_EVERY_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
   }
 
   measure(start: TargetStart, sample: DurationSample): void {
--- a/packages/core/src/account/resource-account.ts
+++ b/packages/core/src/account/resource-account.ts
@@ -90,6 +90,11 @@
     return this.waiters.length;
   }
 
+  /** Whether a holder waits, or a resource is short. */
+  get isUnderPressure(): boolean {
+    return this.waiters.length > 0 || this.short.size > 0;
+  }
+
   bytesOf(kind: ResourceKind): number {
     return this.bytesByKind.get(kind) ?? 0;
   }
--- a/packages/core/src/serving/connection-guard.ts
+++ b/packages/core/src/serving/connection-guard.ts
@@ -15,6 +15,8 @@
 import {TurnScheduler} from './turn-scheduler.js';
 
 const SWEEP_EVERY_MS = 100;
+/** While nothing waits or has to be freed; each sweep wakes the process. */
+const IDLE_SWEEP_EVERY_MS = 500;
 /** Blocks that are freed at each sweep while none are needed: 2.5 MB a second. */
 const TRIM_BLOCKS = 16;
 /**
@@ -132,14 +134,14 @@
 export class ConnectionGuard {
   private readonly connections = new WeakMap<Socket, GuardedConnection>();
   private readonly scheduler = new TurnScheduler();
-  private readonly timer: NodeJS.Timeout;
+  private timer: NodeJS.Timeout | undefined;
+  private isClosed = false;
 
   constructor(
     private readonly account: ResourceAccount,
     private readonly nowMs: () => number = () => performance.now(),
   ) {
-    this.timer = setInterval(() => this.sweep(), SWEEP_EVERY_MS);
-    this.timer.unref();
+    this.scheduleSweep();
   }
 
   /** Call before the server gets its own listeners for requests. */
@@ -151,7 +153,19 @@
   }
 
   close(): void {
-    clearInterval(this.timer);
+    this.isClosed = true;
+    clearTimeout(this.timer);
+  }
+
+  private scheduleSweep(): void {
+    if (this.isClosed) return;
+    const isBusy = this.account.isUnderPressure || bodyBlocks.freeBytes > 0;
+    const delayMs = isBusy ? SWEEP_EVERY_MS : IDLE_SWEEP_EVERY_MS;
+    this.timer = setTimeout(() => {
+      this.sweep();
+      this.scheduleSweep();
+    }, delayMs);
+    this.timer.unref();
   }
 
   private onConnection(socket: Socket): void {
