Entries log how long a pull and the decoding of a configuration take

The log could not tell a slow transfer from slow decoding. config_in_force names the time from the request to the response, the time until the configuration is in force, and the size of the document.

--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -432,6 +432,7 @@
   private async pullState(peer: Peer): Promise<void> {
     if (this.isPulling) return;
     this.isPulling = true;
+    const askedAtMs = this.options.nowMs();
     try {
       const knownVersion = this.current?.view.table.version ?? 0;
       const state = await peer.request<StateUpdate>(
@@ -439,7 +440,7 @@
         {knownVersion} satisfies PullRequest,
         PULL_TIMEOUT_MS,
       );
-      this.applyState(state);
+      this.applyState(state, askedAtMs);
     } catch (error) {
       this.options.logger.warn('pull_failed', {reason: String(error)});
     } finally {
@@ -454,9 +455,10 @@
     if (peer) void this.pullState(peer);
   }
 
-  private applyState(state: StateUpdate): void {
+  private applyState(state: StateUpdate, askedAtMs: number): void {
     if (state.index <= this.stateIndex) return;
-    const {logger, decodeConfig} = this.options;
+    const {logger, decodeConfig, nowMs} = this.options;
+    const receivedAtMs = nowMs();
     const next = nextConfig(this.current, state, decodeConfig);
     if (next.isErr()) {
       const {version} = state;
@@ -475,6 +477,9 @@
       version: table.version,
       routes: table.routes.length,
       zones_out: [...zonesOut].join(','),
+      pull_ms: Math.round(receivedAtMs - askedAtMs),
+      apply_ms: Math.round(nowMs() - receivedAtMs),
+      document_bytes: state.document?.length,
     });
     // Daemons of earlier builds send no rollouts.
     this.rollouts.follow(state.rollouts ?? []);
