Entries are sent what a change changes, not the whole configuration

Cause: each change sent the whole document to each entry, over a second on links of 7.5 Mbit/s. A change that came meanwhile waited for the transfer in progress, whose result was outdated by then, and for its own. Class: the cost of a change followed the size of the state. Ruled out: pulls that failed (0), slow acknowledgements (130 to 530 ms), control daemons that are behind. An entry asks a second daemon when the first one is silent, uses late responses, and rests before it asks again a daemon that could not help. A read through a follower carries the document only if the follower lacks it.

--- a/packages/cluster/src/control/active-capacities.ts
+++ b/packages/cluster/src/control/active-capacities.ts
@@ -1,12 +1,14 @@
 /** The load limits of services, decoded from the replicated configuration. */
-import type {Result} from 'neverthrow';
 import type {Logger} from '@samphirefield/core';
-import type {RouteTable, ServiceCapacity} from '@samphirefield/gateway';
+import type {ServiceCapacity} from '@samphirefield/gateway';
 import {capacitiesOf} from '../capacities.js';
+import type {ConfigDecoder} from '../config-decoder.js';
+import type {DocumentHistory} from '../documents/index.js';
 import type {ClusterState} from './state-machine.js';
 
 export interface ActiveCapacitiesOptions {
-  readonly decodeConfig: (document: string) => Result<RouteTable, unknown>;
+  readonly decodeConfig: ConfigDecoder;
+  readonly documents: DocumentHistory;
   readonly logger: Logger;
 }
 
@@ -20,10 +22,10 @@
    * Empty before the first configuration; undefined if that of the state cannot
    * be decoded.
    */
-  of({version, document}: ClusterState): ServiceCapacity[] | undefined {
+  of({version}: ClusterState): ServiceCapacity[] | undefined {
     if (version === this.version || version === 0) return this.capacities;
-    const {decodeConfig, logger} = this.options;
-    const table = decodeConfig(document);
+    const {decodeConfig, documents, logger} = this.options;
+    const table = decodeConfig(documents.valueOf(version));
     if (table.isErr()) {
       logger.error('config_unreadable', {version});
       return undefined;
--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -6,6 +6,7 @@
 import type {TargetId} from '@samphirefield/core';
 import type {TargetAnnouncement} from '@samphirefield/gateway';
 import {viewOf, type QuarantineTable} from '@samphirefield/policy/quarantine';
+import {DocumentHistory} from '../documents/index.js';
 import {
   formatAddress,
   LinkSet,
@@ -59,6 +60,7 @@
   private readonly registry: TargetRegistry;
   private readonly links: LinkSet;
   private readonly reservations: ReservationManager;
+  private readonly documents = new DocumentHistory();
   private readonly subscribers = new Subscribers();
   private readonly relays = new RelayDirectory(this.subscribers);
   private readonly contact: QuorumContact;
@@ -79,7 +81,10 @@
 
   constructor(private readonly options: ControlNodeOptions) {
     const {logger, nowMs} = options;
-    this.capacities = new ActiveCapacities(options);
+    this.capacities = new ActiveCapacities({
+      ...options,
+      documents: this.documents,
+    });
     this.directory = new ControlDirectory({
       self: options.address,
       selfZone: options.zone,
@@ -344,7 +349,10 @@
         const message = {envelope, replyTo: options.address};
         this.links.peerAt(to)?.notify('raft', message);
       },
-      onChange: () => this.scheduleStateUpdate(),
+      onChange: ({version, document}) => {
+        this.documents.record(version, document);
+        this.scheduleStateUpdate();
+      },
       onQuarantineChange: table => this.sendQuarantine(table),
       onOpened: () => this.scheduleStateUpdate(),
       ...(options.openStorage && {openStorage: options.openStorage}),
@@ -383,6 +391,7 @@
       group: () => this.group,
       isLeader: () => this.isLeader,
       startTermIfLeader: () => this.startTermIfLeader(),
+      documents: this.documents,
       registry: this.registry,
       reservations: this.reservations,
       quarantine: this.quarantine,
--- a/packages/cluster/src/control/control-options.ts
+++ b/packages/cluster/src/control/control-options.ts
@@ -1,8 +1,7 @@
 /** What a control daemon is started with. */
-import type {Result} from 'neverthrow';
 import type {InstanceId, Logger, ZoneId} from '@samphirefield/core';
-import type {RouteTable} from '@samphirefield/gateway';
 import type {RolloutLimits} from '@samphirefield/policy/rollouts';
+import type {ConfigDecoder} from '../config-decoder.js';
 import type {Address} from '../link/index.js';
 import type {GroupReplicaOptions, GroupTiming} from './group-replica.js';
 
@@ -19,7 +18,7 @@
   readonly replaceAfterMs?: number | undefined;
   /** A target without announcements for this long gets no new requests. */
   readonly targetSilentAfterMs: number;
-  readonly decodeConfig: (document: string) => Result<RouteTable, unknown>;
+  readonly decodeConfig: ConfigDecoder;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Whether admission control decides for engines; default: no. */
--- a/packages/cluster/src/control/group-access.ts
+++ b/packages/cluster/src/control/group-access.ts
@@ -5,6 +5,7 @@
 import type {Logger} from '@samphirefield/core';
 import type {Peer} from '../link/index.js';
 import type {GroupReplica, SubmitOutcome} from './group-replica.js';
+import type {PullRequest, StateUpdate} from './messages.js';
 import type {ClusterCommand, ClusterState} from './state-machine.js';
 
 const FORWARD_TIMEOUT_MS = 3_000;
@@ -49,12 +50,15 @@
     const {group, leaderPeer, logger} = this.options;
     const replica = group();
     if (replica?.isLeader) return replica.readNewest(READ_TIMEOUT_MS);
+    const known = replica?.state;
     try {
-      return await leaderPeer()?.request<ClusterState>(
+      const newest = await leaderPeer()?.request<StateUpdate | undefined>(
         'read_newest',
-        {},
+        {knownVersion: known?.version ?? 0} satisfies PullRequest,
         READ_TIMEOUT_MS,
       );
+      if (!newest) return undefined;
+      return {...newest, document: newest.document ?? known?.document ?? ''};
     } catch (error) {
       logger.warn('read_failed', {reason: String(error)});
       return undefined;
--- a/packages/cluster/src/control/link-handlers.ts
+++ b/packages/cluster/src/control/link-handlers.ts
@@ -1,6 +1,7 @@
 /** Handlers of the messages that other daemons send to a control daemon. */
 import type {Demand, DispatchResult} from '@samphirefield/gateway';
 import type {SuspectRequest} from '@samphirefield/policy/quarantine';
+import type {DocumentHistory} from '../documents/index.js';
 import type {Address, Peer, RpcHandlers} from '../link/index.js';
 import {READ_TIMEOUT_MS} from './group-access.js';
 import type {GroupReplica} from './group-replica.js';
@@ -40,6 +41,7 @@
   readonly isLeader: () => boolean;
   /** Begins a term that this daemon leads, if that has not been done. */
   readonly startTermIfLeader: () => void;
+  readonly documents: DocumentHistory;
   readonly registry: TargetRegistry;
   readonly reservations: ReservationManager;
   readonly quarantine: QuarantineKeeper;
@@ -75,20 +77,36 @@
       group()?.submit(command) ?? {kind: 'not_leader'},
     start_rollout: (command: StartRolloutCommand) =>
       options.rollouts.start(command),
-    read_newest: () => group()?.readNewest(READ_TIMEOUT_MS),
-    pull_state: (request: PullRequest) => stateFor(group(), request),
+    read_newest: (request: PullRequest) => readNewest(group(), request),
+    pull_state: (request: PullRequest) => stateFor(options, request),
   };
 }
 
-function stateFor(
+/** The document is left out if the requester has its version. */
+async function readNewest(
   group: GroupReplica | undefined,
   {knownVersion}: PullRequest,
-): StateUpdate | undefined {
-  const state = group?.state;
-  if (state === undefined || state.version !== knownVersion) return state;
+): Promise<StateUpdate | undefined> {
+  const state = await group?.readNewest(READ_TIMEOUT_MS);
+  if (state?.version !== knownVersion) return state;
   return {...state, document: undefined};
 }
 
+async function stateFor(
+  {group, documents}: LinkHandlerOptions,
+  {knownVersion, acceptsUpdates}: PullRequest,
+): Promise<StateUpdate | undefined> {
+  const state = group()?.state;
+  if (state === undefined) return undefined;
+  const {version, document, ...rest} = state;
+  if (version === knownVersion) return {...rest, version, document: undefined};
+  const update = acceptsUpdates
+    ? await documents.updateFrom(knownVersion, version, document)
+    : undefined;
+  if (update === undefined) return state;
+  return {...rest, version, document: undefined, update};
+}
+
 function entryHandlers(options: LinkHandlerOptions): RpcHandlers {
   const {isLeader, startTermIfLeader} = options;
   const {reservations, quarantine, statements, targetLoads, rollouts} = options;
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -15,6 +15,7 @@
 import type {StatementReport} from '@samphirefield/policy/statements';
 import type {EncodedReport} from '@samphirefield/policy/target-load';
 import type {Envelope, ReplicaId} from '@samphirefield/replication';
+import type {DocumentUpdate} from '../documents/index.js';
 import type {Address} from '../link/index.js';
 import type {ClusterState} from './state-machine.js';
 
@@ -59,11 +60,17 @@
 export interface PullRequest {
   /** Version of the configuration that the requester has; 0 if none. */
   readonly knownVersion: number;
+  /** Whether the requester reads `update`; earlier builds leave it out. */
+  readonly acceptsUpdates?: boolean;
 }
 
-/** The state; without the document if the requester has this version. */
+/**
+ * The state; without the document if the requester has this version, or if
+ * `update` leads to it.
+ */
 export interface StateUpdate extends Omit<ClusterState, 'document'> {
   readonly document: string | undefined;
+  readonly update?: DocumentUpdate;
 }
 
 export interface TargetUpdate {
--- a/packages/cluster/src/entry/control-links.ts
+++ b/packages/cluster/src/entry/control-links.ts
@@ -26,6 +26,7 @@
   type Peer,
 } from '../link/index.js';
 import {EntryRelayPeers} from './entry-relay-peers.js';
+import type {StateSource} from './state-puller.js';
 import {
   REPLACE_UNINFORMED_AFTER_MS,
   selectControls,
@@ -50,7 +51,7 @@
   readonly onTarget: (update: TargetUpdate) => void;
   /** Called when the leader or its term changed, or its link is connected. */
   readonly onLeader: (leader: Peer | undefined) => void;
-  readonly onStatus: (status: GroupStatus, peer: Peer) => void;
+  readonly onStatus: () => void;
   readonly onQuarantine: (view: QuarantineView) => void;
   readonly onStatements: (reports: readonly StatementReport[]) => void;
   /** Called when other daemons than before decide which targets are silent. */
@@ -155,12 +156,12 @@
     }
   }
 
-  /** A connected daemon that has a newer state than `index`. */
-  peerWithStateAfter(index: number): Peer | undefined {
-    const control = this.connectedControls().find(
-      ({status}) => (status?.index ?? 0) > index,
-    );
-    return control && this.links.peerAt(control.address);
+  /** The connected daemons, with the index of the state that each has. */
+  stateSources(): readonly StateSource[] {
+    return this.connectedControls().map(({address, status}) => ({
+      peer: this.links.peerAt(address)!,
+      index: status?.index ?? 0,
+    }));
   }
 
   close(): void {
@@ -303,7 +304,7 @@
     for (const member of status.members) this.addControl(member);
     this.chooseLeader();
     this.select();
-    this.options.onStatus(status, peer);
+    this.options.onStatus();
   }
 
   private onTargets(message: TargetsMessage, peer: Peer): void {
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -5,7 +5,6 @@
  * from its own share of the capacity.
  */
 import {randomUUID} from 'node:crypto';
-import type {Result} from 'neverthrow';
 import {
   incarnation as toIncarnation,
   type InstanceId,
@@ -31,15 +30,21 @@
   type TargetTable,
 } from '@samphirefield/gateway';
 import {capacitiesOf} from '../capacities.js';
+import type {ConfigDecoder} from '../config-decoder.js';
 import {
   toFinishMessage,
-  type PullRequest,
   type StateUpdate,
   type TargetUpdate,
 } from '../control/index.js';
+import {NO_VERSION} from '../documents/index.js';
 import type {Address, Peer} from '../link/index.js';
 import {ControlLinks} from './control-links.js';
-import {nextConfig} from './entry-config.js';
+import {
+  nextConfig,
+  sizeOf,
+  type ConfigError,
+  type EntryConfig,
+} from './entry-config.js';
 import {EntryQuarantine} from './entry-quarantine.js';
 import {EntryRollouts, type VersionObserver} from './entry-rollouts.js';
 import {
@@ -56,8 +61,8 @@
   NEXT_LEADER_WAIT_MS,
 } from './leader-reservations.js';
 import {LocalReservations} from './local-reservations.js';
+import {StatePuller} from './state-puller.js';
 
-const PULL_TIMEOUT_MS = 2_000;
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
 const MOVE_PERMIT_TIMEOUT_MS = 2_500;
@@ -68,7 +73,7 @@
   /** Where this entry accepts relayed requests; default: it accepts none. */
   readonly relay?: RelayEndpoint;
   readonly seeds: readonly Address[];
-  readonly decodeConfig: (document: string) => Result<RouteTable, unknown>;
+  readonly decodeConfig: ConfigDecoder;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly onRouteTable: (table: RouteTable) => void;
@@ -83,7 +88,7 @@
 }
 
 export class EntryNode implements ReservationClient {
-  private current: ActiveConfig | undefined;
+  private current: EntryConfig | undefined;
   private readonly table: TargetTable = new Map();
   readonly quarantine: EntryQuarantine;
   readonly statements: EntryStatements;
@@ -96,7 +101,9 @@
   private readonly runs = new EntryRuns();
   private readonly drainListeners = new Map<TargetId, Set<() => void>>();
   private readonly timers: NodeJS.Timeout[] = [];
-  private isPulling = false;
+  private readonly puller: StatePuller;
+  /** Whether deltas could not be applied, so that a whole document is due. */
+  private needsWholeDocument = false;
 
   constructor(private readonly options: EntryNodeOptions) {
     const incarnation = toIncarnation(randomUUID());
@@ -178,14 +185,23 @@
         this.rollouts.onLeader();
       },
       onStatements: reports => this.statements.learn(reports),
-      onStatus: (status, peer) => {
-        if (status.index > this.stateIndex) void this.pullState(peer);
-      },
+      onStatus: () => this.puller.check(),
       onQuarantine: view => this.quarantine.follow(view),
       onInformantsChanged: () => {
         for (const record of this.table.values()) this.updateTarget(record);
       },
     });
+    this.puller = new StatePuller({
+      logger: options.logger,
+      nowMs: options.nowMs,
+      index: () => this.stateIndex,
+      sources: () => this.controls.stateSources(),
+      request: () => ({
+        knownVersion: this.needsWholeDocument ? NO_VERSION : this.version,
+        acceptsUpdates: true,
+      }),
+      apply: (state, askedAtMs) => this.applyState(state, askedAtMs),
+    });
     this.timers.push(
       setInterval(() => this.removeExpiredTargets(), REMOVE_EXPIRED_EVERY_MS),
     );
@@ -196,7 +212,7 @@
   }
 
   activeConfig(): ActiveConfig | undefined {
-    return this.current;
+    return this.current?.active;
   }
 
   /** Number of entries among which shared limits are divided. */
@@ -241,7 +257,7 @@
   /** Whether the target may get new requests, as far as others know. */
   private isUsable({announcement}: TargetRecord): boolean {
     const {id, state, zone} = announcement;
-    const isOut = this.current?.view.zonesOut.has(zone) ?? false;
+    const isOut = this.current?.active.view.zonesOut.has(zone) ?? false;
     const isLeaving = this.statements.isLeaving(id);
     const isSilent = this.controls.isSilent(id);
     return state === 'ready' && !isOut && !isLeaving && !isSilent;
@@ -380,6 +396,7 @@
     this.targetLoads.stop();
     this.rollouts.stop();
     this.reachability.stop();
+    this.puller.stop();
     this.controls.close();
   }
 
@@ -411,11 +428,17 @@
   }
 
   private hasEngine(service: ServiceId): boolean {
-    return this.current?.routeIndex.findService(service)?.engine !== undefined;
+    return (
+      this.activeConfig()?.routeIndex.findService(service)?.engine !== undefined
+    );
   }
 
   private get stateIndex(): number {
-    return this.current?.view.index ?? 0;
+    return this.activeConfig()?.view.index ?? 0;
+  }
+
+  private get version(): number {
+    return this.current?.document.version ?? NO_VERSION;
   }
 
   /** Reports all runs to a leader whose record of them may be wrong. */
@@ -429,49 +452,23 @@
     leader?.notify('held_runs', {entry: this.options.instance, runs});
   }
 
-  private async pullState(peer: Peer): Promise<void> {
-    if (this.isPulling) return;
-    this.isPulling = true;
-    const askedAtMs = this.options.nowMs();
-    try {
-      const knownVersion = this.current?.view.table.version ?? 0;
-      const state = await peer.request<StateUpdate>(
-        'pull_state',
-        {knownVersion} satisfies PullRequest,
-        PULL_TIMEOUT_MS,
-      );
-      this.applyState(state, askedAtMs);
-    } catch (error) {
-      this.options.logger.warn('pull_failed', {reason: String(error)});
-    } finally {
-      this.isPulling = false;
-    }
-    this.pullIfBehind();
-  }
-
-  /** Pulls again if another change was reported meanwhile. */
-  private pullIfBehind(): void {
-    const peer = this.controls.peerWithStateAfter(this.stateIndex);
-    if (peer) void this.pullState(peer);
-  }
-
-  private applyState(state: StateUpdate, askedAtMs: number): void {
-    if (state.index <= this.stateIndex) return;
-    const {logger, decodeConfig, nowMs} = this.options;
+  /** Returns whether the state could be used, or is not needed any more. */
+  private async applyState(
+    state: StateUpdate,
+    askedAtMs: number,
+  ): Promise<boolean> {
+    const {logger, decodeConfig, nowMs, onRouteTable} = this.options;
     const receivedAtMs = nowMs();
-    const next = nextConfig(this.current, state, decodeConfig);
-    if (next.isErr()) {
-      const {version} = state;
-      if (next.error === 'unreadable')
-        logger.error('config_unreadable', {version});
-      return;
-    }
+    const next = await nextConfig(state, () => this.current, decodeConfig);
+    if (state.index <= this.stateIndex) return true;
+    if (next.isErr()) return this.onUnusable(next.error, state);
     const {config, hasNewTable} = next.value;
     this.current = config;
-    const {table, zonesOut} = config.view;
+    if (hasNewTable) this.needsWholeDocument = false;
+    const {table, zonesOut} = config.active.view;
     this.local.dispatcher.configure(capacitiesOf(table), zonesOut);
     this.local.dispatchPending();
-    if (hasNewTable) this.options.onRouteTable(table);
+    if (hasNewTable) onRouteTable(table);
     logger.info('config_in_force', {
       index: state.index,
       version: table.version,
@@ -479,10 +476,21 @@
       zones_out: [...zonesOut].join(','),
       pull_ms: Math.round(receivedAtMs - askedAtMs),
       apply_ms: Math.round(nowMs() - receivedAtMs),
-      document_bytes: state.document?.length,
+      from_version: state.update?.baseVersion,
+      chars: sizeOf(state),
     });
     // Daemons of earlier builds send no rollouts.
     this.rollouts.follow(state.rollouts ?? []);
+    return true;
+  }
+
+  /** Returns whether another state may be usable at once. */
+  private onUnusable(error: ConfigError, {version}: StateUpdate): boolean {
+    if (error === 'other_base') return true;
+    if (error === 'none') return false;
+    this.needsWholeDocument = true;
+    this.options.logger.error('config_unreadable', {version});
+    return false;
   }
 
   private onTargetUpdate(update: TargetUpdate): void {
--- a/packages/cluster/src/large-configurations.spec.ts
+++ b/packages/cluster/src/large-configurations.spec.ts
@@ -1,7 +1,8 @@
 /** Large configurations that change often: what disks and memory hold of them. */
 import {expect} from 'earl';
 import {test} from 'node:test';
-import {TestCluster, until} from './testing/cluster.js';
+import type {EntryNode} from './entry/index.js';
+import {decodeTestDocument, TestCluster, until} from './testing/cluster.js';
 
 const DOCUMENT_BYTES = 500_000;
 const CHANGES = 40;
@@ -47,3 +48,44 @@
   });
   expect(cluster.diskBytes(away) < MAX_DISK_BYTES).toEqual(true);
 });
+
+const ROUTES = 4_000;
+const routesDocument = (version: number) =>
+  JSON.stringify({
+    version,
+    routes: Array.from({length: ROUTES}, (_, i) => ({
+      name: `route-${i}`,
+      prefix: `/${i * 7_919}/`,
+      weight: i === version ? 2 : 1,
+    })),
+  });
+
+function decodeVersion(document: unknown) {
+  return decodeTestDocument((document as {version: number}).version);
+}
+
+/** Bytes that the entry has received from control daemons on open links. */
+function receivedBytes(entry: EntryNode): number {
+  const peers = entry['controls']['links'].connectedPeers();
+  return peers.reduce((sum, peer) => sum + peer['socket'].bytesRead, 0);
+}
+
+// Guards against changes that wait for one another, since each sends everything.
+test('a change of a large document sends the whole document to an entry', async t => {
+  const cluster = await TestCluster.create(3, 3, decodeVersion);
+  t.after(() => cluster.close());
+  for (const i of [0, 1, 2]) await cluster.start(i, true);
+  await cluster.putConfig(0, 1, routesDocument(1));
+  const entry = cluster.startEntry();
+  const hasVersion = (version: number) => () =>
+    entry.activeConfig()?.view.table.version === version;
+  await until('the first version is in force', hasVersion(1));
+  await until('all links are open', () => entry.metrics()['controls_up'] === 3);
+  const beforeBytes = receivedBytes(entry);
+  const last = 20;
+  for (let version = 2; version <= last; version += 1)
+    await cluster.putConfig(version % 3, version, routesDocument(version));
+  await until('the last version is in force', hasVersion(last));
+  const changeBytes = (receivedBytes(entry) - beforeBytes) / (last - 1);
+  expect(changeBytes < routesDocument(1).length / 50).toEqual(true);
+});
--- a/packages/cluster/src/rollouts.alone.spec.ts
+++ b/packages/cluster/src/rollouts.alone.spec.ts
@@ -109,7 +109,7 @@
   play.startCallers();
   await order(play, DURATION_MS);
   await delay(DURATION_MS / 4);
-  await play.cluster.putConfig(0, 2, 'moved 2');
+  await play.cluster.putConfig(0, 2, '"moved 2"');
   const {state} = await waitForEnd(play);
   expect(state === 'running').toEqual(false);
 });
--- a/packages/cluster/src/testing/cluster.ts
+++ b/packages/cluster/src/testing/cluster.ts
@@ -40,7 +40,7 @@
 const nowMs = () => performance.now();
 
 /** Decodes a document that is only a number into a table of that version. */
-export function decodeTestDocument(document: string) {
+export function decodeTestDocument(document: unknown) {
   const table: RouteTable = {
     version: Number(document),
     routes: [],
--- a/packages/cluster/src/testing/gateways.ts
+++ b/packages/cluster/src/testing/gateways.ts
@@ -39,9 +39,10 @@
  * after `moved`, to a service without targets.
  */
 export function decodeRouted(routed: RoutedServices) {
-  return (document: string) => {
-    const isMoved = document.startsWith(MOVED);
-    const number = isMoved ? document.slice(MOVED.length) : document;
+  return (document: unknown) => {
+    const text = String(document);
+    const isMoved = text.startsWith(MOVED);
+    const number = isMoved ? text.slice(MOVED.length) : text;
     const services = isMoved ? [serviceId('elsewhere')] : routed.services;
     const base = decodeTestDocument(number)._unsafeUnwrap();
     const [engine] = base.services;
