A starting entry takes its first configuration only as the newest

Class: a state was taken as the newest because it was the first to come. Once an entry has a state it never goes back, so only the first one matters. Change: the first pull asks for the newest accepted state, which the leader confirms with a quorum (any daemon asks the leader); what cannot be confirmed is not used for 5 s, longer than a machine without contact counts as in touch. Many entries that start at once share the confirmations. Earlier builds ignore the field and answer as before.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -391,6 +391,7 @@
       group: () => this.group,
       isLeader: () => this.isLeader,
       startTermIfLeader: () => this.startTermIfLeader(),
+      readNewest: () => this.access.readNewestShared(),
       documents: this.documents,
       registry: this.registry,
       reservations: this.reservations,
--- a/packages/cluster/src/control/group-access.ts
+++ b/packages/cluster/src/control/group-access.ts
@@ -19,6 +19,9 @@
 }
 
 export class GroupAccess {
+  private reading: Promise<ClusterState | undefined> | undefined;
+  private nextRead: Promise<ClusterState | undefined> | undefined;
+
   constructor(private readonly options: GroupAccessOptions) {}
 
   async submit(command: ClusterCommand): Promise<SubmitOutcome> {
@@ -64,4 +67,16 @@
       return undefined;
     }
   }
+  /**
+   * The same as {@link readNewest}. Calls that come during a read share the next
+   * one, as many entries may start at once.
+   */
+  readNewestShared(): Promise<ClusterState | undefined> {
+    this.nextRead ??= Promise.resolve(this.reading).then(() => {
+      this.nextRead = undefined;
+      this.reading = this.readNewest();
+      return this.reading;
+    });
+    return this.nextRead;
+  }
 }
--- a/packages/cluster/src/control/link-handlers.ts
+++ b/packages/cluster/src/control/link-handlers.ts
@@ -30,7 +30,7 @@
 import type {RolloutKeeper} from './rollout-keeper.js';
 import type {RolloutReportMessage} from './rollout-messages.js';
 import type {StartRolloutCommand} from './rollout-state.js';
-import type {ClusterCommand} from './state-machine.js';
+import type {ClusterCommand, ClusterState} from './state-machine.js';
 import type {StatementKeeper} from './statement-keeper.js';
 import type {TargetLoadKeeper} from './target-load-keeper.js';
 import type {TargetRegistry} from './target-registry.js';
@@ -41,6 +41,8 @@
   readonly isLeader: () => boolean;
   /** Begins a term that this daemon leads, if that has not been done. */
   readonly startTermIfLeader: () => void;
+  /** The newest accepted state; undefined if no leader can confirm it. */
+  readonly readNewest: () => Promise<ClusterState | undefined>;
   readonly documents: DocumentHistory;
   readonly registry: TargetRegistry;
   readonly reservations: ReservationManager;
@@ -77,13 +79,13 @@
       group()?.submit(command) ?? {kind: 'not_leader'},
     start_rollout: (command: StartRolloutCommand) =>
       options.rollouts.start(command),
-    read_newest: (request: PullRequest) => readNewest(group(), request),
+    read_newest: (request: PullRequest) => readAsLeader(group(), request),
     pull_state: (request: PullRequest) => stateFor(options, request),
   };
 }
 
 /** The document is left out if the requester has its version. */
-async function readNewest(
+async function readAsLeader(
   group: GroupReplica | undefined,
   {knownVersion}: PullRequest,
 ): Promise<StateUpdate | undefined> {
@@ -92,11 +94,12 @@
   return {...state, document: undefined};
 }
 
+/** Undefined if there is no state, or if it must be the newest and may not be. */
 async function stateFor(
-  {group, documents}: LinkHandlerOptions,
-  {knownVersion, acceptsUpdates}: PullRequest,
+  {group, readNewest, documents}: LinkHandlerOptions,
+  {knownVersion, acceptsUpdates, mustBeNewest}: PullRequest,
 ): Promise<StateUpdate | undefined> {
-  const state = group()?.state;
+  const state = mustBeNewest ? await readNewest() : group()?.state;
   if (state === undefined) return undefined;
   const {version, document, ...rest} = state;
   if (version === knownVersion) return {...rest, version, document: undefined};
--- a/packages/cluster/src/control/messages.ts
+++ b/packages/cluster/src/control/messages.ts
@@ -62,6 +62,11 @@
   readonly knownVersion: number;
   /** Whether the requester reads `update`; earlier builds leave it out. */
   readonly acceptsUpdates?: boolean;
+  /**
+   * Whether only the newest accepted state will do, confirmed by the leader;
+   * earlier builds ignore it.
+   */
+  readonly mustBeNewest?: boolean;
 }
 
 /**
--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -33,6 +33,7 @@
 import type {ConfigDecoder} from '../config-decoder.js';
 import {
   toFinishMessage,
+  type PullRequest,
   type StateUpdate,
   type TargetUpdate,
 } from '../control/index.js';
@@ -63,6 +64,11 @@
 import {LocalReservations} from './local-reservations.js';
 import {StatePuller} from './state-puller.js';
 
+/**
+ * A starting entry that no leader can tell the newest state takes the newest that
+ * a control daemon has after this time.
+ */
+const UNCONFIRMED_AFTER_MS = 5_000;
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
 const MOVE_PERMIT_TIMEOUT_MS = 2_500;
@@ -102,6 +108,7 @@
   private readonly drainListeners = new Map<TargetId, Set<() => void>>();
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly puller: StatePuller;
+  private firstPullAtMs: number | undefined;
   /** Whether deltas could not be applied, so that a whole document is due. */
   private needsWholeDocument = false;
 
@@ -196,10 +203,7 @@
       nowMs: options.nowMs,
       index: () => this.stateIndex,
       sources: () => this.controls.stateSources(),
-      request: () => ({
-        knownVersion: this.needsWholeDocument ? NO_VERSION : this.version,
-        acceptsUpdates: true,
-      }),
+      request: () => this.nextPull(),
       apply: (state, askedAtMs) => this.applyState(state, askedAtMs),
     });
     this.timers.push(
@@ -452,6 +456,18 @@
     leader?.notify('held_runs', {entry: this.options.instance, runs});
   }
 
+  private nextPull(): PullRequest {
+    const nowMs = this.options.nowMs();
+    this.firstPullAtMs ??= nowMs;
+    const isFirst = this.current === undefined;
+    const isLate = nowMs - this.firstPullAtMs >= UNCONFIRMED_AFTER_MS;
+    return {
+      knownVersion: this.needsWholeDocument ? NO_VERSION : this.version,
+      acceptsUpdates: true,
+      mustBeNewest: isFirst && !isLate,
+    };
+  }
+
   /** Returns whether the state could be used, or is not needed any more. */
   private async applyState(
     state: StateUpdate,
