soak: calls obey accepted configurations in time, and daemons change builds

The soak checked what daemons read back, not what entries obey. It checks now that no call sent later than the stated time after a version was accepted is handled as only an older one allows (run by the earlier service, refused as unknown), and calls the last route that a change has added at every entry. Some configurations are large (1,800 to 2,000 routes).

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -41,6 +41,8 @@
   readonly agent: Agent | false;
   readonly leavesAfterMs: number | undefined;
   readonly isSlow: boolean;
+  /** Position of the spare route that is called; undefined: none. */
+  readonly spareRoute?: number | undefined;
 }
 
 export class Callers {
@@ -117,7 +119,7 @@
   }
 
   private send(call: Call): Promise<CallRecord> {
-    const {attempt, kind, entry, agent} = call;
+    const {attempt, kind, entry, agent, spareRoute} = call;
     const {dialect} = this;
     const isStream = kind === 'stream';
     const deadlineMs = isStream ? STREAM_DEADLINE_MS : PLAIN_DEADLINE_MS;
@@ -134,7 +136,8 @@
         clearTimeout(leaving);
         const endedAtMs = performance.now();
         const times = {deadlineMs, sentAtMs, endedAtMs, hasLeft};
-        const record = {attempt, requestKind: kind, entry, body, ...times, end};
+        const sent = {attempt, requestKind: kind, entry, body, spareRoute};
+        const record = {...sent, ...times, end};
         this.calls.push(record);
         resolve(record);
       };
@@ -142,7 +145,7 @@
         {
           ...this.entries[entry]!,
           method: 'POST',
-          path: dialect.pathOf(kind),
+          path: dialect.pathOf(kind, spareRoute),
           agent,
           headers: dialect.callHeaders(attempt, deadlineMs),
         },
--- a/packages/soak/src/checks.spec.ts
+++ b/packages/soak/src/checks.spec.ts
@@ -17,6 +17,8 @@
 const CONFIGS = [1, 2].map(version => ({
   version,
   text: `${version}`,
+  plainService: `desk-${version}`,
+  spareRoutes: version,
   acceptedAtMs: version,
 }));
 const READS = [{sentAtMs: 9_000, isFinal: true, text: '2'}];
@@ -24,6 +26,7 @@
 const run = (changed: Partial<RunRecord> = {}): RunRecord => ({
   attempt: 'a1',
   target: 't1',
+  service: 'desk-2',
   signature: 's1',
   requestBody: 'b',
   startedAtMs: 10,
@@ -196,6 +199,27 @@
   expect(promisesOf({reads: [read(undefined, true)]})).toEqual(promise);
 });
 
+test('a call that an older configuration handles in time is missed', () => {
+  const promise = ['config_in_force' as const];
+  const late = {sentAtMs: 2_003, endedAtMs: 2_030};
+  const old = [run({service: 'desk-1'})];
+  const play = (
+    record: CallRecord,
+    runs: RunRecord[],
+    faults: SoakRecords['faults'] = [],
+  ) => promisesOf({calls: [record], runs, faults});
+  expect(play(call(late), old)).toEqual(promise);
+  expect(play(call(late), [run()])).toEqual([]);
+  expect(play(call({...late, sentAtMs: 2_002}), old)).toEqual([]);
+  const notFound = answered({status: 404, signature: undefined});
+  expect(play(call({...late, end: notFound}), [])).toEqual(promise);
+  const spare = {...late, end: notFound};
+  expect(play(call({...spare, spareRoute: 1}), [])).toEqual(promise);
+  expect(play(call({...spare, spareRoute: 2}), [])).toEqual([]);
+  expect(play(call(late), old, [{...crash, disrupted: [0]}])).toEqual([]);
+  expect(play(call(late), old, [stop(0)])).toEqual(promise);
+});
+
 test('a system that does not recover, or a process that ends, is missed', () => {
   const recovery = {served: 0, calls: 4};
   expect(promisesOf({recovery})).toEqual(['recovers']);
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -2,6 +2,11 @@
  * The promises of the system, judged only on what callers, targets and the
  * operator of a soak have seen. Bounds are those that the users state.
  */
+import {
+  findConfigFaults,
+  findStaleCalls,
+  type VersionReader,
+} from './config-checks.js';
 import {findUnservedCutOffs, isTouched} from './cut-off.js';
 import {readEvents} from './streams.js';
 import type {
@@ -10,7 +15,6 @@
   FaultRecord,
   RunRecord,
   SoakBounds,
-  SoakDialect,
   SoakRecords,
 } from './types.js';
 
@@ -23,6 +27,7 @@
     | 'nothing_unasked'
     | 'planned_work_cuts_nothing'
     | 'config_stays'
+    | 'config_in_force'
     | 'recovers'
     | 'cut_off_is_served'
     | 'no_own_end';
@@ -32,7 +37,6 @@
 }
 
 type Answered = Extract<CallEnd, {kind: 'answered'}>;
-type VersionReader = SoakDialect['versionOf'];
 
 /** These statuses promise that the request did not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -184,7 +188,7 @@
   if (runs.length === 0 && !isReadAndClosed) return undefined;
   const covering = works.filter(item => isCovered(call, item, bounds));
   const isLate = covering.some(
-    item => item.kind === 'stop_entry' && isLateRun(call, item, runs, bounds),
+    item => item.kind !== 'reload' && isLateRun(call, item, runs, bounds),
   );
   const work = isLate ? undefined : covering.at(0);
   if (work === undefined) return undefined;
@@ -217,41 +221,6 @@
   return [...cuts, {promise: 'planned_work_cuts_nothing', detail}];
 }
 
-/** The highest version that was accepted before this time; 0: none. */
-function acceptedBefore({configs}: SoakRecords, timeMs: number): number {
-  const accepted = configs
-    .filter(
-      ({acceptedAtMs}) => acceptedAtMs !== undefined && acceptedAtMs < timeMs,
-    )
-    .map(({version}) => version);
-  return Math.max(0, ...accepted);
-}
-
-function checkConfig(
-  records: SoakRecords,
-  versionOf: VersionReader,
-  {configMs}: SoakBounds,
-): Violation[] {
-  const {configs, reads} = records;
-  const found: Violation[] = [];
-  const add = (detail: string) => found.push({promise: 'config_stays', detail});
-  for (const {text, sentAtMs, isFinal} of reads) {
-    if (text === undefined) continue;
-    const version = versionOf(text);
-    const boundMs = isFinal ? sentAtMs : sentAtMs - configMs;
-    const accepted = acceptedBefore(records, boundMs);
-    if (version < accepted)
-      add(`read version ${version}, version ${accepted} was accepted`);
-    const sent = configs.find(config => config.version === version);
-    if (sent?.text !== text) add(`version ${version} is not what was sent`);
-  }
-  const isReadBack = reads.some(
-    ({isFinal, text}) => isFinal && text !== undefined,
-  );
-  if (!isReadBack) add('no configuration at the end');
-  return found;
-}
-
 function checkRecovery({recovery, ownEnds}: SoakRecords): Violation[] {
   const {served, calls} = recovery;
   const ends = ownEnds.map(detail => ({
@@ -284,7 +253,14 @@
     ),
     ...unasked,
     ...checkPlannedWork(records, byAttempt, bounds),
-    ...checkConfig(records, versionOf, bounds),
+    ...findConfigFaults(records, versionOf, bounds).map(detail => ({
+      promise: 'config_stays' as const,
+      detail,
+    })),
+    ...findStaleCalls(records, bounds).map(stale => ({
+      promise: 'config_in_force' as const,
+      ...stale,
+    })),
     ...checkRecovery(records),
     ...findUnservedCutOffs(records, bounds).map(detail => ({
       promise: 'cut_off_is_served' as const,
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -84,6 +84,8 @@
     const config: ConfigRecord = {
       version: this.version,
       text,
+      plainService: choice.plainService,
+      spareRoutes: choice.spareRoutes,
       acceptedAtMs: undefined,
     };
     this.configs.push(config);
--- a/packages/soak/src/processes.ts
+++ b/packages/soak/src/processes.ts
@@ -74,6 +74,8 @@
 
 export interface DaemonOptions {
   readonly dialect: SoakDialect;
+  /** Path of the program at the first start. */
+  readonly program: string;
   readonly settings: Omit<DaemonSettings, 'isFirstStart'>;
   readonly links: readonly RoutedLink[];
   readonly folder: string;
@@ -82,13 +84,17 @@
 }
 
 export class Daemon {
+  /** Path of the program at the next start. */
+  program: string;
   private child: ChildProcess | undefined;
   private hasStarted = false;
   private isEnding = false;
   private logBytesAtStart = 0;
   private exited: Promise<void> = Promise.resolve();
 
-  constructor(readonly options: DaemonOptions) {}
+  constructor(readonly options: DaemonOptions) {
+    this.program = options.program;
+  }
 
   get isRunning(): boolean {
     return this.child !== undefined && !this.isEnding;
@@ -121,7 +127,7 @@
         `--max-old-space-size=${HEAP_MB}`,
         '--import',
         `data:text/javascript,${source}`,
-        dialect.program,
+        this.program,
       ],
       {
         env: {
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -51,8 +51,17 @@
       readonly entries: readonly number[];
       readonly how: CutKind;
       readonly keepsLive: boolean;
+    }
+  /** The daemon is stopped and started with another build. */
+  | {
+      readonly kind: 'upgrade_entry' | 'upgrade_control';
+      readonly daemon: number;
+      readonly to: Build;
     };
 
+/** The program under test, or the one with which a soak of upgrades begins. */
+export type Build = 'earlier' | 'tested';
+
 export interface PlannedFault {
   readonly atMs: number;
   readonly forMs: number;
@@ -84,6 +93,7 @@
 export function isPlannedFault({kind}: Fault): boolean {
   switch (kind) {
     case 'stop_entry':
+    case 'upgrade_entry':
     case 'reload':
     case 'change_config':
     case 'zone_out':
@@ -189,3 +199,35 @@
   const cutOffs = drawCutOffs(cutOffDraw, durationMs, shape);
   return [...faults, ...cutOffs].sort((a, b) => a.atMs - b.atMs);
 }
+
+/** A part of the upgraded daemons goes back to the earlier build once. */
+const DOWNGRADE_PERCENT = 25;
+const UPGRADE_SEED_OFFSET = 5;
+
+/** Each daemon gets the tested build, one after another, in a drawn order. */
+export function drawUpgrades(
+  seed: number,
+  durationMs: number,
+  {entries, controls}: SoakShape,
+): readonly PlannedFault[] {
+  const draw = createDraw(seed + UPGRADE_SEED_OFFSET);
+  const waiting = Array.from({length: entries + controls}, (_, i) => i);
+  const steps: Array<{daemon: number; to: Build}> = [];
+  while (waiting.length > 0) {
+    const [daemon] = waiting.splice(draw(0, waiting.length - 1), 1);
+    steps.push({daemon: daemon!, to: 'tested'});
+    if (!chance(draw, DOWNGRADE_PERCENT)) continue;
+    steps.push(
+      {daemon: daemon!, to: 'earlier'},
+      {daemon: daemon!, to: 'tested'},
+    );
+  }
+  return steps.map((step, i) => ({
+    atMs: (durationMs * (i + 1)) / (steps.length + 1),
+    forMs: 0,
+    fault: {
+      kind: step.daemon < entries ? 'upgrade_entry' : 'upgrade_control',
+      ...step,
+    },
+  }));
+}
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -17,11 +17,14 @@
   chance,
   createDraw,
   drawSchedule,
+  drawUpgrades,
   isPlannedFault,
   pick,
+  type Build,
   type Draw,
   type Fault,
   type PlannedFault,
+  type SoakShape,
 } from './schedule.js';
 import {TargetFleet} from './targets.js';
 import type {Address, FaultRecord, SoakBounds, SoakDialect} from './types.js';
@@ -33,13 +36,17 @@
 const MIN_TARGETS_PER_SERVICE = 3;
 /** With more entries, probes of all at once would fill the targets. */
 const ENTRIES_PER_TARGET = 8;
-const MAX_SPARE_ROUTES = 20;
+const MAX_FEW_ROUTES = 20;
+/** From this number on, a draw means a large configuration. */
+const LARGE_FROM = 18;
+const LARGE_FACTOR = 100;
 const READ_EVERY_MS = 400;
 const READY_TIMEOUT_MS = 120_000;
 /** Targets answer some calls with 500; of few calls this is all. */
 const READY_PART = 0.9;
 const PROBE_EVERY_MS = 500;
 const DOWN_MS = 200;
+const TURN_CHECK_MS = 50;
 const MS_PER_S = 1_000;
 /** So many of the entries that are cut off are called, and of the others. */
 const CALLED_WHILE_CUT_OFF = 3;
@@ -48,6 +55,8 @@
 
 export interface SoakOptions {
   readonly dialect: SoakDialect;
+  /** Path of the program from which the daemons are upgraded, if they are. */
+  readonly earlierProgram?: string | undefined;
   readonly bounds: SoakBounds;
   readonly seed: number;
   readonly durationMs: number;
@@ -99,6 +108,7 @@
   private callers!: Callers;
   private isOver = false;
   private isStopping = false;
+  private lastChange: Promise<void> = Promise.resolve();
   private readonly startedAtMs = performance.now();
 
   constructor(private readonly options: SoakOptions) {
@@ -171,6 +181,7 @@
       mkdirSync(dataFolder);
       const daemon = new Daemon({
         dialect,
+        program: this.options.earlierProgram ?? dialect.program,
         settings: {
           name,
           host,
@@ -203,7 +214,7 @@
     const {seed, durationMs, bounds, dialect, entries, controls} = this.options;
     const targets = this.targets.ports.length;
     const shape = {entries, controls, targets, zones: ZONES.length};
-    const schedule = drawSchedule(seed, durationMs, shape);
+    const schedule = this.drawFaults(seed, durationMs, shape);
     this.callers.start(this.options.callers, seed);
     const reader = setInterval(
       () => void this.operator.read(false),
@@ -248,6 +259,17 @@
     };
   }
 
+  private drawFaults(
+    seed: number,
+    durationMs: number,
+    shape: SoakShape,
+  ): readonly PlannedFault[] {
+    const faults = drawSchedule(seed, durationMs, shape);
+    if (this.options.earlierProgram === undefined) return faults;
+    const upgrades = drawUpgrades(seed, durationMs, shape);
+    return [...faults, ...upgrades].sort((a, b) => a.atMs - b.atMs);
+  }
+
   /**
    * Probes until this part is served, at most for `ms`; returns the last round.
    */
@@ -275,11 +297,25 @@
   }
 
   private drawConfig() {
-    return {
-      plainService: pick(this.draw, PLAIN_SERVICES),
-      engineService: ENGINE_SERVICE,
-      spareRoutes: this.draw(0, MAX_SPARE_ROUTES),
-    };
+    const plainService = pick(this.draw, PLAIN_SERVICES);
+    const few = this.draw(0, MAX_FEW_ROUTES);
+    const spareRoutes = few < LARGE_FROM ? few : few * LARGE_FACTOR;
+    return {plainService, engineService: ENGINE_SERVICE, spareRoutes};
+  }
+
+  /** Changes the configuration, and calls its last route once it is in force. */
+  private async changeConfig(): Promise<void> {
+    const choice = this.drawConfig();
+    await this.operator.changeConfig(choice, () => this.isOver);
+    await delay(this.options.bounds.configMs);
+    const spareRoute = choice.spareRoutes - 1;
+    if (spareRoute < 0) return;
+    const calls = this.daemons
+      .slice(0, this.options.entries)
+      .map((_, entry) =>
+        this.callers.callOnce({kind: 'safe', entry, spareRoute}),
+      );
+    await Promise.all(calls);
   }
 
   private async playFault({fault, forMs}: PlannedFault): Promise<void> {
@@ -304,6 +340,7 @@
 
   private entryOf(fault: Fault): number | undefined {
     if (fault.kind === 'stop_entry') return fault.entry;
+    if (fault.kind === 'upgrade_entry') return fault.daemon;
     const isEntry =
       fault.kind === 'reload' && fault.daemon < this.options.entries;
     return isEntry ? fault.daemon : undefined;
@@ -316,6 +353,7 @@
         return [fault.entry];
       case 'pause':
       case 'cut':
+      case 'upgrade_entry':
         return [fault.daemon];
       case 'cut_off':
         return fault.entries;
@@ -343,7 +381,7 @@
       case 'pause':
         return this.pause(this.daemons[fault.daemon]!, forMs);
       case 'change_config':
-        return this.operator.changeConfig(this.drawConfig(), () => this.isOver);
+        return this.changeConfig();
       case 'zone_out':
         return this.takeZoneOut(ZONES[fault.zone]!, forMs);
       case 'target_leaves':
@@ -358,9 +396,30 @@
         return this.cutSome(fault, forMs);
       case 'cut_off':
         return this.cutOff(fault, forMs);
+      case 'upgrade_entry':
+      case 'upgrade_control':
+        return this.changeBuild(fault.daemon, fault.to);
     }
   }
 
+  /** Daemons change their builds one after another, in the order of the calls. */
+  private changeBuild(position: number, build: Build): Promise<void> {
+    const change = () => this.changeBuildNow(position, build);
+    this.lastChange = this.lastChange.then(change);
+    return this.lastChange;
+  }
+
+  private async changeBuildNow(position: number, build: Build): Promise<void> {
+    const {dialect, earlierProgram, entries, bounds} = this.options;
+    const daemon = this.daemons[position]!;
+    const isEntry = position < entries;
+    while (!daemon.isRunning || (isEntry && this.isStopping))
+      await delay(TURN_CHECK_MS);
+    daemon.program = build === 'tested' ? dialect.program : earlierProgram!;
+    if (isEntry) return this.stopInTurn(position);
+    return this.restart(position, stopped => stopped.stop(bounds.graceMs));
+  }
+
   /** Entries are stopped one after another; others are not stopped meanwhile. */
   private async stopInTurn(entry: number): Promise<void> {
     this.isStopping = true;
--- a/packages/soak/src/targets.ts
+++ b/packages/soak/src/targets.ts
@@ -265,6 +265,7 @@
     const run: RunRecord = {
       attempt,
       target: place.id,
+      service: place.service,
       signature: `s${this.runs.length}`,
       requestBody,
       startedAtMs: performance.now(),
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -42,6 +42,8 @@
   readonly endedAtMs: number;
   /** Whether the caller left before the end. */
   readonly hasLeft: boolean;
+  /** Position of the spare route that was called; undefined: none. */
+  readonly spareRoute?: number | undefined;
   readonly end: CallEnd;
 }
 
@@ -52,6 +54,7 @@
 export interface RunRecord {
   readonly attempt: string;
   readonly target: string;
+  readonly service: string;
   /** Unique for each run. */
   readonly signature: string;
   readonly requestBody: string;
@@ -65,6 +68,9 @@
 export interface ConfigRecord {
   readonly version: number;
   readonly text: string;
+  /** Where it sends requests that are no streams. */
+  readonly plainService: string;
+  readonly spareRoutes: number;
   acceptedAtMs: number | undefined;
 }
 
@@ -172,7 +178,7 @@
   readonly version: number;
   readonly plainService: string;
   readonly engineService: string;
-  /** Further routes, which nobody calls. */
+  /** Further routes, of kind `safe`; only the last one is called. */
   readonly spareRoutes: number;
 }
 
@@ -182,7 +188,8 @@
   readonly settingsVariable: string;
   settingsText(settings: DaemonSettings): string;
   callHeaders(attempt: string, deadlineMs: number): Record<string, string>;
-  pathOf(kind: RequestKind): string;
+  /** Path of the kind's route, or of a spare route by its position. */
+  pathOf(kind: RequestKind, spareRoute?: number): string;
   signatureOf(headers: IncomingHttpHeaders): string | undefined;
   attemptOf(headers: IncomingHttpHeaders): string | undefined;
   readRequest(head: string): TargetRequest;
