--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -108,7 +108,7 @@
   private callers!: Callers;
   private isOver = false;
   private isStopping = false;
-  private lastChange: Promise<void> = Promise.resolve();
+  private lastUpgrade: Promise<void> = Promise.resolve();
   private readonly startedAtMs = performance.now();
 
   constructor(private readonly options: SoakOptions) {
@@ -223,7 +223,7 @@
     const startMs = performance.now();
     for (const planned of schedule) {
       await delay(startMs + planned.atMs - performance.now());
-      this.pending.push(this.playFault(planned));
+      this.pending.push(this.playInOrder(planned));
     }
     await Promise.all(this.pending);
     const recovery = await this.probeUntil(bounds.recoverMs, 0.75);
@@ -318,6 +318,18 @@
     await Promise.all(calls);
   }
 
+  /** Daemons change their builds one after another; the rest overlaps. */
+  private playInOrder(planned: PlannedFault): Promise<void> {
+    const {fault} = planned;
+    const isUpgrade =
+      fault.kind === 'upgrade_entry' || fault.kind === 'upgrade_control';
+    if (!isUpgrade) return this.playFault(planned);
+    this.lastUpgrade = this.lastUpgrade
+      .then(() => this.untilStoppable(fault.daemon))
+      .then(() => this.playFault(planned));
+    return this.lastUpgrade;
+  }
+
   private async playFault({fault, forMs}: PlannedFault): Promise<void> {
     const name = JSON.stringify({...fault, forMs});
     const entry = this.entryOf(fault);
@@ -402,22 +414,19 @@
     }
   }
 
-  /** Daemons change their builds one after another, in the order of the calls. */
-  private changeBuild(position: number, build: Build): Promise<void> {
-    const change = () => this.changeBuildNow(position, build);
-    this.lastChange = this.lastChange.then(change);
-    return this.lastChange;
+  /** Waits until the daemon may be stopped, as others may not be at the time. */
+  private async untilStoppable(position: number): Promise<void> {
+    const isEntry = position < this.options.entries;
+    while (!this.daemons[position]!.isRunning || (isEntry && this.isStopping))
+      await delay(TURN_CHECK_MS);
   }
 
-  private async changeBuildNow(position: number, build: Build): Promise<void> {
+  private changeBuild(position: number, build: Build): Promise<void> {
     const {dialect, earlierProgram, entries, bounds} = this.options;
-    const daemon = this.daemons[position]!;
-    const isEntry = position < entries;
-    while (!daemon.isRunning || (isEntry && this.isStopping))
-      await delay(TURN_CHECK_MS);
-    daemon.program = build === 'tested' ? dialect.program : earlierProgram!;
-    if (isEntry) return this.stopInTurn(position);
-    return this.restart(position, stopped => stopped.stop(bounds.graceMs));
+    this.daemons[position]!.program =
+      build === 'tested' ? dialect.program : earlierProgram!;
+    if (position < entries) return this.stopInTurn(position);
+    return this.restart(position, daemon => daemon.stop(bounds.graceMs));
   }
 
   /** Entries are stopped one after another; others are not stopped meanwhile. */
