--- a/packages/cluster/src/entry/entry-node.ts
+++ b/packages/cluster/src/entry/entry-node.ts
@@ -33,19 +33,12 @@
 import type {ConfigDecoder} from '../config-decoder.js';
 import {
   toFinishMessage,
-  type PullRequest,
   type StateUpdate,
   type TargetUpdate,
 } from '../control/index.js';
-import {NO_VERSION} from '../documents/index.js';
 import type {Address, Peer} from '../link/index.js';
 import {ControlLinks} from './control-links.js';
-import {
-  nextConfig,
-  sizeOf,
-  type ConfigError,
-  type EntryConfig,
-} from './entry-config.js';
+import {ConfigFollower} from './config-follower.js';
 import {EntryQuarantine} from './entry-quarantine.js';
 import {EntryRollouts, type VersionObserver} from './entry-rollouts.js';
 import {
@@ -62,13 +55,7 @@
   NEXT_LEADER_WAIT_MS,
 } from './leader-reservations.js';
 import {LocalReservations} from './local-reservations.js';
-import {StatePuller} from './state-puller.js';
 
-/**
- * A starting entry that no leader can tell the newest state takes the newest that
- * a control daemon has after this time.
- */
-const UNCONFIRMED_AFTER_MS = 5_000;
 const REMOVE_EXPIRED_EVERY_MS = 5_000;
 const TARGET_EXPIRY_MS = 600_000;
 const MOVE_PERMIT_TIMEOUT_MS = 2_500;
@@ -94,7 +81,7 @@
 }
 
 export class EntryNode implements ReservationClient {
-  private current: EntryConfig | undefined;
+  private readonly config: ConfigFollower;
   private readonly table: TargetTable = new Map();
   readonly quarantine: EntryQuarantine;
   readonly statements: EntryStatements;
@@ -107,10 +94,6 @@
   private readonly runs = new EntryRuns();
   private readonly drainListeners = new Map<TargetId, Set<() => void>>();
   private readonly timers: NodeJS.Timeout[] = [];
-  private readonly puller: StatePuller;
-  private firstPullAtMs: number | undefined;
-  /** Whether deltas could not be applied, so that a whole document is due. */
-  private needsWholeDocument = false;
 
   constructor(private readonly options: EntryNodeOptions) {
     const incarnation = toIncarnation(randomUUID());
@@ -192,19 +175,19 @@
         this.rollouts.onLeader();
       },
       onStatements: reports => this.statements.learn(reports),
-      onStatus: () => this.puller.check(),
+      onStatus: () => this.config.check(),
       onQuarantine: view => this.quarantine.follow(view),
       onInformantsChanged: () => {
         for (const record of this.table.values()) this.updateTarget(record);
       },
     });
-    this.puller = new StatePuller({
+    this.config = new ConfigFollower({
       logger: options.logger,
       nowMs: options.nowMs,
-      index: () => this.stateIndex,
+      decodeConfig: options.decodeConfig,
       sources: () => this.controls.stateSources(),
-      request: () => this.nextPull(),
-      apply: (state, askedAtMs) => this.applyState(state, askedAtMs),
+      onState: (state, active, hasNewTable) =>
+        this.onState(state, active, hasNewTable),
     });
     this.timers.push(
       setInterval(() => this.removeExpiredTargets(), REMOVE_EXPIRED_EVERY_MS),
@@ -216,7 +199,7 @@
   }
 
   activeConfig(): ActiveConfig | undefined {
-    return this.current?.active;
+    return this.config.active;
   }
 
   /** Number of entries among which shared limits are divided. */
@@ -261,7 +244,7 @@
   /** Whether the target may get new requests, as far as others know. */
   private isUsable({announcement}: TargetRecord): boolean {
     const {id, state, zone} = announcement;
-    const isOut = this.current?.active.view.zonesOut.has(zone) ?? false;
+    const isOut = this.config.active?.view.zonesOut.has(zone) ?? false;
     const isLeaving = this.statements.isLeaving(id);
     const isSilent = this.controls.isSilent(id);
     return state === 'ready' && !isOut && !isLeaving && !isSilent;
@@ -380,7 +363,7 @@
     return {
       has_leader: this.controls.leaderPeer === undefined ? 0 : 1,
       controls_up: this.controls.connectedCount,
-      state_index: this.stateIndex,
+      state_index: this.config.index,
       relay_peers: this.relayPeers.length,
       targets: this.table.size,
       places_held_locally: this.local.dispatcher.runCount,
@@ -400,7 +383,7 @@
     this.targetLoads.stop();
     this.rollouts.stop();
     this.reachability.stop();
-    this.puller.stop();
+    this.config.stop();
     this.controls.close();
   }
 
@@ -433,18 +416,10 @@
 
   private hasEngine(service: ServiceId): boolean {
     return (
-      this.activeConfig()?.routeIndex.findService(service)?.engine !== undefined
+      this.config.active?.routeIndex.findService(service)?.engine !== undefined
     );
   }
 
-  private get stateIndex(): number {
-    return this.activeConfig()?.view.index ?? 0;
-  }
-
-  private get version(): number {
-    return this.current?.document.version ?? NO_VERSION;
-  }
-
   /** Reports all runs to a leader whose record of them may be wrong. */
   private sendHeldRuns(leader: Peer | undefined): void {
     const held = this.runs.ofServices(service =>
@@ -456,57 +431,17 @@
     leader?.notify('held_runs', {entry: this.options.instance, runs});
   }
 
-  private nextPull(): PullRequest {
-    const nowMs = this.options.nowMs();
-    this.firstPullAtMs ??= nowMs;
-    const isFirst = this.current === undefined;
-    const isLate = nowMs - this.firstPullAtMs >= UNCONFIRMED_AFTER_MS;
-    return {
-      knownVersion: this.needsWholeDocument ? NO_VERSION : this.version,
-      acceptsUpdates: true,
-      mustBeNewest: isFirst && !isLate,
-    };
-  }
-
-  /** Returns whether the state could be used, or is not needed any more. */
-  private async applyState(
-    state: StateUpdate,
-    askedAtMs: number,
-  ): Promise<boolean> {
-    const {logger, decodeConfig, nowMs, onRouteTable} = this.options;
-    const receivedAtMs = nowMs();
-    const next = await nextConfig(state, () => this.current, decodeConfig);
-    if (state.index <= this.stateIndex) return true;
-    if (next.isErr()) return this.onUnusable(next.error, state);
-    const {config, hasNewTable} = next.value;
-    this.current = config;
-    if (hasNewTable) this.needsWholeDocument = false;
-    const {table, zonesOut} = config.active.view;
+  private onState(
+    {rollouts}: StateUpdate,
+    {view}: ActiveConfig,
+    hasNewTable: boolean,
+  ): void {
+    const {table, zonesOut} = view;
     this.local.dispatcher.configure(capacitiesOf(table), zonesOut);
     this.local.dispatchPending();
-    if (hasNewTable) onRouteTable(table);
-    logger.info('config_in_force', {
-      index: state.index,
-      version: table.version,
-      routes: table.routes.length,
-      zones_out: [...zonesOut].join(','),
-      pull_ms: Math.round(receivedAtMs - askedAtMs),
-      apply_ms: Math.round(nowMs() - receivedAtMs),
-      from_version: state.update?.baseVersion,
-      chars: sizeOf(state),
-    });
+    if (hasNewTable) this.options.onRouteTable(table);
     // Daemons of earlier builds send no rollouts.
-    this.rollouts.follow(state.rollouts ?? []);
-    return true;
-  }
-
-  /** Returns whether another state may be usable at once. */
-  private onUnusable(error: ConfigError, {version}: StateUpdate): boolean {
-    if (error === 'other_base') return true;
-    if (error === 'none') return false;
-    this.needsWholeDocument = true;
-    this.options.logger.error('config_unreadable', {version});
-    return false;
+    this.rollouts.follow(rollouts ?? []);
   }
 
   private onTargetUpdate(update: TargetUpdate): void {
