The leader is asked for the state first

A follower that is asked for the newest state has to ask the leader, and waits up to 0.8 s where its link is down; an entry asked whichever daemon it knew first.

--- a/packages/cluster/src/entry/control-links.ts
+++ b/packages/cluster/src/entry/control-links.ts
@@ -156,12 +156,19 @@
     }
   }
 
-  /** The connected daemons, with the index of the state that each has. */
+  /**
+   * The connected daemons, with the index of the state that each has. The leader,
+   * which can confirm its state by itself, comes first.
+   */
   stateSources(): readonly StateSource[] {
-    return this.connectedControls().map(({address, status}) => ({
-      peer: this.links.peerAt(address)!,
-      index: status?.index ?? 0,
-    }));
+    const {leader} = this;
+    const first = leader && this.controls.get(formatAddress(leader));
+    return this.connectedControls()
+      .sort((a, b) => Number(b === first) - Number(a === first))
+      .map(({address, status}) => ({
+        peer: this.links.peerAt(address)!,
+        index: status?.index ?? 0,
+      }));
   }
 
   close(): void {
