A read of an earlier build is answered as before, and an unreadable state is not pulled again

An entry that cannot read a whole document pulled it again five times a second; it waits for the next state now.

--- a/packages/cluster/src/control/group-access.ts
+++ b/packages/cluster/src/control/group-access.ts
@@ -67,6 +67,7 @@
       return undefined;
     }
   }
+
   /**
    * The same as {@link readNewest}. Calls that come during a read share the next
    * one, as many entries may start at once.
--- a/packages/cluster/src/control/link-handlers.ts
+++ b/packages/cluster/src/control/link-handlers.ts
@@ -90,7 +90,7 @@
   {knownVersion}: PullRequest,
 ): Promise<StateUpdate | undefined> {
   const state = await group?.readNewest(READ_TIMEOUT_MS);
-  if (state?.version !== knownVersion) return state;
+  if (state === undefined || state.version !== knownVersion) return state;
   return {...state, document: undefined};
 }
 
--- a/packages/cluster/src/entry/config-follower.ts
+++ b/packages/cluster/src/entry/config-follower.ts
@@ -40,11 +40,13 @@
   private firstPullAtMs: number | undefined;
   /** Whether deltas could not be applied, so that a whole document is due. */
   private needsWholeDocument = false;
+  /** Index of the newest state whose whole document cannot be read. */
+  private unreadableIndex = 0;
 
   constructor(private readonly options: ConfigFollowerOptions) {
     this.puller = new StatePuller({
       ...options,
-      index: () => this.index,
+      index: () => Math.max(this.index, this.unreadableIndex),
       request: () => this.nextRequest(),
       apply: (state, askedAtMs) => this.apply(state, askedAtMs),
     });
@@ -117,11 +119,14 @@
   }
 
   /** Returns whether another state may be usable at once. */
-  private onUnusable(error: ConfigError, {version}: StateUpdate): boolean {
+  private onUnusable(error: ConfigError, state: StateUpdate): boolean {
     if (error === 'other_base') return true;
     if (error === 'none') return false;
+    const {version, index, update} = state;
+    const isWhole = (update?.baseVersion ?? NO_VERSION) === NO_VERSION;
+    if (isWhole) this.unreadableIndex = index;
     this.needsWholeDocument = true;
-    this.options.logger.error('config_unreadable', {version});
+    this.options.logger.error('config_unreadable', {version, whole: isWhole});
     return false;
   }
 }
