Long lines between control daemons are deflated

Earlier builds know no such question and get the lines as before; log and disks stay as they are. One line with a damaged part closes the link, like any line that is no message.

--- a/packages/cluster/src/control/control-node.ts
+++ b/packages/cluster/src/control/control-node.ts
@@ -11,6 +11,7 @@
   formatAddress,
   LinkSet,
   listenForLinks,
+  serializeNotification,
   type Address,
   type LinkListener,
   type Peer,
@@ -180,7 +181,10 @@
       onControl: (address, zone) => this.directory.note(address, zone),
     });
     this.links = new LinkSet(this.handlers(), {
-      onUp: (_address, peer) => this.sessions.sendHello(peer),
+      onUp: (_address, peer) => {
+        this.sessions.sendHello(peer);
+        void peer.askFeatures();
+      },
       onDown: (address, reason) => {
         logger.warn('control_link_down', {
           peer: formatAddress(address),
@@ -347,7 +351,8 @@
       nowMs: options.nowMs,
       send: (envelope, to) => {
         const message = {envelope, replyTo: options.address};
-        this.links.peerAt(to)?.notify('raft', message);
+        const peer = this.links.peerAt(to);
+        peer?.notifyLine(serializeNotification('raft', message));
       },
       onChange: ({version, document}) => {
         this.documents.record(version, document);
--- a/packages/cluster/src/link/index.ts
+++ b/packages/cluster/src/link/index.ts
@@ -1,2 +1,3 @@
+export {serializeNotification} from './lines.js';
 export * from './links.js';
 export * from './peer.js';
--- a/packages/cluster/src/link/peer.spec.ts
+++ b/packages/cluster/src/link/peer.spec.ts
@@ -4,7 +4,8 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {createServer, type AddressInfo} from 'node:net';
-import {Peer, PROMPT_KEEPALIVE, serializeNotification} from './peer.js';
+import {serializeNotification} from './lines.js';
+import {Peer, PROMPT_KEEPALIVE} from './peer.js';
 
 const MAX_FLOOD_BYTES = 4_000_000;
 
@@ -119,3 +120,53 @@
   expect(seen.notes >= 1).toEqual(true);
   expect(peers.length).toEqual(2);
 });
+
+test('a long line arrives otherwise than it was sent, or is sent as it is', async t => {
+  const {port, seen, peers} = await startAcceptor(t);
+  const socket = await open(port);
+  const opener = new Peer(socket, {}, () => undefined, PROMPT_KEEPALIVE);
+  t.after(() => opener.close());
+  const line = serializeNotification('note', {text: 'x'.repeat(100_000)});
+  opener.notifyLine(line);
+  while (seen.notes < 1) await delay(5);
+  const plainBytes = socket.bytesWritten;
+  expect(plainBytes >= line.length).toEqual(true);
+  await opener.askFeatures();
+  opener.notifyLine(line);
+  while (seen.notes < 2) await delay(5);
+  expect(socket.bytesWritten - plainBytes < line.length / 10).toEqual(true);
+  expect(peers[0]!.isClosed).toEqual(false);
+});
+
+test('a side of an earlier build is sent what it cannot read', async t => {
+  const server = createServer(socket => {
+    socket.on('data', data => {
+      const text = data.toString();
+      const id = /"id":(\d+)/.exec(text)?.[1];
+      const error = '{"code":-32601,"message":"Method not found"}';
+      if (id) socket.write(`{"jsonrpc":"2.0","id":${id},"error":${error}}\n`);
+    });
+    socket.on('error', () => undefined);
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.after(() => server.close());
+  const socket = await open((server.address() as AddressInfo).port);
+  const opener = new Peer(socket, {}, () => undefined, PROMPT_KEEPALIVE);
+  t.after(() => opener.close());
+  await opener.askFeatures();
+  const line = serializeNotification('note', {text: 'x'.repeat(100_000)});
+  opener.notifyLine(line);
+  while (socket.bytesWritten < line.length) await delay(5);
+  expect(opener.isClosed).toEqual(false);
+});
+
+test('a deflated line that is damaged ends the process, or is ignored', async t => {
+  const {port, seen, peers} = await startAcceptor(t);
+  const socket = await open(port);
+  socket.write(serializeNotification('note', {}));
+  socket.write(serializeNotification('deflated', {line: 'AAAA'}));
+  while (seen.closed < 1) await delay(5);
+  expect(peers[0]!.closeReason).toEqual('invalid');
+});
--- a/packages/cluster/src/link/peer.ts
+++ b/packages/cluster/src/link/peer.ts
@@ -14,6 +14,12 @@
   JSONRPCServer,
   JSONRPCServerAndClient,
 } from 'json-rpc-2.0';
+import {
+  DEFLATED_FROM_CHARS,
+  deflateLine,
+  inflateLine,
+  type DeflatedLine,
+} from './lines.js';
 
 const CHECK_EVERY_MS = 500;
 /** Silence after which the side that accepted a connection closes it. */
@@ -27,7 +33,14 @@
 const MAX_FIRST_LINE_BYTES = 65_536;
 /** The same of a daemon to which this one opened the connection. */
 const MAX_FIRST_ANSWER_BYTES = 4_194_304;
+/** What this build reads beside the messages that all builds read. */
+interface Features {
+  readonly readsDeflated: boolean;
+}
+
+const FEATURES: Features = {readsDeflated: true};
 const KEEPALIVE_LINE = '\n';
+const FEATURES_TIMEOUT_MS = 2_000;
 
 /** How the side that opened a connection finds out that it went silent. */
 export interface KeepaliveTiming {
@@ -64,11 +77,6 @@
   checkTimer = undefined;
 }
 
-/** A notification as one line, to be sent to many peers. */
-export function serializeNotification(method: string, params: object): string {
-  return JSON.stringify({jsonrpc: '2.0', method, params}) + '\n';
-}
-
 export type RpcHandlers = Readonly<
   Record<string, (params: never, peer: Peer) => unknown>
 >;
@@ -93,6 +101,8 @@
   closeReason: CloseReason | undefined;
   /** Undefined on the side that accepted the connection. */
   keepalive: KeepaliveTiming | undefined;
+  /** Whether the remote side reads deflated lines; see {@link askFeatures}. */
+  private readsDeflated = false;
   /** Label for the remote side; set and read by the owner only. */
   tag: string | undefined;
 
@@ -104,6 +114,8 @@
   ) {
     this.keepalive = keepalive;
     const server = new JSONRPCServer({errorListener: () => undefined});
+    server.addMethod('features', () => FEATURES);
+    server.addMethod('deflated', (part: DeflatedLine) => this.onDeflated(part));
     for (const [name, handle] of Object.entries(handlers)) {
       server.addMethod(name, params => handle(params as never, this));
     }
@@ -150,9 +162,25 @@
     if (!this.isClosed) this.rpc.notify(method, params);
   }
 
+  /** Learns what the remote side reads; earlier builds know no features. */
+  async askFeatures(): Promise<void> {
+    try {
+      const {readsDeflated} = await this.request<Features>(
+        'features',
+        {},
+        FEATURES_TIMEOUT_MS,
+      );
+      this.readsDeflated = readsDeflated;
+    } catch {
+      this.readsDeflated = false;
+    }
+  }
+
   /** Sends a line made by {@link serializeNotification}. */
   notifyLine(line: string): void {
-    if (!this.isClosed) this.write(line);
+    if (this.isClosed) return;
+    const isDeflated = this.readsDeflated && line.length >= DEFLATED_FROM_CHARS;
+    this.write(isDeflated ? deflateLine(line) : line);
   }
 
   /**
@@ -244,6 +272,12 @@
     if (this.partial.length > this.maxLineBytes) this.close('line_too_long');
   }
 
+  private onDeflated(deflated: DeflatedLine): void {
+    const line = inflateLine(deflated, MAX_LINE_BYTES);
+    if (line.isOk()) this.onLine(line.value);
+    else this.close('invalid');
+  }
+
   private get maxLineBytes(): number {
     if (this.hasValidMessage) return MAX_LINE_BYTES;
     const hasOpened = this.keepalive !== undefined;
