--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -35,6 +35,7 @@
   logFailedAttempt,
   recordEnd,
   recordResume,
+  recordSending,
   type RequestRecord,
 } from './request-record.js';
 import {CONNECT_TIMEOUT_MS, noteConnect} from './reachability.js';
@@ -306,6 +307,7 @@
     this.allowance.countAttempt();
     const timeoutMs = Math.min(CONNECT_TIMEOUT_MS, this.remainingMs());
     this.record.lastConnect = undefined;
+    this.record.lastPort = undefined;
     const connection = await this.deps.pool.acquire(
       reservation.address,
       timeoutMs,
@@ -404,6 +406,7 @@
   ): TargetAttempt {
     const {deps, req, res, metadata, callerLastEventId} = this;
     const remainingMs = this.remainingMs();
+    recordSending(deps, this.record, reservation, connection);
     const attempt = startRun(
       {deps, req, res, metadata, admitted, callerLastEventId, remainingMs},
       connection,
--- a/packages/gateway/src/exchange/request-record.ts
+++ b/packages/gateway/src/exchange/request-record.ts
@@ -6,8 +6,9 @@
   TargetId,
 } from '@samphirefield/core';
 import type {RunOutcome} from '../dispatch/index.js';
-import type {ConnectOutcome} from '../upstream/index.js';
+import type {ConnectOutcome, UpstreamConnection} from '../upstream/index.js';
 import type {NextStep} from './classify-result.js';
+import type {Reservation} from './reservation.js';
 import type {GatewayDependencies} from './types.js';
 
 export interface RequestRecord {
@@ -18,6 +19,10 @@
   lastRun: RequestId | undefined;
   /** How the connection for the last attempt came about; undefined: not yet. */
   lastConnect: ConnectOutcome | 'kept' | undefined;
+  /** Local port of the connection on which the request was sent last. */
+  lastPort: number | undefined;
+  /** How often the request was written to a target. */
+  sendings: number;
   /** Attempts, including those that a target rejected. */
   attempts: number;
   /** Attempts whose target could not be connected to. */
@@ -43,6 +48,8 @@
     lastTarget: undefined,
     lastRun: undefined,
     lastConnect: undefined,
+    lastPort: undefined,
+    sendings: 0,
     attempts: 0,
     unreached: 0,
     relayedTo: undefined,
@@ -55,7 +62,7 @@
 
 export function logFailedAttempt(
   deps: GatewayDependencies,
-  {attemptId, lastRun, lastTarget, lastConnect}: RequestRecord,
+  {attemptId, lastRun, lastTarget, lastConnect, lastPort}: RequestRecord,
   outcome: RunOutcome,
   nextStep: NextStep,
 ): void {
@@ -69,12 +76,32 @@
     target_state: record?.announcement.state ?? 'unknown',
     target_age_ms: record && Math.round(deps.nowMs() - record.lastSeenAtMs),
     connection: lastConnect,
+    local_port: lastPort,
     outcome,
     next: nextStep.kind,
     reason: response && 'reason' in response ? response.reason : undefined,
   });
 }
 
+/** Notes that the request is sent; logs each sending after the first. */
+export function recordSending(
+  deps: GatewayDependencies,
+  record: RequestRecord,
+  {target, address}: Reservation,
+  {localPort}: UpstreamConnection,
+): void {
+  record.sendings += 1;
+  record.lastPort = localPort;
+  if (record.sendings === 1) return;
+  deps.logger.info('sent_again', {
+    request: record.attemptId,
+    target,
+    address: `${address.host}:${address.port}`,
+    local_port: localPort,
+    times: record.sendings,
+  });
+}
+
 /** Logs and counts a run that continues a started stream. */
 export function recordResume(
   deps: GatewayDependencies,
--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -57,6 +57,8 @@
   private overheadBytes = 0;
   private headTimer: NodeJS.Timeout | undefined;
   private readonly parser: ResponseParser;
+  /** Names the connection in logs, also beside those of its target. */
+  readonly localPort: number | undefined;
 
   private constructor(
     private readonly socket: Socket,
@@ -69,6 +71,7 @@
       onEnd: () => this.onResponseEnd(),
     };
     this.parser = createResponseParser(parserEvents, () => this.isHeadRequest);
+    this.localPort = socket.localPort;
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_PROBE_DELAY_MS);
     socket.on('data', data => this.onSocketData(data));
