A request never goes twice over a connection on which it was refused

Cause: a target may write a refusal once more, late, on a kept connection. If the refused request had come back over that connection, the copy bore its id and was taken for the response to the second sending, so the request was sent on, or called not run, while it ran. Requests avoid targets by id and the pool is keyed by address, so this happened when a target started anew at its address, when a stream moved to a target that had refused it, and when a caller sent a request again under its id, or without one. Change: a connection remembers which requests were refused or failed on it, and the pool gives it to any other request only. What remains of a copy then names no request in progress and is skipped, or closes the idle connection.

--- a/packages/gateway/src/exchange/exchange.ts
+++ b/packages/gateway/src/exchange/exchange.ts
@@ -311,6 +311,7 @@
     const connection = await this.deps.pool.acquire(
       reservation.address,
       timeoutMs,
+      this.metadata.attemptId,
       outcome => {
         this.record.lastConnect = outcome;
         noteConnect(this.deps, reservation, outcome, timeoutMs);
--- a/packages/gateway/src/exchange/run-supervisor.ts
+++ b/packages/gateway/src/exchange/run-supervisor.ts
@@ -326,11 +326,16 @@
     before: TargetAttempt,
     from: Reservation,
   ): Promise<ResumedAttempt | undefined> {
-    const {deps, isOver, startAttempt} = this.options;
+    const {deps, metadata, isOver, startAttempt} = this.options;
     const sink = before.sink();
     const {resume} = moved;
     const connection =
-      sink && (await deps.pool.acquire(resume.address, CONNECT_TIMEOUT_MS));
+      sink &&
+      (await deps.pool.acquire(
+        resume.address,
+        CONNECT_TIMEOUT_MS,
+        metadata.attemptId,
+      ));
     if (sink === undefined || connection === undefined || isOver()) {
       connection?.destroy();
       this.discardMove(moved);
--- a/packages/gateway/src/exchange/target-attempt.spec.ts
+++ b/packages/gateway/src/exchange/target-attempt.spec.ts
@@ -12,6 +12,7 @@
   let handlers: ResponseHandlers | undefined;
   const connection = {
     send: (_data: Buffer, given: ResponseHandlers) => (handlers = given),
+    noteUnserved: () => undefined,
     destroy: () => (destroyed += 1),
   } as unknown as UpstreamConnection;
   const attempt = startTargetAttempt({
--- a/packages/gateway/src/exchange/target-attempt.ts
+++ b/packages/gateway/src/exchange/target-attempt.ts
@@ -238,6 +238,8 @@
     onEnd: () => {
       const isRejected = metadata!.isNotRun || metadata!.isMisdirected;
       const isNamed = metadata!.attemptId === attemptId;
+      const isServed = isSuccess(head!.status) && !isRejected;
+      if (!isServed) connection.noteUnserved(attemptId);
       // A continued run started on an earlier target, so it counts as run even
       // if this target rejects it.
       const isLost = options.continuesRun || !isRejected;
--- a/packages/gateway/src/testing/gateway.ts
+++ b/packages/gateway/src/testing/gateway.ts
@@ -375,6 +375,7 @@
 }
 
 export interface CallOptions {
+  /** Default: `a1`; empty: the request has no id. */
   readonly attemptId?: string;
   readonly body?: string;
   readonly headers?: Record<string, string>;
@@ -391,6 +392,7 @@
 ): Promise<CallerResponse> {
   const {attemptId = 'a1', body = 'hello', headers = {}, onData} = options;
   const {path = '/x?q=1'} = options;
+  const named = attemptId === '' ? {} : {attempt: attemptId};
   return new Promise((resolve, reject) => {
     const req = request(
       {
@@ -399,7 +401,7 @@
         method: 'POST',
         path,
         agent: false,
-        headers: {host: 'test', attempt: attemptId, ...headers},
+        headers: {host: 'test', ...named, ...headers},
       },
       res => {
         let text = '';
--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -13,6 +13,7 @@
   UpstreamAddress,
   UpstreamError,
 } from './types.js';
+import {UnservedRequests} from './unserved-requests.js';
 
 /** An idle connection is closed this long before the target would close it. */
 const IDLE_MARGIN_MS = 700;
@@ -47,6 +48,8 @@
    * Until when an idle connection is usable, on the clock of `performance.now`.
    */
   idleUntilMs = 0;
+  /** Names the connection in logs, also beside those of its target. */
+  readonly localPort: number | undefined;
   private handlers: ResponseHandlers | undefined;
   private head: ResponseHead | undefined;
   private isMatchingResponse = false;
@@ -56,9 +59,8 @@
   /** Bytes received since the last byte of the expected body. */
   private overheadBytes = 0;
   private headTimer: NodeJS.Timeout | undefined;
+  private readonly unserved = new UnservedRequests();
   private readonly parser: ResponseParser;
-  /** Names the connection in logs, also beside those of its target. */
-  readonly localPort: number | undefined;
 
   private constructor(
     private readonly socket: Socket,
@@ -106,6 +108,17 @@
     this.socket.write(data);
   }
 
+  /** False for a request that was refused or failed on this connection. */
+  mayCarry(attemptId: string | undefined): boolean {
+    return !this.unserved.has(attemptId);
+  }
+
+  /** Keeps a request that was refused or failed from using this connection. */
+  noteUnserved(attemptId: string | undefined): void {
+    this.unserved.add(attemptId);
+    if (this.unserved.isFull) this.close();
+  }
+
   /** Stops reading until {@link resume} or the end of the response. */
   pause(): void {
     if (this.handlers !== undefined) this.socket.pause();
--- a/packages/gateway/src/upstream/pool.ts
+++ b/packages/gateway/src/upstream/pool.ts
@@ -14,6 +14,22 @@
 
 const keyOf = ({host, port}: UpstreamAddress) => `${host}:${port}`;
 
+function isUsable(connection: UpstreamConnection, nowMs: number): boolean {
+  return !connection.isClosed && nowMs < connection.idleUntilMs;
+}
+
+/** Takes the connection that became idle last of those that may carry it. */
+function takeIdle(
+  {idle}: AddressPool,
+  attemptId: string | undefined,
+): UpstreamConnection | undefined {
+  const nowMs = performance.now();
+  const isFit = (item: UpstreamConnection) =>
+    isUsable(item, nowMs) && item.mayCarry(attemptId);
+  const position = idle.findLastIndex(isFit);
+  return position < 0 ? undefined : idle.splice(position, 1)[0];
+}
+
 export class UpstreamPool {
   private readonly byAddress = new Map<string, AddressPool>();
   private readonly sweeper: NodeJS.Timeout;
@@ -24,26 +40,20 @@
   }
 
   /**
-   * Returns an idle connection or opens one; undefined when that fails.
-   * `onConnect` is told how opening one ended.
+   * Returns an idle connection that may carry the request, or opens one;
+   * undefined when that fails. `onConnect` is told how opening one ended.
    */
   async acquire(
     address: UpstreamAddress,
     timeoutMs: number,
+    attemptId: string | undefined,
     onConnect?: (outcome: ConnectOutcome) => void,
   ): Promise<UpstreamConnection | undefined> {
     const pool = this.poolOf(address);
-    const nowMs = performance.now();
-    for (;;) {
-      const connection = pool.idle.pop();
-      if (connection === undefined) break;
-      if (!connection.isClosed && nowMs < connection.idleUntilMs) {
-        return connection;
-      }
-      connection.destroy();
-    }
+    const idle = takeIdle(pool, attemptId);
+    if (idle) return idle;
     const events: ConnectionEvents = {
-      onIdle: idle => pool.idle.push(idle),
+      onIdle: connection => pool.idle.push(connection),
       onClosed: closed => {
         pool.openCount -= 1;
         const position = pool.idle.indexOf(closed);
@@ -68,9 +78,7 @@
   keptConnections(address: UpstreamAddress): KeptConnections {
     const pool = this.byAddress.get(keyOf(address));
     const nowMs = performance.now();
-    const hasIdle =
-      pool?.idle.some(item => !item.isClosed && nowMs < item.idleUntilMs) ??
-      false;
+    const hasIdle = pool?.idle.some(item => isUsable(item, nowMs)) ?? false;
     return {hasIdle, lastReceivedAtMs: pool?.lastReceivedAtMs};
   }
 
