--- a/packages/soak/src/targets.ts
+++ b/packages/soak/src/targets.ts
@@ -15,6 +15,7 @@
 } from '@samphirefield/gateway/testing';
 import {Generation} from './generation.js';
 import type {ControlCaller} from './operator.js';
+import {answerOddly, CopiedRefusals} from './odd-answers.js';
 import {eventText} from './streams.js';
 import {chance, pick, type Draw} from './schedule.js';
 import type {
@@ -84,6 +85,7 @@
   private readonly places: TargetPlace[] = [];
   private readonly generations = new Map<string, Generation>();
   private readonly copies = new Map<string, Copy>();
+  private readonly refusals = new CopiedRefusals();
   private readonly timers = new Set<NodeJS.Timeout>();
   private isClosed = false;
 
@@ -239,7 +241,8 @@
     {head, body, socket}: ReceivedRequest,
   ): void {
     if (place.starts !== start) return;
-    const {dialect} = this.options;
+    const {dialect, draw} = this.options;
+    this.refusals.writeCopy(socket);
     const order = dialect.readMove(head, body);
     if (order) {
       this.work(place, COPY_MS, () => this.move(place, order, socket));
@@ -251,12 +254,17 @@
     }
     const request = dialect.readRequest(head);
     const {attempt, target, handle} = request;
+    const isOdd = place.isOdd && chance(draw, ODD_PERCENT);
     const reject = (status: string) =>
-      socket.write(completeResponse('', dialect.notRunLines(attempt), status));
+      this.refusals.write(
+        socket,
+        completeResponse('', dialect.notRunLines(attempt), status),
+        isOdd,
+      );
     if (target !== undefined && target !== place.id)
       reject(dialect.misdirectedStatus);
     else if (handle !== undefined) this.resume(place, request, socket, reject);
-    else if (place.running >= SLOTS) reject('503 Full');
+    else if (place.running >= SLOTS || isOdd) reject('503 Full');
     else if (place.isEngine) this.generate(place, attempt, body, socket);
     else this.runPlain(place, attempt, body, socket);
   }
@@ -294,7 +302,7 @@
       run.endedAtMs = performance.now();
       if (place.isOdd && chance(this.options.draw, ODD_PERCENT)) {
         run.end = 'target';
-        this.answerOddly(run, body, lines, socket);
+        answerOddly(draw, run, {body, lines}, socket);
         return;
       }
       const isFailing = chance(this.options.draw, FAILED_PERCENT);
@@ -326,39 +334,6 @@
     }
   }
 
-  private answerOddly(
-    run: RunRecord,
-    body: string,
-    lines: readonly string[],
-    socket: Socket,
-  ): void {
-    const whole = completeResponse(body, lines);
-    const {draw} = this.options;
-    switch (draw(0, 6)) {
-      case 0:
-        socket.write(completeResponse(body, lines, '000 Odd'));
-        return;
-      case 1:
-        run.answer = {status: 200, body};
-        socket.write(whole + completeResponse('again', lines));
-        return;
-      case 2:
-        socket.end(whole.slice(0, draw(1, whole.length - body.length - 1)));
-        return;
-      case 3:
-        socket.end(whole.slice(0, -1));
-        return;
-      case 4:
-        socket.write('\u0000\u0001 these are no bytes of an answer\r\n\r\n');
-        return;
-      case 5:
-        socket.write(completeResponse(body));
-        return;
-      default:
-        socket.resetAndDestroy();
-    }
-  }
-
   private generate(
     place: TargetPlace,
     attempt: string,
@@ -385,7 +360,8 @@
         run.end = 'target';
         run.answer = undefined;
         place.running -= 1;
-        this.answerOddly(run, eventText(run.signature, 1, 1), lines, socket);
+        const first = eventText(run.signature, 1, 1);
+        answerOddly(draw, run, {body: first, lines}, socket);
       } else {
         generation.start(socket, lines, 0);
       }
@@ -418,7 +394,9 @@
     const answer = (status: string, handle?: string) => {
       const made = this.generations.get(attempt)?.madeCount ?? 0;
       const body = dialect.moveAnswer(handle, made);
-      socket.write(completeResponse(body, [], status));
+      const isCopied = place.isOdd && handle === undefined;
+      const text = completeResponse(body, [], status);
+      this.refusals.write(socket, text, isCopied);
     };
     const generation = this.generations.get(attempt);
     if (!generation?.isRunning) {
