--- a/packages/soak/src/targets.ts
+++ b/packages/soak/src/targets.ts
@@ -35,6 +35,9 @@
 const SERVES_ON_MS = 1_000;
 const FAILED_PERCENT = 3;
 const ODD_PERCENT = 50;
+/** Part of the refusals that are written once more. */
+const COPIED_PERCENT = 50;
+const MOVED = '200 OK';
 /** Part of the last copies that are answered as ordered. */
 const MOVED_PERCENT = 50;
 
@@ -259,7 +262,7 @@
       this.refusals.write(
         socket,
         completeResponse('', dialect.notRunLines(attempt), status),
-        isOdd,
+        chance(draw, COPIED_PERCENT),
       );
     if (target !== undefined && target !== place.id)
       reject(dialect.misdirectedStatus);
@@ -394,7 +397,7 @@
     const answer = (status: string, handle?: string) => {
       const made = this.generations.get(attempt)?.madeCount ?? 0;
       const body = dialect.moveAnswer(handle, made);
-      const isCopied = place.isOdd && handle === undefined;
+      const isCopied = status !== MOVED && chance(draw, COPIED_PERCENT);
       const text = completeResponse(body, [], status);
       this.refusals.write(socket, text, isCopied);
     };
@@ -405,14 +408,14 @@
     }
     const handle = `h${this.copies.size}-${draw(1, 1_000_000)}`;
     if (!isLast) {
-      answer('200 OK', handle);
+      answer(MOVED, handle);
       return;
     }
     this.lastCopies += 1;
     generation.stopForCopy();
     if (chance(this.options.draw, MOVED_PERCENT)) {
       this.copies.set(handle, {generation, destination});
-      answer('200 OK', handle);
+      answer(MOVED, handle);
       return;
     }
     switch (draw(0, 5)) {
