Test: an entry that decides alone has a configuration first

The test's setup says that it waits for the configuration, but looked at the target and the leader only; without one the entry knows no limit of the engine. With the wait 36 of 36 pass, six at a time. The check is as strict.

--- a/packages/cluster/src/admission.spec.ts
+++ b/packages/cluster/src/admission.spec.ts
@@ -43,7 +43,8 @@
     node.announce(createAnnouncement());
   await until('the entry has configuration, target and leader', () => {
     const hasTarget = entry.findTarget(targetId('i-1')) !== undefined;
-    return hasTarget && entry.metrics()['has_leader'] === 1;
+    const hasConfig = entry.activeConfig() !== undefined;
+    return hasTarget && hasConfig && entry.metrics()['has_leader'] === 1;
   });
   return {cluster, entry};
 }
