--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -69,6 +69,8 @@
     this.processes = [];
     this.controls = [];
     this.entries = [];
+    process.once('SIGTERM', () => process.exit(2));
+    process.once('exit', () => this.killAll());
   }
 
   async start({
@@ -262,12 +264,18 @@
     }
   }
 
-  async stop() {
+  /** Ends what this case has started, also when the script fails. */
+  killAll() {
     this.isEnding = true;
-    for (const {child} of this.processes) {
+    for (const {child, hasEnded} of this.processes) {
+      if (hasEnded) continue;
       child.kill('SIGCONT');
       child.kill('SIGKILL');
     }
+  }
+
+  async stop() {
+    this.killAll();
     await delay(200);
     rmSync(this.folder, {recursive: true, force: true});
   }
